--- /dev/null
+++ b/src/coordination/dispatcher.h
@@ -0,0 +1,115 @@
+// A router's queue and choice of endpoint for one pool. Every admitted request leaves it exactly once: granted an
+// endpoint, refused, or withdrawn by its caller.
+#pragma once
+
+#include "state/document.h"
+#include "state/errors.h"
+
+#include "control.pb.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace roserail
+{
+
+using TicketId = Id<struct TicketTag, uint64_t>;
+
+// A request that waits for an endpoint.
+struct Waiting {
+    TicketId ticket;
+    CallerId caller;
+    std::string target; // artifact or service
+    bool service = false;
+    RequestClass requestClass = RequestClass::Interactive;
+    Time deadline{};
+    uint64_t prefixHash = 0; // 0: no preference
+    std::set<EndpointId> avoid; // endpoints that failed it
+    Millis loadTime{0}; // of the artifact, from the document
+    bool everLoadable = true; // false: the document allows no replica
+};
+
+struct Grant {
+    TicketId ticket;
+    EndpointId endpoint;
+    uint64_t incarnation = 0;
+    std::string address;
+};
+
+struct Refusal {
+    TicketId ticket;
+    Error error;
+};
+
+struct Decisions {
+    std::vector<Grant> grants;
+    std::vector<Refusal> refusals;
+};
+
+class Dispatcher
+{
+public:
+    explicit Dispatcher(std::string pool);
+
+    // Takes a request, or says at once why it cannot be answered in time.
+    Result<void> admit(Waiting waiting, Time now);
+    // The caller has gone. False if the request has already left the queue.
+    bool withdraw(TicketId ticket);
+    // An attempt on an endpoint ended. `took` is its service time if it completed.
+    void finish(const Grant &grant, const std::string &target, const CallerId &caller, RequestClass requestClass, std::optional<Millis> took);
+    void setEndpoint(const pb::DirectoryEntry &entry);
+    void clearEndpoints();
+    void setEstimate(const pb::LoadEstimate &estimate, Time now);
+    void setLease(Time until);
+    // Grants what can run and refuses what cannot be answered in time.
+    Decisions decide(Time now);
+    // What waits and runs, for the control leader. Includes what was used since the last call.
+    std::vector<pb::Demand> takeDemands(Time now);
+
+    const std::string &pool() const
+    {
+        return m_pool;
+    }
+    size_t waitingCount() const
+    {
+        return m_waiting.size();
+    }
+
+private:
+    struct Endpoint {
+        pb::DirectoryEntry entry;
+        uint32_t running = 0; // granted by this router
+        uint32_t runningOvernight = 0;
+    };
+    struct Estimate {
+        Time readyAt{};
+        bool placeable = true;
+    };
+    // What is known of one artifact or service at this router.
+    struct Target {
+        uint32_t running = 0;
+        double serviceMs = 0; // moving average
+        Time lastUse{};
+        bool usedSinceReport = false;
+        std::optional<Estimate> estimate;
+    };
+
+    bool serves(const Endpoint &endpoint, const Waiting &waiting) const;
+    bool hasRoom(const Endpoint &endpoint, const Waiting &waiting) const;
+    Endpoint *choose(const Waiting &waiting);
+    uint32_t capacityFor(const Waiting &waiting) const;
+    uint32_t ahead(const Waiting &waiting) const;
+    std::optional<Error> hopeless(const Waiting &waiting, Time now) const;
+    std::vector<size_t> order() const;
+
+    std::string m_pool;
+    Time m_leaseUntil{};
+    std::vector<Waiting> m_waiting;
+    std::map<EndpointId, Endpoint> m_endpoints;
+    std::map<std::string, Target> m_targets;
+    std::map<CallerId, uint32_t> m_runningOfCaller;
+};
+
+} // namespace roserail
--- /dev/null
+++ b/src/coordination/placement.cpp
@@ -0,0 +1,453 @@
+#include "coordination/placement.h"
+
+#include "state/tunables.h"
+
+#include <algorithm>
+#include <set>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+pb::ArtifactState stateIn(const pb::EndpointReport &report, const Slot &slot)
+{
+    for (const pb::ArtifactReport &it : report.artifacts()) {
+        if (it.artifact() == slot.artifact.value() && it.version() == slot.version)
+            return it.state();
+    }
+    return pb::ARTIFACT_ABSENT;
+}
+
+double tierFactor(const pb::EndpointReport &report, const ArtifactId &artifact)
+{
+    for (const pb::ArtifactReport &it : report.artifacts()) {
+        if (it.artifact() != artifact.value())
+            continue;
+        if (it.tier() == pb::TIER_MEMORY)
+            return TierFactorMemory;
+        if (it.tier() == pb::TIER_DISK)
+            return TierFactorDisk;
+    }
+    return 1;
+}
+
+Millis scaled(Millis time, double factor)
+{
+    return Millis(int64_t(double(time.count()) * factor));
+}
+
+pb::Command orderCommand(SlotId slot, pb::OrderKind kind)
+{
+    pb::Command command;
+    command.mutable_send_order()->set_slot(slot.value());
+    command.mutable_send_order()->set_kind(kind);
+    return command;
+}
+
+pb::Command releaseCommand(const Slot &slot, const pb::EndpointReport &report)
+{
+    pb::Command command;
+    command.mutable_release_slot()->set_slot(slot.id.value());
+    command.mutable_release_slot()->set_reported_fence(report.fence());
+    command.mutable_release_slot()->set_sequence(report.sequence());
+    return command;
+}
+
+pb::Command reserveCommand(const pb::EndpointReport &report, const Artifact &artifact)
+{
+    pb::Command command;
+    pb::ReserveSlot &body = *command.mutable_reserve_slot();
+    body.set_endpoint(report.endpoint());
+    body.set_incarnation(report.incarnation());
+    body.set_artifact(artifact.id.value());
+    body.set_version(artifact.version);
+    return command;
+}
+
+} // namespace
+
+// What one call of `decide` has seen and chosen so far.
+struct Placement::Round {
+    const Machine &machine;
+    const Document &document;
+    const Ledger &ledger;
+    const Directory &directory;
+    Time now;
+    std::map<ArtifactId, Want> wants{};
+    std::vector<pb::Command> commands{};
+    size_t modelLoads = 0; // in flight
+    size_t adapterLoads = 0;
+    size_t modelsQueued = 0; // loads wanted that have to wait for the store
+    std::map<HostId, Bytes> reservedOnHost{}; // by commands of this round
+    std::map<EndpointId, Bytes> reservedOnEndpoint{};
+    std::set<SlotId> unloading{}; // by commands of this round
+    std::map<ArtifactId, uint32_t> loads{}; // slots to be loaded or loaded, commands of this round included
+    std::map<ArtifactId, Time> readyAt{}; // earliest
+};
+
+void Placement::reset(Time now)
+{
+    *this = Placement();
+    m_leadingSince = now;
+    m_tokensAt = now;
+}
+
+void Placement::takeDemand(const RouterId &router, const google::protobuf::RepeatedPtrField<pb::Demand> &demands, Time now)
+{
+    RouterDemand &entry = m_demands[router];
+    entry.demands.assign(demands.begin(), demands.end());
+    entry.expiresAt = now + RouterLease;
+    for (const pb::Demand &it : demands)
+        m_keepWarm.used(ArtifactId(it.artifact()), it.running() + it.waiting() > 0 ? now : now - Millis(it.idle_ms()));
+}
+
+void Placement::orderSent(SlotId slot, Time now)
+{
+    m_orderSentAt[slot] = now;
+}
+
+// An order without an answer is repeated after a while; after a change of leader, its time is not known.
+bool Placement::orderDue(SlotId slot, Time now) const
+{
+    const auto it = m_orderSentAt.find(slot);
+    const Time sentAt = it == m_orderSentAt.end() ? m_leadingSince : it->second;
+    return now >= sentAt + OrderTimeout + OrderRetry;
+}
+
+std::map<ArtifactId, Placement::Want> Placement::collectDemand(Time now)
+{
+    std::erase_if(m_demands, [now](const std::pair<const RouterId, RouterDemand> &it) { return it.second.expiresAt <= now; });
+    std::map<ArtifactId, Want> wants;
+    for (const std::pair<const RouterId, RouterDemand> &router : m_demands) {
+        for (const pb::Demand &it : router.second.demands) {
+            if (it.waiting() + it.running() == 0)
+                continue;
+            Want &want = wants[ArtifactId(it.artifact())];
+            want.artifact = ArtifactId(it.artifact());
+            want.waiting += it.waiting();
+            want.running += it.running();
+            want.interactive |= it.interactive();
+            if (it.waiting() > 0)
+                want.deadline = std::min(want.deadline, now + Millis(it.wait_ms()));
+        }
+    }
+    return wants;
+}
+
+void Placement::addMinimums(const Document &document, std::map<ArtifactId, Want> &wants) const
+{
+    for (const std::pair<const ArtifactId, Artifact> &it : document.artifacts) {
+        if (it.second.minReplicas > 0)
+            wants[it.first].artifact = it.first;
+    }
+    // An adapter needs its base.
+    std::vector<Want> bases;
+    for (const std::pair<const ArtifactId, Want> &it : wants) {
+        const Artifact *artifact = document.artifact(it.first);
+        if (artifact == nullptr || !artifact->isAdapter())
+            continue;
+        Want base = it.second;
+        base.artifact = artifact->base;
+        bases.push_back(base);
+    }
+    for (const Want &it : bases) {
+        Want &base = wants[it.artifact];
+        base.artifact = it.artifact;
+        base.waiting += it.waiting;
+        base.running += it.running;
+        base.deadline = std::min(base.deadline, it.deadline);
+        base.interactive |= it.interactive;
+    }
+}
+
+std::vector<pb::Command> Placement::decide(const Machine &machine, const Directory &directory, Time now)
+{
+    Round round{machine, machine.document(), machine.ledger(), directory, now};
+    round.commands = directory.registrations(round.ledger);
+    round.wants = collectDemand(now);
+    addMinimums(round.document, round.wants);
+    refillTokens(round.document.policy, now);
+    std::erase_if(m_orderSentAt, [&](const std::pair<const SlotId, Time> &it) { return round.ledger.slot(it.first) == nullptr; });
+    m_estimates.clear();
+    for (const std::pair<const SlotId, Slot> &it : round.ledger.slots())
+        reviewSlot(round, it.second);
+    // Interactive requests first, then by deadline.
+    std::vector<Want> order;
+    for (const std::pair<const ArtifactId, Want> &it : round.wants)
+        order.push_back(it.second);
+    std::stable_sort(order.begin(), order.end(), [](const Want &a, const Want &b) {
+        return a.interactive != b.interactive ? a.interactive : a.deadline < b.deadline;
+    });
+    for (const Want &it : order)
+        place(round, it);
+    return std::move(round.commands);
+}
+
+// Follows up one slot: lost orders, failed loads, finished unloads, replicas that are no longer wanted.
+void Placement::reviewSlot(Round &round, const Slot &slot)
+{
+    const pb::EndpointReport *report = round.directory.report(slot.endpoint, slot.incarnation);
+    const bool loading = slot.lastOrder == OrderKind::Load;
+    round.loads[slot.artifact] += loading ? 1 : 0;
+    if (report == nullptr) {
+        round.modelLoads += loading && slot.base.value().empty() ? 1 : 0;
+        return;
+    }
+    tidyOrders(round, slot, *report);
+    const pb::ArtifactState state = stateIn(*report, slot);
+    if (loading)
+        reviewLoad(round, slot, *report, state);
+    else
+        reviewUnload(round, slot, *report, state);
+}
+
+// An endpoint that checks fencing numbers shows which orders can no longer arrive.
+void Placement::tidyOrders(Round &round, const Slot &slot, const pb::EndpointReport &report)
+{
+    if (!report.checks_fencing())
+        return;
+    for (const Fence &it : slot.unanswered) {
+        if (it.value() > report.fence())
+            continue;
+        pb::Command command;
+        command.mutable_answer_order()->set_slot(slot.id.value());
+        command.mutable_answer_order()->set_fence(it.value());
+        command.mutable_answer_order()->set_sequence(report.sequence());
+        round.commands.push_back(std::move(command));
+    }
+}
+
+void Placement::reviewLoad(Round &round, const Slot &slot, const pb::EndpointReport &report, pb::ArtifactState state)
+{
+    const Artifact *artifact = round.document.artifact(slot.artifact);
+    if (state == pb::ARTIFACT_LOADED) {
+        round.readyAt[slot.artifact] = round.now;
+        if (shouldUnload(round, slot)) {
+            round.unloading.insert(slot.id);
+            --round.loads[slot.artifact];
+            round.commands.push_back(orderCommand(slot.id, pb::ORDER_UNLOAD));
+        }
+        return;
+    }
+    if (slot.base.value().empty())
+        ++round.modelLoads;
+    else
+        ++round.adapterLoads;
+    const auto sent = m_orderSentAt.find(slot.id);
+    const Millis whole = artifact == nullptr ? Millis(0) : scaled(artifact->loadTime, tierFactor(report, slot.artifact));
+    const Time started = sent == m_orderSentAt.end() ? m_leadingSince : sent->second;
+    const Time ready = std::max(round.now, started + whole);
+    const auto earlier = round.readyAt.find(slot.artifact);
+    if (earlier == round.readyAt.end() || ready < earlier->second)
+        round.readyAt[slot.artifact] = ready;
+    if (state == pb::ARTIFACT_LOADING)
+        return;
+    // Absent: the order is on its way, was lost, or the load failed.
+    if (slot.unanswered.empty() && report.sequence() > slot.answeredSequence && (sent == m_orderSentAt.end() || round.now > sent->second + OrderRetry))
+        round.commands.push_back(releaseCommand(slot, report));
+    else if (orderDue(slot.id, round.now))
+        round.commands.push_back(orderCommand(slot.id, pb::ORDER_LOAD));
+}
+
+void Placement::reviewUnload(Round &round, const Slot &slot, const pb::EndpointReport &report, pb::ArtifactState state)
+{
+    const bool fenced = report.checks_fencing() && !slot.unanswered.empty() && report.fence() > slot.unanswered.rbegin()->value();
+    const bool noOrderLeft = slot.unanswered.empty() || fenced;
+    if (state == pb::ARTIFACT_ABSENT && noOrderLeft) {
+        if (report.sequence() > slot.answeredSequence)
+            round.commands.push_back(releaseCommand(slot, report));
+        return;
+    }
+    // A slot that an order may still reach stays reserved; it can serve the artifact again.
+    const bool wanted = round.wants.count(slot.artifact) != 0 && round.wants.at(slot.artifact).waiting > 0;
+    const Artifact *artifact = round.document.artifact(slot.artifact);
+    const bool current = artifact != nullptr && artifact->version == slot.version;
+    if (state == pb::ARTIFACT_ABSENT && wanted && current) {
+        round.commands.push_back(orderCommand(slot.id, pb::ORDER_LOAD));
+        ++round.loads[slot.artifact];
+        return;
+    }
+    const bool useful = state != pb::ARTIFACT_ABSENT || report.checks_fencing();
+    if (useful && orderDue(slot.id, round.now))
+        round.commands.push_back(orderCommand(slot.id, pb::ORDER_UNLOAD));
+}
+
+bool Placement::shouldUnload(const Round &round, const Slot &slot) const
+{
+    const bool hasAdapters = std::any_of(round.ledger.slots().begin(), round.ledger.slots().end(), [&](const std::pair<const SlotId, Slot> &it) {
+        return it.second.endpoint == slot.endpoint && it.second.base == slot.artifact;
+    });
+    if (hasAdapters || !slot.unanswered.empty())
+        return false;
+    const Artifact *artifact = round.document.artifact(slot.artifact);
+    if (artifact == nullptr || artifact->version != slot.version)
+        return true;
+    const uint32_t replicas = round.loads.at(slot.artifact);
+    if (round.ledger.replicas(slot.artifact) > artifact->maxReplicas)
+        return true;
+    if (replicas <= artifact->minReplicas)
+        return false;
+    const auto want = round.wants.find(slot.artifact);
+    if (want != round.wants.end() && want->second.waiting + want->second.running > 0)
+        return false;
+    return round.now >= std::max(m_keepWarm.keepUntil(*artifact, round.document.policy), m_leadingSince + RouterLease);
+}
+
+void Placement::refillTokens(const Policy &policy, Time now)
+{
+    const double passed = double((now - m_tokensAt).count()) / 1000.0;
+    m_storeTokens = std::min(policy.storeLoadsPerSecond, m_storeTokens + passed * policy.storeLoadsPerSecond);
+    m_tokensAt = now;
+}
+
+void Placement::place(Round &round, const Want &want)
+{
+    const Artifact *artifact = round.document.artifact(want.artifact);
+    if (artifact == nullptr)
+        return;
+    const uint32_t busy = (want.waiting + want.running + RequestsPerReplica - 1) / RequestsPerReplica;
+    const uint32_t target = std::min(artifact->maxReplicas, std::max(artifact->minReplicas, busy));
+    bool placed = true;
+    while (placed && round.loads[want.artifact] < target && round.ledger.replicas(want.artifact) < artifact->maxReplicas)
+        placed = placeOn(round, *artifact);
+    estimateWaiting(round, want);
+}
+
+// Chooses the endpoint that is ready first, then the one with most memory left.
+bool Placement::placeOn(Round &round, const Artifact &artifact)
+{
+    const bool storeBusy = round.modelLoads >= StoreLoadsInFlight || m_storeTokens < 1;
+    const bool adaptersBusy = round.adapterLoads >= AdapterLoadsInFlight;
+    const pb::EndpointReport *best = nullptr;
+    double bestFactor = 0;
+    Bytes bestFree = 0;
+    for (const std::pair<const EndpointId, EndpointView> &it : round.directory.endpoints()) {
+        const pb::EndpointReport *report = round.directory.report(it.first, it.second.report.incarnation());
+        const EndpointRecord *record = round.ledger.endpoint(it.first);
+        const bool usable = report != nullptr && record != nullptr && record->incarnation == report->incarnation() && !report->leaving()
+            && !report->service() && report->pool() == artifact.pool;
+        if (!usable || round.ledger.slotOf(it.first, artifact.id) != nullptr)
+            continue;
+        if (artifact.isAdapter()) {
+            const Slot *base = round.ledger.slotOf(it.first, artifact.base);
+            if (base == nullptr || base->lastOrder != OrderKind::Load || stateIn(*report, *base) != pb::ARTIFACT_LOADED)
+                continue;
+        }
+        const Bytes onEndpoint = round.ledger.usedOnEndpoint(it.first) + round.reservedOnEndpoint[it.first];
+        const Bytes onHost = round.ledger.usedOnHost(record->host) + round.reservedOnHost[record->host];
+        const Bytes hostBytes = round.ledger.hostBytes(record->host);
+        if (onEndpoint + artifact.bytes > record->endpointBytes || onHost + artifact.bytes > hostBytes)
+            continue;
+        const double factor = tierFactor(*report, artifact.id);
+        const bool fromStore = factor >= 1 && !artifact.isAdapter();
+        if ((fromStore && storeBusy) || (artifact.isAdapter() && adaptersBusy))
+            continue;
+        const Bytes left = record->endpointBytes - onEndpoint;
+        if (best == nullptr || factor < bestFactor || (factor == bestFactor && left > bestFree)) {
+            best = report;
+            bestFactor = factor;
+            bestFree = left;
+        }
+    }
+    if (best == nullptr) {
+        const bool waitsForStore = artifact.isAdapter() ? adaptersBusy : storeBusy;
+        round.modelsQueued += waitsForStore ? 1 : 0;
+        return waitsForStore ? false : makeRoom(round, artifact);
+    }
+    round.commands.push_back(reserveCommand(*best, artifact));
+    round.reservedOnEndpoint[EndpointId(best->endpoint())] += artifact.bytes;
+    round.reservedOnHost[HostId(best->host())] += artifact.bytes;
+    ++round.loads[artifact.id];
+    if (artifact.isAdapter()) {
+        ++round.adapterLoads;
+    } else if (bestFactor >= 1) {
+        ++round.modelLoads;
+        m_storeTokens -= 1;
+    }
+    const Time ready = round.now + scaled(artifact.loadTime, bestFactor);
+    const auto earlier = round.readyAt.find(artifact.id);
+    if (earlier == round.readyAt.end() || ready < earlier->second)
+        round.readyAt[artifact.id] = ready;
+    return true;
+}
+
+// Unloads the replica that was idle longest on an endpoint where that makes room. Always false: the load comes later.
+bool Placement::makeRoom(Round &round, const Artifact &artifact)
+{
+    if (artifact.isAdapter() && round.loads[artifact.base] == 0)
+        return false;
+    const Slot *victim = nullptr;
+    Time victimUse{};
+    for (const std::pair<const SlotId, Slot> &it : round.ledger.slots()) {
+        const Slot &slot = it.second;
+        const pb::EndpointReport *report = round.directory.report(slot.endpoint, slot.incarnation);
+        const EndpointRecord *record = round.ledger.endpoint(slot.endpoint);
+        if (report == nullptr || record == nullptr || report->leaving() || report->pool() != artifact.pool)
+            continue;
+        const bool absent = stateIn(*report, slot) == pb::ARTIFACT_ABSENT;
+        const bool pinned = slot.lastOrder == OrderKind::Unload && absent && !slot.unanswered.empty() && !report->checks_fencing();
+        if (pinned)
+            continue;
+        // Room that is already being made is waited for.
+        const bool leaving = slot.lastOrder == OrderKind::Unload || round.unloading.count(slot.id) != 0;
+        if (leaving && slot.bytes >= artifact.bytes)
+            return false;
+        const bool idle = round.wants.count(slot.artifact) == 0 && slot.unanswered.empty() && stateIn(*report, slot) == pb::ARTIFACT_LOADED;
+        const bool adaptersOnIt = std::any_of(round.ledger.slots().begin(), round.ledger.slots().end(), [&](const std::pair<const SlotId, Slot> &other) {
+            return other.second.endpoint == slot.endpoint && other.second.base == slot.artifact;
+        });
+        const bool enough = round.ledger.usedOnEndpoint(slot.endpoint) - slot.bytes + artifact.bytes <= record->endpointBytes
+            && round.ledger.usedOnHost(record->host) - slot.bytes + artifact.bytes <= round.ledger.hostBytes(record->host);
+        if (leaving || !idle || adaptersOnIt || !enough)
+            continue;
+        const Time use = m_keepWarm.lastUse(slot.artifact);
+        if (victim == nullptr || use < victimUse) {
+            victim = &slot;
+            victimUse = use;
+        }
+    }
+    if (victim != nullptr) {
+        round.unloading.insert(victim->id);
+        round.commands.push_back(orderCommand(victim->id, pb::ORDER_UNLOAD));
+        round.readyAt[artifact.id] = round.now + artifact.loadTime;
+    }
+    return false;
+}
+
+void Placement::estimateWaiting(Round &round, const Want &want)
+{
+    const Artifact *artifact = round.document.artifact(want.artifact);
+    const auto ready = round.readyAt.find(want.artifact);
+    const Millis perLoad(int64_t(1000.0 / round.document.policy.storeLoadsPerSecond));
+    pb::LoadEstimate estimate;
+    estimate.set_artifact(want.artifact.value());
+    estimate.set_placeable(true);
+    Millis wait{0};
+    if (ready != round.readyAt.end())
+        wait = ready->second - round.now;
+    else if (artifact->isAdapter() && round.readyAt.count(artifact->base) != 0)
+        wait = round.readyAt.at(artifact->base) - round.now + artifact->loadTime;
+    else if (round.modelsQueued > 0 || artifact->isAdapter())
+        wait = artifact->loadTime + perLoad * int64_t(round.modelsQueued + round.modelLoads);
+    else
+        estimate.set_placeable(false);
+    estimate.set_ready_in_ms(uint32_t(wait.count()));
+    m_estimates[want.artifact] = estimate;
+}
+
+pb::LoadEstimate Placement::estimate(const ArtifactId &artifact) const
+{
+    const auto it = m_estimates.find(artifact);
+    if (it != m_estimates.end())
+        return it->second;
+    pb::LoadEstimate unknown;
+    unknown.set_artifact(artifact.value());
+    unknown.set_placeable(true);
+    return unknown;
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/coordination/raft.cpp
@@ -0,0 +1,641 @@
+#include "coordination/raft.h"
+
+#include "state/invariant.h"
+#include "state/tunables.h"
+
+#include <algorithm>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+constexpr Time Never{Millis(INT64_MIN / 4)};
+constexpr Millis SnapshotResend{2000};
+
+} // namespace
+
+Replica fromProto(const pb::ReplicaIdentity &identity)
+{
+    return Replica{identity.id(), identity.incarnation()};
+}
+
+pb::ReplicaIdentity toProto(const Replica &replica)
+{
+    pb::ReplicaIdentity identity;
+    identity.set_id(replica.id);
+    identity.set_incarnation(replica.incarnation);
+    return identity;
+}
+
+bool Actions::needsSync() const
+{
+    return persist.has_hard_state() || persist.truncate_from() != 0 || persist.entries_size() != 0;
+}
+
+Raft::Raft(Replica self, const DurableState &disk, uint64_t seed, Time now)
+    : m_self(self)
+    , m_clusterId(disk.identity.cluster_id())
+    , m_hard(disk.hardState)
+    , m_log(disk.entries.begin(), disk.entries.end())
+    , m_snapIndex(disk.snapshot.index())
+    , m_snapTerm(disk.snapshot.term())
+    , m_snapMembership(disk.snapshot.membership())
+    , m_snapshot(disk.snapshot)
+    , m_commit(disk.snapshot.index())
+    , m_random(seed)
+{
+    if (!m_log.empty())
+        invariant(m_log.front().index() == m_snapIndex + 1, "the log continues the snapshot");
+    recomputeMembership();
+    // A restarted replica has forgotten whom it answered: it must not vote while that leader's lease may run.
+    m_leaderContact = now;
+    resetElectionDeadline(now);
+}
+
+uint64_t Raft::lastIndex() const
+{
+    return m_snapIndex + m_log.size();
+}
+
+const pb::Entry &Raft::entry(uint64_t index) const
+{
+    invariant(index > m_snapIndex && index <= lastIndex(), "the entry is in the log");
+    return m_log[index - m_snapIndex - 1];
+}
+
+uint64_t Raft::termAt(uint64_t index) const
+{
+    if (index == m_snapIndex)
+        return m_snapTerm;
+    return entry(index).term();
+}
+
+uint64_t Raft::matchIndex(const Replica &replica) const
+{
+    if (replica == m_self)
+        return lastIndex();
+    const auto it = m_progress.find(replica);
+    return it == m_progress.end() ? 0 : it->second.match;
+}
+
+bool Raft::isVoter(const Replica &replica) const
+{
+    return std::any_of(m_membership.members().begin(), m_membership.members().end(), [&](const pb::Member &it) {
+        return it.voter() && fromProto(it.identity()) == replica;
+    });
+}
+
+size_t Raft::majority() const
+{
+    const auto n = std::count_if(m_membership.members().begin(), m_membership.members().end(), [](const pb::Member &it) {
+        return it.voter();
+    });
+    return size_t(n) / 2 + 1;
+}
+
+// The latest send time that a majority of voters, this one included, has answered.
+Time Raft::quorumAckTime() const
+{
+    std::vector<Time> acked;
+    for (const pb::Member &member : m_membership.members()) {
+        if (!member.voter())
+            continue;
+        const Replica replica = fromProto(member.identity());
+        if (replica == m_self) {
+            acked.push_back(Time::max());
+            continue;
+        }
+        const auto it = m_progress.find(replica);
+        acked.push_back(it != m_progress.end() && it->second.everAcked ? it->second.ackedSentAt : Never);
+    }
+    if (acked.size() < majority())
+        return Never;
+    std::sort(acked.begin(), acked.end(), std::greater<>());
+    return acked[majority() - 1];
+}
+
+Time Raft::leaseEnd(Time now) const
+{
+    if (m_role != Role::Leader || m_transferDeadline)
+        return Never;
+    return std::min(now, quorumAckTime()) + LeaderLease;
+}
+
+bool Raft::holdsLease(Time now) const
+{
+    return now < leaseEnd(now);
+}
+
+bool Raft::silentSince(const Replica &replica, Time since) const
+{
+    if (m_role != Role::Leader || m_leaderContact > since)
+        return false;
+    const auto it = m_progress.find(replica);
+    return it == m_progress.end() || !it->second.everAcked || it->second.ackedSentAt < since;
+}
+
+bool Raft::canRead(Time now) const
+{
+    return holdsLease(now) && m_commit >= m_termStart;
+}
+
+void Raft::resetElectionDeadline(Time now)
+{
+    std::uniform_int_distribution<int64_t> spread(ElectionTimeoutMin.count(), ElectionTimeoutMax.count());
+    m_electionDeadline = now + Millis(spread(m_random));
+}
+
+void Raft::saveHardState(Actions &out)
+{
+    *out.persist.mutable_hard_state() = m_hard;
+}
+
+pb::RaftMessage Raft::message(pb::RaftMessage::Kind kind, const Replica &to) const
+{
+    pb::RaftMessage msg;
+    msg.set_kind(kind);
+    msg.set_cluster_id(m_clusterId);
+    *msg.mutable_from() = toProto(m_self);
+    *msg.mutable_to() = toProto(to);
+    msg.set_term(m_hard.term());
+    return msg;
+}
+
+void Raft::becomeFollower(uint64_t term, std::optional<Replica> leader, Time now)
+{
+    invariant(term >= m_hard.term(), "the term never goes back");
+    if (term > m_hard.term()) {
+        m_hard.set_term(term);
+        m_hard.clear_voted_for();
+    }
+    m_role = Role::Follower;
+    m_leader = leader;
+    m_votes.clear();
+    m_progress.clear();
+    m_transferDeadline.reset();
+    resetElectionDeadline(now);
+}
+
+void Raft::tick(Time now, Actions &out)
+{
+    if (m_role == Role::Leader) {
+        const bool quorumLost = quorumAckTime() != Time::max() && std::max(quorumAckTime(), m_leaderContact) + ElectionTimeoutMax < now;
+        const bool transferFailed = m_transferDeadline && now >= *m_transferDeadline;
+        if (quorumLost || transferFailed) {
+            becomeFollower(m_hard.term(), std::nullopt, now);
+            return;
+        }
+        if (now >= m_heartbeatDue)
+            broadcast(now, out);
+        return;
+    }
+    if (now < m_electionDeadline)
+        return;
+    if (isVoter(m_self))
+        campaign(true, false, now, out);
+    else
+        resetElectionDeadline(now);
+}
+
+// Asks for votes. A pre-vote changes nothing: it finds out whether a real vote could be won.
+void Raft::campaign(bool preVote, bool transfer, Time now, Actions &out)
+{
+    m_role = preVote ? Role::PreCandidate : Role::Candidate;
+    m_leader.reset();
+    m_votes.clear();
+    m_votes[m_self] = true;
+    resetElectionDeadline(now);
+    if (!preVote) {
+        m_hard.set_term(m_hard.term() + 1);
+        *m_hard.mutable_voted_for() = toProto(m_self);
+        saveHardState(out);
+    }
+    if (majority() == 1 && isVoter(m_self)) {
+        if (preVote)
+            campaign(false, transfer, now, out);
+        else
+            becomeLeader(now, out);
+        return;
+    }
+    for (const pb::Member &member : m_membership.members()) {
+        const Replica to = fromProto(member.identity());
+        if (!member.voter() || to == m_self)
+            continue;
+        pb::RaftMessage msg = message(preVote ? pb::RaftMessage::PRE_VOTE : pb::RaftMessage::VOTE, to);
+        msg.set_term(m_hard.term() + (preVote ? 1 : 0));
+        msg.set_log_index(lastIndex());
+        msg.set_log_term(termAt(lastIndex()));
+        msg.set_transfer(transfer);
+        out.messages.push_back(std::move(msg));
+    }
+}
+
+void Raft::becomeLeader(Time now, Actions &out)
+{
+    invariant(isVoter(m_self), "only a voter leads");
+    m_role = Role::Leader;
+    m_leader = m_self;
+    m_leaderContact = now;
+    m_progress.clear();
+    m_transferDeadline.reset();
+    pb::Entry noop;
+    m_termStart = lastIndex() + 1;
+    append(std::move(noop), out);
+    advanceCommit(out);
+    broadcast(now, out);
+}
+
+void Raft::append(pb::Entry entry, Actions &out)
+{
+    entry.set_index(lastIndex() + 1);
+    entry.set_term(m_hard.term());
+    if (entry.has_membership()) {
+        m_membership = entry.membership();
+        m_membershipIndex = entry.index();
+    }
+    *out.persist.add_entries() = entry;
+    m_log.push_back(std::move(entry));
+}
+
+std::optional<uint64_t> Raft::propose(pb::Command command, Actions &out)
+{
+    if (m_role != Role::Leader || m_transferDeadline)
+        return std::nullopt;
+    pb::Entry entry;
+    *entry.mutable_command() = std::move(command);
+    append(std::move(entry), out);
+    return lastIndex();
+}
+
+bool Raft::proposeMembership(const pb::Membership &membership, Actions &out)
+{
+    if (m_role != Role::Leader || m_transferDeadline || !membershipSettled() || m_commit < m_termStart)
+        return false;
+    std::map<Replica, int> change;
+    for (const pb::Member &member : m_membership.members())
+        change[fromProto(member.identity())] += member.voter() ? 1 : 0;
+    for (const pb::Member &member : membership.members())
+        change[fromProto(member.identity())] -= member.voter() ? 1 : 0;
+    const auto changed = std::count_if(change.begin(), change.end(), [](const std::pair<const Replica, int> &it) {
+        return it.second != 0;
+    });
+    if (changed > 1)
+        return false;
+    pb::Entry entry;
+    *entry.mutable_membership() = membership;
+    append(std::move(entry), out);
+    return true;
+}
+
+bool Raft::transferLeadership(Time now, Actions &out)
+{
+    if (m_role != Role::Leader || m_transferDeadline)
+        return false;
+    for (const pb::Member &member : m_membership.members()) {
+        const Replica to = fromProto(member.identity());
+        const auto it = m_progress.find(to);
+        if (!member.voter() || to == m_self || it == m_progress.end() || it->second.match != lastIndex())
+            continue;
+        // From here on this leader never claims its lease again in this term.
+        m_transferDeadline = now + ElectionTimeoutMin;
+        out.messages.push_back(message(pb::RaftMessage::TIMEOUT_NOW, to));
+        return true;
+    }
+    return false;
+}
+
+void Raft::flush(Time now, Actions &out)
+{
+    if (m_role != Role::Leader)
+        return;
+    advanceCommit(out);
+    for (const pb::Member &member : m_membership.members()) {
+        const Replica to = fromProto(member.identity());
+        if (to == m_self)
+            continue;
+        Progress &progress = m_progress[to];
+        if (!progress.probing && progress.next <= lastIndex())
+            sendAppend(to, progress, now, out);
+    }
+}
+
+void Raft::broadcast(Time now, Actions &out)
+{
+    m_heartbeatDue = now + HeartbeatInterval;
+    for (const pb::Member &member : m_membership.members()) {
+        const Replica to = fromProto(member.identity());
+        if (to == m_self)
+            continue;
+        const bool known = m_progress.count(to) != 0;
+        Progress &progress = m_progress[to];
+        if (!known)
+            progress.next = lastIndex();
+        sendAppend(to, progress, now, out);
+    }
+}
+
+// Sends entries from `next`, an empty append as heartbeat, or the snapshot when the log no longer reaches back.
+void Raft::sendAppend(const Replica &to, Progress &progress, Time now, Actions &out)
+{
+    const bool behind = progress.next <= m_snapIndex;
+    if (behind && now >= progress.retryAt) {
+        pb::RaftMessage msg = message(pb::RaftMessage::INSTALL, to);
+        *msg.mutable_snapshot() = m_snapshot;
+        msg.set_sent_at_ms(uint64_t(toMillis(now)));
+        progress.retryAt = now + SnapshotResend;
+        out.messages.push_back(std::move(msg));
+        return;
+    }
+    const uint64_t prev = behind ? lastIndex() : progress.next - 1;
+    pb::RaftMessage msg = message(pb::RaftMessage::APPEND, to);
+    msg.set_log_index(prev);
+    msg.set_log_term(termAt(prev));
+    msg.set_commit(m_commit);
+    msg.set_sent_at_ms(uint64_t(toMillis(now)));
+    size_t bytes = 0;
+    for (uint64_t i = prev + 1; i <= lastIndex() && size_t(msg.entries_size()) < MaxEntriesPerAppend && bytes < MaxBytesPerAppend; ++i) {
+        bytes += entry(i).ByteSizeLong();
+        *msg.add_entries() = entry(i);
+    }
+    if (!progress.probing && !behind)
+        progress.next = prev + 1 + uint64_t(msg.entries_size());
+    out.messages.push_back(std::move(msg));
+}
+
+void Raft::receive(const pb::RaftMessage &msg, Time now, Actions &out)
+{
+    // A message for an earlier incarnation, or of another system, is none of ours.
+    if (fromProto(msg.to()) != m_self)
+        return;
+    const bool founding = m_clusterId == 0 && msg.kind() == pb::RaftMessage::INSTALL;
+    if (msg.cluster_id() != m_clusterId && !founding)
+        return;
+    const Replica from = fromProto(msg.from());
+    const bool asksVote = msg.kind() == pb::RaftMessage::PRE_VOTE || msg.kind() == pb::RaftMessage::VOTE;
+    if (asksVote) {
+        onVote(msg, now, out);
+        return;
+    }
+    const bool preVoteReply = msg.kind() == pb::RaftMessage::PRE_VOTE_REPLY;
+    if (msg.term() > m_hard.term() && !(preVoteReply && msg.granted())) {
+        const bool fromLeader = msg.kind() == pb::RaftMessage::APPEND || msg.kind() == pb::RaftMessage::INSTALL;
+        becomeFollower(msg.term(), fromLeader ? std::optional(from) : std::nullopt, now);
+        saveHardState(out);
+    }
+    switch (msg.kind()) {
+    case pb::RaftMessage::PRE_VOTE_REPLY:
+    case pb::RaftMessage::VOTE_REPLY:
+        onVoteReply(msg, now, out);
+        break;
+    case pb::RaftMessage::APPEND:
+        onAppend(msg, now, out);
+        break;
+    case pb::RaftMessage::APPEND_REPLY:
+        onAppendReply(msg, now, out);
+        break;
+    case pb::RaftMessage::INSTALL:
+        onInstall(msg, now, out);
+        break;
+    case pb::RaftMessage::TIMEOUT_NOW:
+        if (msg.term() == m_hard.term() && m_role == Role::Follower && isVoter(m_self))
+            campaign(false, true, now, out);
+        break;
+    default:
+        break;
+    }
+}
+
+void Raft::onVote(const pb::RaftMessage &msg, Time now, Actions &out)
+{
+    const bool preVote = msg.kind() == pb::RaftMessage::PRE_VOTE;
+    const Replica from = fromProto(msg.from());
+    const bool leaderAlive = now < m_leaderContact + ElectionTimeoutMin || holdsLease(now);
+    if (leaderAlive && !msg.transfer())
+        return;
+    if (!preVote && msg.term() > m_hard.term()) {
+        becomeFollower(msg.term(), std::nullopt, now);
+        saveHardState(out);
+    }
+    const bool logCurrent = msg.log_term() > termAt(lastIndex()) || (msg.log_term() == termAt(lastIndex()) && msg.log_index() >= lastIndex());
+    bool granted = false;
+    if (preVote) {
+        granted = msg.term() > m_hard.term() && logCurrent;
+    } else if (msg.term() == m_hard.term()) {
+        const bool free = !m_hard.has_voted_for() || fromProto(m_hard.voted_for()) == from;
+        granted = free && logCurrent;
+    }
+    if (granted && !preVote) {
+        *m_hard.mutable_voted_for() = msg.from();
+        saveHardState(out);
+        resetElectionDeadline(now);
+    }
+    pb::RaftMessage reply = message(preVote ? pb::RaftMessage::PRE_VOTE_REPLY : pb::RaftMessage::VOTE_REPLY, from);
+    reply.set_granted(granted);
+    if (preVote && granted)
+        reply.set_term(msg.term());
+    out.messages.push_back(std::move(reply));
+}
+
+void Raft::onVoteReply(const pb::RaftMessage &msg, Time now, Actions &out)
+{
+    const bool preVote = msg.kind() == pb::RaftMessage::PRE_VOTE_REPLY;
+    const bool expected = preVote ? m_role == Role::PreCandidate && msg.term() == m_hard.term() + 1
+                                  : m_role == Role::Candidate && msg.term() == m_hard.term();
+    const Replica from = fromProto(msg.from());
+    if (!expected || !msg.granted() || !isVoter(from))
+        return;
+    m_votes[from] = true;
+    size_t n = 0;
+    for (const std::pair<const Replica, bool> &it : m_votes)
+        n += isVoter(it.first) ? 1 : 0;
+    if (n < majority())
+        return;
+    if (preVote)
+        campaign(false, false, now, out);
+    else
+        becomeLeader(now, out);
+}
+
+void Raft::onAppend(const pb::RaftMessage &msg, Time now, Actions &out)
+{
+    const Replica from = fromProto(msg.from());
+    pb::RaftMessage reply = message(pb::RaftMessage::APPEND_REPLY, from);
+    reply.set_sent_at_ms(msg.sent_at_ms());
+    if (msg.term() < m_hard.term()) {
+        out.messages.push_back(std::move(reply));
+        return;
+    }
+    invariant(m_role != Role::Leader, "one leader per term");
+    if (m_role != Role::Follower)
+        becomeFollower(msg.term(), from, now);
+    m_leader = from;
+    m_leaderContact = now;
+    resetElectionDeadline(now);
+    const bool holdsPrev = msg.log_index() <= m_snapIndex || (msg.log_index() <= lastIndex() && termAt(msg.log_index()) == msg.log_term());
+    if (!holdsPrev) {
+        reply.set_log_index(std::max(m_commit, std::min(lastIndex(), msg.log_index() - 1)));
+        out.messages.push_back(std::move(reply));
+        return;
+    }
+    uint64_t last = msg.log_index();
+    for (const pb::Entry &it : msg.entries()) {
+        last = it.index();
+        if (it.index() <= m_snapIndex)
+            continue;
+        if (it.index() <= lastIndex()) {
+            if (termAt(it.index()) == it.term())
+                continue;
+            truncateFrom(it.index(), out);
+        }
+        invariant(it.index() == lastIndex() + 1, "the log has no gap");
+        if (it.has_membership()) {
+            m_membership = it.membership();
+            m_membershipIndex = it.index();
+        }
+        *out.persist.add_entries() = it;
+        m_log.push_back(it);
+    }
+    commitTo(std::min(msg.commit(), last), out);
+    reply.set_granted(true);
+    reply.set_log_index(last);
+    out.messages.push_back(std::move(reply));
+}
+
+void Raft::onAppendReply(const pb::RaftMessage &msg, Time now, Actions &out)
+{
+    if (m_role != Role::Leader || msg.term() != m_hard.term())
+        return;
+    const Replica from = fromProto(msg.from());
+    const auto it = m_progress.find(from);
+    if (it == m_progress.end())
+        return;
+    Progress &progress = it->second;
+    const Time sentAt = timeFromMillis(int64_t(msg.sent_at_ms()));
+    progress.ackedSentAt = progress.everAcked ? std::max(progress.ackedSentAt, sentAt) : sentAt;
+    progress.everAcked = true;
+    if (!msg.granted()) {
+        progress.probing = true;
+        progress.next = std::max(progress.match, std::min(msg.log_index(), lastIndex())) + 1;
+        if (progress.next > m_snapIndex || now >= progress.retryAt)
+            sendAppend(from, progress, now, out);
+        return;
+    }
+    invariant(msg.log_index() <= lastIndex(), "a follower acknowledges only what was sent");
+    progress.probing = false;
+    if (msg.log_index() > progress.match) {
+        progress.match = msg.log_index();
+        progress.retryAt = now;
+    }
+    progress.next = std::max(progress.next, progress.match + 1);
+    advanceCommit(out);
+    if (progress.next <= lastIndex())
+        sendAppend(from, progress, now, out);
+}
+
+void Raft::onInstall(const pb::RaftMessage &msg, Time now, Actions &out)
+{
+    const Replica from = fromProto(msg.from());
+    pb::RaftMessage reply = message(pb::RaftMessage::APPEND_REPLY, from);
+    reply.set_sent_at_ms(msg.sent_at_ms());
+    if (msg.term() < m_hard.term()) {
+        out.messages.push_back(std::move(reply));
+        return;
+    }
+    m_clusterId = msg.cluster_id();
+    reply.set_cluster_id(m_clusterId);
+    m_leader = from;
+    m_leaderContact = now;
+    resetElectionDeadline(now);
+    const pb::Snapshot &snapshot = msg.snapshot();
+    if (snapshot.index() > m_commit) {
+        m_log.clear();
+        m_snapIndex = snapshot.index();
+        m_snapTerm = snapshot.term();
+        m_snapMembership = snapshot.membership();
+        m_snapshot = snapshot;
+        m_commit = snapshot.index();
+        recomputeMembership();
+        out.install = snapshot;
+        out.persist.clear_entries();
+        out.persist.set_truncate_from(0);
+        out.committed.clear();
+        saveHardState(out);
+    }
+    reply.set_granted(true);
+    reply.set_log_index(snapshot.index());
+    out.messages.push_back(std::move(reply));
+}
+
+void Raft::truncateFrom(uint64_t index, Actions &out)
+{
+    invariant(index > m_commit, "a committed entry is never truncated");
+    m_log.resize(index - m_snapIndex - 1);
+    google::protobuf::RepeatedPtrField<pb::Entry> &entries = *out.persist.mutable_entries();
+    while (!entries.empty() && entries.rbegin()->index() >= index)
+        entries.RemoveLast();
+    const uint64_t earlier = out.persist.truncate_from();
+    out.persist.set_truncate_from(earlier == 0 ? index : std::min(earlier, index));
+    recomputeMembership();
+}
+
+// The membership in force is the latest in the log, committed or not.
+void Raft::recomputeMembership()
+{
+    m_membership = m_snapMembership;
+    m_membershipIndex = m_snapIndex;
+    for (const pb::Entry &it : m_log) {
+        if (!it.has_membership())
+            continue;
+        m_membership = it.membership();
+        m_membershipIndex = it.index();
+    }
+}
+
+// Commits what a majority holds, if it is of this term.
+void Raft::advanceCommit(Actions &out)
+{
+    std::vector<uint64_t> matches;
+    for (const pb::Member &member : m_membership.members()) {
+        if (member.voter())
+            matches.push_back(matchIndex(fromProto(member.identity())));
+    }
+    if (matches.size() < majority())
+        return;
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const uint64_t index = matches[majority() - 1];
+    if (index > m_commit && termAt(index) == m_hard.term())
+        commitTo(index, out);
+}
+
+void Raft::commitTo(uint64_t index, Actions &out)
+{
+    while (m_commit < index) {
+        ++m_commit;
+        out.committed.push_back(entry(m_commit));
+    }
+    // A leader that was removed steps down once its removal is committed.
+    if (m_role == Role::Leader && membershipSettled() && !isVoter(m_self)) {
+        m_role = Role::Follower;
+        m_leader.reset();
+        m_progress.clear();
+    }
+}
+
+void Raft::compact(const pb::Snapshot &snapshot)
+{
+    invariant(snapshot.index() <= m_commit, "only committed entries are compacted");
+    if (snapshot.index() <= m_snapIndex)
+        return;
+    const uint64_t term = termAt(snapshot.index());
+    m_log.erase(m_log.begin(), m_log.begin() + long(snapshot.index() - m_snapIndex));
+    m_snapIndex = snapshot.index();
+    m_snapTerm = term;
+    m_snapMembership = snapshot.membership();
+    m_snapshot = snapshot;
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/protocol/settings.cpp
@@ -0,0 +1,148 @@
+#include "protocol/settings.h"
+
+#include "state/tunables.h"
+#include "state/yamlreader.h"
+
+#include <fmt/format.h>
+#include <fstream>
+#include <sstream>
+
+namespace roserail
+{
+
+using namespace yaml;
+
+namespace
+{
+
+std::string readAddress(const YAML::Node &parent, const char *key, const char *what)
+{
+    const std::string address = readName(parent, key, what);
+    if (parseHostPort(address).has_error())
+        fail(parent[key], fmt::format("'{}' must be host:port with a port from 1 to 65535", key));
+    return address;
+}
+
+std::string readOptionalHash(const YAML::Node &parent, const char *key)
+{
+    const std::string hash = readValue<std::string>(parent, key, "", "64 lower-case hex digits");
+    if (!hash.empty() && hash.size() != 64)
+        fail(parent[key], fmt::format("'{}' must be 64 lower-case hex digits; make it with 'roserailctl token'", key));
+    return hash;
+}
+
+PeerSettings readPeer(const YAML::Node &node)
+{
+    checkKeys(node, "a replica", {"id", "peerAddress", "operatorAddress"});
+    return PeerSettings{readCount(node, "id", 0), readAddress(node, "peerAddress", "a replica"), readAddress(node, "operatorAddress", "a replica")};
+}
+
+ControlSettings readControl(const YAML::Node &root)
+{
+    checkKeys(root, "the settings", {"id", "zone", "dataFolder", "rootTokenSha256", "replicas", "snapshotEvery"});
+    ControlSettings settings;
+    settings.id = readCount(root, "id", 0);
+    settings.zone = readName(root, "zone", "the settings");
+    settings.dataFolder = readName(root, "dataFolder", "the settings");
+    settings.rootTokenSha256 = readOptionalHash(root, "rootTokenSha256");
+    settings.snapshotEvery = readValue<uint64_t>(root, "snapshotEvery", tunables::SnapshotEveryEntries, "a number of log entries");
+    const YAML::Node replicas = root["replicas"];
+    if (!replicas || !replicas.IsSequence())
+        fail(root, "the settings need 'replicas': a list of id, peerAddress and operatorAddress");
+    for (const YAML::Node &it : replicas) {
+        const PeerSettings peer = readPeer(it);
+        settings.replicas.push_back(peer);
+        if (peer.id != settings.id)
+            continue;
+        settings.peerAddress = peer.peerAddress;
+        settings.operatorAddress = peer.operatorAddress;
+    }
+    if (settings.id == 0 || settings.peerAddress.empty())
+        fail(root, "'id' must be above 0 and stand in 'replicas'");
+    if (settings.snapshotEvery == 0)
+        fail(root["snapshotEvery"], "'snapshotEvery' must be above 0");
+    return settings;
+}
+
+RouterSettings readRouter(const YAML::Node &root)
+{
+    checkKeys(root, "the settings", {"id", "zone", "listen", "address", "control", "announceTokenSha256"});
+    RouterSettings settings;
+    settings.id = readName(root, "id", "the settings");
+    settings.zone = readName(root, "zone", "the settings");
+    settings.listen = readAddress(root, "listen", "the settings");
+    settings.address = root["address"] ? readAddress(root, "address", "the settings") : settings.listen;
+    settings.control = readNames(root, "control");
+    settings.announceTokenSha256 = readOptionalHash(root, "announceTokenSha256");
+    if (settings.control.empty())
+        fail(root, "the settings need 'control': a list of the control replicas' peer addresses");
+    for (const std::string &it : settings.control) {
+        if (parseHostPort(it).has_error())
+            fail(root["control"], fmt::format("'{}' in 'control' must be host:port", it));
+    }
+    return settings;
+}
+
+template <typename Read>
+auto guarded(const std::string &text, const std::string &file, Read read) -> Result<decltype(read(YAML::Node()))>
+{
+    try {
+        return read(YAML::Load(text));
+    } catch (const ReadFailure &failure) {
+        return Error{ErrorKind::BadSettings, fmt::format("{}:{}:{}: {}", file, failure.position.line, failure.position.column, failure.message)};
+    } catch (const YAML::Exception &ex) {
+        return Error{ErrorKind::BadSettings,
+                     fmt::format("{}:{}:{}: not valid YAML ({}); correct the syntax", file, ex.mark.line + 1, ex.mark.column + 1, ex.msg)};
+    }
+}
+
+} // namespace
+
+Result<HostPort> parseHostPort(const std::string &text)
+{
+    const size_t colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0)
+        return Error{ErrorKind::BadRequest, fmt::format("'{}' is not host:port", text)};
+    char *end = nullptr;
+    const long port = std::strtol(text.c_str() + colon + 1, &end, 10);
+    if (*end != '\0' || port < 1 || port > 65535)
+        return Error{ErrorKind::BadRequest, fmt::format("'{}' has no port from 1 to 65535", text)};
+    return HostPort{text.substr(0, colon), int(port)};
+}
+
+Result<ControlSettings> parseControlSettings(const std::string &text, const std::string &file)
+{
+    return guarded(text, file, readControl);
+}
+
+Result<RouterSettings> parseRouterSettings(const std::string &text, const std::string &file)
+{
+    return guarded(text, file, readRouter);
+}
+
+std::string describe(const ControlSettings &settings)
+{
+    std::string out = fmt::format("id: {}\nzone: {}\ndataFolder: {}\nrootTokenSha256: \"{}\"\nsnapshotEvery: {}\nreplicas:\n", settings.id, settings.zone,
+                                  settings.dataFolder, settings.rootTokenSha256, settings.snapshotEvery);
+    for (const PeerSettings &it : settings.replicas)
+        out += fmt::format("  - {{id: {}, peerAddress: \"{}\", operatorAddress: \"{}\"}}\n", it.id, it.peerAddress, it.operatorAddress);
+    return out;
+}
+
+std::string describe(const RouterSettings &settings)
+{
+    return fmt::format("id: {}\nzone: {}\nlisten: \"{}\"\naddress: \"{}\"\ncontrol: [\"{}\"]\nannounceTokenSha256: \"{}\"\n", settings.id, settings.zone,
+                       settings.listen, settings.address, fmt::join(settings.control, "\", \""), settings.announceTokenSha256);
+}
+
+Result<std::string> readTextFile(const std::string &path)
+{
+    std::ifstream in(path, std::ios::binary);
+    if (!in)
+        return Error{ErrorKind::NotFound, fmt::format("cannot read '{}'; check the path and its rights", path)};
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/protocol/settings.h
@@ -0,0 +1,54 @@
+// Settings of the processes, read from YAML and checked. Unknown keys and impossible values are errors.
+#pragma once
+
+#include "state/errors.h"
+
+#include <string>
+#include <vector>
+
+namespace roserail
+{
+
+struct PeerSettings {
+    uint64_t id = 0;
+    std::string peerAddress; // host:port of the gRPC service
+    std::string operatorAddress; // host:port of the HTTP service
+};
+
+struct ControlSettings {
+    uint64_t id = 0;
+    std::string zone;
+    std::string dataFolder;
+    std::string peerAddress;
+    std::string operatorAddress;
+    std::string rootTokenSha256; // may change every section
+    std::vector<PeerSettings> replicas; // all first replicas, this one included
+    uint64_t snapshotEvery = 0; // entries
+};
+
+struct RouterSettings {
+    std::string id;
+    std::string zone;
+    std::string listen; // host:port
+    std::string address; // host:port that callers are told; defaults to `listen`
+    std::vector<std::string> control; // peer addresses of control replicas
+    std::string announceTokenSha256; // empty: endpoints need no token
+};
+
+Result<ControlSettings> parseControlSettings(const std::string &text, const std::string &file);
+Result<RouterSettings> parseRouterSettings(const std::string &text, const std::string &file);
+
+// The settings with every default filled in, as YAML.
+std::string describe(const ControlSettings &settings);
+std::string describe(const RouterSettings &settings);
+
+// Splits "host:port".
+struct HostPort {
+    std::string host;
+    int port = 0;
+};
+Result<HostPort> parseHostPort(const std::string &text);
+
+Result<std::string> readTextFile(const std::string &path);
+
+} // namespace roserail
--- /dev/null
+++ b/src/state/ledger.h
@@ -0,0 +1,98 @@
+// Placement ledger: which endpoint holds, or may come to hold, which artifact, and the memory reserved for it.
+// A slot exists from before the order to load until the endpoint is known not to hold the artifact and no order
+// for it can still arrive.
+#pragma once
+
+#include "state.pb.h"
+#include "state/document.h"
+#include "state/types.h"
+
+#include <map>
+#include <set>
+
+namespace roserail
+{
+
+enum class OrderKind { Load, Unload };
+
+struct EndpointRecord {
+    EndpointId id;
+    uint64_t incarnation = 0;
+    HostId host;
+    Bytes hostBytes = 0;
+    Bytes endpointBytes = 0;
+    bool checksFencing = false;
+};
+
+struct Slot {
+    SlotId id;
+    EndpointId endpoint;
+    uint64_t incarnation = 0;
+    HostId host;
+    ArtifactId artifact;
+    ArtifactId base; // empty for a model
+    std::string version;
+    Bytes bytes = 0;
+    OrderKind lastOrder = OrderKind::Load;
+    Fence lastFence;
+    std::set<Fence> unanswered; // orders that may still arrive
+    uint64_t answeredSequence = 0; // reports up to this one may be older than the last answered order
+};
+
+// Outcome of a ledger operation.
+struct LedgerResult {
+    pb::Verdict verdict = pb::VERDICT_OK;
+    std::string message;
+    SlotId slot;
+    Fence fence;
+};
+
+class Ledger
+{
+public:
+    // Records an endpoint's incarnation. Slots of an earlier one end, unless an order for them may still arrive.
+    LedgerResult registerEndpoint(const EndpointRecord &record);
+    // An operator states that the endpoint's process is gone for good.
+    LedgerResult forgetEndpoint(const EndpointId &id);
+    // Reserves replica and memory for one load, and numbers its first order.
+    LedgerResult reserve(const EndpointId &endpoint, uint64_t incarnation, const Artifact &artifact);
+    LedgerResult sendOrder(SlotId slot, OrderKind kind);
+    LedgerResult answerOrder(SlotId slot, Fence fence, uint64_t sequence);
+    // Ends a slot whose endpoint reported, later than the last order, that the artifact is absent.
+    LedgerResult release(SlotId slot, Fence reportedFence, uint64_t sequence);
+
+    const std::map<SlotId, Slot> &slots() const
+    {
+        return m_slots;
+    }
+    const std::map<EndpointId, EndpointRecord> &endpoints() const
+    {
+        return m_endpoints;
+    }
+    const Slot *slot(SlotId id) const;
+    const Slot *slotOf(const EndpointId &endpoint, const ArtifactId &artifact) const;
+    const EndpointRecord *endpoint(const EndpointId &id) const;
+    uint32_t replicas(const ArtifactId &artifact) const;
+    Bytes usedOnHost(const HostId &host) const;
+    Bytes usedOnEndpoint(const EndpointId &endpoint) const;
+    // Memory of a host: the smallest value any of its endpoints announced.
+    Bytes hostBytes(const HostId &host) const;
+
+    void save(pb::MachineState &out) const;
+    void restore(const pb::MachineState &in);
+
+private:
+    void checkMemory(const HostId &host) const;
+
+    std::map<EndpointId, EndpointRecord> m_endpoints;
+    std::map<SlotId, Slot> m_slots;
+    std::map<HostId, Bytes> m_usedOnHost;
+    std::map<EndpointId, Bytes> m_usedOnEndpoint;
+    uint64_t m_nextSlot = 1;
+    uint64_t m_nextFence = 1;
+
+    void add(const Slot &slot);
+    void remove(SlotId id);
+};
+
+} // namespace roserail
--- /dev/null
+++ b/src/state/machine.cpp
@@ -0,0 +1,265 @@
+#include "state/machine.h"
+
+#include "state/invariant.h"
+#include "state/tunables.h"
+
+#include <array>
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+pb::CommandResult refuse(pb::Verdict verdict, const std::string &message)
+{
+    pb::CommandResult result;
+    result.set_verdict(verdict);
+    result.set_message(message);
+    return result;
+}
+
+pb::CommandResult toResult(const LedgerResult &ledger)
+{
+    pb::CommandResult result = refuse(ledger.verdict, ledger.message);
+    result.set_slot(ledger.slot.value());
+    result.set_fence(ledger.fence.value());
+    return result;
+}
+
+uint64_t contentHash(const pb::ChangeDocument &change)
+{
+    std::string bytes;
+    for (const pb::SectionChange &it : change.sections())
+        bytes += it.SerializeAsString();
+    return XXH64(bytes.data(), bytes.size(), 0);
+}
+
+// Parses every section that is not in `replaced`, and joins them with the new contents.
+Result<Document> merged(const std::map<std::string, pb::Section> &sections, const std::map<std::string, SectionContent> &replaced,
+                        const std::set<std::string> &removed)
+{
+    std::vector<SectionContent> contents;
+    for (const std::pair<const std::string, pb::Section> &it : sections) {
+        if (replaced.count(it.first) != 0 || removed.count(it.first) != 0)
+            continue;
+        BOOST_OUTCOME_TRY(content, parseSection(it.first, it.second.text()));
+        contents.push_back(std::move(content));
+    }
+    for (const std::pair<const std::string, SectionContent> &it : replaced)
+        contents.push_back(it.second);
+    return mergeSections(contents);
+}
+
+} // namespace
+
+Result<Document> checkChange(const std::map<std::string, pb::Section> &sections, const std::vector<FileSection> &change)
+{
+    std::map<std::string, SectionContent> replaced;
+    std::set<std::string> removed;
+    for (const FileSection &it : change) {
+        if (it.remove)
+            removed.insert(it.name);
+        else
+            replaced[it.name] = it.content;
+    }
+    return merged(sections, replaced, removed);
+}
+
+pb::CommandResult Machine::apply(const pb::Command &command)
+{
+    using Apply = pb::CommandResult (Machine::*)(const pb::Command &);
+    struct Row {
+        pb::Command::BodyCase body;
+        Apply apply;
+    };
+    static constexpr std::array Table{
+        Row{pb::Command::kChangeDocument, &Machine::changeDocument},
+        Row{pb::Command::kStartClaim, &Machine::startClaim},
+        Row{pb::Command::kFinishClaim, &Machine::finishClaim},
+        Row{pb::Command::kRegisterEndpoint, &Machine::registerEndpoint},
+        Row{pb::Command::kForgetEndpoint, &Machine::forgetEndpoint},
+        Row{pb::Command::kReserveSlot, &Machine::reserveSlot},
+        Row{pb::Command::kSendOrder, &Machine::sendOrder},
+        Row{pb::Command::kAnswerOrder, &Machine::answerOrder},
+        Row{pb::Command::kReleaseSlot, &Machine::releaseSlot},
+        Row{pb::Command::kReportCrash, &Machine::reportCrash},
+    };
+    m_clock = std::max(m_clock, WallTime(Millis(int64_t(command.wall_ms()))));
+    m_claims.expire(m_clock);
+    m_quarantine.expire(m_clock);
+    for (const Row &it : Table) {
+        if (it.body == command.body_case())
+            return (this->*it.apply)(command);
+    }
+    return refuse(pb::VERDICT_INVALID, "the command is not known to this version; upgrade every replica before using it");
+}
+
+// Compare-and-set on each section's revision. A change id that was seen before gets its first answer.
+pb::CommandResult Machine::changeDocument(const pb::Command &command)
+{
+    const pb::ChangeDocument &change = command.change_document();
+    const auto seen = m_changes.find(change.change_id());
+    if (seen != m_changes.end()) {
+        if (seen->second.content_hash() != contentHash(change))
+            return refuse(pb::VERDICT_CONFLICT, fmt::format("change id '{}' was used for another change; use a new one", change.change_id()));
+        return seen->second.result();
+    }
+    std::map<std::string, SectionContent> replaced;
+    std::set<std::string> removed;
+    for (const pb::SectionChange &it : change.sections()) {
+        const auto current = m_sections.find(it.name());
+        const uint64_t revision = current == m_sections.end() ? 0 : current->second.revision();
+        if (revision != it.base_revision()) {
+            const std::string winner = current == m_sections.end() ? "nobody" : current->second.changed_by();
+            const std::string id = current == m_sections.end() ? "" : current->second.change_id();
+            return refuse(pb::VERDICT_CONFLICT,
+                          fmt::format("section '{}' is at revision {}, not {}: '{}' changed it with change id '{}'; get it, merge and apply again", it.name(),
+                                      revision, it.base_revision(), winner, id));
+        }
+        if (it.remove()) {
+            removed.insert(it.name());
+            continue;
+        }
+        Result<SectionContent> content = parseSection(it.name(), it.text());
+        if (content.has_error())
+            return refuse(pb::VERDICT_INVALID, content.error().message);
+        replaced[it.name()] = std::move(content.value());
+    }
+    Result<Document> document = merged(m_sections, replaced, removed);
+    if (document.has_error())
+        return refuse(pb::VERDICT_INVALID, document.error().message);
+    const uint64_t before = m_revision;
+    ++m_revision;
+    for (const pb::SectionChange &it : change.sections()) {
+        if (it.remove()) {
+            m_sections.erase(it.name());
+            continue;
+        }
+        pb::Section &section = m_sections[it.name()];
+        section.set_name(it.name());
+        section.set_revision(m_revision);
+        section.set_text(it.text());
+        section.set_changed_by(change.operator_name());
+        section.set_change_id(change.change_id());
+    }
+    m_document = std::move(document.value());
+    invariant(m_revision > before, "a configuration's revision never goes back");
+    pb::CommandResult result;
+    result.set_revision(m_revision);
+    remember(change, result);
+    return result;
+}
+
+void Machine::remember(const pb::ChangeDocument &change, const pb::CommandResult &result)
+{
+    pb::ChangeRecord record;
+    record.set_change_id(change.change_id());
+    *record.mutable_result() = result;
+    record.set_content_hash(contentHash(change));
+    m_changes[change.change_id()] = std::move(record);
+    m_changeOrder.push_back(change.change_id());
+    if (m_changeOrder.size() <= ChangeRecordsKept)
+        return;
+    m_changes.erase(m_changeOrder.front());
+    m_changeOrder.pop_front();
+}
+
+pb::CommandResult Machine::startClaim(const pb::Command &command)
+{
+    return m_claims.start(command.start_claim(), m_clock);
+}
+
+pb::CommandResult Machine::finishClaim(const pb::Command &command)
+{
+    return m_claims.finish(command.finish_claim());
+}
+
+pb::CommandResult Machine::registerEndpoint(const pb::Command &command)
+{
+    const pb::RegisterEndpoint &it = command.register_endpoint();
+    return toResult(m_ledger.registerEndpoint(EndpointRecord{EndpointId(it.endpoint()), it.incarnation(), HostId(it.host()), it.host_bytes(),
+                                                             it.endpoint_bytes(), it.checks_fencing()}));
+}
+
+pb::CommandResult Machine::forgetEndpoint(const pb::Command &command)
+{
+    return toResult(m_ledger.forgetEndpoint(EndpointId(command.forget_endpoint().endpoint())));
+}
+
+pb::CommandResult Machine::reserveSlot(const pb::Command &command)
+{
+    const pb::ReserveSlot &it = command.reserve_slot();
+    const Artifact *artifact = m_document.artifact(ArtifactId(it.artifact()));
+    if (artifact == nullptr || artifact->version != it.version())
+        return refuse(pb::VERDICT_STALE, "the document no longer has this version of the artifact");
+    return toResult(m_ledger.reserve(EndpointId(it.endpoint()), it.incarnation(), *artifact));
+}
+
+pb::CommandResult Machine::sendOrder(const pb::Command &command)
+{
+    const OrderKind kind = command.send_order().kind() == pb::ORDER_LOAD ? OrderKind::Load : OrderKind::Unload;
+    return toResult(m_ledger.sendOrder(SlotId(command.send_order().slot()), kind));
+}
+
+pb::CommandResult Machine::answerOrder(const pb::Command &command)
+{
+    return toResult(m_ledger.answerOrder(SlotId(command.answer_order().slot()), Fence(command.answer_order().fence()), command.answer_order().sequence()));
+}
+
+pb::CommandResult Machine::releaseSlot(const pb::Command &command)
+{
+    return toResult(m_ledger.release(SlotId(command.release_slot().slot()), Fence(command.release_slot().reported_fence()),
+                                     command.release_slot().sequence()));
+}
+
+pb::CommandResult Machine::reportCrash(const pb::Command &command)
+{
+    return m_quarantine.report(command.report_crash(), m_clock);
+}
+
+pb::MachineState Machine::save() const
+{
+    pb::MachineState state;
+    state.set_clock_ms(uint64_t(m_clock.time_since_epoch().count()));
+    state.set_revision(m_revision);
+    for (const std::pair<const std::string, pb::Section> &it : m_sections)
+        *state.add_sections() = it.second;
+    for (const std::string &it : m_changeOrder)
+        *state.add_changes() = m_changes.at(it);
+    m_ledger.save(state);
+    m_claims.save(state);
+    m_quarantine.save(state);
+    return state;
+}
+
+void Machine::restore(const pb::MachineState &state)
+{
+    invariant(state.revision() >= m_revision, "a snapshot never reverts the configuration");
+    *this = Machine();
+    m_clock = WallTime(Millis(int64_t(state.clock_ms())));
+    m_revision = state.revision();
+    std::vector<SectionContent> contents;
+    for (const pb::Section &it : state.sections()) {
+        m_sections[it.name()] = it;
+        Result<SectionContent> content = parseSection(it.name(), it.text());
+        invariant(content.has_value(), "a stored section parses");
+        contents.push_back(std::move(content.value()));
+    }
+    Result<Document> document = mergeSections(contents);
+    invariant(document.has_value(), "the stored document is valid");
+    m_document = std::move(document.value());
+    for (const pb::ChangeRecord &it : state.changes()) {
+        m_changes[it.change_id()] = it;
+        m_changeOrder.push_back(it.change_id());
+    }
+    m_ledger.restore(state);
+    m_claims.restore(state);
+    m_quarantine.restore(state);
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/state/machine.h
@@ -0,0 +1,79 @@
+// The replicated state machine: applies committed commands, the same way on every replica.
+#pragma once
+
+#include "state/claims.h"
+#include "state/document.h"
+#include "state/ledger.h"
+#include "state/quarantine.h"
+
+#include <deque>
+
+namespace roserail
+{
+
+class Machine
+{
+public:
+    pb::CommandResult apply(const pb::Command &command);
+
+    pb::MachineState save() const;
+    void restore(const pb::MachineState &state);
+
+    const Document &document() const
+    {
+        return m_document;
+    }
+    Revision revision() const
+    {
+        return Revision(m_revision);
+    }
+    const std::map<std::string, pb::Section> &sections() const
+    {
+        return m_sections;
+    }
+    const Ledger &ledger() const
+    {
+        return m_ledger;
+    }
+    const Claims &claims() const
+    {
+        return m_claims;
+    }
+    const Quarantine &quarantine() const
+    {
+        return m_quarantine;
+    }
+    // Largest wall clock that a leader has proposed.
+    WallTime clock() const
+    {
+        return m_clock;
+    }
+
+private:
+    pb::CommandResult changeDocument(const pb::Command &command);
+    pb::CommandResult startClaim(const pb::Command &command);
+    pb::CommandResult finishClaim(const pb::Command &command);
+    pb::CommandResult registerEndpoint(const pb::Command &command);
+    pb::CommandResult forgetEndpoint(const pb::Command &command);
+    pb::CommandResult reserveSlot(const pb::Command &command);
+    pb::CommandResult sendOrder(const pb::Command &command);
+    pb::CommandResult answerOrder(const pb::Command &command);
+    pb::CommandResult releaseSlot(const pb::Command &command);
+    pb::CommandResult reportCrash(const pb::Command &command);
+    void remember(const pb::ChangeDocument &change, const pb::CommandResult &result);
+
+    WallTime m_clock{};
+    uint64_t m_revision = 0;
+    std::map<std::string, pb::Section> m_sections;
+    Document m_document;
+    std::map<std::string, pb::ChangeRecord> m_changes; // by change id
+    std::deque<std::string> m_changeOrder; // oldest first
+    Ledger m_ledger;
+    Claims m_claims;
+    Quarantine m_quarantine;
+};
+
+// Checks a change against the sections in force. Returns the document it would lead to.
+Result<Document> checkChange(const std::map<std::string, pb::Section> &sections, const std::vector<FileSection> &change);
+
+} // namespace roserail
--- /dev/null
+++ b/src/state/yamlreader.h
@@ -0,0 +1,53 @@
+// Reads typed values from YAML and reports where a value is wrong and what to write instead.
+#pragma once
+
+#include "state/document.h"
+
+#include <set>
+#include <yaml-cpp/yaml.h>
+
+namespace roserail::yaml
+{
+
+constexpr size_t MaxNameLength = 128;
+
+// Raised while reading YAML and turned into an Error at the border of this file.
+struct ReadFailure {
+    std::string message;
+    Position position;
+};
+
+Position positionOf(const YAML::Node &node);
+
+[[noreturn]] void fail(const YAML::Node &node, std::string message);
+
+// Refuses keys that are not known, so that a misspelt one is not ignored.
+void checkKeys(const YAML::Node &node, const char *what, const std::set<std::string> &known);
+
+// A name of letters, digits and -_./: that must be there.
+std::string readName(const YAML::Node &parent, const char *key, const char *what);
+
+template <typename Value>
+Value readValue(const YAML::Node &parent, const char *key, Value fallback, const char *expected)
+{
+    const YAML::Node node = parent[key];
+    if (!node)
+        return fallback;
+    Value value{};
+    if (!node.IsScalar() || !YAML::convert<Value>::decode(node, value))
+        fail(node, std::string("'") + key + "' must be " + expected);
+    return value;
+}
+
+uint32_t readCount(const YAML::Node &parent, const char *key, uint32_t fallback);
+double readWeight(const YAML::Node &parent, const char *key, double fallback);
+
+// A size with its unit, such as 512MiB.
+Bytes readBytes(const YAML::Node &parent, const char *key);
+
+// A time with its unit, such as 250ms, 4s or 30m.
+Millis readDuration(const YAML::Node &parent, const char *key, Millis fallback);
+
+std::vector<std::string> readNames(const YAML::Node &parent, const char *key);
+
+} // namespace roserail::yaml
--- /dev/null
+++ b/src/transport/storage.h
@@ -0,0 +1,80 @@
+// A control replica's data folder: identity, snapshot and log. Nothing counts until it is synced.
+//
+// Files: `identity`, `snapshot`, `log-<index of the snapshot it continues>`, `lock`. All are sequences of frames:
+// length (4 bytes), XXH64 (8 bytes), payload. One frame of the log is what one fdatasync makes durable, so that
+// only the last frame can be torn.
+#pragma once
+
+#include "coordination/raft.h"
+#include "state/errors.h"
+
+#include <filesystem>
+#include <memory>
+
+namespace roserail
+{
+
+// Encodes one frame.
+std::string encodeFrame(const std::string &payload);
+
+// What a file's bytes hold.
+struct Frames {
+    std::vector<std::string> payloads;
+    size_t validBytes = 0; // a torn tail follows if the file is longer
+};
+
+// Splits bytes into frames. A torn last frame is left out; damage before intact frames is an error.
+Result<Frames> decodeFrames(const std::string &bytes, const std::string &file);
+
+class Storage
+{
+public:
+    // Opens the folder or makes an unfounded one. `newIncarnation` is used only for a new one.
+    static Result<std::unique_ptr<Storage>> open(const std::filesystem::path &folder, uint64_t replicaId, uint64_t newIncarnation);
+    ~Storage();
+    Storage(const Storage &) = delete;
+    Storage &operator=(const Storage &) = delete;
+
+    // What was durable when the folder was opened.
+    const DurableState &state() const
+    {
+        return m_state;
+    }
+    // Frees the copy that `state` returns.
+    void releaseState();
+
+    // Makes the folder part of a system.
+    Result<void> found(uint64_t clusterId);
+    // Appends one frame and syncs it. After an error nothing of it is in the log.
+    Result<void> append(const pb::LogFrame &frame);
+    // Replaces the snapshot, and the log by one frame with what continues the snapshot.
+    Result<void> saveSnapshot(const pb::Snapshot &snapshot, const pb::LogFrame &rest);
+
+    uint64_t syncs() const
+    {
+        return m_syncs;
+    }
+    uint64_t logBytes() const
+    {
+        return m_logBytes;
+    }
+
+private:
+    explicit Storage(std::filesystem::path folder);
+    Result<void> lock();
+    Result<void> readIdentity(uint64_t replicaId, uint64_t newIncarnation);
+    Result<void> readSnapshot();
+    Result<void> readLog();
+    Result<void> openLog(uint64_t index);
+    Result<void> writeFile(const std::string &name, const std::string &bytes);
+    std::filesystem::path logPath(uint64_t index) const;
+
+    std::filesystem::path m_folder;
+    DurableState m_state;
+    int m_lockFd = -1;
+    int m_logFd = -1;
+    uint64_t m_logBytes = 0;
+    uint64_t m_syncs = 0;
+};
+
+} // namespace roserail
