--- /dev/null
+++ b/src/control.cpp
@@ -0,0 +1,81 @@
+// roserail-control: one control replica.
+
+#include "protocol/log.h"
+#include "protocol/settings.h"
+#include "transport/clock.h"
+#include "transport/controlservice.h"
+#include "transport/operatorapi.h"
+#include "transport/program.h"
+
+namespace
+{
+
+using namespace roserail;
+
+constexpr Millis HandOverTime{1500};
+
+// Lets another replica lead before this one goes away.
+void handOver(ReplicaNode &node)
+{
+    const Time deadline = monotonicNow() + HandOverTime;
+    while (node.status().role == Role::Leader && monotonicNow() < deadline) {
+        node.transferLeadership();
+        std::this_thread::sleep_for(Millis(50));
+    }
+}
+
+int serve(const ControlSettings &settings)
+{
+    Result<std::unique_ptr<Storage>> storage = Storage::open(settings.dataFolder, settings.id, randomNumber());
+    if (storage.has_error())
+        return reportFatal(storage.error());
+    pb::Member self;
+    self.set_peer_address(settings.peerAddress);
+    self.set_operator_address(settings.operatorAddress);
+    std::vector<std::string> seeds;
+    for (const PeerSettings &it : settings.replicas) {
+        if (it.id != settings.id)
+            seeds.push_back(it.peerAddress);
+    }
+    ReplicaNode node(std::move(storage.value()), self, seeds, settings.snapshotEvery, randomNumber());
+    Coordinator coordinator(node);
+    PeerService peerService(node);
+    ControlService controlService(node, coordinator);
+    const std::unique_ptr<grpc::Server> server = startGrpcServer(settings.peerAddress, {&peerService, &controlService});
+    if (!server)
+        return reportFatal(Error{ErrorKind::BadSettings,
+                                 fmt::format("cannot listen on {}; free the port or correct 'peerAddress'", settings.peerAddress)});
+    OperatorApi api(settings, node, coordinator);
+    if (!api.bind())
+        return reportFatal(Error{ErrorKind::BadSettings,
+                                 fmt::format("cannot listen on {}; free the port or correct 'operatorAddress'", settings.operatorAddress)});
+    std::thread http([&] { api.listen(); });
+    logEvent("started", {{"version", ROSERAIL_VERSION}, {"peer", settings.peerAddress}, {"operator", settings.operatorAddress}});
+    waitForStop();
+    handOver(node);
+    api.stop();
+    http.join();
+    server->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(500));
+    logEvent("stopped");
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const Program program{
+        "roserail-control",
+        "A control replica of roserail: replicated state, placement and configuration.",
+        [](const std::string &text, const std::string &file) -> Result<std::string> {
+            BOOST_OUTCOME_TRY(settings, parseControlSettings(text, file));
+            return describe(settings);
+        },
+        [](const std::string &text, const std::string &file) {
+            const ControlSettings settings = parseControlSettings(text, file).value();
+            setLogProcess(fmt::format("control-{}", settings.id));
+            return serve(settings);
+        },
+    };
+    return runProgram(argc, argv, program);
+}
--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -89,9 +89,8 @@
         entry.clear_artifacts();
         publish(it.second, std::move(entry));
     }
-    const size_t lapsed = std::erase_if(m_routers, [now](const std::pair<const RouterId, RouterView> &it) {
-        return it.second.leaseUntil + RouterLease < now;
-    });
+    const size_t lapsed = std::erase_if(
+        m_routers, [now](const std::pair<const RouterId, RouterView> &it) { return it.second.leaseUntil + RouterLease < now; });
     m_routersVersion += lapsed;
 }
 
@@ -135,7 +134,8 @@
     for (const pb::EndpointReport &it : request.reports())
         takeReport(it, machine.ledger(), now);
     RouterView &router = m_routers[RouterId(request.router())];
-    const bool changed = router.address != request.address() || router.draining != request.draining() || router.incarnation != request.incarnation();
+    const bool changed
+        = router.address != request.address() || router.draining != request.draining() || router.incarnation != request.incarnation();
     m_routersVersion += changed ? 1 : 0;
     router.incarnation = request.incarnation();
     router.address = request.address();
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -42,9 +42,8 @@
         return false;
     if (waiting.service)
         return endpoint.entry.service();
-    return std::any_of(endpoint.entry.artifacts().begin(), endpoint.entry.artifacts().end(), [&](const pb::ArtifactReport &it) {
-        return it.artifact() == waiting.target;
-    });
+    return std::any_of(endpoint.entry.artifacts().begin(), endpoint.entry.artifacts().end(),
+                       [&](const pb::ArtifactReport &it) { return it.artifact() == waiting.target; });
 }
 
 bool Dispatcher::hasRoom(const Endpoint &endpoint, const Waiting &waiting) const
@@ -59,13 +58,16 @@
 {
     Endpoint *least = nullptr;
     Endpoint *preferred = nullptr;
-    const auto load = [](const Endpoint &it) { return it.running + it.entry.load_level() * it.entry.capacity() / 8; };
+    const auto load = [](const Endpoint &it) {
+        return it.running + it.entry.load_level() * it.entry.capacity() / 8;
+    };
     for (std::pair<const EndpointId, Endpoint> &it : m_endpoints) {
         if (!serves(it.second, waiting) || !hasRoom(it.second, waiting) || waiting.avoid.count(it.first) != 0)
             continue;
         if (least == nullptr || load(it.second) < load(*least))
             least = &it.second;
-        const bool heavier = preferred == nullptr || weight(waiting.prefixHash, it.first) > weight(waiting.prefixHash, EndpointId(preferred->entry.endpoint()));
+        const bool heavier = preferred == nullptr
+            || weight(waiting.prefixHash, it.first) > weight(waiting.prefixHash, EndpointId(preferred->entry.endpoint()));
         if (waiting.prefixHash != 0 && heavier)
             preferred = &it.second;
     }
@@ -85,7 +87,8 @@
 uint32_t Dispatcher::ahead(const Waiting &waiting) const
 {
     return uint32_t(std::count_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting &it) {
-        const bool before = it.requestClass < waiting.requestClass || (it.requestClass == waiting.requestClass && it.deadline < waiting.deadline);
+        const bool before
+            = it.requestClass < waiting.requestClass || (it.requestClass == waiting.requestClass && it.deadline < waiting.deadline);
         return it.target == waiting.target && before;
     }));
 }
@@ -112,9 +115,10 @@
     const Millis needed = wait + Millis(int64_t(HopelessShare * serviceMs));
     if (now + needed <= waiting.deadline && now < waiting.deadline)
         return std::nullopt;
-    return overloaded(fmt::format("no answer by the deadline is possible: '{}' needs about {} ms; not run, come back later or allow more time", waiting.target,
-                                  needed.count()),
-                      wait);
+    return overloaded(
+        fmt::format("no answer by the deadline is possible: '{}' needs about {} ms; not run, come back later or allow more time",
+                    waiting.target, needed.count()),
+        wait);
 }
 
 Result<void> Dispatcher::admit(Waiting waiting, Time now)
@@ -134,7 +138,8 @@
     if (sameTarget >= QueuePerArtifact)
         return overloaded(fmt::format("{} requests wait for '{}'; not run, come back later", sameTarget, waiting.target), RetryAfterMin);
     if (sameCaller >= QueuePerCaller)
-        return overloaded(fmt::format("{} requests of '{}' wait; not run, send fewer at once", sameCaller, waiting.caller.value()), RetryAfterMin);
+        return overloaded(fmt::format("{} requests of '{}' wait; not run, send fewer at once", sameCaller, waiting.caller.value()),
+                          RetryAfterMin);
     m_waiting.push_back(std::move(waiting));
     return boost::outcome_v2::success();
 }
@@ -144,7 +149,8 @@
     return std::erase_if(m_waiting, [ticket](const Waiting &it) { return it.ticket == ticket; }) != 0;
 }
 
-void Dispatcher::finish(const Grant &grant, const std::string &target, const CallerId &caller, RequestClass requestClass, std::optional<Millis> took)
+void Dispatcher::finish(const Grant &grant, const std::string &target, const CallerId &caller, RequestClass requestClass,
+                        std::optional<Millis> took)
 {
     const auto endpoint = m_endpoints.find(grant.endpoint);
     if (endpoint != m_endpoints.end() && endpoint->second.entry.incarnation() == grant.incarnation && endpoint->second.running > 0) {
--- a/src/coordination/dispatcher.h
+++ b/src/coordination/dispatcher.h
@@ -58,7 +58,8 @@
     // The caller has gone. False if the request has already left the queue.
     bool withdraw(TicketId ticket);
     // An attempt on an endpoint ended. `took` is its service time if it completed.
-    void finish(const Grant &grant, const std::string &target, const CallerId &caller, RequestClass requestClass, std::optional<Millis> took);
+    void finish(const Grant &grant, const std::string &target, const CallerId &caller, RequestClass requestClass,
+                std::optional<Millis> took);
     void setEndpoint(const pb::DirectoryEntry &entry);
     void clearEndpoints();
     void setEstimate(const pb::LoadEstimate &estimate, Time now);
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -17,9 +17,8 @@
 
 const pb::Member *findId(const pb::Membership &membership, uint64_t id, bool voter)
 {
-    const auto it = std::find_if(membership.members().begin(), membership.members().end(), [&](const pb::Member &m) {
-        return m.identity().id() == id && m.voter() == voter;
-    });
+    const auto it = std::find_if(membership.members().begin(), membership.members().end(),
+                                 [&](const pb::Member &m) { return m.identity().id() == id && m.voter() == voter; });
     return it == membership.members().end() ? nullptr : &*it;
 }
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -179,9 +179,8 @@
     std::vector<Want> order;
     for (const std::pair<const ArtifactId, Want> &it : round.wants)
         order.push_back(it.second);
-    std::stable_sort(order.begin(), order.end(), [](const Want &a, const Want &b) {
-        return a.interactive != b.interactive ? a.interactive : a.deadline < b.deadline;
-    });
+    std::stable_sort(order.begin(), order.end(),
+                     [](const Want &a, const Want &b) { return a.interactive != b.interactive ? a.interactive : a.deadline < b.deadline; });
     for (const Want &it : order)
         place(round, it);
     return std::move(round.commands);
@@ -247,7 +246,8 @@
     if (state == pb::ARTIFACT_LOADING)
         return;
     // Absent: the order is on its way, was lost, or the load failed.
-    if (slot.unanswered.empty() && report.sequence() > slot.answeredSequence && (sent == m_orderSentAt.end() || round.now > sent->second + OrderRetry))
+    if (slot.unanswered.empty() && report.sequence() > slot.answeredSequence
+        && (sent == m_orderSentAt.end() || round.now > sent->second + OrderRetry))
         round.commands.push_back(releaseCommand(slot, report));
     else if (orderDue(slot.id, round.now))
         round.commands.push_back(orderCommand(slot.id, pb::ORDER_LOAD));
@@ -278,9 +278,10 @@
 
 bool Placement::shouldUnload(const Round &round, const Slot &slot) const
 {
-    const bool hasAdapters = std::any_of(round.ledger.slots().begin(), round.ledger.slots().end(), [&](const std::pair<const SlotId, Slot> &it) {
-        return it.second.endpoint == slot.endpoint && it.second.base == slot.artifact;
-    });
+    const bool hasAdapters
+        = std::any_of(round.ledger.slots().begin(), round.ledger.slots().end(), [&](const std::pair<const SlotId, Slot> &it) {
+              return it.second.endpoint == slot.endpoint && it.second.base == slot.artifact;
+          });
     if (hasAdapters || !slot.unanswered.empty())
         return false;
     const Artifact *artifact = round.document.artifact(slot.artifact);
@@ -397,9 +398,10 @@
         if (leaving && slot.bytes >= artifact.bytes)
             return false;
         const bool idle = round.wants.count(slot.artifact) == 0 && slot.unanswered.empty() && stateIn(*report, slot) == pb::ARTIFACT_LOADED;
-        const bool adaptersOnIt = std::any_of(round.ledger.slots().begin(), round.ledger.slots().end(), [&](const std::pair<const SlotId, Slot> &other) {
-            return other.second.endpoint == slot.endpoint && other.second.base == slot.artifact;
-        });
+        const bool adaptersOnIt
+            = std::any_of(round.ledger.slots().begin(), round.ledger.slots().end(), [&](const std::pair<const SlotId, Slot> &other) {
+                  return other.second.endpoint == slot.endpoint && other.second.base == slot.artifact;
+              });
         const bool enough = round.ledger.usedOnEndpoint(slot.endpoint) - slot.bytes + artifact.bytes <= record->endpointBytes
             && round.ledger.usedOnHost(record->host) - slot.bytes + artifact.bytes <= round.ledger.hostBytes(record->host);
         if (leaving || !idle || adaptersOnIt || !enough)
--- a/src/coordination/raft.cpp
+++ b/src/coordination/raft.cpp
@@ -84,16 +84,14 @@
 
 bool Raft::isVoter(const Replica &replica) const
 {
-    return std::any_of(m_membership.members().begin(), m_membership.members().end(), [&](const pb::Member &it) {
-        return it.voter() && fromProto(it.identity()) == replica;
-    });
+    return std::any_of(m_membership.members().begin(), m_membership.members().end(),
+                       [&](const pb::Member &it) { return it.voter() && fromProto(it.identity()) == replica; });
 }
 
 size_t Raft::majority() const
 {
-    const auto n = std::count_if(m_membership.members().begin(), m_membership.members().end(), [](const pb::Member &it) {
-        return it.voter();
-    });
+    const auto n
+        = std::count_if(m_membership.members().begin(), m_membership.members().end(), [](const pb::Member &it) { return it.voter(); });
     return size_t(n) / 2 + 1;
 }
 
@@ -280,9 +278,8 @@
         change[fromProto(member.identity())] += member.voter() ? 1 : 0;
     for (const pb::Member &member : membership.members())
         change[fromProto(member.identity())] -= member.voter() ? 1 : 0;
-    const auto changed = std::count_if(change.begin(), change.end(), [](const std::pair<const Replica, int> &it) {
-        return it.second != 0;
-    });
+    const auto changed
+        = std::count_if(change.begin(), change.end(), [](const std::pair<const Replica, int> &it) { return it.second != 0; });
     if (changed > 1)
         return false;
     pb::Entry entry;
@@ -420,7 +417,8 @@
         becomeFollower(msg.term(), std::nullopt, now);
         saveHardState(out);
     }
-    const bool logCurrent = msg.log_term() > termAt(lastIndex()) || (msg.log_term() == termAt(lastIndex()) && msg.log_index() >= lastIndex());
+    const bool logCurrent
+        = msg.log_term() > termAt(lastIndex()) || (msg.log_term() == termAt(lastIndex()) && msg.log_index() >= lastIndex());
     bool granted = false;
     if (preVote) {
         granted = msg.term() > m_hard.term() && logCurrent;
@@ -595,6 +593,16 @@
     }
 }
 
+pb::Membership Raft::membershipAt(uint64_t index) const
+{
+    pb::Membership membership = m_snapMembership;
+    for (const pb::Entry &it : m_log) {
+        if (it.index() <= index && it.has_membership())
+            membership = it.membership();
+    }
+    return membership;
+}
+
 // Commits what a majority holds, if it is of this term.
 void Raft::advanceCommit(Actions &out)
 {
--- a/src/coordination/raft.h
+++ b/src/coordination/raft.h
@@ -99,6 +99,16 @@
     bool silentSince(const Replica &replica, Time since) const;
     // Until when this replica may answer as leader, if nothing more is heard.
     Time leaseEnd(Time now) const;
+    uint64_t clusterId() const
+    {
+        return m_clusterId;
+    }
+    const pb::HardState &hardState() const
+    {
+        return m_hard;
+    }
+    // The membership in force after the entry at `index`.
+    pb::Membership membershipAt(uint64_t index) const;
     uint64_t termStart() const
     {
         return m_termStart;
--- a/src/protocol/log.cpp
+++ b/src/protocol/log.cpp
@@ -37,8 +37,8 @@
 {
     const std::chrono::system_clock::time_point now = std::chrono::system_clock::now();
     const int64_t ms = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
-    std::string line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z process={} event={}", fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms,
-                                   processName, event);
+    std::string line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z process={} event={}",
+                                   fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms, processName, event);
     for (const LogField &it : fields)
         line += fmt::format(" {}={}", it.key, quoted(it.value));
     line += '\n';
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -34,7 +34,8 @@
 PeerSettings readPeer(const YAML::Node &node)
 {
     checkKeys(node, "a replica", {"id", "peerAddress", "operatorAddress"});
-    return PeerSettings{readCount(node, "id", 0), readAddress(node, "peerAddress", "a replica"), readAddress(node, "operatorAddress", "a replica")};
+    return PeerSettings{readCount(node, "id", 0), readAddress(node, "peerAddress", "a replica"),
+                        readAddress(node, "operatorAddress", "a replica")};
 }
 
 ControlSettings readControl(const YAML::Node &root)
@@ -89,7 +90,8 @@
     try {
         return read(YAML::Load(text));
     } catch (const ReadFailure &failure) {
-        return Error{ErrorKind::BadSettings, fmt::format("{}:{}:{}: {}", file, failure.position.line, failure.position.column, failure.message)};
+        return Error{ErrorKind::BadSettings,
+                     fmt::format("{}:{}:{}: {}", file, failure.position.line, failure.position.column, failure.message)};
     } catch (const YAML::Exception &ex) {
         return Error{ErrorKind::BadSettings,
                      fmt::format("{}:{}:{}: not valid YAML ({}); correct the syntax", file, ex.mark.line + 1, ex.mark.column + 1, ex.msg)};
@@ -122,8 +124,8 @@
 
 std::string describe(const ControlSettings &settings)
 {
-    std::string out = fmt::format("id: {}\nzone: {}\ndataFolder: {}\nrootTokenSha256: \"{}\"\nsnapshotEvery: {}\nreplicas:\n", settings.id, settings.zone,
-                                  settings.dataFolder, settings.rootTokenSha256, settings.snapshotEvery);
+    std::string out = fmt::format("id: {}\nzone: {}\ndataFolder: {}\nrootTokenSha256: \"{}\"\nsnapshotEvery: {}\nreplicas:\n", settings.id,
+                                  settings.zone, settings.dataFolder, settings.rootTokenSha256, settings.snapshotEvery);
     for (const PeerSettings &it : settings.replicas)
         out += fmt::format("  - {{id: {}, peerAddress: \"{}\", operatorAddress: \"{}\"}}\n", it.id, it.peerAddress, it.operatorAddress);
     return out;
@@ -131,8 +133,9 @@
 
 std::string describe(const RouterSettings &settings)
 {
-    return fmt::format("id: {}\nzone: {}\nlisten: \"{}\"\naddress: \"{}\"\ncontrol: [\"{}\"]\nannounceTokenSha256: \"{}\"\n", settings.id, settings.zone,
-                       settings.listen, settings.address, fmt::join(settings.control, "\", \""), settings.announceTokenSha256);
+    return fmt::format("id: {}\nzone: {}\nlisten: \"{}\"\naddress: \"{}\"\ncontrol: [\"{}\"]\nannounceTokenSha256: \"{}\"\n", settings.id,
+                       settings.zone, settings.listen, settings.address, fmt::join(settings.control, "\", \""),
+                       settings.announceTokenSha256);
 }
 
 Result<std::string> readTextFile(const std::string &path)
--- /dev/null
+++ b/src/protocol/sse.h
@@ -0,0 +1,53 @@
+// Server-sent events, and the token with which a caller resumes a stream at any router.
+#pragma once
+
+#include "state/errors.h"
+#include "state/types.h"
+
+#include <string>
+#include <vector>
+
+namespace roserail
+{
+
+// One event, or a comment when `data` is empty.
+struct SseEvent {
+    std::string id;
+    std::string data;
+};
+
+// Splits a byte stream into events, whatever the sizes of the pieces it comes in.
+class SseParser
+{
+public:
+    // Returns the events that the piece completes. An event over the limit ends parsing: `overflow` becomes true.
+    std::vector<SseEvent> feed(const char *data, size_t n);
+    bool overflow() const
+    {
+        return m_overflow;
+    }
+
+private:
+    void takeLine(const std::string &line, std::vector<SseEvent> &out);
+
+    std::string m_line;
+    SseEvent m_event;
+    bool m_hasField = false;
+    bool m_overflow = false;
+};
+
+std::string encodeSse(const SseEvent &event);
+
+// Names what a caller has received so far: where the stream runs, which attempt, and the next offset.
+struct ResumeToken {
+    EndpointId endpoint;
+    uint64_t incarnation = 0;
+    AttemptId attempt;
+    uint64_t callerHash = 0;
+    uint64_t next = 0;
+};
+
+std::string encodeToken(const ResumeToken &token);
+Result<ResumeToken> parseToken(const std::string &text);
+
+} // namespace roserail
--- a/src/state/claims.cpp
+++ b/src/state/claims.cpp
@@ -30,6 +30,7 @@
     pb::CommandResult result = verdict(running ? pb::VERDICT_RUNNING : pb::VERDICT_STORED, "");
     result.set_outcome(claim.outcome());
     result.set_attempt(claim.attempt());
+    result.set_router(claim.router());
     *result.mutable_answer() = claim.answer();
     return result;
 }
@@ -39,7 +40,8 @@
 pb::CommandResult Claims::start(const pb::StartClaim &command, WallTime now)
 {
     if (keyTime(command.key_time_ms()) + KeyWindow < now)
-        return verdict(pb::VERDICT_KEY_EXPIRED, "the idempotency key is older than 24 h; find out whether the action ran before sending it under a new key");
+        return verdict(pb::VERDICT_KEY_EXPIRED,
+                       "the idempotency key is older than 24 h; find out whether the action ran before sending it under a new key");
     if (keyTime(command.key_time_ms()) > now + KeyFutureMargin)
         return verdict(pb::VERDICT_KEY_EXPIRED, "the idempotency key's time is in the future; set the clock and make a new key");
     const ClaimKey key{CallerId(command.caller()), command.key()};
@@ -54,6 +56,7 @@
         if (claim.outcome() != pb::CLAIM_NOT_RUN || sameAttempt)
             return describe(claim);
         claim.set_attempt(command.attempt());
+        claim.set_router(command.router());
         claim.set_outcome(pb::CLAIM_RUNNING);
         return verdict(pb::VERDICT_OK, "");
     }
@@ -63,6 +66,7 @@
     claim.set_payload_hash(command.payload_hash());
     claim.set_key_time_ms(command.key_time_ms());
     claim.set_attempt(command.attempt());
+    claim.set_router(command.router());
     m_byAge.insert(Expiry{command.key_time_ms(), key});
     m_claims.emplace(key, std::move(claim));
     return verdict(pb::VERDICT_OK, "");
--- a/src/state/document.cpp
+++ b/src/state/document.cpp
@@ -17,13 +17,15 @@
 Error invalid(const std::string &section, Position at, const std::string &message)
 {
     const std::string where = section.empty() ? "" : fmt::format("section '{}': ", section);
-    return Error{ErrorKind::InvalidDocument, fmt::format("line {}, column {}: {}{}; nothing was changed", at.line, at.column, where, message)};
+    return Error{ErrorKind::InvalidDocument,
+                 fmt::format("line {}, column {}: {}{}; nothing was changed", at.line, at.column, where, message)};
 }
 
 std::string readTokenHash(const YAML::Node &node, const char *what)
 {
     const std::string hash = readName(node, "tokenSha256", what);
-    const bool hex = hash.size() == 64 && std::all_of(hash.begin(), hash.end(), [](unsigned char c) { return std::isxdigit(c) && !std::isupper(c); });
+    const bool hex
+        = hash.size() == 64 && std::all_of(hash.begin(), hash.end(), [](unsigned char c) { return std::isxdigit(c) && !std::isupper(c); });
     if (!hex)
         fail(node["tokenSha256"], "'tokenSha256' must be 64 lower-case hex digits; make it with 'roserailctl token'");
     return hash;
@@ -78,8 +80,8 @@
 Service readService(const YAML::Node &node)
 {
     checkKeys(node, "a service", {"name", "pool", "idempotent"});
-    return Service{readName(node, "name", "a service"), readName(node, "pool", "a service"), readValue<bool>(node, "idempotent", false, "true or false"),
-                   positionOf(node)};
+    return Service{readName(node, "name", "a service"), readName(node, "pool", "a service"),
+                   readValue<bool>(node, "idempotent", false, "true or false"), positionOf(node)};
 }
 
 Caller readCaller(const YAML::Node &node)
@@ -100,7 +102,8 @@
 Operator readOperator(const YAML::Node &node)
 {
     checkKeys(node, "an operator", {"name", "tokenSha256", "sections"});
-    return Operator{readName(node, "name", "an operator"), readTokenHash(node, "an operator"), readNames(node, "sections"), positionOf(node)};
+    return Operator{readName(node, "name", "an operator"), readTokenHash(node, "an operator"), readNames(node, "sections"),
+                    positionOf(node)};
 }
 
 Policy readPolicy(const YAML::Node &node)
@@ -191,7 +194,8 @@
     } catch (const ReadFailure &failure) {
         return invalid(section, failure.position, failure.message);
     } catch (const YAML::Exception &ex) {
-        return invalid(section, Position{ex.mark.line + 1, ex.mark.column + 1}, fmt::format("not valid YAML ({}); correct the syntax", ex.msg));
+        return invalid(section, Position{ex.mark.line + 1, ex.mark.column + 1},
+                       fmt::format("not valid YAML ({}); correct the syntax", ex.msg));
     }
 }
 
@@ -206,12 +210,13 @@
 {
     for (const Item &item : items) {
         if (!into.emplace(keyOf(item), item).second)
-            throw ReadFailure{fmt::format("{} '{}' is defined twice; rename or remove one", what, [&] {
-                                  if constexpr (std::is_same_v<Key, std::string>)
-                                      return keyOf(item);
-                                  else
-                                      return keyOf(item).value();
-                              }()),
+            throw ReadFailure{fmt::format("{} '{}' is defined twice; rename or remove one", what,
+                                          [&] {
+                                              if constexpr (std::is_same_v<Key, std::string>)
+                                                  return keyOf(item);
+                                              else
+                                                  return keyOf(item).value();
+                                          }()),
                               item.position};
     }
 }
@@ -220,8 +225,8 @@
 {
     const Artifact *base = document.artifact(adapter.base);
     if (base == nullptr || base->isAdapter())
-        throw ReadFailure{fmt::format("adapter '{}' names base '{}', which is not a model; define the model or correct the name", adapter.id.value(),
-                                      adapter.base.value()),
+        throw ReadFailure{fmt::format("adapter '{}' names base '{}', which is not a model; define the model or correct the name",
+                                      adapter.id.value(), adapter.base.value()),
                           adapter.position};
     adapter.pool = base->pool;
 }
@@ -230,11 +235,12 @@
 {
     const auto pool = document.pools.find(model.pool);
     if (pool == document.pools.end())
-        throw ReadFailure{fmt::format("model '{}' names pool '{}', which does not exist; add it to 'pools' or correct the name", model.id.value(), model.pool),
+        throw ReadFailure{fmt::format("model '{}' names pool '{}', which does not exist; add it to 'pools' or correct the name",
+                                      model.id.value(), model.pool),
                           model.position};
     if (model.bytes > pool->second.endpointBytes)
-        throw ReadFailure{fmt::format("model '{}' needs {} bytes, an endpoint of pool '{}' has {}; choose a larger pool", model.id.value(), model.bytes,
-                                      model.pool, pool->second.endpointBytes),
+        throw ReadFailure{fmt::format("model '{}' needs {} bytes, an endpoint of pool '{}' has {}; choose a larger pool", model.id.value(),
+                                      model.bytes, model.pool, pool->second.endpointBytes),
                           model.position};
 }
 
@@ -247,17 +253,21 @@
         }
         const Artifact &base = *document.artifact(it.base);
         if (base.bytes + it.bytes > document.pools.at(base.pool).endpointBytes)
-            throw ReadFailure{fmt::format("adapter '{}' does not fit beside its base in pool '{}'; choose a larger pool", it.id.value(), base.pool), it.position};
+            throw ReadFailure{
+                fmt::format("adapter '{}' does not fit beside its base in pool '{}'; choose a larger pool", it.id.value(), base.pool),
+                it.position};
     }
     for (const Service &it : section.services) {
         if (document.pools.count(it.pool) == 0)
-            throw ReadFailure{fmt::format("service '{}' names pool '{}', which does not exist; add it to 'pools'", it.name, it.pool), it.position};
+            throw ReadFailure{fmt::format("service '{}' names pool '{}', which does not exist; add it to 'pools'", it.name, it.pool),
+                              it.position};
     }
     for (const Caller &caller : section.callers) {
         for (const std::string &name : caller.uses) {
             if (name != "*" && document.artifacts.count(ArtifactId(name)) == 0 && document.services.count(name) == 0)
-                throw ReadFailure{fmt::format("caller '{}' may use '{}', which does not exist; define it or correct the name", caller.id.value(), name),
-                                  caller.position};
+                throw ReadFailure{
+                    fmt::format("caller '{}' may use '{}', which does not exist; define it or correct the name", caller.id.value(), name),
+                    caller.position};
         }
     }
 }
@@ -268,11 +278,16 @@
     bool policySeen = false;
     for (const SectionContent &section : sections) {
         current = &section;
-        addUnique(document.pools, section.pools, [](const Pool &it) { return it.name; }, "pool");
-        addUnique(document.artifacts, section.artifacts, [](const Artifact &it) { return it.id; }, "model or adapter");
-        addUnique(document.services, section.services, [](const Service &it) { return it.name; }, "service");
-        addUnique(document.callers, section.callers, [](const Caller &it) { return it.id; }, "caller");
-        addUnique(document.operators, section.operators, [](const Operator &it) { return it.name; }, "operator");
+        addUnique(
+            document.pools, section.pools, [](const Pool &it) { return it.name; }, "pool");
+        addUnique(
+            document.artifacts, section.artifacts, [](const Artifact &it) { return it.id; }, "model or adapter");
+        addUnique(
+            document.services, section.services, [](const Service &it) { return it.name; }, "service");
+        addUnique(
+            document.callers, section.callers, [](const Caller &it) { return it.id; }, "caller");
+        addUnique(
+            document.operators, section.operators, [](const Operator &it) { return it.name; }, "operator");
         if (section.hasPolicy && policySeen)
             throw ReadFailure{"'policy' is defined in two sections; keep it in one", section.position};
         if (section.hasPolicy)
@@ -313,17 +328,15 @@
 
 const Caller *Document::callerByToken(const std::string &tokenSha256) const
 {
-    const auto it = std::find_if(callers.begin(), callers.end(), [&](const std::pair<const CallerId, Caller> &c) {
-        return c.second.tokenSha256 == tokenSha256;
-    });
+    const auto it = std::find_if(callers.begin(), callers.end(),
+                                 [&](const std::pair<const CallerId, Caller> &c) { return c.second.tokenSha256 == tokenSha256; });
     return it == callers.end() ? nullptr : &it->second;
 }
 
 const Operator *Document::operatorByToken(const std::string &tokenSha256) const
 {
-    const auto it = std::find_if(operators.begin(), operators.end(), [&](const std::pair<const std::string, Operator> &o) {
-        return o.second.tokenSha256 == tokenSha256;
-    });
+    const auto it = std::find_if(operators.begin(), operators.end(),
+                                 [&](const std::pair<const std::string, Operator> &o) { return o.second.tokenSha256 == tokenSha256; });
     return it == operators.end() ? nullptr : &it->second;
 }
 
--- a/src/state/errors.h
+++ b/src/state/errors.h
@@ -22,6 +22,8 @@
     Overloaded, // not run: no answer in time is possible
     Quarantined,
     OutcomeUnknown,
+    Incomplete, // it ran, but the whole answer could not be delivered
+    Late, // idempotent, and no whole answer came by the deadline
     NotLeader,
     Unavailable,
     DiskDamaged,
--- a/src/state/ledger.cpp
+++ b/src/state/ledger.cpp
@@ -86,9 +86,8 @@
 
 uint32_t Ledger::replicas(const ArtifactId &artifact) const
 {
-    return uint32_t(std::count_if(m_slots.begin(), m_slots.end(), [&](const std::pair<const SlotId, Slot> &it) {
-        return it.second.artifact == artifact;
-    }));
+    return uint32_t(std::count_if(m_slots.begin(), m_slots.end(),
+                                  [&](const std::pair<const SlotId, Slot> &it) { return it.second.artifact == artifact; }));
 }
 
 Bytes Ledger::usedOnHost(const HostId &host) const
@@ -256,7 +255,8 @@
     if (sequence <= slot->answeredSequence)
         return refuse(pb::VERDICT_STALE, "the report is older than the last answered order");
     const EndpointRecord *record = endpoint(slot->endpoint);
-    const bool fenced = record != nullptr && record->checksFencing && !slot->unanswered.empty() && reportedFence > *slot->unanswered.rbegin();
+    const bool fenced
+        = record != nullptr && record->checksFencing && !slot->unanswered.empty() && reportedFence > *slot->unanswered.rbegin();
     if (!slot->unanswered.empty() && !fenced)
         return refuse(pb::VERDICT_MAY_ARRIVE, "an order for the slot may still arrive");
     remove(id);
@@ -287,7 +287,8 @@
     m_nextFence = std::max<uint64_t>(1, in.next_fence());
     for (const pb::EndpointRecord &it : in.endpoints()) {
         const EndpointId id(it.endpoint());
-        m_endpoints[id] = EndpointRecord{id, it.incarnation(), HostId(it.host()), it.host_bytes(), it.endpoint_bytes(), it.checks_fencing()};
+        m_endpoints[id]
+            = EndpointRecord{id, it.incarnation(), HostId(it.host()), it.host_bytes(), it.endpoint_bytes(), it.checks_fencing()};
     }
     for (const pb::Slot &it : in.slots())
         add(fromProto(it));
--- a/src/state/machine.cpp
+++ b/src/state/machine.cpp
@@ -77,22 +77,17 @@
         pb::Command::BodyCase body;
         Apply apply;
     };
-    static constexpr std::array Table{
-        Row{pb::Command::kChangeDocument, &Machine::changeDocument},
-        Row{pb::Command::kStartClaim, &Machine::startClaim},
-        Row{pb::Command::kFinishClaim, &Machine::finishClaim},
-        Row{pb::Command::kRegisterEndpoint, &Machine::registerEndpoint},
-        Row{pb::Command::kForgetEndpoint, &Machine::forgetEndpoint},
-        Row{pb::Command::kReserveSlot, &Machine::reserveSlot},
-        Row{pb::Command::kSendOrder, &Machine::sendOrder},
-        Row{pb::Command::kAnswerOrder, &Machine::answerOrder},
-        Row{pb::Command::kReleaseSlot, &Machine::releaseSlot},
-        Row{pb::Command::kReportCrash, &Machine::reportCrash},
+    static constexpr std::array table{
+        Row{pb::Command::kChangeDocument, &Machine::changeDocument}, Row{pb::Command::kStartClaim, &Machine::startClaim},
+        Row{pb::Command::kFinishClaim, &Machine::finishClaim},       Row{pb::Command::kRegisterEndpoint, &Machine::registerEndpoint},
+        Row{pb::Command::kForgetEndpoint, &Machine::forgetEndpoint}, Row{pb::Command::kReserveSlot, &Machine::reserveSlot},
+        Row{pb::Command::kSendOrder, &Machine::sendOrder},           Row{pb::Command::kAnswerOrder, &Machine::answerOrder},
+        Row{pb::Command::kReleaseSlot, &Machine::releaseSlot},       Row{pb::Command::kReportCrash, &Machine::reportCrash},
     };
     m_clock = std::max(m_clock, WallTime(Millis(int64_t(command.wall_ms()))));
     m_claims.expire(m_clock);
     m_quarantine.expire(m_clock);
-    for (const Row &it : Table) {
+    for (const Row &it : table) {
         if (it.body == command.body_case())
             return (this->*it.apply)(command);
     }
@@ -106,7 +101,8 @@
     const auto seen = m_changes.find(change.change_id());
     if (seen != m_changes.end()) {
         if (seen->second.content_hash() != contentHash(change))
-            return refuse(pb::VERDICT_CONFLICT, fmt::format("change id '{}' was used for another change; use a new one", change.change_id()));
+            return refuse(pb::VERDICT_CONFLICT,
+                          fmt::format("change id '{}' was used for another change; use a new one", change.change_id()));
         return seen->second.result();
     }
     std::map<std::string, SectionContent> replaced;
@@ -117,9 +113,10 @@
         if (revision != it.base_revision()) {
             const std::string winner = current == m_sections.end() ? "nobody" : current->second.changed_by();
             const std::string id = current == m_sections.end() ? "" : current->second.change_id();
-            return refuse(pb::VERDICT_CONFLICT,
-                          fmt::format("section '{}' is at revision {}, not {}: '{}' changed it with change id '{}'; get it, merge and apply again", it.name(),
-                                      revision, it.base_revision(), winner, id));
+            return refuse(
+                pb::VERDICT_CONFLICT,
+                fmt::format("section '{}' is at revision {}, not {}: '{}' changed it with change id '{}'; get it, merge and apply again",
+                            it.name(), revision, it.base_revision(), winner, id));
         }
         if (it.remove()) {
             removed.insert(it.name());
@@ -182,8 +179,8 @@
 pb::CommandResult Machine::registerEndpoint(const pb::Command &command)
 {
     const pb::RegisterEndpoint &it = command.register_endpoint();
-    return toResult(m_ledger.registerEndpoint(EndpointRecord{EndpointId(it.endpoint()), it.incarnation(), HostId(it.host()), it.host_bytes(),
-                                                             it.endpoint_bytes(), it.checks_fencing()}));
+    return toResult(m_ledger.registerEndpoint(EndpointRecord{EndpointId(it.endpoint()), it.incarnation(), HostId(it.host()),
+                                                             it.host_bytes(), it.endpoint_bytes(), it.checks_fencing()}));
 }
 
 pb::CommandResult Machine::forgetEndpoint(const pb::Command &command)
@@ -208,7 +205,8 @@
 
 pb::CommandResult Machine::answerOrder(const pb::Command &command)
 {
-    return toResult(m_ledger.answerOrder(SlotId(command.answer_order().slot()), Fence(command.answer_order().fence()), command.answer_order().sequence()));
+    return toResult(m_ledger.answerOrder(SlotId(command.answer_order().slot()), Fence(command.answer_order().fence()),
+                                         command.answer_order().sequence()));
 }
 
 pb::CommandResult Machine::releaseSlot(const pb::Command &command)
--- a/src/state/yamlreader.cpp
+++ b/src/state/yamlreader.cpp
@@ -58,7 +58,8 @@
     if (!node || !node.IsScalar() || node.Scalar().empty())
         fail(parent, fmt::format("{} needs '{}'; add it", what, key));
     const std::string &name = node.Scalar();
-    const bool legal = std::all_of(name.begin(), name.end(), [](unsigned char c) { return std::isalnum(c) || strchr("-_./:", c) != nullptr; });
+    const bool legal
+        = std::all_of(name.begin(), name.end(), [](unsigned char c) { return std::isalnum(c) || strchr("-_./:", c) != nullptr; });
     if (!legal || name.size() > MaxNameLength)
         fail(node, fmt::format("'{}' is not a legal name; use up to {} letters, digits and -_./:", name.substr(0, 40), MaxNameLength));
     return name;
@@ -82,14 +83,16 @@
 
 Bytes readBytes(const YAML::Node &parent, const char *key)
 {
-    return Bytes(readQuantity(parent, key, {{"KiB", 1024.0}, {"MiB", 1048576.0}, {"GiB", 1073741824.0}, {"B", 1.0}}, "a size such as 512MiB or 8GiB"));
+    return Bytes(readQuantity(parent, key, {{"KiB", 1024.0}, {"MiB", 1048576.0}, {"GiB", 1073741824.0}, {"B", 1.0}},
+                              "a size such as 512MiB or 8GiB"));
 }
 
 Millis readDuration(const YAML::Node &parent, const char *key, Millis fallback)
 {
     if (!parent[key])
         return fallback;
-    return Millis(int64_t(readQuantity(parent, key, {{"ms", 1.0}, {"s", 1e3}, {"m", 6e4}, {"h", 3.6e6}}, "a time such as 250ms, 4s or 30m")));
+    return Millis(
+        int64_t(readQuantity(parent, key, {{"ms", 1.0}, {"s", 1e3}, {"m", 6e4}, {"h", 3.6e6}}, "a time such as 250ms, 4s or 30m")));
 }
 
 std::vector<std::string> readNames(const YAML::Node &parent, const char *key)
--- /dev/null
+++ b/src/transport/attempt.cpp
@@ -0,0 +1,218 @@
+#include "transport/attempt.h"
+
+#include "protocol/metrics.h"
+#include "protocol/settings.h"
+#include "state/tunables.h"
+#include "transport/clock.h"
+
+#include <fmt/format.h>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+constexpr size_t MaxAnswerBytes = 64u << 20;
+constexpr Millis ProbeTimeout{500};
+constexpr int ProbeAttempts = 2;
+const char *const EndMarker = "[DONE]";
+
+void setTimeout(httplib::Client &client, Millis read)
+{
+    client.set_connection_timeout(ConnectTimeout);
+    client.set_read_timeout(std::max(read, Millis(1)));
+    client.set_write_timeout(ReadTimeout);
+    client.set_keep_alive(false);
+    client.set_follow_location(false);
+}
+
+// No byte left if the connection was never there.
+bool neverConnected(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout || error == httplib::Error::BindIPAddress;
+}
+
+// An answer that names another attempt is not ours; an engine's answer must name the attempt.
+bool belongs(const httplib::Response &response, const AttemptRequest &request)
+{
+    const std::string id = response.get_header_value("X-Request-Id");
+    return id == request.attempt.value() || (id.empty() && !request.engine);
+}
+
+bool refusedUnrun(const httplib::Response &response)
+{
+    return response.get_header_value("X-Not-Run") == "true";
+}
+
+httplib::Request toHttp(const AttemptRequest &request)
+{
+    httplib::Request http;
+    http.method = request.method;
+    http.path = request.path;
+    http.headers = request.headers;
+    http.headers.emplace("X-Request-Id", request.attempt.value());
+    const Millis left = request.deadline - monotonicNow();
+    http.headers.emplace("Roserail-Deadline-Ms", std::to_string(std::max<int64_t>(0, left.count())));
+    http.body = request.body;
+    return http;
+}
+
+AttemptResult endOf(const httplib::Result &result, const AttemptRequest &request)
+{
+    if (!result) {
+        const AttemptEnd end = neverConnected(result.error()) ? AttemptEnd::NotSent : AttemptEnd::Interrupted;
+        return AttemptResult{end, {}, httplib::to_string(result.error())};
+    }
+    if (!belongs(*result, request)) {
+        metrics().counter("roserail_crossed_answers_total").add();
+        return AttemptResult{AttemptEnd::Interrupted, {}, "the answer belongs to another attempt"};
+    }
+    if (refusedUnrun(*result))
+        return AttemptResult{AttemptEnd::RefusedNotRun, {}, fmt::format("status {}", result->status)};
+    return AttemptResult{AttemptEnd::Completed, Answer{result->status, result->get_header_value("Content-Type"), result->body}, ""};
+}
+
+std::optional<httplib::Client> clientFor(const AttemptRequest &request, Millis read)
+{
+    const Result<HostPort> target = parseHostPort(request.address);
+    if (target.has_error())
+        return std::nullopt;
+    std::optional<httplib::Client> client(std::in_place, target.value().host, target.value().port);
+    setTimeout(*client, read);
+    return client;
+}
+
+// Takes events that belong to the attempt, in order and once. False: stop reading.
+struct StreamReader {
+    const AttemptRequest &request;
+    StreamProgress &progress;
+    const EventSink &sink;
+    SseParser parser{};
+    std::string failure{};
+    bool abandoned = false;
+
+    bool take(const char *data, size_t n)
+    {
+        for (const SseEvent &it : parser.feed(data, n)) {
+            if (!takeEvent(it))
+                return false;
+        }
+        failure = parser.overflow() ? "an event is too large" : "";
+        return !parser.overflow();
+    }
+
+    bool takeEvent(const SseEvent &event)
+    {
+        if (event.data.empty())
+            return true;
+        const uint64_t offset = std::strtoull(event.id.c_str(), nullptr, 10);
+        const bool end = event.data == EndMarker;
+        if (!end && event.data.find(request.attempt.value()) == std::string::npos) {
+            metrics().counter("roserail_crossed_answers_total").add();
+            return true;
+        }
+        if (offset < progress.next)
+            return true;
+        if (offset > progress.next || event.id.empty()) {
+            failure = "an event is missing";
+            return false;
+        }
+        if (end) {
+            progress.ended = true;
+            return true;
+        }
+        ++progress.next;
+        abandoned = !sink(offset, event.data);
+        return !abandoned;
+    }
+};
+
+} // namespace
+
+AttemptResult runAttempt(const AttemptRequest &request)
+{
+    std::optional<httplib::Client> client = clientFor(request, request.deadline - monotonicNow());
+    if (!client)
+        return AttemptResult{AttemptEnd::NotSent, {}, "the endpoint's address is not host:port"};
+    return endOf(client->send(toHttp(request)), request);
+}
+
+AttemptResult fetchResult(const AttemptRequest &request)
+{
+    AttemptRequest lookup = request;
+    lookup.method = "GET";
+    lookup.path = "/v1/results/" + request.attempt.value();
+    lookup.body.clear();
+    return runAttempt(lookup);
+}
+
+AttemptResult runStream(const AttemptRequest &request, bool resume, StreamProgress &progress, const EventSink &sink)
+{
+    // Engines send a comment at least every second: silence means that the connection is dead.
+    std::optional<httplib::Client> client = clientFor(request, StreamSilence);
+    if (!client)
+        return AttemptResult{AttemptEnd::NotSent, {}, "the endpoint's address is not host:port"};
+    httplib::Request http = toHttp(request);
+    if (resume) {
+        http.method = "GET";
+        http.path = fmt::format("/v1/streams/{}?from={}", request.attempt.value(), progress.next);
+        http.body.clear();
+    }
+    StreamReader reader{request, progress, sink};
+    httplib::Response head;
+    bool accepted = false;
+    http.response_handler = [&](const httplib::Response &response) {
+        head.status = response.status;
+        head.headers = response.headers;
+        accepted = response.status == 200 && belongs(response, request) && !refusedUnrun(response);
+        return true;
+    };
+    std::string errorBody;
+    http.content_receiver = [&](const char *data, size_t n, uint64_t, uint64_t) {
+        if (accepted)
+            return reader.take(data, n);
+        errorBody.append(data, n);
+        return errorBody.size() < MaxAnswerBytes;
+    };
+    const httplib::Result result = client->send(http);
+    if (progress.ended)
+        return AttemptResult{AttemptEnd::Completed, {}, ""};
+    if (reader.abandoned)
+        return AttemptResult{AttemptEnd::Abandoned, {}, "the caller has gone"};
+    if (head.status == 0 || accepted) {
+        const bool unsent = !result && neverConnected(result.error());
+        return AttemptResult{
+            unsent ? AttemptEnd::NotSent : AttemptEnd::Interrupted, {}, reader.failure.empty() ? "the stream broke off" : reader.failure};
+    }
+    if (!belongs(head, request))
+        return AttemptResult{AttemptEnd::Interrupted, {}, "the answer belongs to another attempt"};
+    if (refusedUnrun(head) && !resume)
+        return AttemptResult{AttemptEnd::RefusedNotRun, {}, fmt::format("status {}", head.status)};
+    if (resume)
+        return AttemptResult{AttemptEnd::Interrupted, {}, fmt::format("the stream cannot be resumed: status {}", head.status)};
+    return AttemptResult{AttemptEnd::Completed, Answer{head.status, head.get_header_value("Content-Type"), errorBody}, ""};
+}
+
+bool endpointGone(const std::string &address, uint64_t incarnation)
+{
+    const Result<HostPort> target = parseHostPort(address);
+    if (target.has_error())
+        return false;
+    for (int i = 0; i < ProbeAttempts; ++i) {
+        httplib::Client client(target.value().host, target.value().port);
+        setTimeout(client, ProbeTimeout);
+        const httplib::Result result = client.Get("/healthz");
+        if (result) {
+            const std::string seen = result->get_header_value("X-Incarnation");
+            return !seen.empty() && seen != std::to_string(incarnation);
+        }
+        if (result.error() == httplib::Error::Connection)
+            return true;
+    }
+    return false;
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/callerapi.h
@@ -0,0 +1,44 @@
+// HTTP interface of a router: chat and completion requests, plain services, streams to resume, addresses, and
+// announcements of endpoints.
+#pragma once
+
+#include "transport/exchange.h"
+
+#include <httplib.h>
+
+namespace roserail
+{
+
+class CallerApi
+{
+public:
+    explicit CallerApi(Router &router);
+    bool bind();
+    void listen();
+    void stop();
+
+private:
+    using Handler = void (CallerApi::*)(const httplib::Request &, httplib::Response &);
+    void route();
+    void postModel(const httplib::Request &request, httplib::Response &response);
+    void getModels(const httplib::Request &request, httplib::Response &response);
+    void getStream(const httplib::Request &request, httplib::Response &response);
+    void anyService(const httplib::Request &request, httplib::Response &response);
+    void postAnnounce(const httplib::Request &request, httplib::Response &response);
+    void getAddresses(const httplib::Request &request, httplib::Response &response);
+    void getHealth(const httplib::Request &request, httplib::Response &response);
+    void getMetrics(const httplib::Request &request, httplib::Response &response);
+    void getDump(const httplib::Request &request, httplib::Response &response);
+
+    Result<Caller> authenticate(const httplib::Request &request, const Document &document) const;
+    Result<ExchangeRequest> buildModelRequest(const httplib::Request &request) const;
+    Result<ExchangeRequest> buildServiceRequest(const httplib::Request &request) const;
+    Result<void> fillCommon(const httplib::Request &request, const Caller &caller, ExchangeRequest &out) const;
+    void answerWhole(ExchangeRequest exchange, httplib::Response &response);
+    void answerStream(std::function<Result<Answer>(StreamSink &)> produce, httplib::Response &response);
+
+    Router &m_router;
+    httplib::Server m_server;
+};
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/exchange.cpp
@@ -0,0 +1,310 @@
+#include "transport/exchange.h"
+
+#include "protocol/log.h"
+#include "protocol/metrics.h"
+#include "state/invariant.h"
+#include "transport/clock.h"
+#include "transport/program.h"
+
+#include <xxhash.h>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+constexpr Millis FinishTimeout{1500};
+constexpr Millis CrashReportTimeout{1000};
+constexpr Millis ClaimPoll{100};
+
+AttemptId newAttempt()
+{
+    return AttemptId(fmt::format("{:016x}{:016x}", randomNumber(), randomNumber()));
+}
+
+Error unknownOutcome(const std::string &why)
+{
+    return Error{ErrorKind::OutcomeUnknown, fmt::format("the request may have run ({}); find out before sending it under a new key", why)};
+}
+
+pb::ClaimOutcome outcomeOf(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Completed:
+        return pb::CLAIM_COMPLETED;
+    case AttemptEnd::NotSent:
+    case AttemptEnd::RefusedNotRun:
+        return pb::CLAIM_NOT_RUN;
+    default:
+        return pb::CLAIM_UNKNOWN;
+    }
+}
+
+} // namespace
+
+uint64_t hashOf(const std::string &text)
+{
+    return XXH64(text.data(), text.size(), 0);
+}
+
+Exchange::Exchange(Router &router, ExchangeRequest request)
+    : m_router(router)
+    , m_request(std::move(request))
+{
+    m_state.idempotent = m_request.idempotent;
+    m_state.streaming = m_request.streaming;
+    m_state.deadline = m_request.waiting.deadline;
+}
+
+Result<Exchange::Attempt> Exchange::begin()
+{
+    m_request.waiting.ticket = m_router.nextTicket();
+    BOOST_OUTCOME_TRY(grant, m_router.acquire(m_request.pool, m_request.waiting));
+    Attempt attempt;
+    attempt.startedAt = monotonicNow();
+    attempt.request.address = grant.address;
+    attempt.request.incarnation = grant.incarnation;
+    attempt.request.attempt = newAttempt();
+    attempt.request.method = m_request.method;
+    attempt.request.path = m_request.path;
+    attempt.request.headers = m_request.headers;
+    attempt.request.body = m_request.body;
+    attempt.request.deadline = m_request.waiting.deadline;
+    attempt.request.engine = !m_request.waiting.service;
+    attempt.grant = std::move(grant);
+    ++m_state.attempts;
+    m_state.resumes = 0;
+    return attempt;
+}
+
+void Exchange::end(const Attempt &attempt, bool completed)
+{
+    const Millis took = monotonicNow() - attempt.startedAt;
+    m_router.release(m_request.pool, attempt.grant, m_request.waiting, completed ? std::optional(took) : std::nullopt);
+}
+
+void Exchange::note(const AttemptResult &result)
+{
+    const bool unrun = result.end == AttemptEnd::NotSent || result.end == AttemptEnd::RefusedNotRun;
+    m_state.everSent |= !unrun;
+    m_lastReason = result.reason;
+    if (result.end == AttemptEnd::Completed)
+        return;
+    logEvent("attempt_failed",
+             {{"target", m_request.waiting.target}, {"end", int(result.end)}, {"reason", result.reason}, {"attempts", m_state.attempts}});
+}
+
+void Exchange::inspectLoss(const Attempt &attempt, AttemptResult &result)
+{
+    if (result.end != AttemptEnd::Interrupted || !endpointGone(attempt.request.address, attempt.request.incarnation))
+        return;
+    result.end = AttemptEnd::EndpointLost;
+    metrics().counter("roserail_endpoints_lost_total").add();
+    pb::Command command;
+    command.mutable_report_crash()->set_fingerprint(m_request.fingerprint.value());
+    command.mutable_report_crash()->set_endpoint(attempt.grant.endpoint.value());
+    command.mutable_report_crash()->set_incarnation(attempt.grant.incarnation);
+    const Result<pb::CommandResult> count = m_router.execute(command, monotonicNow() + CrashReportTimeout);
+    m_quarantined = count.has_value() && count.value().count() >= CrashesBeforeQuarantine;
+}
+
+Error Exchange::finalError(Step step, const AttemptResult &result) const
+{
+    switch (step) {
+    case Step::RefuseNotRun:
+        invariant(!m_state.everSent, "a refusal that says not run is true");
+        return Error{ErrorKind::NotRun, fmt::format("no endpoint took the request ({}); not run, come back later", result.reason),
+                     RetryAfterMin.count()};
+    case Step::EndLate:
+        return Error{ErrorKind::Late, "no whole answer came by the deadline; allow more time"};
+    case Step::EndUnknown:
+        return unknownOutcome(result.reason);
+    default:
+        return Error{ErrorKind::Incomplete, fmt::format("the answer could not be completed ({}); send the request again", result.reason)};
+    }
+}
+
+Result<std::optional<Answer>> Exchange::claim(const Attempt &attempt)
+{
+    pb::Command command;
+    pb::StartClaim &start = *command.mutable_start_claim();
+    start.set_caller(m_request.waiting.caller.value());
+    start.set_key(m_request.key);
+    start.set_payload_hash(m_request.payloadHash);
+    start.set_key_time_ms(m_request.keyTimeMs);
+    start.set_attempt(attempt.request.attempt.value());
+    start.set_router(m_router.settings().id);
+    while (true) {
+        const Result<pb::CommandResult> result = m_router.execute(command, m_request.waiting.deadline);
+        if (result.has_error()) {
+            // The start may be committed: later resends then hear "outcome unknown", but nothing was run.
+            return Error{ErrorKind::NotRun, "the control replicas did not answer; not run, use another address", RetryAfterMin.count()};
+        }
+        const pb::CommandResult &claimed = result.value();
+        if (claimed.verdict() == pb::VERDICT_OK)
+            return std::optional<Answer>();
+        const bool running = claimed.verdict() == pb::VERDICT_RUNNING;
+        // Another attempt that is alive will store its outcome soon.
+        if (running && m_router.routerAlive(claimed.router()) && monotonicNow() + ClaimPoll < m_request.waiting.deadline) {
+            std::this_thread::sleep_for(ClaimPoll);
+            continue;
+        }
+        BOOST_OUTCOME_TRY(stored, settleClaimed(claimed));
+        return std::optional(std::move(stored));
+    }
+}
+
+// Answers a resend from what is stored.
+Result<Answer> Exchange::settleClaimed(const pb::CommandResult &result)
+{
+    switch (result.verdict()) {
+    case pb::VERDICT_KEY_MISMATCH:
+        return Error{ErrorKind::KeyMismatch, result.message()};
+    case pb::VERDICT_KEY_EXPIRED:
+        return Error{ErrorKind::KeyExpired, result.message()};
+    default:
+        break;
+    }
+    if (result.outcome() != pb::CLAIM_COMPLETED)
+        return unknownOutcome("an earlier attempt under this key has no outcome");
+    if (result.answer().body_dropped())
+        return Answer{int(result.answer().status()), "application/json",
+                      "{\"roserail\":\"completed earlier; the answer was too large to keep\"}"};
+    return Answer{int(result.answer().status()), result.answer().content_type(), result.answer().body()};
+}
+
+void Exchange::finishClaim(const Attempt &attempt, const AttemptResult &result)
+{
+    pb::Command command;
+    pb::FinishClaim &finish = *command.mutable_finish_claim();
+    finish.set_caller(m_request.waiting.caller.value());
+    finish.set_key(m_request.key);
+    finish.set_attempt(attempt.request.attempt.value());
+    finish.set_outcome(outcomeOf(result.end));
+    if (result.end == AttemptEnd::Completed) {
+        finish.mutable_answer()->set_status(uint32_t(result.answer.status));
+        finish.mutable_answer()->set_content_type(result.answer.contentType);
+        finish.mutable_answer()->set_body(result.answer.body);
+    }
+    const Result<pb::CommandResult> stored = m_router.execute(command, monotonicNow() + FinishTimeout);
+    if (stored.has_error())
+        logEvent("claim_not_finished", {{"key", m_request.key}, {"error", stored.error().message}});
+}
+
+Result<Answer> Exchange::run()
+{
+    while (true) {
+        Result<Attempt> begun = begin();
+        if (begun.has_error()) {
+            // A retry that finds no endpoint must not claim that nothing ran.
+            if (m_state.everSent)
+                return finalError(m_state.idempotent ? Step::EndIncomplete : Step::EndUnknown,
+                                  AttemptResult{AttemptEnd::Interrupted, {}, m_lastReason});
+            return begun.error();
+        }
+        const Attempt &attempt = begun.value();
+        if (!m_request.idempotent) {
+            Result<std::optional<Answer>> stored = claim(attempt);
+            if (stored.has_error() || stored.value()) {
+                end(attempt, false);
+                if (stored.has_error())
+                    return stored.error();
+                return std::move(*stored.value());
+            }
+        }
+        AttemptResult result{AttemptEnd::NotSent, {}, "this router's lease ran out before the request left"};
+        // A process that was frozen checks again before the first byte leaves.
+        const Time now = monotonicNow();
+        if (m_router.leased(now) && now < m_request.waiting.deadline)
+            result = runAttempt(attempt.request);
+        if (result.end == AttemptEnd::Interrupted && attempt.request.engine && monotonicNow() < m_request.waiting.deadline) {
+            const AttemptResult fetched = fetchResult(attempt.request);
+            if (fetched.end == AttemptEnd::Completed && fetched.answer.status == 200)
+                result = fetched;
+        }
+        inspectLoss(attempt, result);
+        note(result);
+        end(attempt, result.end == AttemptEnd::Completed);
+        if (!m_request.idempotent)
+            finishClaim(attempt, result);
+        const Step step = m_quarantined ? Step::EndIncomplete : m_router.nextStep(m_state, result.end);
+        if (step == Step::Deliver)
+            return std::move(result.answer);
+        if (step != Step::RetryElsewhere)
+            return finalError(step, result);
+        m_request.waiting.avoid.insert(attempt.grant.endpoint);
+    }
+}
+
+Result<Answer> Exchange::runStreaming(StreamSink &sink)
+{
+    while (true) {
+        Result<Attempt> begun = begin();
+        if (begun.has_error()) {
+            if (m_state.everSent)
+                return finalError(Step::EndIncomplete, AttemptResult{AttemptEnd::Interrupted, {}, m_lastReason});
+            return begun.error();
+        }
+        const Attempt &attempt = begun.value();
+        sink.granted();
+        ResumeToken token{attempt.grant.endpoint, attempt.grant.incarnation, attempt.request.attempt,
+                          hashOf(m_request.waiting.caller.value()), 0};
+        StreamProgress progress;
+        const EventSink forward = [&](uint64_t offset, const std::string &data) {
+            token.next = offset + 1;
+            m_state.delivered = true;
+            return sink.event(encodeToken(token), data);
+        };
+        AttemptResult result{AttemptEnd::NotSent, {}, "this router's lease ran out before the request left"};
+        Step step = Step::RetryElsewhere;
+        bool resume = false;
+        do {
+            const bool begin = m_router.leased(monotonicNow()) && monotonicNow() < m_request.waiting.deadline;
+            if (resume || begin)
+                result = runStream(attempt.request, resume, progress, forward);
+            // A connection that fails while resuming says nothing about what ran before.
+            if (resume && result.end == AttemptEnd::NotSent)
+                result.end = AttemptEnd::Interrupted;
+            inspectLoss(attempt, result);
+            note(result);
+            step = m_quarantined ? Step::EndIncomplete : m_router.nextStep(m_state, result.end);
+            resume = step == Step::Resume;
+            ++m_state.resumes;
+        } while (resume);
+        end(attempt, result.end == AttemptEnd::Completed);
+        if (step == Step::Deliver)
+            return std::move(result.answer);
+        if (step != Step::RetryElsewhere)
+            return finalError(step, result);
+        m_request.waiting.avoid.insert(attempt.grant.endpoint);
+    }
+}
+
+Result<Answer> resumeStream(Router &router, const ResumeToken &token, Time deadline, StreamSink &sink)
+{
+    const std::optional<std::string> address = router.addressOf(token.endpoint, token.incarnation);
+    if (!address)
+        return Error{ErrorKind::Incomplete, "the endpoint that held the stream is gone; send the request again"};
+    AttemptRequest request;
+    request.address = *address;
+    request.incarnation = token.incarnation;
+    request.attempt = token.attempt;
+    request.deadline = deadline;
+    request.engine = true;
+    StreamProgress progress{token.next, false};
+    ResumeToken next = token;
+    sink.granted();
+    const AttemptResult result = runStream(request, true, progress, [&](uint64_t offset, const std::string &data) {
+        next.next = offset + 1;
+        return sink.event(encodeToken(next), data);
+    });
+    if (result.end == AttemptEnd::Completed)
+        return Answer{};
+    return Error{ErrorKind::Incomplete,
+                 fmt::format("the stream cannot be resumed ({}); resume again with the last id, or send the request again", result.reason)};
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/operatorapi.h
@@ -0,0 +1,50 @@
+// HTTP interface of a control replica for operators: document, status, membership, metrics and dump.
+#pragma once
+
+#include "protocol/settings.h"
+#include "transport/coordinator.h"
+
+#include <httplib.h>
+
+namespace roserail
+{
+
+class OperatorApi
+{
+public:
+    OperatorApi(ControlSettings settings, ReplicaNode &node, Coordinator &coordinator);
+    // False if the address cannot be bound.
+    bool bind();
+    // Serves until `stop`.
+    void listen();
+    void stop();
+
+private:
+    using Handler = void (OperatorApi::*)(const httplib::Request &, httplib::Response &);
+    void route();
+    void getStatus(const httplib::Request &request, httplib::Response &response);
+    void getDocument(const httplib::Request &request, httplib::Response &response);
+    void postDocument(const httplib::Request &request, httplib::Response &response);
+    void postCheck(const httplib::Request &request, httplib::Response &response);
+    void postBootstrap(const httplib::Request &request, httplib::Response &response);
+    void postReplica(const httplib::Request &request, httplib::Response &response);
+    void postTransfer(const httplib::Request &request, httplib::Response &response);
+    void postForget(const httplib::Request &request, httplib::Response &response);
+    void getMetrics(const httplib::Request &request, httplib::Response &response);
+    void getDump(const httplib::Request &request, httplib::Response &response);
+
+    // Name and rights of the operator whose token the request carries.
+    Result<Operator> authenticate(const httplib::Request &request) const;
+    Result<Operator> requireRoot(const httplib::Request &request) const;
+    Result<void> requireLeader() const;
+    Result<pb::Command> buildChange(const std::string &text, const Operator &who, const std::string &changeId) const;
+    Result<void> waitInForce(Revision revision);
+    std::string leaderOperatorAddress() const;
+
+    ControlSettings m_settings;
+    ReplicaNode &m_node;
+    Coordinator &m_coordinator;
+    httplib::Server m_server;
+};
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/replicanode.h
@@ -0,0 +1,146 @@
+// Runs one control replica: turns messages, proposals and time into events of the consensus core, makes its log
+// durable, and applies what is committed to the state machine. One thread owns core and disk; all proposals that wait
+// become durable with one sync.
+#pragma once
+
+#include "coordination/membership.h"
+#include "coordination/raft.h"
+#include "state/machine.h"
+#include "transport/peers.h"
+#include "transport/storage.h"
+
+#include <functional>
+#include <shared_mutex>
+#include <tbb/concurrent_queue.h>
+#include <thread>
+#include <variant>
+
+namespace roserail
+{
+
+// What other threads may know of the replica. `leaseUntil` and `canRead` are as of the last event.
+struct ReplicaStatus {
+    Replica self;
+    uint64_t clusterId = 0;
+    Role role = Role::Follower;
+    uint64_t term = 0;
+    uint64_t commitIndex = 0;
+    uint64_t lastIndex = 0;
+    uint64_t appliedIndex = 0;
+    uint64_t snapshotIndex = 0;
+    std::optional<Replica> leader;
+    pb::Membership membership;
+    std::map<Replica, uint64_t> matchIndexes; // leader only
+    Time leaseUntil{}; // leader only
+    bool termCommitted = false; // an entry of the leader's own term is applied
+    std::string diskFault; // empty: none
+    uint64_t syncs = 0;
+    uint64_t logBytes = 0;
+
+    // True while this replica may answer for the system.
+    bool leads(Time now) const
+    {
+        return role == Role::Leader && termCommitted && now < leaseUntil;
+    }
+};
+
+using CommandCallback = std::function<void(const Result<pb::CommandResult> &)>;
+
+class ReplicaNode
+{
+public:
+    ReplicaNode(std::unique_ptr<Storage> storage, pb::Member self, std::vector<std::string> seedAddresses, uint64_t snapshotEvery,
+                uint64_t seed);
+    ~ReplicaNode();
+    ReplicaNode(const ReplicaNode &) = delete;
+    ReplicaNode &operator=(const ReplicaNode &) = delete;
+
+    void receive(pb::RaftBatch batch);
+    // Proposes a command. The callback runs once: with the result, NotLeader (not proposed) or Unavailable (may
+    // still be committed).
+    void propose(pb::Command command, CommandCallback callback);
+    // Proposes and waits. After the timeout the error is Unavailable.
+    Result<pb::CommandResult> execute(pb::Command command, Millis timeout);
+    // Makes an empty replica part of a new system.
+    Result<void> found(uint64_t clusterId, const pb::Membership &membership);
+    void approveReplica(uint64_t id);
+    void removeReplica(uint64_t id);
+    void transferLeadership();
+
+    ReplicaStatus status() const;
+    // Runs `read` while no command is applied.
+    template <typename Read>
+    auto withMachine(Read read) const
+    {
+        const std::shared_lock lock(m_machineMutex);
+        return read(m_machine);
+    }
+
+private:
+    struct Received {
+        pb::RaftBatch batch;
+    };
+    struct Proposal {
+        pb::Command command;
+        CommandCallback callback;
+    };
+    struct Founding {
+        uint64_t clusterId;
+        pb::Membership membership;
+        std::function<void(Result<void>)> callback;
+    };
+    struct Administration {
+        enum Kind { Approve, Remove, Transfer, Wake } kind;
+        uint64_t id = 0;
+    };
+    using Event = std::variant<Received, Proposal, Founding, Administration>;
+    struct Pending {
+        uint64_t term = 0;
+        CommandCallback callback;
+    };
+
+    void run();
+    void handle(Event &event, Time now, Actions &out);
+    void handle(Received &event, Time now, Actions &out);
+    void handle(Proposal &event, Time now, Actions &out);
+    void handle(Founding &event, Time now, Actions &out);
+    void handle(Administration &event, Time now, Actions &out);
+    void perform(Actions &actions);
+    void persist(const Actions &actions);
+    void install(const pb::Snapshot &snapshot);
+    void sendMessages(Actions &actions);
+    void apply(const pb::Entry &entry);
+    void failPending();
+    void snapshotIfDue();
+    void askToJoin(Time now);
+    void publish(Time now);
+    void retryUntilDurable(const std::function<Result<void>()> &write);
+    std::string addressOf(const Replica &replica) const;
+
+    std::unique_ptr<Storage> m_storage;
+    pb::Member m_self;
+    std::vector<std::string> m_seedAddresses;
+    uint64_t m_snapshotEvery;
+    uint64_t m_seed;
+    std::unique_ptr<Raft> m_raft;
+    MembershipPlan m_plan;
+    Peers m_peers;
+    std::map<uint64_t, Pending> m_pending; // by log index
+    uint64_t m_applied = 0;
+    uint64_t m_appliedTerm = 0;
+    Time m_nextTick{};
+    Time m_nextJoin{};
+    std::map<uint64_t, std::string> m_joinAddresses;
+
+    mutable std::shared_mutex m_machineMutex;
+    Machine m_machine;
+    mutable std::mutex m_statusMutex;
+    ReplicaStatus m_status;
+
+    tbb::concurrent_bounded_queue<Event> m_events;
+    std::atomic<bool> m_stop{false};
+    std::thread m_thread;
+    std::thread m_ticker;
+};
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/router.cpp
@@ -0,0 +1,392 @@
+#include "transport/router.h"
+
+#include "protocol/log.h"
+#include "protocol/metrics.h"
+#include "transport/clock.h"
+#include "transport/program.h"
+
+#include <algorithm>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+constexpr Millis FastHeartbeat{40}; // while requests wait for a load
+
+} // namespace
+
+Router::Router(RouterSettings settings)
+    : m_settings(std::move(settings))
+    , m_incarnation(randomNumber())
+    , m_control(m_settings.control)
+    , m_configuration(std::make_shared<Configuration>())
+{
+    m_queueThread = std::thread([this] { runQueues(); });
+    m_heartbeatThread = std::thread([this] { runHeartbeats(); });
+}
+
+Router::~Router()
+{
+    m_stop = true;
+    wakeHeartbeat();
+    m_queueThread.join();
+    m_heartbeatThread.join();
+}
+
+Router::Shard &Router::shardOf(const std::string &pool)
+{
+    return m_shards[std::hash<std::string>()(pool) % QueueShards];
+}
+
+Dispatcher &Router::dispatcherOf(Shard &shard, const std::string &pool)
+{
+    const auto it = shard.dispatchers.find(pool);
+    if (it != shard.dispatchers.end())
+        return it->second;
+    Dispatcher &dispatcher = shard.dispatchers.emplace(pool, Dispatcher(pool)).first->second;
+    dispatcher.setLease(leaseUntil());
+    const std::lock_guard lock(m_stateMutex);
+    for (const std::pair<const EndpointId, pb::DirectoryEntry> &entry : m_directory) {
+        if (entry.second.pool() == pool)
+            dispatcher.setEndpoint(entry.second);
+    }
+    return dispatcher;
+}
+
+TicketId Router::nextTicket()
+{
+    return TicketId(m_nextTicket.fetch_add(1));
+}
+
+Result<Grant> Router::acquire(const std::string &pool, Waiting waiting)
+{
+    Shard &shard = shardOf(pool);
+    std::future<Result<Grant>> future;
+    bool queued = false;
+    {
+        const std::lock_guard lock(shard.mutex);
+        const Time now = monotonicNow();
+        Dispatcher &dispatcher = dispatcherOf(shard, pool);
+        const TicketId ticket = waiting.ticket;
+        const Result<void> admitted = dispatcher.admit(std::move(waiting), now);
+        if (admitted.has_error())
+            return admitted.error();
+        future = shard.waiters[ticket].get_future();
+        settle(shard, dispatcher, now);
+        queued = shard.waiters.count(ticket) != 0;
+    }
+    if (queued)
+        wakeHeartbeat();
+    return future.get();
+}
+
+void Router::settle(Shard &shard, Dispatcher &dispatcher, Time now)
+{
+    Decisions decisions = dispatcher.decide(now);
+    for (Grant &it : decisions.grants) {
+        const auto waiter = shard.waiters.find(it.ticket);
+        waiter->second.set_value(std::move(it));
+        shard.waiters.erase(waiter);
+    }
+    for (Refusal &it : decisions.refusals) {
+        const auto waiter = shard.waiters.find(it.ticket);
+        waiter->second.set_value(std::move(it.error));
+        shard.waiters.erase(waiter);
+    }
+}
+
+void Router::release(const std::string &pool, const Grant &grant, const Waiting &waiting, std::optional<Millis> took)
+{
+    Shard &shard = shardOf(pool);
+    const std::lock_guard lock(shard.mutex);
+    Dispatcher &dispatcher = dispatcherOf(shard, pool);
+    dispatcher.finish(grant, waiting.target, waiting.caller, waiting.requestClass, took);
+    settle(shard, dispatcher, monotonicNow());
+}
+
+void Router::runQueues()
+{
+    while (!m_stop) {
+        std::this_thread::sleep_for(QueueTick);
+        for (Shard &shard : m_shards) {
+            const std::lock_guard lock(shard.mutex);
+            for (std::pair<const std::string, Dispatcher> &it : shard.dispatchers)
+                settle(shard, it.second, monotonicNow());
+        }
+    }
+}
+
+void Router::takeReport(pb::EndpointReport report)
+{
+    {
+        const std::lock_guard lock(m_reportsMutex);
+        pb::EndpointReport &known = m_reports[EndpointId(report.endpoint())];
+        if (report.incarnation() < known.incarnation())
+            return;
+        known = std::move(report);
+    }
+    wakeHeartbeat();
+}
+
+Result<pb::CommandResult> Router::execute(const pb::Command &command, Time deadline)
+{
+    return m_control.execute(command, deadline);
+}
+
+void Router::wakeHeartbeat()
+{
+    {
+        const std::lock_guard lock(m_wakeMutex);
+        m_woken = true;
+    }
+    m_wake.notify_one();
+}
+
+void Router::runHeartbeats()
+{
+    while (!m_stop) {
+        heartbeatOnce();
+        // Never faster than the short interval, however often it is woken.
+        std::this_thread::sleep_for(FastHeartbeat);
+        bool waiting = false;
+        for (Shard &shard : m_shards) {
+            const std::lock_guard lock(shard.mutex);
+            waiting |= !shard.waiters.empty();
+        }
+        std::unique_lock lock(m_wakeMutex);
+        if (!waiting)
+            m_wake.wait_for(lock, RouterHeartbeat - FastHeartbeat, [this] { return m_woken; });
+        m_woken = false;
+    }
+}
+
+pb::HeartbeatRequest Router::buildHeartbeat()
+{
+    pb::HeartbeatRequest request;
+    request.set_router(m_settings.id);
+    request.set_incarnation(m_incarnation);
+    request.set_address(m_settings.address);
+    request.set_zone(m_settings.zone);
+    request.set_draining(m_draining);
+    for (Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (std::pair<const std::string, Dispatcher> &it : shard.dispatchers) {
+            for (pb::Demand &demand : it.second.takeDemands(monotonicNow()))
+                *request.add_demands() = std::move(demand);
+        }
+    }
+    {
+        const std::lock_guard lock(m_reportsMutex);
+        for (const std::pair<const EndpointId, pb::EndpointReport> &it : m_reports)
+            *request.add_reports() = it.second;
+        m_reports.clear();
+    }
+    const std::lock_guard lock(m_stateMutex);
+    request.set_applied_revision(m_configuration->revision.value());
+    request.set_directory_version(m_directoryVersion);
+    request.set_routers_version(m_routersVersion);
+    request.set_leader_term(m_leaderTerm);
+    return request;
+}
+
+void Router::heartbeatOnce()
+{
+    static Counter &sent = metrics().counter("roserail_heartbeats_total");
+    static Counter &bytesOut = metrics().counter("roserail_heartbeat_bytes_total{direction=\"out\"}");
+    static Counter &bytesIn = metrics().counter("roserail_heartbeat_bytes_total{direction=\"in\"}");
+    const pb::HeartbeatRequest request = buildHeartbeat();
+    // The lease counts from before the request left, so that it ends no later than the leader thinks.
+    const Time sentAt = monotonicNow();
+    const Result<pb::HeartbeatReply> reply = m_control.heartbeat(request);
+    sent.add();
+    bytesOut.add(request.ByteSizeLong());
+    if (reply.has_error()) {
+        const std::lock_guard lock(m_reportsMutex);
+        for (const pb::EndpointReport &it : request.reports())
+            m_reports.emplace(EndpointId(it.endpoint()), it);
+        return;
+    }
+    bytesIn.add(reply.value().ByteSizeLong());
+    m_drainAnnounced = m_drainAnnounced || request.draining();
+    applyReply(reply.value(), sentAt);
+}
+
+void Router::applyReply(const pb::HeartbeatReply &reply, Time sentAt)
+{
+    const Time lease = sentAt + Millis(reply.lease_ms());
+    const Time now = monotonicNow();
+    {
+        const std::lock_guard lock(m_stateMutex);
+        applyConfiguration(reply);
+        // A lease is good only for a configuration that is in force.
+        if (m_configuration->revision.value() < reply.revision())
+            return;
+    }
+    m_leaseUntilMs = toMillis(lease);
+    applyDirectory(reply, lease, now);
+}
+
+void Router::applyConfiguration(const pb::HeartbeatReply &reply)
+{
+    if (reply.revision() <= m_configuration->revision.value())
+        return;
+    for (const pb::Section &it : reply.sections())
+        m_sections[it.name()] = it;
+    const std::set<std::string> names(reply.section_names().begin(), reply.section_names().end());
+    std::erase_if(m_sections, [&](const std::pair<const std::string, pb::Section> &it) { return names.count(it.first) == 0; });
+    std::vector<SectionContent> contents;
+    for (const std::pair<const std::string, pb::Section> &it : m_sections) {
+        Result<SectionContent> content = parseSection(it.first, it.second.text());
+        if (content.has_error()) {
+            logEvent("configuration_error", {{"error", content.error().message}});
+            return;
+        }
+        contents.push_back(std::move(content.value()));
+    }
+    Result<Document> document = mergeSections(contents);
+    if (document.has_error()) {
+        logEvent("configuration_error", {{"error", document.error().message}});
+        return;
+    }
+    m_configuration = std::make_shared<Configuration>(Configuration{Revision(reply.revision()), std::move(document.value())});
+    logEvent("configuration", {{"revision", reply.revision()}});
+}
+
+void Router::applyDirectory(const pb::HeartbeatReply &reply, Time lease, Time now)
+{
+    std::map<EndpointId, pb::DirectoryEntry> changed;
+    {
+        const std::lock_guard lock(m_stateMutex);
+        if (reply.directory_full()) {
+            for (std::pair<const EndpointId, pb::DirectoryEntry> &it : m_directory)
+                it.second.set_gone(true);
+        }
+        for (const pb::DirectoryEntry &it : reply.endpoints())
+            m_directory[EndpointId(it.endpoint())] = it;
+        if (reply.directory_full())
+            changed = m_directory;
+        for (const pb::DirectoryEntry &it : reply.endpoints())
+            changed[EndpointId(it.endpoint())] = it;
+        if (reply.routers_version() != m_routersVersion || reply.term() != m_leaderTerm)
+            m_routers.assign(reply.routers().begin(), reply.routers().end());
+        m_quarantined = std::unordered_set<uint64_t>(reply.quarantined().begin(), reply.quarantined().end());
+        m_directoryVersion = reply.directory_version();
+        m_routersVersion = reply.routers_version();
+        m_leaderTerm = reply.term();
+    }
+    for (Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (std::pair<const std::string, Dispatcher> &it : shard.dispatchers) {
+            Dispatcher &dispatcher = it.second;
+            dispatcher.setLease(lease);
+            for (const std::pair<const EndpointId, pb::DirectoryEntry> &entry : changed) {
+                if (entry.second.pool() == it.first)
+                    dispatcher.setEndpoint(entry.second);
+            }
+            for (const pb::LoadEstimate &estimate : reply.estimates())
+                dispatcher.setEstimate(estimate, now);
+            settle(shard, dispatcher, monotonicNow());
+        }
+    }
+}
+
+std::shared_ptr<const Configuration> Router::configuration() const
+{
+    const std::lock_guard lock(m_stateMutex);
+    return m_configuration;
+}
+
+Time Router::leaseUntil() const
+{
+    return timeFromMillis(m_leaseUntilMs);
+}
+
+bool Router::leased(Time now) const
+{
+    return now < leaseUntil();
+}
+
+bool Router::quarantined(Fingerprint fingerprint) const
+{
+    const std::lock_guard lock(m_stateMutex);
+    return m_quarantined.count(fingerprint.value()) != 0;
+}
+
+bool Router::routerAlive(const std::string &router) const
+{
+    const std::lock_guard lock(m_stateMutex);
+    return std::any_of(m_routers.begin(), m_routers.end(), [&](const pb::RouterAddress &it) { return it.router() == router; });
+}
+
+std::vector<pb::RouterAddress> Router::addresses() const
+{
+    const std::lock_guard lock(m_stateMutex);
+    return m_routers;
+}
+
+std::optional<std::string> Router::addressOf(const EndpointId &endpoint, uint64_t incarnation) const
+{
+    const std::lock_guard lock(m_stateMutex);
+    const auto it = m_directory.find(endpoint);
+    if (it == m_directory.end() || it->second.gone() || it->second.incarnation() != incarnation)
+        return std::nullopt;
+    return it->second.address();
+}
+
+Step Router::nextStep(const ExchangeState &state, AttemptEnd end)
+{
+    const std::lock_guard lock(m_budgetMutex);
+    return roserail::nextStep(state, end, monotonicNow(), m_budget);
+}
+
+void Router::requestStarted()
+{
+    ++m_active;
+    const std::lock_guard lock(m_budgetMutex);
+    m_budget.requestStarted();
+}
+
+void Router::requestEnded()
+{
+    --m_active;
+}
+
+size_t Router::activeRequests() const
+{
+    return m_active;
+}
+
+void Router::drain()
+{
+    m_draining = true;
+    wakeHeartbeat();
+}
+
+bool Router::drainAnnounced() const
+{
+    return m_drainAnnounced || !leased(monotonicNow());
+}
+
+std::string Router::dump() const
+{
+    const Time now = monotonicNow();
+    std::string out = fmt::format("router: {}\nactive: {}\ndraining: {}\nleaseMs: {}\n", m_settings.id, activeRequests(), m_draining.load(),
+                                  (leaseUntil() - now).count());
+    const std::lock_guard lock(m_stateMutex);
+    out += fmt::format("revision: {}\nleaderTerm: {}\ndirectoryVersion: {}\nendpoints:\n", m_configuration->revision.value(), m_leaderTerm,
+                       m_directoryVersion);
+    for (const std::pair<const EndpointId, pb::DirectoryEntry> &it : m_directory) {
+        std::string artifacts;
+        for (const pb::ArtifactReport &artifact : it.second.artifacts())
+            artifacts += fmt::format("{}\"{}\"", artifacts.empty() ? "" : ", ", artifact.artifact());
+        out += fmt::format("  - {{id: {}, incarnation: {}, address: \"{}\", pool: {}, gone: {}, artifacts: [{}]}}\n", it.first.value(),
+                           it.second.incarnation(), it.second.address(), it.second.pool(), it.second.gone(), artifacts);
+    }
+    return out;
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/router.h
@@ -0,0 +1,125 @@
+// A router's state and its session with the control leader: configuration and directory under one lease, queues in
+// shards, reports of endpoints on their way to the leader.
+#pragma once
+
+#include "coordination/dispatcher.h"
+#include "coordination/retry.h"
+#include "protocol/settings.h"
+#include "state/tunables.h"
+#include "transport/controlclient.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <future>
+#include <thread>
+#include <unordered_set>
+
+namespace roserail
+{
+
+// One revision of the configuration, as parsed.
+struct Configuration {
+    Revision revision;
+    Document document;
+};
+
+class Router
+{
+public:
+    explicit Router(RouterSettings settings);
+    ~Router();
+    Router(const Router &) = delete;
+    Router &operator=(const Router &) = delete;
+
+    // Waits in the pool's queue until an endpoint is granted or the request is refused.
+    Result<Grant> acquire(const std::string &pool, Waiting waiting);
+    // Gives back a grant. `took` is the service time if the attempt completed.
+    void release(const std::string &pool, const Grant &grant, const Waiting &waiting, std::optional<Millis> took);
+    void takeReport(pb::EndpointReport report);
+    Result<pb::CommandResult> execute(const pb::Command &command, Time deadline);
+
+    std::shared_ptr<const Configuration> configuration() const;
+    Time leaseUntil() const;
+    bool leased(Time now) const;
+    bool quarantined(Fingerprint fingerprint) const;
+    bool routerAlive(const std::string &router) const;
+    std::vector<pb::RouterAddress> addresses() const;
+    // Address of an endpoint's incarnation, if the directory has it.
+    std::optional<std::string> addressOf(const EndpointId &endpoint, uint64_t incarnation) const;
+    TicketId nextTicket();
+    // What follows the end of an attempt, within this router's retry budget.
+    Step nextStep(const ExchangeState &state, AttemptEnd end);
+    void requestStarted();
+    void requestEnded();
+    size_t activeRequests() const;
+    // Leaves the list of addresses; requests are still served.
+    void drain();
+    // True once the leader, and so soon every router, knows that this one drains; or it has lost the leader.
+    bool drainAnnounced() const;
+    const RouterSettings &settings() const
+    {
+        return m_settings;
+    }
+    uint64_t incarnation() const
+    {
+        return m_incarnation;
+    }
+    std::string dump() const;
+
+private:
+    // Queues of the pools whose names fall into it.
+    struct Shard {
+        std::mutex mutex;
+        std::map<std::string, Dispatcher> dispatchers;
+        std::map<TicketId, std::promise<Result<Grant>>> waiters;
+    };
+
+    Shard &shardOf(const std::string &pool);
+    Dispatcher &dispatcherOf(Shard &shard, const std::string &pool);
+    // Decides for one queue and tells the requests; the shard is locked.
+    void settle(Shard &shard, Dispatcher &dispatcher, Time now);
+    void runQueues();
+    void runHeartbeats();
+    void heartbeatOnce();
+    pb::HeartbeatRequest buildHeartbeat();
+    void applyReply(const pb::HeartbeatReply &reply, Time sentAt);
+    void applyConfiguration(const pb::HeartbeatReply &reply);
+    void applyDirectory(const pb::HeartbeatReply &reply, Time lease, Time now);
+    void wakeHeartbeat();
+
+    RouterSettings m_settings;
+    uint64_t m_incarnation;
+    ControlClient m_control;
+    std::array<Shard, tunables::QueueShards> m_shards;
+    std::atomic<uint64_t> m_nextTicket{1};
+    std::atomic<int64_t> m_leaseUntilMs{INT64_MIN / 4};
+    std::atomic<size_t> m_active{0};
+    std::atomic<bool> m_draining{false};
+    std::atomic<bool> m_drainAnnounced{false};
+    std::atomic<bool> m_stop{false};
+
+    mutable std::mutex m_stateMutex; // guards what follows, up to the next mutex
+    std::shared_ptr<const Configuration> m_configuration;
+    std::map<std::string, pb::Section> m_sections;
+    std::map<EndpointId, pb::DirectoryEntry> m_directory;
+    std::vector<pb::RouterAddress> m_routers;
+    std::unordered_set<uint64_t> m_quarantined;
+    uint64_t m_directoryVersion = 0;
+    uint64_t m_routersVersion = 0;
+    uint64_t m_leaderTerm = 0;
+
+    std::mutex m_reportsMutex;
+    std::map<EndpointId, pb::EndpointReport> m_reports;
+
+    std::mutex m_budgetMutex;
+    RetryBudget m_budget;
+
+    std::mutex m_wakeMutex;
+    std::condition_variable m_wake;
+    bool m_woken = false;
+    std::thread m_queueThread;
+    std::thread m_heartbeatThread;
+};
+
+} // namespace roserail
--- a/src/transport/storage.cpp
+++ b/src/transport/storage.cpp
@@ -119,10 +119,12 @@
         frames.validBytes += FrameHeader + *n;
     }
     if (anyFrameAfter(bytes, frames.validBytes))
-        return Error{ErrorKind::DiskDamaged,
-                     fmt::format("{}: damaged at byte {} with intact records after it; move the data folder away and start the replica with an empty one, "
-                                 "so that it is repaired from the others",
-                                 file, frames.validBytes)};
+        return Error{
+            ErrorKind::DiskDamaged,
+            fmt::format(
+                "{}: damaged at byte {} with intact records after it; move the data folder away and start the replica with an empty one, "
+                "so that it is repaired from the others",
+                file, frames.validBytes)};
     return frames;
 }
 
@@ -171,7 +173,8 @@
     if (m_lockFd < 0)
         return ioError(path, "open");
     if (::flock(m_lockFd, LOCK_EX | LOCK_NB) != 0)
-        return diskError(ErrorKind::WrongDataFolder, m_folder, "another process uses the data folder", "stop it, or give each replica its own folder");
+        return diskError(ErrorKind::WrongDataFolder, m_folder, "another process uses the data folder",
+                         "stop it, or give each replica its own folder");
     return boost::outcome_v2::success();
 }
 
@@ -216,7 +219,8 @@
                          fmt::format("format version {}, this program reads {}", m_state.identity.format_version(), FormatVersion),
                          "run the version of roserail that wrote it");
     if (m_state.identity.identity().id() != replicaId)
-        return diskError(ErrorKind::WrongDataFolder, path, fmt::format("belongs to replica {}, not {}", m_state.identity.identity().id(), replicaId), remedy);
+        return diskError(ErrorKind::WrongDataFolder, path,
+                         fmt::format("belongs to replica {}, not {}", m_state.identity.identity().id(), replicaId), remedy);
     return boost::outcome_v2::success();
 }
 
