--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -191,11 +191,11 @@
 {
     const pb::EndpointReport *report = round.directory.report(slot.endpoint, slot.incarnation);
     const bool loading = slot.lastOrder == OrderKind::Load;
-    round.loads[slot.artifact] += loading ? 1 : 0;
-    if (report == nullptr) {
-        round.modelLoads += loading && slot.base.value().empty() ? 1 : 0;
+    // What an endpoint that is lost or leaving holds serves nobody, though it still counts against the maximum.
+    const bool serves = loading && report != nullptr && !report->leaving();
+    round.loads[slot.artifact] += serves ? 1 : 0;
+    if (report == nullptr)
         return;
-    }
     tidyOrders(round, slot, *report);
     const pb::ArtifactState state = stateIn(*report, slot);
     if (loading)
@@ -224,10 +224,11 @@
 {
     const Artifact *artifact = round.document.artifact(slot.artifact);
     if (state == pb::ARTIFACT_LOADED) {
-        round.readyAt[slot.artifact] = round.now;
+        if (!report.leaving())
+            round.readyAt[slot.artifact] = round.now;
         if (shouldUnload(round, slot)) {
             round.unloading.insert(slot.id);
-            --round.loads[slot.artifact];
+            round.loads[slot.artifact] -= report.leaving() ? 0 : 1;
             round.commands.push_back(orderCommand(slot.id, pb::ORDER_UNLOAD));
         }
         return;
@@ -287,6 +288,9 @@
     const Artifact *artifact = round.document.artifact(slot.artifact);
     if (artifact == nullptr || artifact->version != slot.version)
         return true;
+    const pb::EndpointReport *report = round.directory.report(slot.endpoint, slot.incarnation);
+    if (report != nullptr && report->leaving())
+        return true;
     const uint32_t replicas = round.loads.at(slot.artifact);
     if (round.ledger.replicas(slot.artifact) > artifact->maxReplicas)
         return true;
--- a/src/coordination/raft.cpp
+++ b/src/coordination/raft.cpp
@@ -567,7 +567,12 @@
     resetElectionDeadline(now);
     const pb::Snapshot &snapshot = msg.snapshot();
     if (snapshot.index() > m_commit) {
-        m_log.clear();
+        // Entries after the snapshot may have been acknowledged: they stay if the log agrees with the snapshot.
+        const bool continues = snapshot.index() > m_snapIndex && snapshot.index() <= lastIndex() && termAt(snapshot.index()) == snapshot.term();
+        if (continues)
+            m_log.erase(m_log.begin(), m_log.begin() + long(snapshot.index() - m_snapIndex));
+        else
+            m_log.clear();
         m_snapIndex = snapshot.index();
         m_snapTerm = snapshot.term();
         m_snapMembership = snapshot.membership();
--- a/src/state/ledger.cpp
+++ b/src/state/ledger.cpp
@@ -147,18 +147,12 @@
         if (record.incarnation == known->second.incarnation)
             return {};
     }
-    std::vector<SlotId> ended;
+    // The process that held the artifacts is gone. An order that may still arrive would load its artifact on the new one.
+    endSlots(record.id, known != m_endpoints.end() && known->second.host != record.host);
     for (std::pair<const SlotId, Slot> &it : m_slots) {
-        if (it.second.endpoint != record.id)
-            continue;
-        // The process that held the artifact is gone. An order that may still arrive would load it on the new one.
-        if (it.second.unanswered.empty() || it.second.host != record.host)
-            ended.push_back(it.first);
-        else
+        if (it.second.endpoint == record.id)
             carryOver(it.second, record.incarnation);
     }
-    for (const SlotId &it : ended)
-        remove(it);
     m_endpoints[record.id] = record;
     return {};
 }
@@ -167,14 +161,28 @@
 {
     if (m_endpoints.erase(id) == 0)
         return refuse(pb::VERDICT_STALE, fmt::format("no endpoint '{}' is registered; see 'roserailctl status'", id.value()));
+    endSlots(id, true);
+    return {};
+}
+
+LedgerResult Ledger::endIncarnation(const EndpointId &id, uint64_t incarnation)
+{
+    const EndpointRecord *record = endpoint(id);
+    if (record == nullptr || record->incarnation != incarnation)
+        return refuse(pb::VERDICT_STALE, "the endpoint has announced another incarnation");
+    endSlots(id, false);
+    return {};
+}
+
+void Ledger::endSlots(const EndpointId &endpoint, bool evenUnanswered)
+{
     std::vector<SlotId> ended;
     for (const std::pair<const SlotId, Slot> &it : m_slots) {
-        if (it.second.endpoint == id)
+        if (it.second.endpoint == endpoint && (evenUnanswered || it.second.unanswered.empty()))
             ended.push_back(it.first);
     }
     for (const SlotId &it : ended)
         remove(it);
-    return {};
 }
 
 LedgerResult Ledger::reserve(const EndpointId &endpoint, uint64_t incarnation, const Artifact &artifact)
--- a/src/state/ledger.h
+++ b/src/state/ledger.h
@@ -52,8 +52,10 @@
 public:
     // Records an endpoint's incarnation. Slots of an earlier one end, unless an order for them may still arrive.
     LedgerResult registerEndpoint(const EndpointRecord &record);
-    // An operator states that the endpoint's process is gone for good.
+    // An operator states that the endpoint is gone for good: all of its slots end.
     LedgerResult forgetEndpoint(const EndpointId &id);
+    // The process of an incarnation is known to be gone: its slots end, unless an order for them may still arrive.
+    LedgerResult endIncarnation(const EndpointId &id, uint64_t incarnation);
     // Reserves replica and memory for one load, and numbers its first order.
     LedgerResult reserve(const EndpointId &endpoint, uint64_t incarnation, const Artifact &artifact);
     LedgerResult sendOrder(SlotId slot, OrderKind kind);
@@ -92,6 +94,7 @@
     uint64_t m_nextFence = 1;
 
     void add(const Slot &slot);
+    void endSlots(const EndpointId &endpoint, bool evenUnanswered);
     void remove(SlotId id);
 };
 
--- a/src/state/machine.cpp
+++ b/src/state/machine.cpp
@@ -185,7 +185,10 @@
 
 pb::CommandResult Machine::forgetEndpoint(const pb::Command &command)
 {
-    return toResult(m_ledger.forgetEndpoint(EndpointId(command.forget_endpoint().endpoint())));
+    const pb::ForgetEndpoint &it = command.forget_endpoint();
+    if (it.incarnation() != 0)
+        return toResult(m_ledger.endIncarnation(EndpointId(it.endpoint()), it.incarnation()));
+    return toResult(m_ledger.forgetEndpoint(EndpointId(it.endpoint())));
 }
 
 pb::CommandResult Machine::reserveSlot(const pb::Command &command)
--- a/src/transport/coordinator.cpp
+++ b/src/transport/coordinator.cpp
@@ -4,6 +4,7 @@
 #include "protocol/metrics.h"
 #include "protocol/settings.h"
 #include "state/tunables.h"
+#include "transport/attempt.h"
 #include "transport/clock.h"
 
 #include <future>
@@ -19,6 +20,7 @@
 
 constexpr int OrderThreads = 32;
 constexpr Millis CommitTimeout{2000};
+constexpr Millis ProbeInterval{1000};
 
 std::optional<Order> orderFor(const pb::Command &command, const pb::CommandResult &result, const Ledger &ledger)
 {
@@ -116,6 +118,40 @@
     while (!m_stop) {
         std::this_thread::sleep_for(PlacementInterval);
         runPlacement();
+        probeLostEndpoints();
+    }
+}
+
+void Coordinator::probeLostEndpoints()
+{
+    std::vector<pb::EndpointReport> lost;
+    {
+        const std::lock_guard lock(m_mutex);
+        const Time now = monotonicNow();
+        if (now < m_nextProbe || !ensureLeading(now))
+            return;
+        m_nextProbe = now + ProbeInterval;
+        m_node.withMachine([&](const Machine &machine) {
+            for (const std::pair<const EndpointId, EndpointView> &it : m_directory.endpoints()) {
+                const bool silent = m_directory.report(it.first, it.second.report.incarnation()) == nullptr;
+                if (silent && machine.ledger().usedOnEndpoint(it.first) > 0)
+                    lost.push_back(it.second.report);
+            }
+        });
+    }
+    for (const pb::EndpointReport &it : lost) {
+        m_arena.execute([&] {
+            m_tasks.run([this, it] {
+                // A host that refuses the connection is up, and the process is not there. Silence proves nothing.
+                if (!endpointGone(it.address(), it.incarnation()))
+                    return;
+                logEvent("endpoint_gone", {{"endpoint", it.endpoint()}, {"incarnation", it.incarnation()}});
+                pb::Command command;
+                command.mutable_forget_endpoint()->set_endpoint(it.endpoint());
+                command.mutable_forget_endpoint()->set_incarnation(it.incarnation());
+                m_node.propose(std::move(command), [](const Result<pb::CommandResult> &) {});
+            });
+        });
     }
 }
 
--- a/src/transport/coordinator.h
+++ b/src/transport/coordinator.h
@@ -35,16 +35,19 @@
     // Starts afresh when this replica begins to lead. False if it does not lead.
     bool ensureLeading(Time now);
     void runPlacement();
+    // Finds out which endpoints that fell silent are gone, so that their replicas need not count any longer.
+    void probeLostEndpoints();
     std::vector<Order> propose(std::vector<pb::Command> commands);
     void enqueue(const Order &order);
     void sendQueued(EndpointId endpoint);
     void sendOrder(const Order &order, const std::string &address);
 
     ReplicaNode &m_node;
-    std::mutex m_mutex; // guards the three below
+    std::mutex m_mutex; // guards the four below
     Directory m_directory;
     Placement m_placement;
     uint64_t m_term = 0;
+    Time m_nextProbe{};
 
     std::mutex m_ordersMutex;
     std::map<EndpointId, std::deque<Order>> m_orders; // an entry exists while a task sends from it
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -227,6 +227,39 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(lateSnapshotDropsNoAcknowledgedEntry)
+{
+    Cluster cluster(3, 6);
+    cluster.run(Millis(2000));
+    Raft *leader = cluster.leader();
+    const Replica follower{leader->self().id % 3 + 1, (leader->self().id % 3 + 1) * 100};
+    Raft &raft = *cluster.nodes().at(follower.id).raft;
+    // The follower holds an entry that is not yet committed there, when an older snapshot arrives.
+    pb::RaftMessage append;
+    append.set_kind(pb::RaftMessage::APPEND);
+    append.set_cluster_id(7);
+    *append.mutable_from() = toProto(leader->self());
+    *append.mutable_to() = toProto(follower);
+    append.set_term(leader->term());
+    append.set_log_index(leader->lastIndex());
+    append.set_log_term(leader->term());
+    for (uint64_t i = 1; i <= 2; ++i) {
+        pb::Entry &entry = *append.add_entries();
+        entry.set_index(leader->lastIndex() + i);
+        entry.set_term(leader->term());
+    }
+    Actions actions;
+    raft.receive(append, cluster.now(), actions);
+    pb::RaftMessage install = append;
+    install.set_kind(pb::RaftMessage::INSTALL);
+    install.clear_entries();
+    install.mutable_snapshot()->set_index(leader->lastIndex() + 1);
+    install.mutable_snapshot()->set_term(leader->term());
+    *install.mutable_snapshot()->mutable_membership() = leader->membership();
+    raft.receive(install, cluster.now(), actions);
+    BOOST_TEST(raft.lastIndex() == leader->lastIndex() + 2);
+}
+
 BOOST_AUTO_TEST_CASE(twoVotersAreNeverChangedAtOnce)
 {
     Cluster cluster(3, 4);
--- a/tests/raftcluster.h
+++ b/tests/raftcluster.h
@@ -204,8 +204,11 @@
         invariant(leader() != nullptr, "a healed system has a leader");
         invariant(repaired(), "a healed system repairs every replica");
         invariant(agreed(), "healed replicas agree");
-        for (const std::pair<const uint64_t, std::string> &it : m_committed)
+        for (const std::pair<const uint64_t, std::string> &it : m_committed) {
             invariant(it.first <= leader()->commitIndex(), "no acknowledged entry is lost");
+            if (it.first > leader()->snapshotIndex())
+                invariant(leader()->entry(it.first).SerializeAsString() == it.second, "an acknowledged entry stays as it was");
+        }
     }
 
     Time now() const
@@ -237,6 +240,9 @@
         if (actions.install) {
             node.disk.snapshot = *actions.install;
             node.disk.entries.clear();
+            for (uint64_t i = node.raft->firstIndex(); i <= node.raft->lastIndex(); ++i)
+                node.disk.entries.push_back(node.raft->entry(i));
+            actions.persist.clear_entries();
             node.disk.identity.set_cluster_id(7);
             node.appliedIndex = actions.install->index();
         }
@@ -331,12 +337,13 @@
         invariant(leases <= 1, "one replica at a time holds the lease");
     }
 
+    // True if every replica has applied all that the leader has.
     bool agreed()
     {
-        std::set<uint64_t> indexes;
-        for (const std::pair<const uint64_t, Node> &it : m_nodes)
-            indexes.insert(it.second.appliedIndex);
-        return indexes.size() == 1;
+        Raft *raft = leader();
+        return raft != nullptr && std::all_of(m_nodes.begin(), m_nodes.end(), [raft](const std::pair<const uint64_t, Node> &it) {
+            return it.second.appliedIndex == raft->lastIndex();
+        });
     }
 
     std::mt19937_64 m_random;
--- /dev/null
+++ b/tests/requests_test.cpp
@@ -0,0 +1,256 @@
+#define BOOST_TEST_MODULE requests
+#include "system.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/included/unit_test.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <thread>
+
+using namespace roserail::test;
+
+namespace bdata = boost::unit_test::data;
+
+namespace
+{
+
+constexpr int BasePort = 21000;
+
+// A whole running system.
+struct Running : System {
+    explicit Running(const std::string &name, int engines = 2, const std::vector<std::string> &options = {})
+        : System(name, BasePort)
+    {
+        for (const int id : {1, 2, 3})
+            startControl(id);
+        for (const int id : {1, 2})
+            startRouter(id);
+        for (int id = 1; id <= engines; ++id)
+            startEngine(id, options);
+        startService(1);
+        found();
+        eventually([&] { return act(1, freshKey("warm-up"), "x").status == 200; });
+    }
+};
+
+// The numbers after the dash in "abcd-0 ", in order: 0, 1, 2, ...
+bool contiguous(const std::vector<std::string> &contents, size_t n)
+{
+    if (contents.size() != n)
+        return false;
+    for (size_t i = 0; i < n; ++i) {
+        if (contents[i].substr(contents[i].find('-') + 1) != fmt::format("{} ", i) || contents[i].substr(0, 4) != contents[0].substr(0, 4))
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(coldModelAnswersThroughEitherRouter)
+{
+    Running system("cold");
+    for (const int router : {1, 2}) {
+        const Received streamed = system.stream(router, "small", "hello");
+        BOOST_TEST(streamed.status == 200);
+        BOOST_TEST(streamed.done);
+        BOOST_TEST(contiguous(streamed.contents, 8));
+        const Received whole = system.whole(router, "small", "hello");
+        BOOST_TEST(whole.status == 200);
+        BOOST_TEST(whole.outcome == "completed");
+    }
+    BOOST_TEST(system.stream(1, "nothing", "hello").error == "not_found");
+}
+
+BOOST_AUTO_TEST_CASE(streamSurvivesFaultsOfItsConnection)
+{
+    Running system("faults");
+    for (const std::string fault : {"cut@3", "silence@3", "cross", "cut@0"}) {
+        const Received received = system.stream(1, "small", "fault:" + fault);
+        BOOST_TEST_CONTEXT(fault)
+        {
+            BOOST_TEST(received.done);
+            BOOST_TEST(contiguous(received.contents, 8));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(streamResumesAtTheOtherRouterAfterAKill)
+{
+    Running system("resume");
+    const Received begun = system.stream(1, "small", "hello", 40, 15000, [](const Received &it) { return it.contents.size() < 5; });
+    BOOST_TEST(!begun.done);
+    system.kill("router-1");
+    BOOST_TEST(system.resume(2, begun.lastId, "other-token").error == "forbidden");
+    const Received rest = system.resume(2, begun.lastId);
+    BOOST_TEST(rest.done);
+    std::vector<std::string> all = begun.contents;
+    all.insert(all.end(), rest.contents.begin(), rest.contents.end());
+    BOOST_TEST(contiguous(all, 40));
+}
+
+BOOST_AUTO_TEST_CASE(nonIdempotentRequestRunsOnceHoweverOftenItIsSent)
+{
+    Running system("once");
+    system.scriptService(1, Json{{"delay_ms", 300}});
+    const std::string key = freshKey("sale");
+    std::vector<Received> answers(8);
+    std::vector<std::thread> callers;
+    for (size_t i = 0; i < answers.size(); ++i)
+        callers.emplace_back([&, i] { answers[i] = system.act(int(i % 2) + 1, key, "licence"); });
+    for (std::thread &it : callers)
+        it.join();
+    for (const Received &it : answers) {
+        BOOST_TEST(it.status == 200);
+        BOOST_TEST(it.contents == answers[0].contents);
+    }
+    BOOST_TEST(system.serviceRuns(1)[key] == 1);
+    BOOST_TEST(system.act(1, key, "another payload").error == "key_mismatch");
+    BOOST_TEST(system.act(1, "1600000000-old", "licence").error == "key_expired");
+    BOOST_TEST(system.act(1, "no-time", "licence").error == "bad_request");
+    BOOST_TEST(system.serviceRuns(1).count("1600000000-old") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(killedRouterLeavesAnOutcomeThatIsNeverRunAgain)
+{
+    Running system("router-kill");
+    system.scriptService(1, Json{{"delay_ms", 1500}});
+    const std::string key = freshKey("reset");
+    std::thread first([&] { system.act(1, key, "reset"); });
+    BOOST_TEST(eventually([&] { return system.serviceRuns(1)[key] == 1; }));
+    system.kill("router-1");
+    first.join();
+    for (int i = 0; i < 3; ++i) {
+        const Received again = system.act(2, key, "reset", 6000);
+        BOOST_TEST(again.error == "outcome_unknown");
+    }
+    BOOST_TEST(system.serviceRuns(1)[key] == 1);
+}
+
+BOOST_AUTO_TEST_CASE(frozenRouterDoesNotRunWhatItsCallerResent)
+{
+    Running system("router-freeze");
+    const std::string key = freshKey("frozen");
+    // The router is frozen around the time at which it would send.
+    std::thread first([&] { system.act(1, key, "reset", 3000); });
+    system.signal("router-1", SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(4000));
+    const Received resent = system.act(2, key, "reset", 3000);
+    const int before = system.serviceRuns(1)[key];
+    system.signal("router-1", SIGCONT);
+    first.join();
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    BOOST_TEST(system.serviceRuns(1)[key] <= 1);
+    if (resent.status == 200)
+        BOOST_TEST(before == 1);
+}
+
+BOOST_AUTO_TEST_CASE(brokenAnswersOfAServiceAreNeverPassedOnOrRepeated)
+{
+    Running system("broken");
+    const std::string cut = freshKey("cut");
+    system.scriptService(1, Json{{"cut", 1}});
+    BOOST_TEST(system.act(1, cut, "x").error == "outcome_unknown");
+    BOOST_TEST(system.act(2, cut, "x").error == "outcome_unknown");
+    const std::string crossed = freshKey("crossed");
+    system.scriptService(1, Json{{"cross", 1}});
+    BOOST_TEST(system.act(1, crossed, "x").error == "outcome_unknown");
+    const std::string refused = freshKey("refused");
+    system.scriptService(1, Json{{"refuse", 1}});
+    // Refused before it ran, on the only endpoint: true "not run", and the same key may run later.
+    BOOST_TEST(system.act(1, refused, "x", 1500).outcome != "outcome_unknown");
+    BOOST_TEST(system.act(1, refused, "x").status == 200);
+    std::map<std::string, int> runs = system.serviceRuns(1);
+    BOOST_TEST(runs[cut] == 1);
+    BOOST_TEST(runs[crossed] == 1);
+    BOOST_TEST(runs[refused] == 1);
+}
+
+BOOST_AUTO_TEST_CASE(requestThatCrashesEndpointsIsRefusedAfterTheSecond)
+{
+    Running system("crash", 3);
+    const Received first = system.stream(1, "small", "fault:crash");
+    BOOST_TEST(!first.done);
+    system.stream(2, "small", "fault:crash", 8, 4000);
+    eventually([&] { return system.stream(1, "small", "fault:crash", 8, 2000).error == "quarantined_not_run"; });
+    int alive = 0;
+    for (const int id : {1, 2, 3})
+        alive += system.running(fmt::format("engine-{}", id)) ? 1 : 0;
+    BOOST_TEST(alive >= 1);
+    for (const int router : {1, 2})
+        BOOST_TEST(system.stream(router, "small", "fault:crash", 8, 2000).error == "quarantined_not_run");
+    BOOST_TEST(system.stream(1, "small", "an innocent request").done);
+}
+
+BOOST_AUTO_TEST_CASE(leavingEndpointGetsNoNewWork)
+{
+    Running system("leaving");
+    BOOST_TEST(system.stream(1, "small", "hello").done);
+    const int holder = system.engineStats(1).value("held", 0) > 0 ? 1 : 2;
+    system.scriptEngine(holder, Json{{"leaving", true}});
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    const uint64_t before = system.engineStats(holder).value("completions", uint64_t(0));
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST(system.stream(i % 2 + 1, "small", "hello").done);
+    BOOST_TEST(system.engineStats(holder).value("completions", uint64_t(0)) == before);
+}
+
+BOOST_AUTO_TEST_CASE(drainedRouterCutsNothing)
+{
+    Running system("drain");
+    Received received;
+    BOOST_TEST(system.stream(2, "small", "hello").done);
+    std::thread caller([&] { received = system.stream(1, "small", "hello", 1500, 30000); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    system.signal("router-1", SIGTERM);
+    BOOST_TEST(eventually([&] {
+        const httplib::Result addresses = httplib::Client("127.0.0.1", system.routerPort(2)).Get("/roserail/v1/addresses");
+        return addresses && addresses->body.find(std::to_string(system.routerPort(1))) == std::string::npos;
+    }));
+    // A caller with an old list still gets its answer.
+    BOOST_TEST(system.stream(1, "small", "hello").done);
+    caller.join();
+    BOOST_TEST(received.done);
+    BOOST_TEST(contiguous(received.contents, 1500));
+    BOOST_TEST(system.wait("router-1") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(hopelessRequestIsRefusedAtOnceWithRetryAfter)
+{
+    Running system("hopeless", 1);
+    BOOST_TEST(system.stream(1, "large", "hello").done);
+    BOOST_TEST(system.stream(1, "small", "hello").done);
+    // Fills memory: 24 GiB are taken, and what is running cannot be unloaded.
+    const std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
+    const Received refused = system.stream(1, "large", "hello", 8, 1);
+    BOOST_TEST(refused.error != "");
+    BOOST_TEST(!refused.done);
+    BOOST_TEST((std::chrono::steady_clock::now() - began < std::chrono::seconds(2)));
+}
+
+BOOST_AUTO_TEST_CASE(hostileInputGetsATypedErrorAndHarmsNothing)
+{
+    Running system("hostile");
+    httplib::Client client("127.0.0.1", system.routerPort(1));
+    const httplib::Headers caller{{"Authorization", "Bearer caller-token"}};
+    const auto post = [&](const std::string &path, const std::string &body, const httplib::Headers &headers) {
+        const httplib::Result result = client.Post(path, headers, body, "application/json");
+        return result ? result->status : 0;
+    };
+    BOOST_TEST(post("/v1/chat/completions", "{", caller) == 400);
+    BOOST_TEST(post("/v1/chat/completions", "[1,2]", caller) == 400);
+    BOOST_TEST(post("/v1/chat/completions", "{\"model\":7}", caller) == 400);
+    BOOST_TEST(post("/v1/chat/completions", "{\"model\":\"small\"}", {}) == 401);
+    BOOST_TEST(post("/v1/chat/completions", "{\"model\":\"small\"}", {{"Authorization", "Bearer wrong"}}) == 401);
+    BOOST_TEST(post("/v1/chat/completions", std::string(9u << 20, 'x'), caller) == 413);
+    BOOST_TEST(post("/v1/chat/completions", std::string(200000, '['), caller) == 400);
+    BOOST_TEST(post("/roserail/v1/announce", "{\"endpoint\":\"x\"}", {}) == 400);
+    BOOST_TEST(post("/roserail/v1/announce", "{\"endpoint\":\"x\",\"incarnation\":-1}", {}) == 400);
+    BOOST_TEST(post("/services/none", "x", caller) == 404);
+    httplib::Headers huge = caller;
+    huge.emplace("X-Huge", std::string(100000, 'h'));
+    BOOST_TEST(post("/v1/chat/completions", "{\"model\":\"small\"}", huge) >= 0);
+    BOOST_TEST(system.resume(1, "not~a~token").error == "bad_request");
+    BOOST_TEST(system.running("router-1"));
+    BOOST_TEST(system.stream(1, "small", "hello").done);
+}
--- /dev/null
+++ b/tests/system.h
@@ -0,0 +1,111 @@
+// Starts real roserail processes and stand-ins on loopback, and kills, freezes and asks them.
+#pragma once
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace roserail::test
+{
+
+using Json = nlohmann::json;
+
+// A stream as a caller received it.
+struct Received {
+    int status = 0;
+    std::vector<std::string> contents; // of the chunks
+    std::string lastId;
+    bool done = false; // the end marker came
+    std::string error; // of an error event or body
+    std::string outcome;
+    std::string retryAfter;
+};
+
+class System
+{
+public:
+    // Ports from `base` on belong to this system.
+    System(const std::string &name, int base, int snapshotEvery = 20000);
+    ~System();
+    System(const System &) = delete;
+    System &operator=(const System &) = delete;
+
+    void startControl(int id);
+    void startRouter(int id);
+    void startEngine(int id, std::vector<std::string> options = {});
+    void startService(int id);
+    // Founds the system and puts the document in.
+    void found();
+
+    void signal(const std::string &process, int number);
+    void kill(const std::string &process); // SIGKILL, and waits
+    int wait(const std::string &process); // exit code; -1 after a signal
+    bool running(const std::string &process);
+    void wipe(int control);
+
+    // Runs roserailctl; `text` goes to its standard input.
+    struct Output {
+        int code = 0;
+        std::string out;
+        std::string err;
+    };
+    Output ctl(const std::vector<std::string> &arguments, const std::string &text = "");
+
+    int controlPort(int id) const
+    {
+        return m_base + 10 + id;
+    }
+    int routerPort(int id) const
+    {
+        return m_base + 20 + id;
+    }
+    int enginePort(int id) const
+    {
+        return m_base + 30 + id;
+    }
+    int servicePort(int id) const
+    {
+        return m_base + 40 + id;
+    }
+    Json status(int control);
+    // Id of the replica that leads, 0 if none does.
+    int leader();
+    int waitForLeader(int except = 0);
+    Json engineStats(int id);
+    std::map<std::string, int> serviceRuns(int id);
+    void scriptEngine(int id, const Json &script);
+    void scriptService(int id, const Json &script);
+
+    Received stream(int router, const std::string &model, const std::string &prompt, int tokens = 8, int deadlineMs = 15000,
+                    const std::function<bool(const Received &)> &goOn = nullptr);
+    Received resume(int router, const std::string &lastId, const std::string &token = "caller-token");
+    Received whole(int router, const std::string &model, const std::string &prompt, int deadlineMs = 15000);
+    Received act(int router, const std::string &key, const std::string &payload, int deadlineMs = 8000);
+
+    // The document that `found` puts in, with the given text in its section `models`.
+    static std::string document(const std::string &models);
+
+private:
+    void spawn(const std::string &name, const std::vector<std::string> &command);
+    Received read(int router, httplib::Request request, const std::function<bool(const Received &)> &goOn);
+    std::string routers() const;
+
+    std::filesystem::path m_folder;
+    int m_base;
+    int m_snapshotEvery;
+    std::map<std::string, int> m_pids;
+};
+
+// Waits until the condition holds; false after the time.
+bool eventually(const std::function<bool()> &condition, std::chrono::milliseconds time = std::chrono::milliseconds(15000));
+
+// An idempotency key of now.
+std::string freshKey(const std::string &name);
+
+} // namespace roserail::test
