--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -69,21 +69,23 @@
         return;
     view.report = report;
     view.expiresAt = now + EndpointExpiry;
+    view.lost = false;
     publish(view, visibleEntry(report, ledger));
 }
 
 void Directory::refresh(const EndpointId &endpoint, const Ledger &ledger)
 {
     const auto it = m_endpoints.find(endpoint);
-    if (it != m_endpoints.end() && !it->second.visible.gone())
+    if (it != m_endpoints.end() && !it->second.lost)
         publish(it->second, visibleEntry(it->second.report, ledger));
 }
 
 void Directory::expire(Time now)
 {
     for (std::pair<const EndpointId, EndpointView> &it : m_endpoints) {
-        if (now < it.second.expiresAt || it.second.visible.gone())
+        if (now < it.second.expiresAt || it.second.lost)
             continue;
+        it.second.lost = true;
         pb::DirectoryEntry entry = it.second.visible;
         entry.set_gone(true);
         entry.clear_artifacts();
@@ -167,7 +169,7 @@
         const pb::EndpointReport &report = it.second.report;
         const EndpointRecord *known = ledger.endpoint(it.first);
         const bool current = known != nullptr && known->incarnation >= report.incarnation();
-        if (report.service() || current || it.second.visible.gone())
+        if (report.service() || current || it.second.lost)
             continue;
         pb::Command command;
         pb::RegisterEndpoint &body = *command.mutable_register_endpoint();
@@ -185,7 +187,7 @@
 const pb::EndpointReport *Directory::report(const EndpointId &endpoint, uint64_t incarnation) const
 {
     const auto it = m_endpoints.find(endpoint);
-    const bool live = it != m_endpoints.end() && !it->second.visible.gone() && it->second.report.incarnation() == incarnation;
+    const bool live = it != m_endpoints.end() && !it->second.lost && it->second.report.incarnation() == incarnation;
     return live ? &it->second.report : nullptr;
 }
 
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -17,6 +17,7 @@
 struct EndpointView {
     pb::EndpointReport report;
     Time expiresAt{};
+    bool lost = false; // silent too long; a leaving endpoint is gone for routers, but not lost
     uint64_t version = 0; // directory version of the last visible change
     pb::DirectoryEntry visible;
 };
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -54,15 +54,21 @@
     return waiting.requestClass == RequestClass::Interactive || endpoint.runningOvernight < overnightLimit;
 }
 
-Dispatcher::Endpoint *Dispatcher::choose(const Waiting &waiting)
+Dispatcher::Endpoint *Dispatcher::choose(const Waiting &waiting, Time now)
 {
+    const bool others = std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const std::pair<const EndpointId, Endpoint> &it) {
+        return serves(it.second, waiting) && waiting.avoid.count(it.first) == 0;
+    });
     Endpoint *least = nullptr;
     Endpoint *preferred = nullptr;
     const auto load = [](const Endpoint &it) {
         return it.running + it.entry.load_level() * it.entry.capacity() / 8;
     };
     for (std::pair<const EndpointId, Endpoint> &it : m_endpoints) {
-        if (!serves(it.second, waiting) || !hasRoom(it.second, waiting) || waiting.avoid.count(it.first) != 0)
+        const auto refused = it.second.refusedUntil.find(waiting.target);
+        const bool pausing = refused != it.second.refusedUntil.end() && now < refused->second;
+        const bool avoided = others && waiting.avoid.count(it.first) != 0;
+        if (pausing || avoided || !serves(it.second, waiting) || !hasRoom(it.second, waiting))
             continue;
         if (least == nullptr || load(it.second) < load(*least))
             least = &it.second;
@@ -80,7 +86,7 @@
 {
     uint32_t n = 0;
     for (const std::pair<const EndpointId, Endpoint> &it : m_endpoints)
-        n += serves(it.second, waiting) && waiting.avoid.count(it.first) == 0 ? it.second.entry.capacity() : 0;
+        n += serves(it.second, waiting) ? it.second.entry.capacity() : 0;
     return n;
 }
 
@@ -149,24 +155,26 @@
     return std::erase_if(m_waiting, [ticket](const Waiting &it) { return it.ticket == ticket; }) != 0;
 }
 
-void Dispatcher::finish(const Grant &grant, const std::string &target, const CallerId &caller, RequestClass requestClass,
-                        std::optional<Millis> took)
+void Dispatcher::finish(const Grant &grant, const Waiting &waiting, AttemptEnd end, Millis took, Time now)
 {
     const auto endpoint = m_endpoints.find(grant.endpoint);
     if (endpoint != m_endpoints.end() && endpoint->second.entry.incarnation() == grant.incarnation && endpoint->second.running > 0) {
         --endpoint->second.running;
-        endpoint->second.runningOvernight -= requestClass == RequestClass::Overnight && endpoint->second.runningOvernight > 0 ? 1 : 0;
+        endpoint->second.runningOvernight -= waiting.requestClass == RequestClass::Overnight && endpoint->second.runningOvernight > 0 ? 1 : 0;
+        // It is full, or has just unloaded the artifact: the directory will say.
+        if (end == AttemptEnd::RefusedNotRun)
+            endpoint->second.refusedUntil[waiting.target] = now + RefusalPause;
     }
-    Target &entry = m_targets[target];
-    invariant(entry.running > 0, "only a granted request finishes");
-    --entry.running;
-    const auto running = m_runningOfCaller.find(caller);
+    Target &target = m_targets[waiting.target];
+    invariant(target.running > 0, "only a granted request finishes");
+    --target.running;
+    const auto running = m_runningOfCaller.find(waiting.caller);
     invariant(running != m_runningOfCaller.end(), "only a granted request finishes");
     if (--running->second == 0)
         m_runningOfCaller.erase(running);
-    if (took) {
-        const double ms = double(took->count());
-        entry.serviceMs = entry.serviceMs == 0 ? ms : entry.serviceMs + ServiceTimeWeight * (ms - entry.serviceMs);
+    if (end == AttemptEnd::Completed) {
+        const double ms = double(took.count());
+        target.serviceMs = target.serviceMs == 0 ? ms : target.serviceMs + ServiceTimeWeight * (ms - target.serviceMs);
     }
 }
 
@@ -178,6 +186,7 @@
         endpoint.runningOvernight = 0;
     }
     endpoint.entry = entry;
+    endpoint.refusedUntil.clear();
     for (const pb::ArtifactReport &it : entry.artifacts()) {
         const auto target = m_targets.find(it.artifact());
         if (target != m_targets.end())
@@ -235,7 +244,7 @@
         granted = false;
         for (const size_t i : order()) {
             const Waiting &waiting = m_waiting[i];
-            Endpoint *endpoint = now < waiting.deadline ? choose(waiting) : nullptr;
+            Endpoint *endpoint = now < waiting.deadline ? choose(waiting, now) : nullptr;
             if (endpoint == nullptr)
                 continue;
             ++endpoint->running;
--- a/src/coordination/dispatcher.h
+++ b/src/coordination/dispatcher.h
@@ -2,6 +2,7 @@
 // endpoint, refused, or withdrawn by its caller.
 #pragma once
 
+#include "coordination/retry.h"
 #include "state/document.h"
 #include "state/errors.h"
 
@@ -26,7 +27,7 @@
     RequestClass requestClass = RequestClass::Interactive;
     Time deadline{};
     uint64_t prefixHash = 0; // 0: no preference
-    std::set<EndpointId> avoid; // endpoints that failed it
+    std::set<EndpointId> avoid; // endpoints that failed it; used again only if no other serves
     Millis loadTime{0}; // of the artifact, from the document
     bool everLoadable = true; // false: the document allows no replica
 };
@@ -57,9 +58,8 @@
     Result<void> admit(Waiting waiting, Time now);
     // The caller has gone. False if the request has already left the queue.
     bool withdraw(TicketId ticket);
-    // An attempt on an endpoint ended. `took` is its service time if it completed.
-    void finish(const Grant &grant, const std::string &target, const CallerId &caller, RequestClass requestClass,
-                std::optional<Millis> took);
+    // An attempt on an endpoint ended. `took` is its service time, if it completed.
+    void finish(const Grant &grant, const Waiting &waiting, AttemptEnd end, Millis took, Time now);
     void setEndpoint(const pb::DirectoryEntry &entry);
     void clearEndpoints();
     void setEstimate(const pb::LoadEstimate &estimate, Time now);
@@ -83,6 +83,7 @@
         pb::DirectoryEntry entry;
         uint32_t running = 0; // granted by this router
         uint32_t runningOvernight = 0;
+        std::map<std::string, Time> refusedUntil; // targets that it has just refused
     };
     struct Estimate {
         Time readyAt{};
@@ -99,7 +100,8 @@
 
     bool serves(const Endpoint &endpoint, const Waiting &waiting) const;
     bool hasRoom(const Endpoint &endpoint, const Waiting &waiting) const;
-    Endpoint *choose(const Waiting &waiting);
+    // The endpoint to grant now, if there is one.
+    Endpoint *choose(const Waiting &waiting, Time now);
     uint32_t capacityFor(const Waiting &waiting) const;
     uint32_t ahead(const Waiting &waiting) const;
     std::optional<Error> hopeless(const Waiting &waiting, Time now) const;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -81,6 +81,7 @@
     std::vector<pb::Command> commands{};
     size_t modelLoads = 0; // in flight
     size_t adapterLoads = 0;
+    std::set<std::string> poolsFreeing{}; // pools in which an unload is under way
     size_t modelsQueued = 0; // loads wanted that have to wait for the store
     std::map<HostId, Bytes> reservedOnHost{}; // by commands of this round
     std::map<EndpointId, Bytes> reservedOnEndpoint{};
@@ -228,6 +229,7 @@
             round.readyAt[slot.artifact] = round.now;
         if (shouldUnload(round, slot)) {
             round.unloading.insert(slot.id);
+            round.poolsFreeing.insert(report.pool());
             round.loads[slot.artifact] -= report.leaving() ? 0 : 1;
             round.commands.push_back(orderCommand(slot.id, pb::ORDER_UNLOAD));
         }
@@ -256,6 +258,9 @@
 
 void Placement::reviewUnload(Round &round, const Slot &slot, const pb::EndpointReport &report, pb::ArtifactState state)
 {
+    const bool pinned = state == pb::ARTIFACT_ABSENT && !slot.unanswered.empty() && !report.checks_fencing();
+    if (!pinned)
+        round.poolsFreeing.insert(report.pool());
     const bool fenced = report.checks_fencing() && !slot.unanswered.empty() && report.fence() > slot.unanswered.rbegin()->value();
     const bool noOrderLeft = slot.unanswered.empty() || fenced;
     if (state == pb::ARTIFACT_ABSENT && noOrderLeft) {
@@ -437,7 +442,7 @@
         wait = ready->second - round.now;
     else if (artifact->isAdapter() && round.readyAt.count(artifact->base) != 0)
         wait = round.readyAt.at(artifact->base) - round.now + artifact->loadTime;
-    else if (round.modelsQueued > 0 || artifact->isAdapter())
+    else if (round.modelsQueued > 0 || artifact->isAdapter() || round.poolsFreeing.count(artifact->pool) != 0)
         wait = artifact->loadTime + perLoad * int64_t(round.modelsQueued + round.modelLoads);
     else
         estimate.set_placeable(false);
--- a/src/transport/exchange.cpp
+++ b/src/transport/exchange.cpp
@@ -80,10 +80,9 @@
     return attempt;
 }
 
-void Exchange::end(const Attempt &attempt, bool completed)
+void Exchange::end(const Attempt &attempt, AttemptEnd how)
 {
-    const Millis took = monotonicNow() - attempt.startedAt;
-    m_router.release(m_request.pool, attempt.grant, m_request.waiting, completed ? std::optional(took) : std::nullopt);
+    m_router.release(m_request.pool, attempt.grant, m_request.waiting, how, monotonicNow() - attempt.startedAt);
 }
 
 void Exchange::note(const AttemptResult &result)
@@ -209,7 +208,7 @@
         if (!m_request.idempotent) {
             Result<std::optional<Answer>> stored = claim(attempt);
             if (stored.has_error() || stored.value()) {
-                end(attempt, false);
+                end(attempt, AttemptEnd::NotSent);
                 if (stored.has_error())
                     return stored.error();
                 return std::move(*stored.value());
@@ -227,7 +226,7 @@
         }
         inspectLoss(attempt, result);
         note(result);
-        end(attempt, result.end == AttemptEnd::Completed);
+        end(attempt, result.end);
         if (!m_request.idempotent)
             finishClaim(attempt, result);
         const Step step = m_quarantined ? Step::EndIncomplete : m_router.nextStep(m_state, result.end);
@@ -274,7 +273,7 @@
             resume = step == Step::Resume;
             ++m_state.resumes;
         } while (resume);
-        end(attempt, result.end == AttemptEnd::Completed);
+        end(attempt, result.end);
         if (step == Step::Deliver)
             return std::move(result.answer);
         if (step != Step::RetryElsewhere)
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -52,7 +52,7 @@
     };
 
     Result<Attempt> begin();
-    void end(const Attempt &attempt, bool completed);
+    void end(const Attempt &attempt, AttemptEnd how);
     // Starts the claim. A value is the stored answer to give instead of running.
     Result<std::optional<Answer>> claim(const Attempt &attempt);
     void finishClaim(const Attempt &attempt, const AttemptResult &result);
--- a/src/transport/router.cpp
+++ b/src/transport/router.cpp
@@ -99,13 +99,14 @@
     }
 }
 
-void Router::release(const std::string &pool, const Grant &grant, const Waiting &waiting, std::optional<Millis> took)
+void Router::release(const std::string &pool, const Grant &grant, const Waiting &waiting, AttemptEnd end, Millis took)
 {
     Shard &shard = shardOf(pool);
     const std::lock_guard lock(shard.mutex);
     Dispatcher &dispatcher = dispatcherOf(shard, pool);
-    dispatcher.finish(grant, waiting.target, waiting.caller, waiting.requestClass, took);
-    settle(shard, dispatcher, monotonicNow());
+    const Time now = monotonicNow();
+    dispatcher.finish(grant, waiting, end, took, now);
+    settle(shard, dispatcher, now);
 }
 
 void Router::runQueues()
--- a/src/transport/router.h
+++ b/src/transport/router.h
@@ -34,8 +34,8 @@
 
     // Waits in the pool's queue until an endpoint is granted or the request is refused.
     Result<Grant> acquire(const std::string &pool, Waiting waiting);
-    // Gives back a grant. `took` is the service time if the attempt completed.
-    void release(const std::string &pool, const Grant &grant, const Waiting &waiting, std::optional<Millis> took);
+    // Gives back a grant after an attempt that took some time.
+    void release(const std::string &pool, const Grant &grant, const Waiting &waiting, AttemptEnd end, Millis took);
     void takeReport(pb::EndpointReport report);
     Result<pb::CommandResult> execute(const pb::Command &command, Time deadline);
 
