Repair works through a repaired leader; a refusal for lack of room no longer sticks

Addresses now go with the replica id, and fall back on the settings.

Cause 2: 'no endpoint has room' came from an estimate that was kept for ever, and as refused requests were never queued, no new estimate came.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -32,10 +32,10 @@
     pb::Member self;
     self.set_peer_address(settings.peerAddress);
     self.set_operator_address(settings.operatorAddress);
-    std::vector<std::string> seeds;
+    std::map<uint64_t, std::string> seeds;
     for (const PeerSettings &it : settings.replicas) {
         if (it.id != settings.id)
-            seeds.push_back(it.peerAddress);
+            seeds[it.id] = it.peerAddress;
     }
     ReplicaNode node(std::move(storage.value()), self, seeds, settings.snapshotEvery, randomNumber());
     Coordinator coordinator(node);
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -112,7 +112,7 @@
     Millis wait{0};
     if (capacity > 0) {
         wait = Millis(int64_t(serviceMs * double(ahead(waiting)) / double(capacity)));
-    } else if (it != m_targets.end() && it->second.estimate) {
+    } else if (it != m_targets.end() && it->second.estimate && now < it->second.estimate->validUntil) {
         const Estimate &estimate = *it->second.estimate;
         if (!estimate.placeable)
             return overloaded(fmt::format("no endpoint has room for '{}'; not run, come back later", waiting.target), waiting.loadTime);
@@ -204,7 +204,7 @@
 {
     const auto it = m_targets.find(estimate.artifact());
     if (it != m_targets.end())
-        it->second.estimate = Estimate{now + Millis(estimate.ready_in_ms()), estimate.placeable()};
+        it->second.estimate = Estimate{now + Millis(estimate.ready_in_ms()), now + EstimateValidity, estimate.placeable()};
 }
 
 void Dispatcher::setLease(Time until)
--- a/src/coordination/dispatcher.h
+++ b/src/coordination/dispatcher.h
@@ -87,6 +87,7 @@
     };
     struct Estimate {
         Time readyAt{};
+        Time validUntil{};
         bool placeable = true;
     };
     // What is known of one artifact or service at this router.
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -65,6 +65,7 @@
 constexpr Millis MaxDeadline = std::chrono::hours(12);
 constexpr Millis QueueTick{10};
 constexpr Millis RetryAfterMin{1000};
+constexpr Millis EstimateValidity{500}; // of what the leader said of a load
 constexpr Millis RefusalPause{100}; // an endpoint that refused an artifact is not asked for it again
 constexpr int AttemptsPerRequest = 3;
 constexpr double OvernightShare = 0.75; // of an endpoint's capacity
--- a/src/transport/replicanode.cpp
+++ b/src/transport/replicanode.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-ReplicaNode::ReplicaNode(std::unique_ptr<Storage> storage, pb::Member self, std::vector<std::string> seedAddresses, uint64_t snapshotEvery,
+ReplicaNode::ReplicaNode(std::unique_ptr<Storage> storage, pb::Member self, std::map<uint64_t, std::string> seedAddresses, uint64_t snapshotEvery,
                          uint64_t seed)
     : m_storage(std::move(storage))
     , m_self(std::move(self))
@@ -283,8 +283,16 @@
         if (fromProto(it.identity()) == replica)
             return it.peer_address();
     }
-    const auto it = m_joinAddresses.find(replica.id);
-    return it == m_joinAddresses.end() ? "" : it->second;
+    const auto joining = m_joinAddresses.find(replica.id);
+    if (joining != m_joinAddresses.end())
+        return joining->second;
+    // A replica that was just caught up may know only older incarnations: the address goes with the id.
+    for (const pb::Member &it : m_raft->membership().members()) {
+        if (it.identity().id() == replica.id)
+            return it.peer_address();
+    }
+    const auto seed = m_seedAddresses.find(replica.id);
+    return seed == m_seedAddresses.end() ? "" : seed->second;
 }
 
 void ReplicaNode::sendMessages(Actions &actions)
@@ -355,12 +363,12 @@
     if (member || now < m_nextJoin)
         return;
     m_nextJoin = now + JoinInterval;
-    for (const std::string &it : m_seedAddresses) {
+    for (const std::pair<const uint64_t, std::string> &it : m_seedAddresses) {
         pb::RaftMessage msg;
         msg.set_kind(pb::RaftMessage::JOIN);
         *msg.mutable_from() = m_self.identity();
         *msg.mutable_member() = m_self;
-        m_peers.send(it, std::move(msg));
+        m_peers.send(it.second, std::move(msg));
     }
 }
 
--- a/src/transport/replicanode.h
+++ b/src/transport/replicanode.h
@@ -49,7 +49,7 @@
 class ReplicaNode
 {
 public:
-    ReplicaNode(std::unique_ptr<Storage> storage, pb::Member self, std::vector<std::string> seedAddresses, uint64_t snapshotEvery,
+    ReplicaNode(std::unique_ptr<Storage> storage, pb::Member self, std::map<uint64_t, std::string> seedAddresses, uint64_t snapshotEvery,
                 uint64_t seed);
     ~ReplicaNode();
     ReplicaNode(const ReplicaNode &) = delete;
@@ -119,7 +119,7 @@
 
     std::unique_ptr<Storage> m_storage;
     pb::Member m_self;
-    std::vector<std::string> m_seedAddresses;
+    std::map<uint64_t, std::string> m_seedAddresses; // of the replicas in the settings, by id
     uint64_t m_snapshotEvery;
     uint64_t m_seed;
     std::unique_ptr<Raft> m_raft;
