Tests of the state machine, queues, retries, storage and parsers

Property-based: what engines hold is covered by slots whatever is lost, late, repeated or restarted, with and without fencing; a key runs at most once however late it is resent; every admitted request gets one final answer; torn tails are cut and damaged middles stop.

--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -160,7 +160,8 @@
     const auto endpoint = m_endpoints.find(grant.endpoint);
     if (endpoint != m_endpoints.end() && endpoint->second.entry.incarnation() == grant.incarnation && endpoint->second.running > 0) {
         --endpoint->second.running;
-        endpoint->second.runningOvernight -= waiting.requestClass == RequestClass::Overnight && endpoint->second.runningOvernight > 0 ? 1 : 0;
+        endpoint->second.runningOvernight
+            -= waiting.requestClass == RequestClass::Overnight && endpoint->second.runningOvernight > 0 ? 1 : 0;
         // It is full, or has just unloaded the artifact: the directory will say.
         if (end == AttemptEnd::RefusedNotRun)
             endpoint->second.refusedUntil[waiting.target] = now + RefusalPause;
--- a/src/coordination/raft.cpp
+++ b/src/coordination/raft.cpp
@@ -568,7 +568,8 @@
     const pb::Snapshot &snapshot = msg.snapshot();
     if (snapshot.index() > m_commit) {
         // Entries after the snapshot may have been acknowledged: they stay if the log agrees with the snapshot.
-        const bool continues = snapshot.index() > m_snapIndex && snapshot.index() <= lastIndex() && termAt(snapshot.index()) == snapshot.term();
+        const bool continues
+            = snapshot.index() > m_snapIndex && snapshot.index() <= lastIndex() && termAt(snapshot.index()) == snapshot.term();
         if (continues)
             m_log.erase(m_log.begin(), m_log.begin() + long(snapshot.index() - m_snapIndex));
         else
--- a/src/transport/replicanode.cpp
+++ b/src/transport/replicanode.cpp
@@ -32,8 +32,8 @@
 
 } // namespace
 
-ReplicaNode::ReplicaNode(std::unique_ptr<Storage> storage, pb::Member self, std::map<uint64_t, std::string> seedAddresses, uint64_t snapshotEvery,
-                         uint64_t seed)
+ReplicaNode::ReplicaNode(std::unique_ptr<Storage> storage, pb::Member self, std::map<uint64_t, std::string> seedAddresses,
+                         uint64_t snapshotEvery, uint64_t seed)
     : m_storage(std::move(storage))
     , m_self(std::move(self))
     , m_seedAddresses(std::move(seedAddresses))
--- a/src/transport/storage.cpp
+++ b/src/transport/storage.cpp
@@ -1,5 +1,7 @@
 #include "transport/storage.h"
 
+#include "state/invariant.h"
+
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
@@ -100,6 +102,8 @@
 
 std::string encodeFrame(const std::string &payload)
 {
+    // A length of zero could not be told from a tail of zeros.
+    invariant(!payload.empty(), "a frame is never empty");
     const uint32_t n = uint32_t(payload.size());
     const uint64_t sum = checksum(payload.data(), n);
     std::string frame(FrameHeader, '\0');
--- /dev/null
+++ b/tests/decisions_test.cpp
@@ -0,0 +1,354 @@
+#define BOOST_TEST_MODULE decisions
+#include "coordination/dispatcher.h"
+#include "coordination/keepwarm.h"
+#include "coordination/retry.h"
+#include "protocol/callerrequest.h"
+#include "protocol/metrics.h"
+#include "protocol/sse.h"
+#include "state/tunables.h"
+#include "transport/storage.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/included/unit_test.hpp>
+#include <csignal>
+#include <fstream>
+#include <rapidcheck.h>
+#include <sys/resource.h>
+
+using namespace roserail;
+
+namespace bdata = boost::unit_test::data;
+
+namespace
+{
+
+const Time Now{Millis(1000000)};
+
+pb::DirectoryEntry engine(const std::string &id, uint32_t capacity)
+{
+    pb::DirectoryEntry entry;
+    entry.set_endpoint(id);
+    entry.set_incarnation(1);
+    entry.set_pool("pool");
+    entry.set_capacity(capacity);
+    entry.add_artifacts()->set_artifact("m");
+    return entry;
+}
+
+Waiting waiting(uint64_t ticket, const std::string &caller, Millis allowed, RequestClass requestClass = RequestClass::Interactive)
+{
+    Waiting it;
+    it.ticket = TicketId(ticket);
+    it.caller = CallerId(caller);
+    it.target = "m";
+    it.requestClass = requestClass;
+    it.deadline = Now + allowed;
+    return it;
+}
+
+std::string temporaryFolder(const std::string &name)
+{
+    const std::filesystem::path path = std::filesystem::temp_directory_path() / ("roserail-" + name + "-" + std::to_string(getpid()));
+    std::filesystem::remove_all(path);
+    return path.string();
+}
+
+pb::LogFrame frameWith(uint64_t index)
+{
+    pb::LogFrame frame;
+    frame.add_entries()->set_index(index);
+    frame.mutable_entries(0)->set_term(1);
+    return frame;
+}
+
+// One row of the table of what follows an attempt.
+struct StepRow {
+    const char *name;
+    bool idempotent;
+    bool streaming;
+    bool delivered;
+    bool everSent;
+    bool inTime;
+    AttemptEnd end;
+    Step step;
+};
+
+std::ostream &operator<<(std::ostream &os, const StepRow &row)
+{
+    return os << row.name;
+}
+
+const std::vector<StepRow> StepRows{
+    {"completed", false, false, false, true, true, AttemptEnd::Completed, Step::Deliver},
+    {"not sent, retried", false, false, false, false, true, AttemptEnd::NotSent, Step::RetryElsewhere},
+    {"not sent, too late", false, false, false, false, false, AttemptEnd::NotSent, Step::RefuseNotRun},
+    {"refused after another attempt ran", true, false, false, true, false, AttemptEnd::RefusedNotRun, Step::EndIncomplete},
+    {"refused after another attempt may have run", false, false, false, true, false, AttemptEnd::RefusedNotRun, Step::EndUnknown},
+    {"non-idempotent interrupted", false, false, false, true, true, AttemptEnd::Interrupted, Step::EndUnknown},
+    {"non-idempotent endpoint lost", false, false, false, true, true, AttemptEnd::EndpointLost, Step::EndUnknown},
+    {"stream interrupted", true, true, true, true, true, AttemptEnd::Interrupted, Step::Resume},
+    {"stream's endpoint lost after output", true, true, true, true, true, AttemptEnd::EndpointLost, Step::EndIncomplete},
+    {"stream's endpoint lost before output", true, true, false, true, true, AttemptEnd::EndpointLost, Step::RetryElsewhere},
+    {"idempotent interrupted", true, false, false, true, true, AttemptEnd::Interrupted, Step::RetryElsewhere},
+    {"idempotent too late", true, false, false, true, false, AttemptEnd::Interrupted, Step::EndLate},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(whatFollowsAnAttempt, bdata::make(StepRows), row)
+{
+    RetryBudget budget;
+    budget.requestStarted();
+    ExchangeState state;
+    state.idempotent = row.idempotent;
+    state.streaming = row.streaming;
+    state.delivered = row.delivered;
+    state.everSent = row.everSent;
+    state.attempts = 1;
+    state.deadline = row.inTime ? Now + Millis(1000) : Now;
+    BOOST_TEST((nextStep(state, row.end, Now, budget) == row.step));
+}
+
+BOOST_AUTO_TEST_CASE(retriesStayWithinTheirBudget)
+{
+    RetryBudget budget;
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.requestStarted();
+        retries += budget.tryRetry() ? 1 : 0;
+    }
+    BOOST_TEST(retries <= int(1000 * tunables::RetryBudgetRatio + tunables::RetryBudgetBurst));
+}
+
+// Every admitted request leaves the queue exactly once; capacity is never exceeded; nothing is granted past its deadline.
+BOOST_AUTO_TEST_CASE(everyRequestGetsOneFinalAnswer)
+{
+    const bool held = rc::check("one answer each", [] {
+        Dispatcher dispatcher("pool");
+        Time now = Now;
+        dispatcher.setLease(now + Millis(5000));
+        std::map<TicketId, int> answers;
+        std::map<TicketId, Waiting> admitted;
+        std::vector<Grant> running;
+        uint64_t next = 1;
+        const auto take = [&](const Decisions &decisions) {
+            for (const Grant &it : decisions.grants) {
+                ++answers[it.ticket];
+                RC_ASSERT(now < admitted[it.ticket].deadline);
+                running.push_back(it);
+            }
+            for (const Refusal &it : decisions.refusals) {
+                ++answers[it.ticket];
+                RC_ASSERT(it.error.retryAfterMs > 0);
+            }
+            RC_ASSERT(running.size() <= 6u);
+        };
+        for (int i = 0; i < 60; ++i) {
+            switch (*rc::gen::inRange(0, 5)) {
+            case 0:
+                dispatcher.setEndpoint(engine(*rc::gen::element<std::string>("e1", "e2"), 3));
+                break;
+            case 1:
+            case 2: {
+                const Waiting it = waiting(next++, *rc::gen::element<std::string>("a", "b"), Millis(*rc::gen::inRange(1, 800)),
+                                           *rc::gen::element(RequestClass::Interactive, RequestClass::Overnight));
+                Waiting copy = it;
+                copy.deadline = now + Millis(*rc::gen::inRange(1, 800));
+                if (dispatcher.admit(copy, now).has_value())
+                    admitted[it.ticket] = copy;
+                break;
+            }
+            case 3:
+                if (!running.empty()) {
+                    dispatcher.finish(running.back(), admitted[running.back().ticket], AttemptEnd::Completed, Millis(100), now);
+                    running.pop_back();
+                }
+                break;
+            default:
+                now += Millis(*rc::gen::inRange(1, 300));
+                break;
+            }
+            take(dispatcher.decide(now));
+        }
+        now += Millis(10000);
+        take(dispatcher.decide(now));
+        RC_ASSERT(dispatcher.waitingCount() == 0u);
+        for (const std::pair<const TicketId, Waiting> &it : admitted)
+            RC_ASSERT(answers[it.first] == 1);
+    });
+    BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_CASE(overnightWorkNeverDisplacesAWaitingCaller)
+{
+    Dispatcher dispatcher("pool");
+    dispatcher.setLease(Now + Millis(5000));
+    for (uint64_t i = 1; i <= 20; ++i)
+        BOOST_REQUIRE(dispatcher.admit(waiting(i, "night", Millis(100), RequestClass::Overnight), Now).has_value());
+    BOOST_REQUIRE(dispatcher.admit(waiting(21, "day", Millis(900)), Now).has_value());
+    dispatcher.setEndpoint(engine("e1", 4));
+    const Decisions decisions = dispatcher.decide(Now);
+    BOOST_REQUIRE(decisions.grants.size() == 4u);
+    BOOST_TEST(decisions.grants[0].ticket.value() == 21u);
+}
+
+BOOST_AUTO_TEST_CASE(callersShareFairly)
+{
+    Dispatcher dispatcher("pool");
+    dispatcher.setLease(Now + Millis(5000));
+    for (uint64_t i = 1; i <= 20; ++i)
+        BOOST_REQUIRE(dispatcher.admit(waiting(i, "greedy", Millis(100)), Now).has_value());
+    for (uint64_t i = 21; i <= 22; ++i)
+        BOOST_REQUIRE(dispatcher.admit(waiting(i, "modest", Millis(900)), Now).has_value());
+    dispatcher.setEndpoint(engine("e1", 4));
+    size_t modest = 0;
+    for (const Grant &it : dispatcher.decide(Now).grants)
+        modest += it.ticket.value() > 20 ? 1 : 0;
+    BOOST_TEST(modest == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(withoutALeaseEverythingIsRefusedUnrun)
+{
+    Dispatcher dispatcher("pool");
+    dispatcher.setEndpoint(engine("e1", 4));
+    dispatcher.setLease(Now);
+    const Result<void> admitted = dispatcher.admit(waiting(1, "a", Millis(900)), Now);
+    BOOST_REQUIRE(admitted.has_error());
+    BOOST_TEST((admitted.error().kind == ErrorKind::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(keepTimeFollowsThePauses)
+{
+    std::deque<Millis> regular(10, Millis(20000));
+    // Each pause of 20 s costs 20 to keep and 50 to load again: keep over it, and no longer.
+    BOOST_TEST((bestKeepTime(regular, 1, 50, Millis(3600000)) == Millis(25000)));
+    std::deque<Millis> rare(10, Millis(3000000));
+    BOOST_TEST((bestKeepTime(rare, 1, 50, Millis(3600000)) == Millis(0)));
+    BOOST_TEST((bestKeepTime({}, 1, 50, Millis(3600000)) == Millis(50000)));
+}
+
+BOOST_AUTO_TEST_CASE(tornTailIsCutAndADamagedMiddleStops)
+{
+    const bool held = rc::check("torn writes", [] {
+        std::string bytes = encodeFrame("one") + encodeFrame("two");
+        const size_t whole = bytes.size();
+        const std::string last = encodeFrame(std::string(*rc::gen::inRange(1, 200), 'x'));
+        bytes += last.substr(0, *rc::gen::inRange<size_t>(0, last.size()));
+        const Result<Frames> frames = decodeFrames(bytes, "log");
+        RC_ASSERT(frames.has_value());
+        RC_ASSERT(frames.value().payloads.size() == 2u);
+        RC_ASSERT(frames.value().validBytes == whole);
+        std::string damaged = encodeFrame("one") + encodeFrame("two") + encodeFrame("three");
+        damaged[*rc::gen::inRange<size_t>(0, encodeFrame("one").size())] ^= char(*rc::gen::inRange(1, 255));
+        const Result<Frames> stopped = decodeFrames(damaged, "log");
+        RC_ASSERT(stopped.has_error());
+        RC_ASSERT(stopped.error().kind == ErrorKind::DiskDamaged);
+    });
+    BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_CASE(storageKeepsWhatItSyncedAndRefusesForeignFolders)
+{
+    const std::string folder = temporaryFolder("storage");
+    {
+        std::unique_ptr<Storage> storage = std::move(Storage::open(folder, 1, 77).value());
+        BOOST_TEST(storage->found(5).has_value());
+        for (uint64_t i = 1; i <= 3; ++i)
+            BOOST_TEST(storage->append(frameWith(i)).has_value());
+        const Result<std::unique_ptr<Storage>> second = Storage::open(folder, 1, 78);
+        BOOST_REQUIRE(second.has_error());
+        BOOST_TEST((second.error().kind == ErrorKind::WrongDataFolder));
+    }
+    {
+        std::unique_ptr<Storage> storage = std::move(Storage::open(folder, 1, 78).value());
+        BOOST_TEST(storage->state().identity.identity().incarnation() == 77u);
+        BOOST_TEST(storage->state().identity.cluster_id() == 5u);
+        BOOST_TEST(storage->state().entries.size() == 3u);
+        pb::Snapshot snapshot;
+        snapshot.set_index(3);
+        snapshot.set_term(1);
+        pb::LogFrame rest;
+        rest.mutable_hard_state()->set_term(1);
+        BOOST_TEST(storage->saveSnapshot(snapshot, rest).has_value());
+        BOOST_TEST(storage->append(frameWith(4)).has_value());
+    }
+    {
+        std::unique_ptr<Storage> storage = std::move(Storage::open(folder, 1, 78).value());
+        BOOST_TEST(storage->state().snapshot.index() == 3u);
+        BOOST_TEST(storage->state().entries.size() == 1u);
+    }
+    const Result<std::unique_ptr<Storage>> foreign = Storage::open(folder, 2, 78);
+    BOOST_REQUIRE(foreign.has_error());
+    BOOST_TEST((foreign.error().kind == ErrorKind::WrongDataFolder));
+    std::filesystem::remove_all(folder);
+}
+
+BOOST_AUTO_TEST_CASE(fullDiskLosesNothingAndWritingGoesOn)
+{
+    const std::string folder = temporaryFolder("full");
+    std::signal(SIGXFSZ, SIG_IGN);
+    std::unique_ptr<Storage> storage = std::move(Storage::open(folder, 1, 77).value());
+    BOOST_TEST(storage->append(frameWith(1)).has_value());
+    rlimit before{};
+    getrlimit(RLIMIT_FSIZE, &before);
+    const rlimit full{storage->logBytes() + 5, before.rlim_max};
+    setrlimit(RLIMIT_FSIZE, &full);
+    const Result<void> failed = storage->append(frameWith(2));
+    setrlimit(RLIMIT_FSIZE, &before);
+    BOOST_REQUIRE(failed.has_error());
+    BOOST_TEST((failed.error().kind == ErrorKind::DiskFailure));
+    BOOST_TEST(storage->append(frameWith(2)).has_value());
+    storage.reset();
+    storage = std::move(Storage::open(folder, 1, 77).value());
+    BOOST_TEST(storage->state().entries.size() == 2u);
+    std::filesystem::remove_all(folder);
+}
+
+BOOST_AUTO_TEST_CASE(eventsAreSplitAlikeHoweverTheyArrive)
+{
+    const bool held = rc::check("pieces", [] {
+        const std::string text = ": hello\n\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\ndata: c\r\n\r\ndata: [DONE]\n\n";
+        SseParser parser;
+        std::vector<SseEvent> events;
+        for (size_t at = 0; at < text.size();) {
+            const size_t n = std::min(text.size() - at, *rc::gen::inRange<size_t>(1, 9));
+            for (SseEvent &it : parser.feed(text.data() + at, n))
+                events.push_back(std::move(it));
+            at += n;
+        }
+        RC_ASSERT(events.size() == 4u);
+        RC_ASSERT(events[1].id == "1" && events[1].data == "a");
+        RC_ASSERT(events[2].id == "2" && events[2].data == "b\nc");
+        RC_ASSERT(events[3].data == "[DONE]");
+    });
+    BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_CASE(tokensAndKeysAreCheckedWhateverTheyHold)
+{
+    const bool held = rc::check("any text", [] {
+        const std::string text = *rc::gen::arbitrary<std::string>();
+        (void)parseToken(text);
+        (void)parseKeyTime(text);
+        (void)parseModelRequest(text);
+        (void)parseDeadline(text, Millis(5));
+    });
+    BOOST_TEST(held);
+    const ResumeToken token{EndpointId("e1"), 7, AttemptId("0af3"), 9, 11};
+    BOOST_TEST(parseToken(encodeToken(token)).value().next == 11u);
+    BOOST_TEST(parseKeyTime("018f0000-0000-7000-8000-000000000000").value() == 0x018f00000000u);
+    BOOST_TEST(parseKeyTime("1700000000-x").value() == 1700000000000u);
+    BOOST_TEST(parseKeyTime("018f0000-0000-4000-8000-000000000000").has_error());
+}
+
+BOOST_AUTO_TEST_CASE(histogramErrsByAtMostAnEighth)
+{
+    Histogram histogram;
+    for (uint64_t i = 1; i <= 10000; ++i)
+        histogram.record(i);
+    for (const double q : {0.5, 0.95, 0.99}) {
+        const double seen = double(histogram.quantile(q));
+        BOOST_TEST(seen >= q * 10000);
+        BOOST_TEST(seen <= q * 10000 * 1.125 + 1);
+    }
+}
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -27,7 +27,8 @@
 
 rc::Gen<Step> anyStep(uint64_t replicas)
 {
-    return rc::gen::build<Step>(rc::gen::set(&Step::kind, rc::gen::inRange(0, 24)), rc::gen::set(&Step::a, rc::gen::inRange<uint64_t>(1, replicas + 1)),
+    return rc::gen::build<Step>(rc::gen::set(&Step::kind, rc::gen::inRange(0, 24)),
+                                rc::gen::set(&Step::a, rc::gen::inRange<uint64_t>(1, replicas + 1)),
                                 rc::gen::set(&Step::b, rc::gen::inRange<uint64_t>(1, replicas + 1)));
 }
 
--- a/tests/raftcluster.h
+++ b/tests/raftcluster.h
@@ -190,7 +190,9 @@
         size_t n = 0;
         for (const pb::Member &it : raft->membership().members()) {
             const auto node = m_nodes.find(it.identity().id());
-            n += it.voter() && node != m_nodes.end() && node->second.disk.identity.identity().incarnation() == it.identity().incarnation() ? 1 : 0;
+            n += it.voter() && node != m_nodes.end() && node->second.disk.identity.identity().incarnation() == it.identity().incarnation()
+                ? 1
+                : 0;
         }
         return n == m_nodes.size();
     }
@@ -342,8 +344,8 @@
     {
         Raft *raft = leader();
         return raft != nullptr && std::all_of(m_nodes.begin(), m_nodes.end(), [raft](const std::pair<const uint64_t, Node> &it) {
-            return it.second.appliedIndex == raft->lastIndex();
-        });
+                   return it.second.appliedIndex == raft->lastIndex();
+               });
     }
 
     std::mt19937_64 m_random;
--- a/tests/system.cpp
+++ b/tests/system.cpp
@@ -39,7 +39,8 @@
 }
 
 // Starts a program with its output in files and returns its process id.
-int start(const std::vector<std::string> &command, const std::filesystem::path &out, const std::filesystem::path &err, const std::string &in)
+int start(const std::vector<std::string> &command, const std::filesystem::path &out, const std::filesystem::path &err,
+          const std::string &in)
 {
     std::vector<char *> words;
     for (const std::string &it : command)
@@ -105,10 +106,11 @@
 
 void System::startControl(int id)
 {
-    std::string settings = fmt::format("id: {}\nzone: zone-{}\ndataFolder: {}\nrootTokenSha256: \"{}\"\nsnapshotEvery: {}\nreplicas:\n", id, id,
-                                       (m_folder / fmt::format("data-{}", id)).string(), sha256Hex("root-token"), m_snapshotEvery);
+    std::string settings = fmt::format("id: {}\nzone: zone-{}\ndataFolder: {}\nrootTokenSha256: \"{}\"\nsnapshotEvery: {}\nreplicas:\n", id,
+                                       id, (m_folder / fmt::format("data-{}", id)).string(), sha256Hex("root-token"), m_snapshotEvery);
     for (const int it : {1, 2, 3})
-        settings += fmt::format("  - {{id: {}, peerAddress: \"127.0.0.1:{}\", operatorAddress: \"127.0.0.1:{}\"}}\n", it, m_base + it, controlPort(it));
+        settings += fmt::format("  - {{id: {}, peerAddress: \"127.0.0.1:{}\", operatorAddress: \"127.0.0.1:{}\"}}\n", it, m_base + it,
+                                controlPort(it));
     const std::filesystem::path path = m_folder / fmt::format("control-{}.yaml", id);
     writeFile(path, settings);
     spawn(fmt::format("control-{}", id), {ROSERAIL_BUILD "/roserail-control", path.string()});
@@ -117,40 +119,54 @@
 void System::startRouter(int id)
 {
     const std::filesystem::path path = m_folder / fmt::format("router-{}.yaml", id);
-    writeFile(path, fmt::format("id: router-{}\nzone: zone-{}\nlisten: \"127.0.0.1:{}\"\ncontrol: [\"127.0.0.1:{}\", \"127.0.0.1:{}\", \"127.0.0.1:{}\"]\n", id, id,
-                                routerPort(id), m_base + 1, m_base + 2, m_base + 3));
+    writeFile(
+        path,
+        fmt::format(
+            "id: router-{}\nzone: zone-{}\nlisten: \"127.0.0.1:{}\"\ncontrol: [\"127.0.0.1:{}\", \"127.0.0.1:{}\", \"127.0.0.1:{}\"]\n", id,
+            id, routerPort(id), m_base + 1, m_base + 2, m_base + 3));
     spawn(fmt::format("router-{}", id), {ROSERAIL_BUILD "/roserail-router", path.string()});
 }
 
 void System::startEngine(int id, std::vector<std::string> options)
 {
-    std::vector<std::string> command{ROSERAIL_BUILD "/tests/standin-engine", "--id",      fmt::format("engine-{}", id), "--pool",   "pool", "--port",
-                                     std::to_string(enginePort(id)),         "--routers", routers(),                    "--load-ms", "300"};
+    std::vector<std::string> command{ROSERAIL_BUILD "/tests/standin-engine",
+                                     "--id",
+                                     fmt::format("engine-{}", id),
+                                     "--pool",
+                                     "pool",
+                                     "--port",
+                                     std::to_string(enginePort(id)),
+                                     "--routers",
+                                     routers(),
+                                     "--load-ms",
+                                     "300"};
     command.insert(command.end(), options.begin(), options.end());
     spawn(fmt::format("engine-{}", id), command);
 }
 
 void System::startService(int id)
 {
-    spawn(fmt::format("service-{}", id), {ROSERAIL_BUILD "/tests/standin-service", "--id", fmt::format("service-{}", id), "--pool", "ledger", "--port",
-                                          std::to_string(servicePort(id)), "--routers", routers()});
+    spawn(fmt::format("service-{}", id),
+          {ROSERAIL_BUILD "/tests/standin-service", "--id", fmt::format("service-{}", id), "--pool", "ledger", "--port",
+           std::to_string(servicePort(id)), "--routers", routers()});
 }
 
 std::string System::document(const std::string &models)
 {
-    return fmt::format("sections:\n"
-                       "  platform:\n"
-                       "    revision: 0\n"
-                       "    pools: [{{name: pool, endpointBytes: 24GiB}}, {{name: ledger, endpointBytes: 0B}}]\n"
-                       "    operators: [{{name: owner, tokenSha256: \"{}\", sections: [models]}}]\n"
-                       "    callers:\n"
-                       "      - {{name: caller, tokenSha256: \"{}\", class: interactive, use: [\"*\"]}}\n"
-                       "      - {{name: other, tokenSha256: \"{}\", class: overnight, use: [\"*\"]}}\n"
-                       "    services: [{{name: licences, pool: ledger, idempotent: false}}, {{name: catalogue, pool: ledger, idempotent: true}}]\n"
-                       "  models:\n"
-                       "    revision: 0\n"
-                       "    models:\n{}",
-                       sha256Hex("owner-token"), sha256Hex("caller-token"), sha256Hex("other-token"), models);
+    return fmt::format(
+        "sections:\n"
+        "  platform:\n"
+        "    revision: 0\n"
+        "    pools: [{{name: pool, endpointBytes: 24GiB}}, {{name: ledger, endpointBytes: 0B}}]\n"
+        "    operators: [{{name: owner, tokenSha256: \"{}\", sections: [models]}}]\n"
+        "    callers:\n"
+        "      - {{name: caller, tokenSha256: \"{}\", class: interactive, use: [\"*\"]}}\n"
+        "      - {{name: other, tokenSha256: \"{}\", class: overnight, use: [\"*\"]}}\n"
+        "    services: [{{name: licences, pool: ledger, idempotent: false}}, {{name: catalogue, pool: ledger, idempotent: true}}]\n"
+        "  models:\n"
+        "    revision: 0\n"
+        "    models:\n{}",
+        sha256Hex("owner-token"), sha256Hex("caller-token"), sha256Hex("other-token"), models);
 }
 
 void System::found()
@@ -158,9 +174,10 @@
     const Output founded = ctl({"bootstrap", "-f", (m_folder / "control-1.yaml").string()});
     if (founded.code != 0)
         throw std::runtime_error("bootstrap: " + founded.err);
-    const Output applied = ctl({"apply", "-f", "-"},
-                               document("      - {name: small, version: v1, pool: pool, bytes: 8GiB, replicas: {min: 0, max: 2}, loadTime: 300ms}\n"
-                                        "      - {name: large, version: v1, pool: pool, bytes: 16GiB, replicas: {min: 0, max: 1}, loadTime: 300ms}\n"));
+    const Output applied
+        = ctl({"apply", "-f", "-"},
+              document("      - {name: small, version: v1, pool: pool, bytes: 8GiB, replicas: {min: 0, max: 2}, loadTime: 300ms}\n"
+                       "      - {name: large, version: v1, pool: pool, bytes: 16GiB, replicas: {min: 0, max: 1}, loadTime: 300ms}\n"));
     if (applied.code != 0)
         throw std::runtime_error("apply: " + applied.err);
 }
@@ -248,7 +265,8 @@
 {
     const httplib::Result result = clientFor(servicePort(id), 1000).Get("/standin/stats");
     const Json json = result ? Json::parse(result->body, nullptr, false) : Json::object();
-    return json.contains("runs") && json["runs"].is_object() ? json["runs"].get<std::map<std::string, int>>() : std::map<std::string, int>();
+    return json.contains("runs") && json["runs"].is_object() ? json["runs"].get<std::map<std::string, int>>()
+                                                             : std::map<std::string, int>();
 }
 
 void System::scriptEngine(int id, const Json &script)
@@ -301,7 +319,8 @@
     request.method = "POST";
     request.path = "/v1/chat/completions";
     request.headers = {{"Authorization", "Bearer caller-token"}, {"Roserail-Deadline-Ms", std::to_string(deadlineMs)}};
-    request.body = Json{{"model", model}, {"stream", true}, {"max_tokens", tokens}, {"messages", {{{"role", "user"}, {"content", prompt}}}}}.dump();
+    request.body
+        = Json{{"model", model}, {"stream", true}, {"max_tokens", tokens}, {"messages", {{{"role", "user"}, {"content", prompt}}}}}.dump();
     return read(routerPort(router), request, goOn);
 }
 
@@ -329,7 +348,8 @@
     httplib::Request request;
     request.method = "POST";
     request.path = "/services/licences/sell";
-    request.headers = {{"Authorization", "Bearer caller-token"}, {"Roserail-Deadline-Ms", std::to_string(deadlineMs)}, {"Idempotency-Key", key}};
+    request.headers
+        = {{"Authorization", "Bearer caller-token"}, {"Roserail-Deadline-Ms", std::to_string(deadlineMs)}, {"Idempotency-Key", key}};
     request.body = payload;
     return read(routerPort(router), request, nullptr);
 }
--- a/tests/system_test.cpp
+++ b/tests/system_test.cpp
@@ -26,10 +26,11 @@
 
     std::string models(uint64_t revision, int max)
     {
-        return fmt::format("sections:\n  models:\n    revision: {}\n    models:\n"
-                           "      - {{name: small, version: v1, pool: pool, bytes: 8GiB, replicas: {{min: 0, max: {}}}, loadTime: 300ms}}\n"
-                           "      - {{name: large, version: v1, pool: pool, bytes: 16GiB, replicas: {{min: 0, max: 1}}, loadTime: 300ms}}\n",
-                           revision, max);
+        return fmt::format(
+            "sections:\n  models:\n    revision: {}\n    models:\n"
+            "      - {{name: small, version: v1, pool: pool, bytes: 8GiB, replicas: {{min: 0, max: {}}}, loadTime: 300ms}}\n"
+            "      - {{name: large, version: v1, pool: pool, bytes: 16GiB, replicas: {{min: 0, max: 1}}, loadTime: 300ms}}\n",
+            revision, max);
     }
 
     // Revision that an apply reported; 0 if it failed.
@@ -48,7 +49,9 @@
     std::vector<System::Output> outputs(4);
     std::vector<std::thread> operators;
     for (size_t i = 0; i < outputs.size(); ++i)
-        operators.emplace_back([&, i] { outputs[i] = system.ctl({"apply", "-f", "-", "--token", "owner-token"}, system.models(1, int(i) + 2)); });
+        operators.emplace_back([&, i] {
+            outputs[i] = system.ctl({"apply", "-f", "-", "--token", "owner-token"}, system.models(1, int(i) + 2));
+        });
     for (std::thread &it : operators)
         it.join();
     int won = 0;
@@ -147,7 +150,8 @@
             if (!status.contains("members"))
                 return false;
             for (const Json &it : status["members"]) {
-                if (it.value("id", 0) == lost && it.value("voter", false) && Json{{"id", it["id"]}, {"incarnation", it["incarnation"]}}.dump() != before)
+                if (it.value("id", 0) == lost && it.value("voter", false)
+                    && Json{{"id", it["id"]}, {"incarnation", it["incarnation"]}}.dump() != before)
                     return status["members"].size() == 3;
             }
             return false;
