--- /dev/null
+++ b/src/bench.cpp
@@ -0,0 +1,301 @@
+// roserail-bench: what one unit of each kind of work costs the cores, over several sizes, and a signature of the
+// results that stays the same as long as behaviour does.
+
+#include "coordination/directory.h"
+#include "coordination/dispatcher.h"
+#include "coordination/placement.h"
+#include "coordination/raft.h"
+#include "state/machine.h"
+
+#include <array>
+#include <chrono>
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+#include <malloc.h>
+#include <xxhash.h>
+
+namespace
+{
+
+using namespace roserail;
+
+constexpr Bytes GiB = 1u << 30;
+
+// Cost of one unit of work at one size.
+struct Sample {
+    std::string work;
+    std::string size;
+    double microseconds = 0;
+    double bytes = 0; // sent, or held
+};
+
+uint64_t signature = 0;
+
+void sign(const std::string &text)
+{
+    signature = XXH64(text.data(), text.size(), signature);
+}
+
+template <typename Run>
+double microsecondsPer(size_t n, Run run)
+{
+    const std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
+    for (size_t i = 0; i < n; ++i)
+        run(i);
+    return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - began).count() / double(n);
+}
+
+size_t heapBytes()
+{
+    return mallinfo2().uordblks;
+}
+
+std::string documentText(size_t models, size_t adapters)
+{
+    std::string text = "pools: [{name: pool, endpointBytes: 64GiB}]\nmodels:\n";
+    for (size_t i = 0; i < models; ++i)
+        text += fmt::format("  - {{name: model-{}, version: v1, pool: pool, bytes: 8GiB, replicas: {{min: 0, max: 4}}, loadTime: 4s}}\n", i);
+    text += "adapters:\n";
+    for (size_t i = 0; i < adapters; ++i)
+        text += fmt::format("  - {{name: adapter-{}, version: v1, base: model-{}, bytes: 64MiB}}\n", i, i % models);
+    return text;
+}
+
+pb::Command changeCommand(const std::string &id, uint64_t base, const std::string &text)
+{
+    pb::Command command;
+    command.mutable_change_document()->set_change_id(id);
+    pb::SectionChange &section = *command.mutable_change_document()->add_sections();
+    section.set_name("all");
+    section.set_base_revision(base);
+    section.set_text(text);
+    return command;
+}
+
+pb::EndpointReport reportOf(size_t i, uint64_t sequence, uint32_t running, size_t artifacts)
+{
+    pb::EndpointReport report;
+    report.set_endpoint(fmt::format("engine-{}", i));
+    report.set_incarnation(1);
+    report.set_sequence(sequence);
+    report.set_address(fmt::format("10.0.{}.{}:8000", i / 250, i % 250));
+    report.set_host(fmt::format("host-{}", i));
+    report.set_zone("zone-a");
+    report.set_pool("pool");
+    report.set_host_bytes(64 * GiB);
+    report.set_endpoint_bytes(64 * GiB);
+    report.set_checks_fencing(true);
+    report.set_running(running);
+    report.set_capacity(16);
+    for (size_t k = 0; k < artifacts; ++k) {
+        pb::ArtifactReport &artifact = *report.add_artifacts();
+        artifact.set_artifact(fmt::format("model-{}", (i + k) % 130));
+        artifact.set_version("v1");
+        artifact.set_state(pb::ARTIFACT_LOADED);
+    }
+    return report;
+}
+
+// A leader's heartbeat: `runners` endpoints report through `routers` routers, each once a round.
+Sample heartbeats(size_t routers, size_t runners, bool changing)
+{
+    Machine machine;
+    machine.apply(changeCommand("c", 0, documentText(130, 0)));
+    Directory directory;
+    directory.reset(Time(Millis(1)));
+    uint64_t sent = 0;
+    uint64_t received = 0;
+    uint64_t sequence = 0;
+    std::vector<uint64_t> versions(routers, 0);
+    std::vector<uint64_t> routerVersions(routers, 0);
+    const auto round = [&](size_t n) {
+        ++sequence;
+        for (size_t i = 0; i < routers; ++i) {
+            pb::HeartbeatRequest request;
+            request.set_router(fmt::format("router-{}", i));
+            request.set_incarnation(1);
+            request.set_address(fmt::format("10.1.{}.{}:80", i / 250, i % 250));
+            request.set_applied_revision(1);
+            request.set_leader_term(1);
+            request.set_directory_version(versions[i]);
+            request.set_routers_version(routerVersions[i]);
+            for (size_t k = i; k < runners; k += routers)
+                *request.add_reports() = reportOf(k, sequence, changing && k % 10 == n % 10 ? 4 : 0, 3);
+            pb::HeartbeatReply reply;
+            reply.set_term(1);
+            directory.heartbeat(request, machine, Time(Millis(1000 + int64_t(n))), reply);
+            versions[i] = reply.directory_version();
+            routerVersions[i] = reply.routers_version();
+            sent += reply.ByteSizeLong();
+            received += request.ByteSizeLong();
+        }
+    };
+    round(0);
+    round(1);
+    sent = 0;
+    received = 0;
+    constexpr size_t Rounds = 20;
+    const double perRound = microsecondsPer(Rounds, [&](size_t i) { round(i + 2); });
+    sign(fmt::format("{} {}", sent, directory.endpoints().size()));
+    return Sample{changing ? "heartbeat, a tenth of runners change load" : "heartbeat, nothing changes", fmt::format("{} routers, {} runners", routers, runners),
+                  perRound / double(routers), double(sent + received) / double(Rounds * routers)};
+}
+
+Sample claims(size_t n)
+{
+    Machine machine;
+    const size_t before = heapBytes();
+    const double each = microsecondsPer(n, [&](size_t i) {
+        pb::Command command;
+        command.set_wall_ms(1000);
+        pb::StartClaim &start = *command.mutable_start_claim();
+        start.set_caller("helpline");
+        start.set_key(fmt::format("1796300000-{:020}", i));
+        start.set_key_time_ms(1000);
+        start.set_attempt(fmt::format("{:032x}", i));
+        start.set_router("router-1");
+        machine.apply(command);
+        pb::Command finish;
+        finish.set_wall_ms(1000);
+        pb::FinishClaim &body = *finish.mutable_finish_claim();
+        body.set_caller("helpline");
+        body.set_key(start.key());
+        body.set_attempt(start.attempt());
+        body.set_outcome(pb::CLAIM_COMPLETED);
+        body.mutable_answer()->set_body(std::string(200, 'a'));
+        machine.apply(finish);
+    });
+    const size_t held = heapBytes() - before;
+    sign(machine.save().SerializeAsString());
+    return Sample{"claim: start and finish, 200 bytes of answer", fmt::format("{} claims", n), each, double(held) / double(n)};
+}
+
+Sample snapshots(size_t n)
+{
+    Machine machine;
+    for (size_t i = 0; i < n; ++i) {
+        pb::Command command;
+        command.set_wall_ms(1000);
+        command.mutable_start_claim()->set_caller("helpline");
+        command.mutable_start_claim()->set_key(fmt::format("1796300000-{:020}", i));
+        command.mutable_start_claim()->set_key_time_ms(1000);
+        command.mutable_start_claim()->set_attempt(fmt::format("{:032x}", i));
+        machine.apply(command);
+    }
+    std::string bytes;
+    const double each = microsecondsPer(3, [&](size_t) { bytes = machine.save().SerializeAsString(); });
+    return Sample{"snapshot: encode", fmt::format("{} claims", n), each, double(bytes.size())};
+}
+
+Sample documents(size_t models, size_t adapters)
+{
+    const std::string text = documentText(models, adapters);
+    const size_t before = heapBytes();
+    std::vector<Document> held;
+    const double each = microsecondsPer(3, [&](size_t) {
+        Result<SectionContent> content = parseSection("all", text);
+        held.push_back(mergeSections({content.value()}).value());
+    });
+    const size_t bytes = (heapBytes() - before) / 3;
+    sign(fmt::format("{}", held[0].artifacts.size()));
+    return Sample{fmt::format("document: parse ({} bytes of text)", text.size()), fmt::format("{} models, {} adapters", models, adapters), each, double(bytes)};
+}
+
+Sample placement(size_t runners, size_t demands)
+{
+    Machine machine;
+    machine.apply(changeCommand("c", 0, documentText(130, 4700)));
+    Directory directory;
+    directory.reset(Time(Millis(1)));
+    pb::HeartbeatRequest request;
+    request.set_router("router-1");
+    for (size_t i = 0; i < runners; ++i)
+        *request.add_reports() = reportOf(i, 1, 0, 3);
+    pb::HeartbeatReply reply;
+    directory.heartbeat(request, machine, Time(Millis(1000)), reply);
+    for (const pb::Command &it : directory.registrations(machine.ledger()))
+        machine.apply(it);
+    Placement placement;
+    placement.reset(Time(Millis(1)));
+    for (size_t i = 0; i < demands; ++i) {
+        pb::Demand &demand = *request.add_demands();
+        demand.set_artifact(fmt::format("model-{}", i % 130));
+        demand.set_waiting(1);
+        demand.set_wait_ms(5000);
+        demand.set_interactive(true);
+    }
+    placement.takeDemand(RouterId("router-1"), request.demands(), Time(Millis(1000)));
+    for (const pb::Command &it : placement.decide(machine, directory, Time(Millis(3000))))
+        machine.apply(it);
+    size_t commands = 0;
+    const double each = microsecondsPer(5, [&](size_t) { commands += placement.decide(machine, directory, Time(Millis(3001))).size(); });
+    sign(fmt::format("{}", commands));
+    return Sample{"placement: one round of the leader", fmt::format("{} runners, {} models asked for", runners, demands), each, 0};
+}
+
+Sample dispatch(size_t queued)
+{
+    Dispatcher dispatcher("pool");
+    dispatcher.setLease(Time(Millis(1 << 30)));
+    uint64_t ticket = 0;
+    size_t granted = 0;
+    pb::DirectoryEntry entry;
+    entry.set_endpoint("engine-1");
+    entry.set_incarnation(1);
+    entry.set_capacity(1);
+    entry.add_artifacts()->set_artifact("m");
+    const auto request = [&] {
+        Waiting waiting;
+        waiting.ticket = TicketId(++ticket);
+        waiting.caller = CallerId(fmt::format("caller-{}", ticket % 8));
+        waiting.target = "m";
+        waiting.deadline = Time(Millis(100000 + int64_t(ticket * 7919 % 1000)));
+        return waiting;
+    };
+    for (size_t i = 0; i < queued; ++i)
+        (void)dispatcher.admit(request(), Time(Millis(1)));
+    dispatcher.setEndpoint(entry);
+    std::map<TicketId, Waiting> waitings;
+    const double each = microsecondsPer(200, [&](size_t) {
+        const Waiting next = request();
+        (void)dispatcher.admit(next, Time(Millis(1)));
+        for (const Grant &it : dispatcher.decide(Time(Millis(1))).grants) {
+            ++granted;
+            Waiting done = next;
+            done.caller = CallerId(fmt::format("caller-{}", it.ticket.value() % 8));
+            dispatcher.finish(it, done, AttemptEnd::Completed, Millis(0), Time(Millis(1)));
+        }
+    });
+    sign(fmt::format("{}", granted));
+    return Sample{"request: admit, grant, finish", fmt::format("{} requests queued", queued), each, 0};
+}
+
+void print(const Sample &it)
+{
+    std::cout << fmt::format("{:46} {:36} {:12.2f} {:14.0f}\n", it.work, it.size, it.microseconds, it.bytes);
+}
+
+} // namespace
+
+int main()
+{
+    std::cout << fmt::format("{:46} {:36} {:>12} {:>14}\n", "work", "size", "us each", "bytes each");
+    for (const size_t routers : {10, 100, 390})
+        print(heartbeats(routers, routers * 600 / 390, false));
+    for (const size_t routers : {10, 100, 390})
+        print(heartbeats(routers, routers * 600 / 390, true));
+    for (const size_t n : {10000, 30000, 100000})
+        print(claims(n));
+    for (const size_t n : {10000, 30000, 100000})
+        print(snapshots(n));
+    print(documents(65, 75));
+    print(documents(130, 1000));
+    print(documents(130, 4700));
+    for (const size_t runners : {15, 150, 600})
+        print(placement(runners, runners / 5));
+    for (const size_t queued : {0, 50, 400})
+        print(dispatch(queued));
+    std::cout << fmt::format("signature {:016x}\n", signature);
+    return 0;
+}
--- a/src/coordination/keepwarm.cpp
+++ b/src/coordination/keepwarm.cpp
@@ -73,6 +73,10 @@
     const auto it = m_history.find(artifact.id);
     if (it == m_history.end())
         return Time{};
+    if (policy.idleRule == IdleRule::Fixed)
+        return it->second.lastUse + policy.idleMax;
+    if (policy.idleRule == IdleRule::LeastRecentlyUsed)
+        return Time::max();
     const double coldCost = policy.coldStartWeight * KeepSecondsPerLoadSecond * double(artifact.loadTime.count()) / 1000.0;
     return it->second.lastUse + bestKeepTime(it->second.pauses, policy.idleHourWeight, coldCost, policy.idleMax);
 }
--- a/src/state/document.cpp
+++ b/src/state/document.cpp
@@ -108,12 +108,16 @@
 
 Policy readPolicy(const YAML::Node &node)
 {
-    checkKeys(node, "policy", {"coldStartWeight", "idleHourWeight", "storeLoadsPerSecond", "idleMax"});
+    checkKeys(node, "policy", {"coldStartWeight", "idleHourWeight", "storeLoadsPerSecond", "idleMax", "idleRule"});
     Policy policy;
     policy.coldStartWeight = readWeight(node, "coldStartWeight", policy.coldStartWeight);
     policy.idleHourWeight = readWeight(node, "idleHourWeight", policy.idleHourWeight);
     policy.storeLoadsPerSecond = readWeight(node, "storeLoadsPerSecond", policy.storeLoadsPerSecond);
     policy.idleMax = readDuration(node, "idleMax", policy.idleMax);
+    const std::string rule = readValue<std::string>(node, "idleRule", "adaptive", "adaptive, fixed or lru");
+    if (rule != "adaptive" && rule != "fixed" && rule != "lru")
+        fail(node["idleRule"], "'idleRule' must be adaptive, fixed or lru");
+    policy.idleRule = rule == "fixed" ? IdleRule::Fixed : (rule == "lru" ? IdleRule::LeastRecentlyUsed : IdleRule::Adaptive);
     return policy;
 }
 
--- a/src/state/document.h
+++ b/src/state/document.h
@@ -68,12 +68,16 @@
     bool mayChange(const std::string &section) const;
 };
 
+// When an idle replica is unloaded: by its past pauses, after `idleMax`, or only when memory is needed.
+enum class IdleRule { Adaptive, Fixed, LeastRecentlyUsed };
+
 // How cold starts and idle hardware are weighed against each other.
 struct Policy {
     double coldStartWeight = 1;
     double idleHourWeight = 1;
     double storeLoadsPerSecond = 4;
     Millis idleMax = std::chrono::minutes(30); // an idle replica is unloaded after this at the latest
+    IdleRule idleRule = IdleRule::Adaptive;
 };
 
 // One section as read, before references between sections are checked.
