--- a/src/bench.cpp
+++ b/src/bench.cpp
@@ -55,7 +55,8 @@
 {
     std::string text = "pools: [{name: pool, endpointBytes: 64GiB}]\nmodels:\n";
     for (size_t i = 0; i < models; ++i)
-        text += fmt::format("  - {{name: model-{}, version: v1, pool: pool, bytes: 8GiB, replicas: {{min: 0, max: 4}}, loadTime: 4s}}\n", i);
+        text
+            += fmt::format("  - {{name: model-{}, version: v1, pool: pool, bytes: 8GiB, replicas: {{min: 0, max: 4}}, loadTime: 4s}}\n", i);
     text += "adapters:\n";
     for (size_t i = 0; i < adapters; ++i)
         text += fmt::format("  - {{name: adapter-{}, version: v1, base: model-{}, bytes: 64MiB}}\n", i, i % models);
@@ -138,8 +139,9 @@
     constexpr size_t Rounds = 20;
     const double perRound = microsecondsPer(Rounds, [&](size_t i) { round(i + 2); });
     sign(fmt::format("{} {}", sent, directory.endpoints().size()));
-    return Sample{changing ? "heartbeat, a tenth of runners change load" : "heartbeat, nothing changes", fmt::format("{} routers, {} runners", routers, runners),
-                  perRound / double(routers), double(sent + received) / double(Rounds * routers)};
+    return Sample{changing ? "heartbeat, a tenth of runners change load" : "heartbeat, nothing changes",
+                  fmt::format("{} routers, {} runners", routers, runners), perRound / double(routers),
+                  double(sent + received) / double(Rounds * routers)};
 }
 
 Sample claims(size_t n)
@@ -199,7 +201,8 @@
     });
     const size_t bytes = (heapBytes() - before) / 3;
     sign(fmt::format("{}", held[0].artifacts.size()));
-    return Sample{fmt::format("document: parse ({} bytes of text)", text.size()), fmt::format("{} models, {} adapters", models, adapters), each, double(bytes)};
+    return Sample{fmt::format("document: parse ({} bytes of text)", text.size()), fmt::format("{} models, {} adapters", models, adapters),
+                  each, double(bytes)};
 }
 
 Sample placement(size_t runners, size_t demands)
--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -56,8 +56,10 @@
 {
     if (view.version != 0 && entry.SerializeAsString() == view.visible.SerializeAsString())
         return;
+    m_byVersion.erase(view.version);
     view.visible = std::move(entry);
     view.version = ++m_version;
+    m_byVersion[view.version] = EndpointId(view.visible.endpoint());
 }
 
 void Directory::takeReport(const pb::EndpointReport &report, const Ledger &ledger, Time now)
@@ -101,10 +103,10 @@
     const bool known = request.leader_term() == reply.term() && request.directory_version() != 0;
     reply.set_directory_full(!known);
     reply.set_directory_version(m_version);
-    for (const std::pair<const EndpointId, EndpointView> &it : m_endpoints) {
-        const bool changed = it.second.version > request.directory_version();
-        if ((known && changed) || (!known && !it.second.visible.gone()))
-            *reply.add_endpoints() = it.second.visible;
+    for (auto it = m_byVersion.upper_bound(known ? request.directory_version() : 0); it != m_byVersion.end(); ++it) {
+        const pb::DirectoryEntry &entry = m_endpoints.at(it->second).visible;
+        if (known || !entry.gone())
+            *reply.add_endpoints() = entry;
     }
     reply.set_routers_version(m_routersVersion);
     if (known && request.routers_version() == m_routersVersion)
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -68,6 +68,7 @@
     uint64_t m_version = 1;
     uint64_t m_routersVersion = 1;
     std::map<EndpointId, EndpointView> m_endpoints;
+    std::map<uint64_t, EndpointId> m_byVersion; // of the last visible change
     std::map<RouterId, RouterView> m_routers;
 };
 
--- a/src/state/ledger.cpp
+++ b/src/state/ledger.cpp
@@ -71,11 +71,14 @@
 
 const Slot *Ledger::slotOf(const EndpointId &endpoint, const ArtifactId &artifact) const
 {
-    for (const std::pair<const SlotId, Slot> &it : m_slots) {
-        if (it.second.endpoint == endpoint && it.second.artifact == artifact)
-            return &it.second;
-    }
-    return nullptr;
+    const auto it = m_byPlace.find(Place{endpoint, artifact});
+    return it == m_byPlace.end() ? nullptr : slot(it->second);
+}
+
+bool Ledger::hasAdapters(const EndpointId &endpoint, const ArtifactId &model) const
+{
+    const auto it = m_adaptersOn.find(Place{endpoint, model});
+    return it != m_adaptersOn.end() && it->second > 0;
 }
 
 const EndpointRecord *Ledger::endpoint(const EndpointId &id) const
@@ -86,8 +89,8 @@
 
 uint32_t Ledger::replicas(const ArtifactId &artifact) const
 {
-    return uint32_t(std::count_if(m_slots.begin(), m_slots.end(),
-                                  [&](const std::pair<const SlotId, Slot> &it) { return it.second.artifact == artifact; }));
+    const auto it = m_replicas.find(artifact);
+    return it == m_replicas.end() ? 0 : it->second;
 }
 
 Bytes Ledger::usedOnHost(const HostId &host) const
@@ -102,18 +105,40 @@
 
 Bytes Ledger::hostBytes(const HostId &host) const
 {
+    const auto it = m_onHost.find(host);
+    if (it == m_onHost.end())
+        return 0;
     Bytes bytes = UINT64_MAX;
-    for (const std::pair<const EndpointId, EndpointRecord> &it : m_endpoints) {
-        if (it.second.host == host)
-            bytes = std::min(bytes, it.second.hostBytes);
-    }
-    return bytes == UINT64_MAX ? 0 : bytes;
+    for (const EndpointId &endpoint : it->second)
+        bytes = std::min(bytes, m_endpoints.at(endpoint).hostBytes);
+    return bytes;
+}
+
+void Ledger::addEndpoint(const EndpointRecord &record)
+{
+    const auto known = m_endpoints.find(record.id);
+    if (known != m_endpoints.end())
+        removeFromHost(known->second);
+    m_endpoints[record.id] = record;
+    m_onHost[record.host].insert(record.id);
+}
+
+void Ledger::removeFromHost(const EndpointRecord &record)
+{
+    const auto it = m_onHost.find(record.host);
+    it->second.erase(record.id);
+    if (it->second.empty())
+        m_onHost.erase(it);
 }
 
 void Ledger::add(const Slot &slot)
 {
     m_usedOnHost[slot.host] += slot.bytes;
     m_usedOnEndpoint[slot.endpoint] += slot.bytes;
+    m_byPlace[Place{slot.endpoint, slot.artifact}] = slot.id;
+    ++m_replicas[slot.artifact];
+    if (!slot.base.value().empty())
+        ++m_adaptersOn[Place{slot.endpoint, slot.base}];
     m_slots[slot.id] = slot;
 }
 
@@ -124,6 +149,12 @@
     invariant(m_usedOnHost[it->second.host] >= it->second.bytes, "a host's reservations never go below zero");
     m_usedOnHost[it->second.host] -= it->second.bytes;
     m_usedOnEndpoint[it->second.endpoint] -= it->second.bytes;
+    m_byPlace.erase(Place{it->second.endpoint, it->second.artifact});
+    if (--m_replicas[it->second.artifact] == 0)
+        m_replicas.erase(it->second.artifact);
+    const Place base{it->second.endpoint, it->second.base};
+    if (!it->second.base.value().empty() && --m_adaptersOn[base] == 0)
+        m_adaptersOn.erase(base);
     m_slots.erase(it);
 }
 
@@ -153,14 +184,17 @@
         if (it.second.endpoint == record.id)
             carryOver(it.second, record.incarnation);
     }
-    m_endpoints[record.id] = record;
+    addEndpoint(record);
     return {};
 }
 
 LedgerResult Ledger::forgetEndpoint(const EndpointId &id)
 {
-    if (m_endpoints.erase(id) == 0)
+    const EndpointRecord *record = endpoint(id);
+    if (record == nullptr)
         return refuse(pb::VERDICT_STALE, fmt::format("no endpoint '{}' is registered; see 'roserailctl status'", id.value()));
+    removeFromHost(*record);
+    m_endpoints.erase(id);
     endSlots(id, true);
     return {};
 }
@@ -234,10 +268,7 @@
     if (it == m_slots.end())
         return refuse(pb::VERDICT_STALE, "the slot has been released");
     Slot &slot = it->second;
-    const bool hasAdapters = std::any_of(m_slots.begin(), m_slots.end(), [&](const std::pair<const SlotId, Slot> &other) {
-        return other.second.endpoint == slot.endpoint && other.second.base == slot.artifact;
-    });
-    if (kind == OrderKind::Unload && hasAdapters)
+    if (kind == OrderKind::Unload && hasAdapters(slot.endpoint, slot.artifact))
         return refuse(pb::VERDICT_MAY_ARRIVE, "adapters of the model have slots on the endpoint");
     slot.lastOrder = kind;
     slot.lastFence = Fence(m_nextFence++);
--- a/src/state/machine.cpp
+++ b/src/state/machine.cpp
@@ -39,35 +39,27 @@
     return XXH64(bytes.data(), bytes.size(), 0);
 }
 
-// Parses every section that is not in `replaced`, and joins them with the new contents.
-Result<Document> merged(const std::map<std::string, pb::Section> &sections, const std::map<std::string, SectionContent> &replaced,
-                        const std::set<std::string> &removed)
+// Joins the sections in force, as changed.
+Result<Document> merged(const std::map<std::string, SectionContent> &sections)
 {
     std::vector<SectionContent> contents;
-    for (const std::pair<const std::string, pb::Section> &it : sections) {
-        if (replaced.count(it.first) != 0 || removed.count(it.first) != 0)
-            continue;
-        BOOST_OUTCOME_TRY(content, parseSection(it.first, it.second.text()));
-        contents.push_back(std::move(content));
-    }
-    for (const std::pair<const std::string, SectionContent> &it : replaced)
+    for (const std::pair<const std::string, SectionContent> &it : sections)
         contents.push_back(it.second);
     return mergeSections(contents);
 }
 
 } // namespace
 
-Result<Document> checkChange(const std::map<std::string, pb::Section> &sections, const std::vector<FileSection> &change)
+Result<Document> checkChange(const std::map<std::string, SectionContent> &sections, const std::vector<FileSection> &change)
 {
-    std::map<std::string, SectionContent> replaced;
-    std::set<std::string> removed;
+    std::map<std::string, SectionContent> contents = sections;
     for (const FileSection &it : change) {
         if (it.remove)
-            removed.insert(it.name);
+            contents.erase(it.name);
         else
-            replaced[it.name] = it.content;
+            contents[it.name] = it.content;
     }
-    return merged(sections, replaced, removed);
+    return merged(contents);
 }
 
 pb::CommandResult Machine::apply(const pb::Command &command)
@@ -105,8 +97,7 @@
                           fmt::format("change id '{}' was used for another change; use a new one", change.change_id()));
         return seen->second.result();
     }
-    std::map<std::string, SectionContent> replaced;
-    std::set<std::string> removed;
+    std::map<std::string, SectionContent> contents = m_contents;
     for (const pb::SectionChange &it : change.sections()) {
         const auto current = m_sections.find(it.name());
         const uint64_t revision = current == m_sections.end() ? 0 : current->second.revision();
@@ -119,15 +110,15 @@
                             it.name(), revision, it.base_revision(), winner, id));
         }
         if (it.remove()) {
-            removed.insert(it.name());
+            contents.erase(it.name());
             continue;
         }
         Result<SectionContent> content = parseSection(it.name(), it.text());
         if (content.has_error())
             return refuse(pb::VERDICT_INVALID, content.error().message);
-        replaced[it.name()] = std::move(content.value());
+        contents[it.name()] = std::move(content.value());
     }
-    Result<Document> document = merged(m_sections, replaced, removed);
+    Result<Document> document = merged(contents);
     if (document.has_error())
         return refuse(pb::VERDICT_INVALID, document.error().message);
     const uint64_t before = m_revision;
@@ -144,6 +135,7 @@
         section.set_changed_by(change.operator_name());
         section.set_change_id(change.change_id());
     }
+    m_contents = std::move(contents);
     m_document = std::move(document.value());
     invariant(m_revision > before, "a configuration's revision never goes back");
     pb::CommandResult result;
@@ -244,14 +236,13 @@
     *this = Machine();
     m_clock = WallTime(Millis(int64_t(state.clock_ms())));
     m_revision = state.revision();
-    std::vector<SectionContent> contents;
     for (const pb::Section &it : state.sections()) {
         m_sections[it.name()] = it;
         Result<SectionContent> content = parseSection(it.name(), it.text());
         invariant(content.has_value(), "a stored section parses");
-        contents.push_back(std::move(content.value()));
+        m_contents[it.name()] = std::move(content.value());
     }
-    Result<Document> document = mergeSections(contents);
+    Result<Document> document = merged(m_contents);
     invariant(document.has_value(), "the stored document is valid");
     m_document = std::move(document.value());
     for (const pb::ChangeRecord &it : state.changes()) {
--- a/src/state/machine.h
+++ b/src/state/machine.h
@@ -31,6 +31,10 @@
     {
         return m_sections;
     }
+    const std::map<std::string, SectionContent> &contents() const
+    {
+        return m_contents;
+    }
     const Ledger &ledger() const
     {
         return m_ledger;
@@ -65,6 +69,7 @@
     WallTime m_clock{};
     uint64_t m_revision = 0;
     std::map<std::string, pb::Section> m_sections;
+    std::map<std::string, SectionContent> m_contents; // parsed, by section
     Document m_document;
     std::map<std::string, pb::ChangeRecord> m_changes; // by change id
     std::deque<std::string> m_changeOrder; // oldest first
@@ -74,6 +79,6 @@
 };
 
 // Checks a change against the sections in force. Returns the document it would lead to.
-Result<Document> checkChange(const std::map<std::string, pb::Section> &sections, const std::vector<FileSection> &change);
+Result<Document> checkChange(const std::map<std::string, SectionContent> &sections, const std::vector<FileSection> &change);
 
 } // namespace roserail
--- a/src/transport/operatorapi.cpp
+++ b/src/transport/operatorapi.cpp
@@ -228,7 +228,7 @@
             return Error{ErrorKind::Forbidden,
                          fmt::format("operator '{}' may not change section '{}'; ask its owner; nothing was changed", who.name, it.name)};
     }
-    const Result<Document> document = m_node.withMachine([&](const Machine &machine) { return checkChange(machine.sections(), sections); });
+    const Result<Document> document = m_node.withMachine([&](const Machine &machine) { return checkChange(machine.contents(), sections); });
     if (document.has_error())
         return document.error();
     pb::Command command;
--- a/src/transport/router.cpp
+++ b/src/transport/router.cpp
@@ -235,19 +235,19 @@
 {
     if (reply.revision() <= m_configuration->revision.value())
         return;
-    for (const pb::Section &it : reply.sections())
-        m_sections[it.name()] = it;
-    const std::set<std::string> names(reply.section_names().begin(), reply.section_names().end());
-    std::erase_if(m_sections, [&](const std::pair<const std::string, pb::Section> &it) { return names.count(it.first) == 0; });
-    std::vector<SectionContent> contents;
-    for (const std::pair<const std::string, pb::Section> &it : m_sections) {
-        Result<SectionContent> content = parseSection(it.first, it.second.text());
+    for (const pb::Section &it : reply.sections()) {
+        Result<SectionContent> content = parseSection(it.name(), it.text());
         if (content.has_error()) {
             logEvent("configuration_error", {{"error", content.error().message}});
             return;
         }
-        contents.push_back(std::move(content.value()));
+        m_sections[it.name()] = std::move(content.value());
     }
+    const std::set<std::string> names(reply.section_names().begin(), reply.section_names().end());
+    std::erase_if(m_sections, [&](const std::pair<const std::string, SectionContent> &it) { return names.count(it.first) == 0; });
+    std::vector<SectionContent> contents;
+    for (const std::pair<const std::string, SectionContent> &it : m_sections)
+        contents.push_back(it.second);
     Result<Document> document = mergeSections(contents);
     if (document.has_error()) {
         logEvent("configuration_error", {{"error", document.error().message}});
--- a/src/transport/router.h
+++ b/src/transport/router.h
@@ -101,7 +101,7 @@
 
     mutable std::mutex m_stateMutex; // guards what follows, up to the next mutex
     std::shared_ptr<const Configuration> m_configuration;
-    std::map<std::string, pb::Section> m_sections;
+    std::map<std::string, SectionContent> m_sections; // parsed
     std::map<EndpointId, pb::DirectoryEntry> m_directory;
     std::vector<pb::RouterAddress> m_routers;
     std::unordered_set<uint64_t> m_quarantined;
