--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -70,6 +70,13 @@
 
 } // namespace
 
+// An endpoint that can take loads, with the memory that is left.
+struct Candidate {
+    const pb::EndpointReport *report = nullptr;
+    Bytes freeOnEndpoint = 0;
+    Bytes *freeOnHost = nullptr; // shared by the host's endpoints
+};
+
 // What one call of `decide` has seen and chosen so far.
 struct Placement::Round {
     const Machine &machine;
@@ -83,8 +90,8 @@
     size_t adapterLoads = 0;
     std::set<std::string> poolsFreeing{}; // pools in which an unload is under way
     size_t modelsQueued = 0; // loads wanted that have to wait for the store
-    std::map<HostId, Bytes> reservedOnHost{}; // by commands of this round
-    std::map<EndpointId, Bytes> reservedOnEndpoint{};
+    std::map<HostId, Bytes> freeOnHost{};
+    std::map<std::string, std::vector<Candidate>> candidates{}; // by pool
     std::set<SlotId> unloading{}; // by commands of this round
     std::map<ArtifactId, uint32_t> loads{}; // slots to be loaded or loaded, commands of this round included
     std::map<ArtifactId, Time> readyAt{}; // earliest
@@ -176,6 +183,7 @@
     m_estimates.clear();
     for (const std::pair<const SlotId, Slot> &it : round.ledger.slots())
         reviewSlot(round, it.second);
+    collectCandidates(round);
     // Interactive requests first, then by deadline.
     std::vector<Want> order;
     for (const std::pair<const ArtifactId, Want> &it : round.wants)
@@ -187,6 +195,25 @@
     return std::move(round.commands);
 }
 
+// Lists once per round the endpoints that can take loads.
+void Placement::collectCandidates(Round &round) const
+{
+    for (const std::pair<const EndpointId, EndpointView> &it : round.directory.endpoints()) {
+        const pb::EndpointReport *report = round.directory.report(it.first, it.second.report.incarnation());
+        const EndpointRecord *record = round.ledger.endpoint(it.first);
+        const bool usable = report != nullptr && record != nullptr && record->incarnation == report->incarnation() && !report->leaving()
+            && !report->service();
+        if (!usable)
+            continue;
+        const Bytes hostBytes = round.ledger.hostBytes(record->host);
+        const Bytes onHost = round.ledger.usedOnHost(record->host);
+        Bytes &freeOnHost = round.freeOnHost.emplace(record->host, hostBytes > onHost ? hostBytes - onHost : 0).first->second;
+        const Bytes onEndpoint = round.ledger.usedOnEndpoint(it.first);
+        const Bytes freeOnEndpoint = record->endpointBytes > onEndpoint ? record->endpointBytes - onEndpoint : 0;
+        round.candidates[report->pool()].push_back(Candidate{report, freeOnEndpoint, &freeOnHost});
+    }
+}
+
 // Follows up one slot: lost orders, failed loads, finished unloads, replicas that are no longer wanted.
 void Placement::reviewSlot(Round &round, const Slot &slot)
 {
@@ -332,35 +359,25 @@
 {
     const bool storeBusy = round.modelLoads >= StoreLoadsInFlight || m_storeTokens < 1;
     const bool adaptersBusy = round.adapterLoads >= AdapterLoadsInFlight;
-    const pb::EndpointReport *best = nullptr;
+    Candidate *best = nullptr;
     double bestFactor = 0;
-    Bytes bestFree = 0;
-    for (const std::pair<const EndpointId, EndpointView> &it : round.directory.endpoints()) {
-        const pb::EndpointReport *report = round.directory.report(it.first, it.second.report.incarnation());
-        const EndpointRecord *record = round.ledger.endpoint(it.first);
-        const bool usable = report != nullptr && record != nullptr && record->incarnation == report->incarnation() && !report->leaving()
-            && !report->service() && report->pool() == artifact.pool;
-        if (!usable || round.ledger.slotOf(it.first, artifact.id) != nullptr)
+    for (Candidate &it : round.candidates[artifact.pool]) {
+        const EndpointId endpoint(it.report->endpoint());
+        const bool fits = artifact.bytes <= it.freeOnEndpoint && artifact.bytes <= *it.freeOnHost;
+        if (!fits || round.ledger.slotOf(endpoint, artifact.id) != nullptr)
             continue;
         if (artifact.isAdapter()) {
-            const Slot *base = round.ledger.slotOf(it.first, artifact.base);
-            if (base == nullptr || base->lastOrder != OrderKind::Load || stateIn(*report, *base) != pb::ARTIFACT_LOADED)
+            const Slot *base = round.ledger.slotOf(endpoint, artifact.base);
+            if (base == nullptr || base->lastOrder != OrderKind::Load || stateIn(*it.report, *base) != pb::ARTIFACT_LOADED)
                 continue;
         }
-        const Bytes onEndpoint = round.ledger.usedOnEndpoint(it.first) + round.reservedOnEndpoint[it.first];
-        const Bytes onHost = round.ledger.usedOnHost(record->host) + round.reservedOnHost[record->host];
-        const Bytes hostBytes = round.ledger.hostBytes(record->host);
-        if (onEndpoint + artifact.bytes > record->endpointBytes || onHost + artifact.bytes > hostBytes)
-            continue;
-        const double factor = tierFactor(*report, artifact.id);
+        const double factor = tierFactor(*it.report, artifact.id);
         const bool fromStore = factor >= 1 && !artifact.isAdapter();
         if ((fromStore && storeBusy) || (artifact.isAdapter() && adaptersBusy))
             continue;
-        const Bytes left = record->endpointBytes - onEndpoint;
-        if (best == nullptr || factor < bestFactor || (factor == bestFactor && left > bestFree)) {
-            best = report;
+        if (best == nullptr || factor < bestFactor || (factor == bestFactor && it.freeOnEndpoint > best->freeOnEndpoint)) {
+            best = &it;
             bestFactor = factor;
-            bestFree = left;
         }
     }
     if (best == nullptr) {
@@ -368,9 +385,9 @@
         round.modelsQueued += waitsForStore ? 1 : 0;
         return waitsForStore ? false : makeRoom(round, artifact);
     }
-    round.commands.push_back(reserveCommand(*best, artifact));
-    round.reservedOnEndpoint[EndpointId(best->endpoint())] += artifact.bytes;
-    round.reservedOnHost[HostId(best->host())] += artifact.bytes;
+    round.commands.push_back(reserveCommand(*best->report, artifact));
+    best->freeOnEndpoint -= artifact.bytes;
+    *best->freeOnHost -= artifact.bytes;
     ++round.loads[artifact.id];
     if (artifact.isAdapter()) {
         ++round.adapterLoads;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -44,6 +44,7 @@
 
     std::map<ArtifactId, Want> collectDemand(Time now);
     void addMinimums(const Document &document, std::map<ArtifactId, Want> &wants) const;
+    void collectCandidates(Round &round) const;
     void reviewSlot(Round &round, const Slot &slot);
     void reviewLoad(Round &round, const Slot &slot, const pb::EndpointReport &report, pb::ArtifactState state);
     void reviewUnload(Round &round, const Slot &slot, const pb::EndpointReport &report, pb::ArtifactState state);
--- /dev/null
+++ b/tests/measure.cpp
@@ -0,0 +1,152 @@
+// Measures a running system: latency through a router, committed starts, fail-over, time until a change is in force.
+// Not a test: it has no bounds, and prints what it saw.
+
+#include "protocol/metrics.h"
+#include "system.h"
+
+#include <atomic>
+#include <csignal>
+#include <fmt/format.h>
+#include <iostream>
+#include <thread>
+
+using namespace roserail;
+using namespace roserail::test;
+using Clock = std::chrono::steady_clock;
+
+namespace
+{
+
+constexpr int BasePort = 23000;
+
+uint64_t microsecondsSince(Clock::time_point began)
+{
+    return uint64_t(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - began).count());
+}
+
+void print(const std::string &what, const Histogram &histogram)
+{
+    std::cout << fmt::format("{:58} n={:<6} p50={:.2f} ms p99={:.2f} ms\n", what, histogram.count(), double(histogram.quantile(0.5)) / 1000,
+                             double(histogram.quantile(0.99)) / 1000);
+}
+
+// Time to the first event and to the end of a stream, asked of a router or of the engine itself.
+void streams(const std::string &what, int port, const httplib::Headers &headers)
+{
+    Histogram first;
+    Histogram whole;
+    for (int i = 0; i < 300; ++i) {
+        httplib::Client client("127.0.0.1", port);
+        httplib::Request request;
+        request.method = "POST";
+        request.path = "/v1/chat/completions";
+        request.headers = headers;
+        request.headers.emplace("X-Request-Id", fmt::format("{:032x}", i));
+        request.body = R"({"model":"small","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]})";
+        const Clock::time_point began = Clock::now();
+        bool seen = false;
+        request.content_receiver = [&](const char *, size_t, uint64_t, uint64_t) {
+            if (!seen)
+                first.record(microsecondsSince(began));
+            seen = true;
+            return true;
+        };
+        const httplib::Result result = client.send(request);
+        if (result && result->status == 200)
+            whole.record(microsecondsSince(began));
+    }
+    print(what + ": first token", first);
+    print(what + ": whole answer", whole);
+}
+
+// Non-idempotent requests from several callers at once.
+void starts(System &system, int callers)
+{
+    Histogram latency;
+    std::atomic<int> next{0};
+    const Clock::time_point began = Clock::now();
+    std::vector<std::thread> threads;
+    const uint64_t syncs = system.status(system.leader()).value("syncs", uint64_t(0));
+    for (int i = 0; i < callers; ++i) {
+        threads.emplace_back([&, i] {
+            while (Clock::now() < began + std::chrono::seconds(3)) {
+                const Clock::time_point sent = Clock::now();
+                const Received received = system.act(i % 2 + 1, freshKey(fmt::format("m{}-{}", callers, ++next)), "x");
+                if (received.status == 200)
+                    latency.record(microsecondsSince(sent));
+            }
+        });
+    }
+    for (std::thread &it : threads)
+        it.join();
+    const double seconds = double(microsecondsSince(began)) / 1e6;
+    const uint64_t synced = system.status(system.leader()).value("syncs", uint64_t(0)) - syncs;
+    print(fmt::format("non-idempotent requests, {} callers", callers), latency);
+    std::cout << fmt::format("    {:.0f} requests/s, each with 2 commits; {:.2f} syncs of the leader's log per request\n",
+                             double(latency.count()) / seconds, double(synced) / double(std::max<uint64_t>(1, latency.count())));
+}
+
+void failOver(System &system, int number, const std::string &name)
+{
+    Histogram times;
+    for (int i = 0; i < 6; ++i) {
+        const int old = system.waitForLeader();
+        const std::string process = fmt::format("control-{}", old);
+        const Clock::time_point began = Clock::now();
+        if (number == SIGKILL)
+            system.kill(process);
+        else
+            system.signal(process, number);
+        eventually([&] {
+            for (const int id : {1, 2, 3}) {
+                if (id != old && system.status(id).value("leads", false))
+                    return true;
+            }
+            return false;
+        });
+        times.record(microsecondsSince(began));
+        if (number == SIGKILL)
+            system.startControl(old);
+        else
+            system.signal(process, SIGCONT);
+        std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    }
+    print("a new leader after " + name, times);
+}
+
+} // namespace
+
+int main()
+{
+    System system("measure", BasePort);
+    for (const int id : {1, 2, 3})
+        system.startControl(id);
+    for (const int id : {1, 2})
+        system.startRouter(id);
+    system.startEngine(1, {"--prefill-ms", "5", "--token-ms", "2"});
+    system.startService(1);
+    system.found();
+    eventually([&] { return system.stream(1, "small", "hello").done && system.act(1, freshKey("w"), "x").status == 200; });
+    streams("engine called directly", system.enginePort(1), {});
+    streams("through a router", system.routerPort(1), {{"Authorization", "Bearer caller-token"}});
+    for (const int callers : {1, 8, 32})
+        starts(system, callers);
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    Histogram force;
+    uint64_t revision = 1;
+    for (int i = 0; i < 20; ++i) {
+        const std::string text
+            = fmt::format("sections:\n  models:\n    revision: {}\n    models:\n"
+                          "      - {{name: small, version: v1, pool: pool, bytes: 8GiB, replicas: {{min: 0, max: {}}}, loadTime: 300ms}}\n",
+                          revision, i % 3 + 1);
+        const Clock::time_point began = Clock::now();
+        const System::Output output = system.ctl({"apply", "-f", "-"}, text);
+        if (output.code == 0)
+            force.record(microsecondsSince(began));
+        revision = Json::parse(output.out, nullptr, false).value("revision", revision);
+    }
+    print("a change accepted and in force on all routers", force);
+    failOver(system, SIGKILL, "SIGKILL");
+    failOver(system, SIGSTOP, "SIGSTOP");
+    return 0;
+}
