--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -150,11 +150,6 @@
     return boost::outcome_v2::success();
 }
 
-bool Dispatcher::withdraw(TicketId ticket)
-{
-    return std::erase_if(m_waiting, [ticket](const Waiting &it) { return it.ticket == ticket; }) != 0;
-}
-
 void Dispatcher::finish(const Grant &grant, const Waiting &waiting, AttemptEnd end, Millis took, Time now)
 {
     const auto endpoint = m_endpoints.find(grant.endpoint);
@@ -195,12 +190,6 @@
     }
 }
 
-void Dispatcher::clearEndpoints()
-{
-    for (std::pair<const EndpointId, Endpoint> &it : m_endpoints)
-        it.second.entry.set_gone(true);
-}
-
 void Dispatcher::setEstimate(const pb::LoadEstimate &estimate, Time now)
 {
     const auto it = m_targets.find(estimate.artifact());
--- a/src/coordination/dispatcher.h
+++ b/src/coordination/dispatcher.h
@@ -1,5 +1,5 @@
 // A router's queue and choice of endpoint for one pool. Every admitted request leaves it exactly once: granted an
-// endpoint, refused, or withdrawn by its caller.
+// endpoint, or refused.
 #pragma once
 
 #include "coordination/retry.h"
@@ -56,12 +56,9 @@
 
     // Takes a request, or says at once why it cannot be answered in time.
     Result<void> admit(Waiting waiting, Time now);
-    // The caller has gone. False if the request has already left the queue.
-    bool withdraw(TicketId ticket);
     // An attempt on an endpoint ended. `took` is its service time, if it completed.
     void finish(const Grant &grant, const Waiting &waiting, AttemptEnd end, Millis took, Time now);
     void setEndpoint(const pb::DirectoryEntry &entry);
-    void clearEndpoints();
     void setEstimate(const pb::LoadEstimate &estimate, Time now);
     void setLease(Time until);
     // Grants what can run and refuses what cannot be answered in time.
--- a/src/state/document.cpp
+++ b/src/state/document.cpp
@@ -1,5 +1,6 @@
 #include "state/document.h"
 
+#include "state/tunables.h"
 #include "state/yamlreader.h"
 
 #include <algorithm>
@@ -71,7 +72,7 @@
     adapter.version = readName(node, "version", "an adapter");
     adapter.base = ArtifactId(readName(node, "base", "an adapter"));
     adapter.bytes = readBytes(node, "bytes");
-    adapter.loadTime = Millis(10);
+    adapter.loadTime = tunables::AdapterLoadTime;
     adapter.position = positionOf(node);
     readReplicas(node, adapter);
     return adapter;
--- a/src/state/ledger.cpp
+++ b/src/state/ledger.cpp
@@ -54,6 +54,13 @@
     return slot;
 }
 
+// An order for the slot may still arrive at the endpoint's new process.
+void carryOver(Slot &slot, uint64_t incarnation)
+{
+    slot.incarnation = incarnation;
+    slot.answeredSequence = 0;
+}
+
 template <typename Key>
 Bytes lookup(const std::map<Key, Bytes> &map, const Key &key)
 {
@@ -158,17 +165,6 @@
     m_slots.erase(it);
 }
 
-namespace
-{
-
-void carryOver(Slot &slot, uint64_t incarnation)
-{
-    slot.incarnation = incarnation;
-    slot.answeredSequence = 0;
-}
-
-} // namespace
-
 LedgerResult Ledger::registerEndpoint(const EndpointRecord &record)
 {
     const auto known = m_endpoints.find(record.id);
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -36,7 +36,6 @@
 constexpr Millis ClaimCallTimeout{2500};
 
 // Endpoints
-constexpr Millis AnnounceInterval{500};
 constexpr Millis EndpointExpiry{3000}; // without a report, an endpoint leaves the directory
 constexpr Millis OrderTimeout{2000};
 constexpr Millis OrderRetry{1000};
