A refused connection of a stream counts as not sent, not as a lost endpoint

Cause: the HTTP library's response starts with status -1, and the stream reader took anything but 0 for an answer. A connection that was refused was therefore 'the answer belongs to another attempt': the request was called interrupted, the dead endpoint was counted against it, and it ended as 'incomplete' (502) instead of a retry or a true 'not run'.

--- a/src/transport/attempt.cpp
+++ b/src/transport/attempt.cpp
@@ -163,6 +163,7 @@
     }
     StreamReader reader{request, progress, sink};
     httplib::Response head;
+    head.status = 0; // none came; the library's own default is -1
     bool accepted = false;
     http.response_handler = [&](const httplib::Response &response) {
         head.status = response.status;
