--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -14,6 +14,7 @@
 
 constexpr Millis JoinFresh{3000}; // a join request counts this long
 constexpr Millis LostAfter{2000}; // an incarnation that was silent this long may be replaced
+constexpr Millis LearnerLostAfter{10000}; // a learner that was silent this long is dropped; it may ask to join again
 
 const pb::Member *findId(const pb::Membership &membership, uint64_t id, bool voter)
 {
@@ -50,6 +51,11 @@
 
 } // namespace
 
+MembershipPlan::MembershipPlan(MembershipPolicy policy)
+    : m_policy(policy)
+{
+}
+
 void MembershipPlan::requestJoin(const pb::Member &member, Time now)
 {
     m_joins[member.identity().id()] = Join{member, now};
@@ -65,6 +71,35 @@
     m_removals.push_back(id);
 }
 
+bool MembershipPlan::mayJoin(uint64_t id) const
+{
+    return m_policy.admitAll || std::find(m_approved.begin(), m_approved.end(), id) != m_approved.end();
+}
+
+// A lost voter leaves before the learner gets its vote: replacing it in one step would let two majorities be disjoint.
+std::optional<pb::Membership> MembershipPlan::promote(const Raft &raft, const pb::Member &learner, Time now) const
+{
+    const pb::Membership &current = raft.membership();
+    const pb::Member *earlier = findId(current, learner.identity().id(), true);
+    if (earlier != nullptr)
+        return without(current, fromProto(earlier->identity()));
+    uint32_t voters = 0;
+    const pb::Member *silent = nullptr;
+    for (const pb::Member &it : current.members()) {
+        if (!it.voter())
+            continue;
+        ++voters;
+        const Replica replica = fromProto(it.identity());
+        if (replica != raft.self() && raft.silentSince(replica, now - LostAfter))
+            silent = &it;
+    }
+    if (m_policy.voters == 0 || voters < m_policy.voters)
+        return promoted(current, fromProto(learner.identity()));
+    if (silent != nullptr && voters == m_policy.voters)
+        return without(current, fromProto(silent->identity()));
+    return std::nullopt;
+}
+
 std::optional<pb::Membership> MembershipPlan::next(const Raft &raft, Time now)
 {
     if (!raft.isLeader() || !raft.membershipSettled())
@@ -82,11 +117,15 @@
     for (const pb::Member &learner : current.members()) {
         if (learner.voter() || !caughtUp(raft, fromProto(learner.identity())))
             continue;
-        // The lost incarnation leaves first: replacing it in one step would let two majorities be disjoint.
-        const pb::Member *lost = findId(current, learner.identity().id(), true);
-        if (lost != nullptr)
-            return without(current, fromProto(lost->identity()));
-        return promoted(current, fromProto(learner.identity()));
+        const std::optional<pb::Membership> step = promote(raft, learner, now);
+        if (step)
+            return step;
+    }
+    if (m_policy.admitAll) {
+        for (const pb::Member &learner : current.members()) {
+            if (!learner.voter() && raft.silentSince(fromProto(learner.identity()), now - LearnerLostAfter))
+                return without(current, fromProto(learner.identity()));
+        }
     }
     for (const std::pair<const uint64_t, Join> &it : m_joins) {
         const Replica replica = fromProto(it.second.member.identity());
@@ -98,8 +137,7 @@
             return without(current, fromProto(learner->identity()));
         if (learner != nullptr || (voter != nullptr && fromProto(voter->identity()) == replica))
             continue;
-        const bool approved = std::find(m_approved.begin(), m_approved.end(), it.first) != m_approved.end();
-        if (voter == nullptr && !approved)
+        if (voter == nullptr && !mayJoin(it.first))
             continue;
         if (voter != nullptr && !raft.silentSince(fromProto(voter->identity()), now - LostAfter))
             continue;
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -7,9 +7,16 @@
 namespace roserail
 {
 
+// Who may take part.
+struct MembershipPolicy {
+    bool admitAll = false; // replicas that ask to join need no operator's approval
+    uint32_t voters = 0; // wanted; further replicas are learners that step in for a lost voter. 0: all vote
+};
+
 class MembershipPlan
 {
 public:
+    explicit MembershipPlan(MembershipPolicy policy = {});
     // A replica with an empty data folder asks to be caught up.
     void requestJoin(const pb::Member &member, Time now);
     // An operator allows a replica id that was never a member.
@@ -20,11 +27,16 @@
     std::optional<pb::Membership> next(const Raft &raft, Time now);
 
 private:
+    // The step that gives a caught-up learner a vote, if there is a place for it.
+    std::optional<pb::Membership> promote(const Raft &raft, const pb::Member &learner, Time now) const;
+    bool mayJoin(uint64_t id) const;
+
     struct Join {
         pb::Member member;
         Time askedAt{};
     };
 
+    MembershipPolicy m_policy;
     std::map<uint64_t, Join> m_joins; // by replica id
     std::vector<uint64_t> m_approved;
     std::vector<uint64_t> m_removals;
--- /dev/null
+++ b/src/coordination/registry.cpp
@@ -0,0 +1,252 @@
+#include "coordination/registry.h"
+
+#include "state/tunables.h"
+
+#include <algorithm>
+#include <set>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+// An announcement without what changes at every heartbeat and without what routers don't use.
+pb::Announcement visible(const pb::Announcement &word)
+{
+    pb::Announcement result = word;
+    result.clear_sequence();
+    result.clear_age_ms();
+    result.clear_in_memory();
+    result.clear_on_disk();
+    return result;
+}
+
+pb::RouterState visible(const pb::RouterState &state)
+{
+    pb::RouterState result = state;
+    result.clear_sequence();
+    result.clear_age_ms();
+    result.clear_demands();
+    return result;
+}
+
+template <typename Message>
+bool sameForRouters(const Message &a, const Message &b)
+{
+    return visible(a).SerializeAsString() == visible(b).SerializeAsString();
+}
+
+uint64_t ageMs(Time heardAt, Time now)
+{
+    return uint64_t(std::max<int64_t>(0, (now - heardAt).count()));
+}
+
+} // namespace
+
+const google::protobuf::RepeatedPtrField<pb::HeldModel> &LiveEndpoint::models() const
+{
+    const bool ordered = !holdings.endpoint().empty() && holdings.born_ms() == word.born_ms();
+    return ordered ? holdings.models() : word.models();
+}
+
+Registry::Registry(Lifetimes lifetimes)
+    : m_lifetimes(lifetimes)
+{
+}
+
+void Registry::touch(uint64_t &version, uint64_t &visibleVersion, bool visible)
+{
+    version = ++m_version;
+    if (!visible)
+        return;
+    visibleVersion = m_version;
+    m_visibleVersion = m_version;
+}
+
+bool Registry::take(const pb::Announcement &word, Time heardAt)
+{
+    LiveEndpoint &known = m_endpoints[word.endpoint()];
+    const bool first = known.version == 0;
+    const bool sameLife = !first && word.born_ms() == known.word.born_ms();
+    if (!first && word.born_ms() < known.word.born_ms())
+        return false;
+    // The end of a life is final: a heartbeat that was on its way doesn't undo it.
+    if (sameLife && known.word.gone())
+        return false;
+    const bool newlyLost = word.lost() && word.sequence() == known.word.sequence() && !known.word.lost();
+    if (sameLife && !word.gone() && !newlyLost && word.sequence() <= known.word.sequence())
+        return false;
+    const bool changed = first || !sameForRouters(known.word, word);
+    known.word = word;
+    known.heardAt = std::max(known.heardAt, heardAt);
+    touch(known.version, known.visibleVersion, changed);
+    if (changed && !word.gone())
+        settleAddress(known, heardAt);
+    return true;
+}
+
+// Two lives can't share an address: the one that was born earlier has ended.
+void Registry::settleAddress(const LiveEndpoint &newcomer, Time now)
+{
+    const std::string address = newcomer.word.address();
+    const uint64_t born = newcomer.word.born_ms();
+    for (std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
+        const bool other = it.first != newcomer.word.endpoint() && it.second.word.address() == address;
+        if (!other || it.second.word.gone())
+            continue;
+        if (it.second.word.born_ms() > born) {
+            markGone(m_endpoints[newcomer.word.endpoint()], now);
+            return;
+        }
+        markGone(it.second, now);
+    }
+}
+
+bool Registry::take(const pb::Holdings &holdings)
+{
+    const auto it = m_endpoints.find(holdings.endpoint());
+    if (it == m_endpoints.end())
+        return false;
+    pb::Holdings &known = it->second.holdings;
+    const auto newness = [](const pb::Holdings &h) { return std::pair(h.term(), h.counter()); };
+    if (!known.endpoint().empty() && newness(holdings) <= newness(known))
+        return false;
+    known = holdings;
+    touch(it->second.version, it->second.visibleVersion, true);
+    return true;
+}
+
+bool Registry::take(const pb::RouterState &state, Time heardAt)
+{
+    LiveRouter &known = m_routers[state.router()];
+    const auto newness = [](const pb::RouterState &s) { return std::pair(s.incarnation(), s.sequence()); };
+    const bool newlyLost = newness(state) == newness(known.state) && !state.accepting() && known.state.accepting();
+    if (known.version != 0 && !newlyLost && newness(state) <= newness(known.state))
+        return false;
+    const bool changed = known.version == 0 || !sameForRouters(known.state, state);
+    known.state = state;
+    known.heardAt = std::max(known.heardAt, heardAt);
+    touch(known.version, known.visibleVersion, changed);
+    return true;
+}
+
+void Registry::withdraw(const std::string &endpoint, Time now)
+{
+    const auto it = m_endpoints.find(endpoint);
+    if (it != m_endpoints.end())
+        markGone(it->second, now);
+}
+
+void Registry::markGone(LiveEndpoint &endpoint, Time now)
+{
+    if (endpoint.word.gone())
+        return;
+    endpoint.word.set_gone(true);
+    endpoint.heardAt = now;
+    touch(endpoint.version, endpoint.visibleVersion, true);
+}
+
+void Registry::markLost(LiveEndpoint &endpoint)
+{
+    if (endpoint.word.gone() || endpoint.word.lost())
+        return;
+    endpoint.word.set_lost(true);
+    touch(endpoint.version, endpoint.visibleVersion, true);
+}
+
+void Registry::markLost(LiveRouter &router)
+{
+    if (!router.state.accepting())
+        return;
+    router.state.set_accepting(false);
+    touch(router.version, router.visibleVersion, true);
+}
+
+void Registry::expire(Time now)
+{
+    for (std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
+        if (now > it.second.heardAt + m_lifetimes.endpoint)
+            markLost(it.second);
+    }
+    for (std::pair<const std::string, LiveRouter> &it : m_routers) {
+        if (now > it.second.heardAt + m_lifetimes.router)
+            markLost(it.second);
+    }
+    const auto forget = [&](const auto &entry, bool gone) {
+        const bool old = gone && now > entry.heardAt + GoneEntryKept;
+        if (old)
+            m_forgottenVersion = std::max(m_forgottenVersion, entry.version);
+        return old;
+    };
+    std::erase_if(m_endpoints, [&](const std::pair<const std::string, LiveEndpoint> &it) { return forget(it.second, it.second.word.gone() || it.second.word.lost()); });
+    std::erase_if(m_routers, [&](const std::pair<const std::string, LiveRouter> &it) { return forget(it.second, !it.second.state.accepting()); });
+}
+
+void Registry::dropUnlisted(const pb::SyncReply &reply)
+{
+    std::set<std::string> listed;
+    for (const pb::Announcement &it : reply.endpoints())
+        listed.insert(it.endpoint());
+    for (const pb::RouterState &it : reply.routers())
+        listed.insert(it.router());
+    for (std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
+        if (listed.count(it.first) == 0)
+            markLost(it.second);
+    }
+    for (std::pair<const std::string, LiveRouter> &it : m_routers) {
+        if (listed.count(it.first) == 0)
+            markLost(it.second);
+    }
+}
+
+void Registry::changesSince(uint64_t version, Time now, pb::ShareRequest &out) const
+{
+    for (const std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
+        if (it.second.version <= version)
+            continue;
+        pb::Announcement &word = *out.add_endpoints();
+        word = it.second.word;
+        word.set_age_ms(ageMs(it.second.heardAt, now));
+        if (!it.second.holdings.endpoint().empty())
+            *out.add_holdings() = it.second.holdings;
+    }
+    for (const std::pair<const std::string, LiveRouter> &it : m_routers) {
+        if (it.second.version <= version)
+            continue;
+        pb::RouterState &state = *out.add_routers();
+        state = it.second.state;
+        state.set_age_ms(ageMs(it.second.heardAt, now));
+    }
+}
+
+void Registry::visibleSince(uint64_t version, Time now, pb::SyncReply &out) const
+{
+    const bool full = version == 0 || version < m_forgottenVersion;
+    const uint64_t since = full ? 0 : version;
+    out.set_full(full);
+    out.set_version(m_version);
+    for (const std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
+        if (it.second.visibleVersion <= since)
+            continue;
+        pb::Announcement &word = *out.add_endpoints();
+        word = it.second.word;
+        word.clear_in_memory();
+        word.clear_on_disk();
+        word.set_age_ms(ageMs(it.second.heardAt, now));
+        if (!it.second.holdings.endpoint().empty())
+            *out.add_holdings() = it.second.holdings;
+    }
+    for (const std::pair<const std::string, LiveRouter> &it : m_routers) {
+        if (it.second.visibleVersion <= since)
+            continue;
+        pb::RouterState &state = *out.add_routers();
+        state = it.second.state;
+        state.clear_demands();
+        state.set_age_ms(ageMs(it.second.heardAt, now));
+    }
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/coordination/registry.h
@@ -0,0 +1,94 @@
+// Live endpoints and routers, as far as a process has heard of them. Soft state: it is spread between processes by
+// versions, merged in any order, and learned again after a restart.
+#pragma once
+
+#include "mesh.pb.h"
+#include "state/types.h"
+
+#include <map>
+#include <string>
+
+namespace roserail
+{
+
+// How long silence is taken for life; stored once, from the settings.
+struct Lifetimes {
+    Millis endpoint{0};
+    Millis router{0};
+};
+
+struct LiveEndpoint {
+    pb::Announcement word; // its newest word
+    pb::Holdings holdings; // of the holder of orders; empty endpoint: none
+    Time heardAt{};
+    uint64_t version = 0; // of the last change
+    uint64_t visibleVersion = 0; // of the last change that matters to routers
+    bool usable() const
+    {
+        return !word.leaving() && !word.gone() && !word.lost();
+    }
+    // What the endpoint holds, by the newest source.
+    const google::protobuf::RepeatedPtrField<pb::HeldModel> &models() const;
+};
+
+struct LiveRouter {
+    pb::RouterState state;
+    Time heardAt{};
+    uint64_t version = 0;
+    uint64_t visibleVersion = 0;
+};
+
+class Registry
+{
+public:
+    explicit Registry(Lifetimes lifetimes);
+
+    // Each takes a word if it is newer than what is known, and returns whether it was.
+    bool take(const pb::Announcement &word, Time heardAt);
+    bool take(const pb::Holdings &holdings);
+    bool take(const pb::RouterState &state, Time heardAt);
+    // An endpoint says that it ends.
+    void withdraw(const std::string &endpoint, Time now);
+    // Marks as lost what was silent too long, and forgets what has been gone or lost for long.
+    void expire(Time now);
+    // Marks everything as lost that `reply`, a full list, does not name.
+    void dropUnlisted(const pb::SyncReply &reply);
+
+    uint64_t version() const
+    {
+        return m_version;
+    }
+    uint64_t visibleVersion() const
+    {
+        return m_visibleVersion;
+    }
+    // All changes after a version, for another control host.
+    void changesSince(uint64_t version, Time now, pb::ShareRequest &out) const;
+    // Changes after a version that matter to routers.
+    void visibleSince(uint64_t version, Time now, pb::SyncReply &out) const;
+
+    const std::map<std::string, LiveEndpoint> &endpoints() const
+    {
+        return m_endpoints;
+    }
+    const std::map<std::string, LiveRouter> &routers() const
+    {
+        return m_routers;
+    }
+
+private:
+    void markGone(LiveEndpoint &endpoint, Time now);
+    void markLost(LiveEndpoint &endpoint);
+    void markLost(LiveRouter &router);
+    void settleAddress(const LiveEndpoint &newcomer, Time now);
+    void touch(uint64_t &version, uint64_t &visibleVersion, bool visible);
+
+    Lifetimes m_lifetimes;
+    uint64_t m_version = 0;
+    uint64_t m_visibleVersion = 0; // version of the last visible change
+    uint64_t m_forgottenVersion = 0; // latest version of anything that was forgotten
+    std::map<std::string, LiveEndpoint> m_endpoints;
+    std::map<std::string, LiveRouter> m_routers;
+};
+
+} // namespace roserail
--- a/src/coordination/retry.cpp
+++ b/src/coordination/retry.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr int MaxResumes = 5;
+constexpr int MaxResumes = 5; // of one stream
 
 bool mayRetry(const ExchangeState &state, RetryBudget &budget)
 {
@@ -47,6 +47,57 @@
     return true;
 }
 
+RetryWindow::RetryWindow(double ratio, Millis window)
+    : m_ratio(ratio)
+    , m_span(window / Buckets)
+{
+}
+
+RetryWindow::Bucket &RetryWindow::bucket(Time now)
+{
+    const int64_t number = now.time_since_epoch() / m_span;
+    Bucket &current = m_buckets[size_t(number % Buckets)];
+    if (current.number != number)
+        current = Bucket{number, 0, 0};
+    return current;
+}
+
+void RetryWindow::requestStarted(Time now)
+{
+    ++bucket(now).requests;
+}
+
+bool RetryWindow::tryRetry(Time now)
+{
+    Bucket &current = bucket(now);
+    double allowed = m_slack;
+    double used = 0;
+    for (const Bucket &it : m_buckets) {
+        if (it.number <= current.number - Buckets)
+            continue;
+        allowed += m_ratio * it.requests;
+        used += it.retries;
+    }
+    if (used + 1 > allowed)
+        return false;
+    ++current.retries;
+    return true;
+}
+
+RouteStep nextRouteStep(const RouteProgress &progress, AttemptEnd end, const std::function<bool()> &mayRetry)
+{
+    if (end == AttemptEnd::Completed)
+        return RouteStep::Deliver;
+    if (progress.delivered)
+        return RouteStep::BreakOff;
+    const bool unrun = end == AttemptEnd::NotSent || end == AttemptEnd::RefusedNotRun;
+    const bool room = progress.sends < SendsPerRequest;
+    const bool allowed = unrun || (progress.repeat == Repeat::Always && progress.runs < progress.maxRuns);
+    if (end != AttemptEnd::Abandoned && allowed && room && mayRetry())
+        return RouteStep::Retry;
+    return progress.runs == 0 ? RouteStep::AnswerNotRun : RouteStep::AnswerUnknown;
+}
+
 Step nextStep(const ExchangeState &state, AttemptEnd end, Time now, RetryBudget &budget)
 {
     switch (end) {
--- a/src/coordination/retry.h
+++ b/src/coordination/retry.h
@@ -1,8 +1,11 @@
 // What follows the end of an attempt: the rules that keep "not run" true and non-idempotent requests at most once.
 #pragma once
 
+#include "state/routes.h"
 #include "state/types.h"
 
+#include <array>
+#include <functional>
 #include <string_view>
 
 namespace roserail
@@ -52,6 +55,53 @@
     bool m_started = false;
 };
 
+// What is known of a request on a general route when an attempt on an endpoint ends.
+struct RouteProgress {
+    Repeat repeat = Repeat::Never;
+    bool delivered = false; // part of an answer has reached the caller
+    uint32_t sends = 0; // endpoints that it was sent to
+    uint32_t runs = 0; // of these, those that may have run it
+    uint32_t maxRuns = 1;
+};
+
+enum class RouteStep {
+    Deliver,
+    Retry,
+    AnswerNotRun, // true: no endpoint has run it
+    AnswerUnknown, // it may have run
+    BreakOff, // the answer that has begun ends so that it looks incomplete
+};
+
+// `mayRetry` is asked only if a retry is allowed by the route, and uses up a place in the budget.
+RouteStep nextRouteStep(const RouteProgress &progress, AttemptEnd end, const std::function<bool()> &mayRetry);
+
+// Retries in a sliding window: a share of the requests, and this router's part of what the system may have besides.
+class RetryWindow
+{
+public:
+    RetryWindow(double ratio, Millis window);
+    void setSlack(double slack)
+    {
+        m_slack = slack;
+    }
+    void requestStarted(Time now);
+    bool tryRetry(Time now);
+
+private:
+    static constexpr int Buckets = 20;
+    struct Bucket {
+        int64_t number = -1; // of the span of time that it counts
+        uint32_t requests = 0;
+        uint32_t retries = 0;
+    };
+    Bucket &bucket(Time now);
+
+    double m_ratio;
+    Millis m_span;
+    double m_slack = 0;
+    std::array<Bucket, Buckets> m_buckets;
+};
+
 Step nextStep(const ExchangeState &state, AttemptEnd end, Time now, RetryBudget &budget);
 
 } // namespace roserail
--- /dev/null
+++ b/src/entry.cpp
@@ -0,0 +1,67 @@
+// roserail-entry: forwards callers' requests on general HTTP routes, on every entry host.
+
+#include "platform/dialect.h"
+#include "protocol/log.h"
+#include "state/tunables.h"
+#include "transport/clock.h"
+#include "transport/entryapi.h"
+#include "transport/program.h"
+
+namespace
+{
+
+using namespace roserail;
+
+constexpr Millis DrainPoll{20};
+constexpr Millis ExitMargin{700}; // before the process would be killed
+
+// Serves on until no caller can still hold an old list of addresses and every request has ended, or time is up.
+void drain(EntryApi &api, Millis grace)
+{
+    const Time last = monotonicNow() + grace - ExitMargin;
+    const Time listsExpire = std::min(last, monotonicNow() + tunables::ResolveLifetime * 3 + tunables::SyncInterval * 2);
+    while (monotonicNow() < last && (monotonicNow() < listsExpire || api.active() > 0))
+        std::this_thread::sleep_for(DrainPoll);
+}
+
+int serve(const EntrySettings &settings)
+{
+    net::io_context io(1);
+    EntryApi api(io, settings, platform::dialect());
+    const Result<void> listening = api.listen();
+    if (listening.has_error())
+        return reportFatal(listening.error());
+    HttpServer metricsServer(io, answerMetrics);
+    if (!settings.host.metrics.empty() && metricsServer.listen(settings.host.metrics).has_error())
+        return reportFatal(Error{ErrorKind::BadSettings, "cannot listen on 'metrics'; free the port or correct the address", 0});
+    std::thread worker([&io] { io.run(); });
+    logEvent("started", {{"version", ROSERAIL_VERSION}, {"listen", settings.listen}, {"zone", settings.host.zone}});
+    waitForStop();
+    net::post(io, [&api] { api.drain(); });
+    drain(api, settings.host.grace);
+    io.stop();
+    worker.join();
+    logEvent("stopped");
+    std::_Exit(0); // the session's thread may wait for the one that has ended
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const Program program{
+        "roserail-entry",
+        "A router of roserail for general HTTP routes, found by seeds.",
+        [](const std::string &text, const std::string &file) -> Result<std::string> {
+            BOOST_OUTCOME_TRY(settings, parseEntrySettings(text, file));
+            return describe(settings);
+        },
+        [](const std::string &text, const std::string &file) {
+            const EntrySettings settings = parseEntrySettings(text, file).value();
+            setLogProcess(fmt::format("entry-{}", settings.host.id));
+            logToStandardOutput();
+            return serve(settings);
+        },
+    };
+    return runProgram(argc, argv, program);
+}
--- /dev/null
+++ b/src/protocol/hostsettings.cpp
@@ -0,0 +1,116 @@
+#include "protocol/hostsettings.h"
+
+#include "protocol/settings.h"
+#include "state/yamlreader.h"
+
+#include <fmt/format.h>
+
+namespace roserail
+{
+
+using namespace yaml;
+
+namespace
+{
+
+std::string readAddress(const YAML::Node &parent, const char *key)
+{
+    const std::string address = readName(parent, key, "the settings");
+    if (parseHostPort(address).has_error())
+        fail(parent[key], fmt::format("'{}' must be host:port with a port from 1 to 65535", key));
+    return address;
+}
+
+HostSettings readHost(const YAML::Node &root)
+{
+    HostSettings host;
+    host.id = readName(root, "id", "the settings");
+    host.zone = readName(root, "zone", "the settings");
+    host.address = readName(root, "address", "the settings");
+    host.seeds = readNames(root, "seeds");
+    if (host.seeds.empty())
+        fail(root, "the settings need 'seeds': a list of operator addresses of control hosts");
+    for (const std::string &it : host.seeds) {
+        if (parseHostPort(it).has_error())
+            fail(root["seeds"], fmt::format("'{}' in 'seeds' must be host:port", it));
+    }
+    const uint64_t port = readCount(root, "internalPort", 0);
+    if (port == 0 || port > 65535)
+        fail(root, "'internalPort' must be a port from 1 to 65535");
+    host.internalPort = uint16_t(port);
+    host.metrics = root["metrics"] ? readAddress(root, "metrics") : "";
+    host.grace = readDuration(root, "grace", Millis(8000));
+    return host;
+}
+
+EntrySettings readEntry(const YAML::Node &root)
+{
+    checkKeys(root, "the settings", {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "listen", "ready", "directory",
+                                     "retryRatio", "retrySlack", "retryWindow"});
+    EntrySettings settings;
+    settings.host = readHost(root);
+    settings.listen = readAddress(root, "listen");
+    settings.ready = readAddress(root, "ready");
+    settings.directory = readAddress(root, "directory");
+    settings.retryRatio = readValue<double>(root, "retryRatio", 0.2, "a share of requests");
+    settings.retrySlack = readValue<double>(root, "retrySlack", 20, "a number of requests");
+    settings.retryWindow = readDuration(root, "retryWindow", Millis(10000));
+    return settings;
+}
+
+KeeperSettings readKeeper(const YAML::Node &root)
+{
+    checkKeys(root, "the settings", {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "listen", "dataFolder", "mayFound",
+                                     "lossesToBear", "orderLease"});
+    KeeperSettings settings;
+    settings.host = readHost(root);
+    settings.listen = readAddress(root, "listen");
+    settings.dataFolder = readName(root, "dataFolder", "the settings");
+    settings.mayFound = readValue<bool>(root, "mayFound", false, "true or false");
+    settings.lossesToBear = uint32_t(readCount(root, "lossesToBear", 1));
+    settings.orderLease = readDuration(root, "orderLease", Millis(3000));
+    return settings;
+}
+
+std::string describeHost(const HostSettings &host)
+{
+    return fmt::format("id: {}\nzone: {}\naddress: {}\nseeds: [\"{}\"]\ninternalPort: {}\nmetrics: \"{}\"\ngrace: {}ms\n", host.id, host.zone,
+                       host.address, fmt::join(host.seeds, "\", \""), host.internalPort, host.metrics, host.grace.count());
+}
+
+} // namespace
+
+Result<EntrySettings> parseEntrySettings(const std::string &text, const std::string &file)
+{
+    return readFile(text, file, ErrorKind::BadSettings, readEntry);
+}
+
+Result<KeeperSettings> parseKeeperSettings(const std::string &text, const std::string &file)
+{
+    return readFile(text, file, ErrorKind::BadSettings, readKeeper);
+}
+
+std::string describe(const EntrySettings &settings)
+{
+    return describeHost(settings.host)
+        + fmt::format("listen: \"{}\"\nready: \"{}\"\ndirectory: \"{}\"\nretryRatio: {}\nretrySlack: {}\nretryWindow: {}ms\n", settings.listen,
+                      settings.ready, settings.directory, settings.retryRatio, settings.retrySlack,
+                      settings.retryWindow.count());
+}
+
+std::string describe(const KeeperSettings &settings)
+{
+    return describeHost(settings.host)
+        + fmt::format("listen: \"{}\"\ndataFolder: \"{}\"\nmayFound: {}\nlossesToBear: {}\norderLease: {}ms\n", settings.listen,
+                      settings.dataFolder, settings.mayFound, settings.lossesToBear, settings.orderLease.count());
+}
+
+std::vector<std::string> internalSeeds(const HostSettings &settings)
+{
+    std::vector<std::string> result;
+    for (const std::string &it : settings.seeds)
+        result.push_back(fmt::format("{}:{}", parseHostPort(it).value().host, settings.internalPort));
+    return result;
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/protocol/hostsettings.h
@@ -0,0 +1,53 @@
+// Settings of the processes that serve general HTTP routes and find each other by seeds.
+#pragma once
+
+#include "state/errors.h"
+#include "state/types.h"
+
+#include <string>
+#include <vector>
+
+namespace roserail
+{
+
+// What both kinds of process need.
+struct HostSettings {
+    std::string id; // unique among hosts
+    std::string zone;
+    std::string address; // IP address of the host
+    std::vector<std::string> seeds; // operator addresses of some control hosts, host:port
+    uint16_t internalPort = 0; // of the control hosts' own protocol, the same on each of them
+    std::string metrics; // host:port; empty: not served
+    Millis grace{0}; // from a stop signal to the end of the process
+};
+
+struct EntrySettings {
+    HostSettings host;
+    std::string listen; // for callers
+    std::string ready; // for readiness checks
+    std::string directory; // for callers that ask for addresses
+    double retryRatio = 0; // repeats allowed in a window, as a share of requests
+    double retrySlack = 0; // repeats allowed besides, over all routers
+    Millis retryWindow{0};
+};
+
+struct KeeperSettings {
+    HostSettings host;
+    std::string listen; // for operators and endpoints
+    std::string dataFolder;
+    bool mayFound = false; // the whole system starts for the first time
+    uint32_t lossesToBear = 0; // hosts with a disk that may be lost at the same time
+    Millis orderLease{0}; // no other host orders within this time of the last order
+};
+
+Result<EntrySettings> parseEntrySettings(const std::string &text, const std::string &file);
+Result<KeeperSettings> parseKeeperSettings(const std::string &text, const std::string &file);
+
+// The settings with every default filled in, as YAML.
+std::string describe(const EntrySettings &settings);
+std::string describe(const KeeperSettings &settings);
+
+// Addresses of the control hosts' own protocol that follow from the seeds.
+std::vector<std::string> internalSeeds(const HostSettings &settings);
+
+} // namespace roserail
--- a/src/protocol/log.cpp
+++ b/src/protocol/log.cpp
@@ -1,8 +1,12 @@
 #include "protocol/log.h"
 
+#include "protocol/metrics.h"
+
 #include <chrono>
 #include <cstdio>
+#include <fcntl.h>
 #include <fmt/chrono.h>
+#include <unistd.h>
 
 namespace roserail
 {
@@ -11,6 +15,7 @@
 {
 
 std::string processName = "roserail";
+int target = STDERR_FILENO;
 
 // Quotes a value that would not be one word.
 std::string quoted(const std::string &value)
@@ -26,6 +31,17 @@
     return out + "\"";
 }
 
+// A line that a full pipe can't take is dropped and counted: logging must not hold up work.
+void writeLine(const std::string &line)
+{
+    if (target == STDERR_FILENO) {
+        std::fwrite(line.data(), 1, line.size(), stderr);
+        return;
+    }
+    if (::write(target, line.data(), line.size()) != ssize_t(line.size()))
+        metrics().counter("roserail_log_lines_dropped_total").add();
+}
+
 } // namespace
 
 void setLogProcess(const std::string &name)
@@ -33,6 +49,12 @@
     processName = name;
 }
 
+void logToStandardOutput()
+{
+    target = STDOUT_FILENO;
+    ::fcntl(target, F_SETFL, ::fcntl(target, F_GETFL) | O_NONBLOCK);
+}
+
 void logEvent(std::string_view event, std::initializer_list<LogField> fields)
 {
     const std::chrono::system_clock::time_point now = std::chrono::system_clock::now();
@@ -42,7 +64,7 @@
     for (const LogField &it : fields)
         line += fmt::format(" {}={}", it.key, quoted(it.value));
     line += '\n';
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    writeLine(line);
 }
 
 } // namespace roserail
--- a/src/protocol/log.h
+++ b/src/protocol/log.h
@@ -1,4 +1,4 @@
-// Logs: one line of key=value pairs on standard error for each event.
+// Logs: one line of key=value pairs for each event, on standard error or, without ever blocking, on standard output.
 #pragma once
 
 #include <fmt/format.h>
@@ -24,6 +24,9 @@
 // Names the process in every line.
 void setLogProcess(const std::string &name);
 
+// From now on lines go to standard output, and those that a full pipe can't take are dropped and counted.
+void logToStandardOutput();
+
 void logEvent(std::string_view event, std::initializer_list<LogField> fields = {});
 
 } // namespace roserail
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -84,20 +84,6 @@
     return settings;
 }
 
-template <typename Read>
-auto guarded(const std::string &text, const std::string &file, Read read) -> Result<decltype(read(YAML::Node()))>
-{
-    try {
-        return read(YAML::Load(text));
-    } catch (const ReadFailure &failure) {
-        return Error{ErrorKind::BadSettings,
-                     fmt::format("{}:{}:{}: {}", file, failure.position.line, failure.position.column, failure.message)};
-    } catch (const YAML::Exception &ex) {
-        return Error{ErrorKind::BadSettings,
-                     fmt::format("{}:{}:{}: not valid YAML ({}); correct the syntax", file, ex.mark.line + 1, ex.mark.column + 1, ex.msg)};
-    }
-}
-
 } // namespace
 
 Result<HostPort> parseHostPort(const std::string &text)
@@ -114,12 +100,12 @@
 
 Result<ControlSettings> parseControlSettings(const std::string &text, const std::string &file)
 {
-    return guarded(text, file, readControl);
+    return readFile(text, file, ErrorKind::BadSettings, readControl);
 }
 
 Result<RouterSettings> parseRouterSettings(const std::string &text, const std::string &file)
 {
-    return guarded(text, file, readRouter);
+    return readFile(text, file, ErrorKind::BadSettings, readRouter);
 }
 
 std::string describe(const ControlSettings &settings)
--- a/src/state/machine.cpp
+++ b/src/state/machine.cpp
@@ -75,6 +75,7 @@
         Row{pb::Command::kForgetEndpoint, &Machine::forgetEndpoint}, Row{pb::Command::kReserveSlot, &Machine::reserveSlot},
         Row{pb::Command::kSendOrder, &Machine::sendOrder},           Row{pb::Command::kAnswerOrder, &Machine::answerOrder},
         Row{pb::Command::kReleaseSlot, &Machine::releaseSlot},       Row{pb::Command::kReportCrash, &Machine::reportCrash},
+        Row{pb::Command::kPutConfiguration, &Machine::putConfiguration},
     };
     m_clock = std::max(m_clock, WallTime(Millis(int64_t(command.wall_ms()))));
     m_claims.expire(m_clock);
@@ -215,6 +216,17 @@
     return m_quarantine.report(command.report_crash(), m_clock);
 }
 
+// The highest version wins. A version that is not higher changes nothing, so that a change can be sent again at any time.
+pb::CommandResult Machine::putConfiguration(const pb::Command &command)
+{
+    const pb::WholeConfiguration &sent = command.put_configuration().configuration();
+    if (sent.version() > m_configuration.version())
+        m_configuration = sent;
+    pb::CommandResult result;
+    result.set_revision(m_configuration.version());
+    return result;
+}
+
 pb::MachineState Machine::save() const
 {
     pb::MachineState state;
@@ -224,6 +236,7 @@
         *state.add_sections() = it.second;
     for (const std::string &it : m_changeOrder)
         *state.add_changes() = m_changes.at(it);
+    *state.mutable_configuration() = m_configuration;
     m_ledger.save(state);
     m_claims.save(state);
     m_quarantine.save(state);
@@ -232,7 +245,8 @@
 
 void Machine::restore(const pb::MachineState &state)
 {
-    invariant(state.revision() >= m_revision, "a snapshot never reverts the configuration");
+    invariant(state.revision() >= m_revision, "a snapshot never reverts the document");
+    invariant(state.configuration().version() >= m_configuration.version(), "a snapshot never reverts the configuration");
     *this = Machine();
     m_clock = WallTime(Millis(int64_t(state.clock_ms())));
     m_revision = state.revision();
@@ -249,6 +263,7 @@
         m_changes[it.change_id()] = it;
         m_changeOrder.push_back(it.change_id());
     }
+    m_configuration = state.configuration();
     m_ledger.restore(state);
     m_claims.restore(state);
     m_quarantine.restore(state);
--- a/src/state/machine.h
+++ b/src/state/machine.h
@@ -35,6 +35,11 @@
     {
         return m_contents;
     }
+    // The configuration that is replaced as a whole; version 0 until there is one.
+    const pb::WholeConfiguration &configuration() const
+    {
+        return m_configuration;
+    }
     const Ledger &ledger() const
     {
         return m_ledger;
@@ -64,6 +69,7 @@
     pb::CommandResult answerOrder(const pb::Command &command);
     pb::CommandResult releaseSlot(const pb::Command &command);
     pb::CommandResult reportCrash(const pb::Command &command);
+    pb::CommandResult putConfiguration(const pb::Command &command);
     void remember(const pb::ChangeDocument &change, const pb::CommandResult &result);
 
     WallTime m_clock{};
@@ -73,6 +79,7 @@
     Document m_document;
     std::map<std::string, pb::ChangeRecord> m_changes; // by change id
     std::deque<std::string> m_changeOrder; // oldest first
+    pb::WholeConfiguration m_configuration;
     Ledger m_ledger;
     Claims m_claims;
     Quarantine m_quarantine;
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -43,6 +43,55 @@
 constexpr Millis StreamSilence{5000}; // endpoints send a comment at least every second
 constexpr Millis StreamHeartbeat{1000};
 
+// Live state of systems that are found by seeds
+constexpr Millis GoneEntryKept = std::chrono::seconds(60); // longer than any router is out of reach in the users' trials
+constexpr Millis EndpointSilence{9000}; // heartbeats come every 1.2 s and may be seconds late
+constexpr Millis RouterSilence{2000}; // eight syncs
+constexpr Millis SyncInterval{250}; // a change is at every router in a fraction of the second from which it is priced
+constexpr Millis SyncWhileWaiting{40}; // while requests wait for a model to be loaded
+constexpr Millis SyncTimeout{600}; // a round trip takes 3 ms; what takes longer is asked of another host
+constexpr Millis ShareTimeout{600};
+constexpr Millis ShareAnyway{1000}; // without a change, to learn that the peer has started again
+constexpr Millis ShareGather{5}; // a tenth of the time in which a waiting router asks again
+constexpr Millis ShareRetry{200};
+
+// Requests on general routes
+constexpr uint32_t SendsPerRequest = 3; // endpoints tried, those that refused it included
+constexpr double ColdWaitShare = 0.6; // of a request's time, for its model to be loaded; the rest is for the answer
+constexpr Millis RetryAfterBusy{1000}; // about the time of a load from a copy, after which the model may be there
+constexpr Millis EndpointConnectTimeout{500}; // a handshake takes 4 ms; a lost packet is sent again within this time
+constexpr Millis ResolveLifetime{1500}; // some callers keep an answer three times as long; a drain waits for them
+
+// Choice of endpoint
+constexpr Millis LoadKnown{1500}; // what an answer said of an endpoint's load
+constexpr double PrefillTokensPerMs = 38; // of the users' engines
+constexpr double ZoneCrossing = 3; // ms, there and back between availability zones
+constexpr double FullBatchCost = 60; // ms; what a full batch adds to the time to the first token
+constexpr double QueuedCost = 30; // ms, of each request that waits for a place
+constexpr double FailedCost = 5000; // ms; more than any other endpoint costs
+constexpr Millis EndpointFailedPause{1000}; // after a failure an endpoint is the last choice for so long
+constexpr Millis NotHeldPause{300}; // until what the endpoint holds is heard again
+constexpr size_t PromptPartsKept = 20000; // remembered per endpoint; 40 bytes each
+constexpr Millis PromptPartKept{20000}; // an engine's memory turns over in about this time
+
+// Contents of engines that take conditional orders
+constexpr Millis ReportLag{300}; // engines report their state as of some hundred ms earlier
+constexpr Millis ReportAgain{400}; // pause between two reports of one engine; each is priced like a health check
+constexpr Millis HeartbeatDelay{1500}; // a heartbeat that is older may miss the latest order
+constexpr Millis OrderLeaseMargin{500}; // an order that left with the last of a lease arrives within this time
+constexpr Millis ConfigurationCommitTime{3000}; // the operator turns elsewhere after a second
+constexpr Millis StoreWindow{5000}; // the store's rate holds in every window of this length
+constexpr size_t StoreLoadsAhead = 3; // loads from the store without a waiting request; one place stays free for those
+constexpr Millis ReservationTime{4000}; // for a model for which room is being made: an unload and its last runs
+constexpr Millis UnloadWait{2000}; // an unload waits for its runs, which last 1.6 s on average
+constexpr Millis AdapterAheadTime{5000}; // adapters of models used in this time are loaded ahead of need
+constexpr double CrowdedShare = 0.5; // of all slots of a model's holders in use: it gets one more holder
+constexpr double SpareShare = 0.25; // of the slots of the other holders: one holder may give the model up
+constexpr double UnloadTime = 50; // ms, of an idle model
+constexpr double VictimBusy = 1500; // ms; about the time until the last run on the engine ends
+constexpr double VictimRecent = 800; // ms, of the load that follows if a model is asked for again right away
+constexpr Millis VictimIdle{20000}; // a model idle for longer costs nothing to give up
+
 // Placement
 constexpr Millis PlacementInterval{50};
 constexpr size_t StoreLoadsInFlight = 4;
@@ -80,4 +129,17 @@
 constexpr size_t ControlThreads = 32;
 constexpr Millis ReadTimeout = std::chrono::seconds(10);
 
+// Connections of the general data path
+constexpr int ListenBacklog = 1024; // connections of one burst
+constexpr int KeepAliveIdleSeconds = 2; // a silent peer is noticed in about 5 s
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 3;
+constexpr Millis SilentPeerTimeout{4000}; // unacknowledged bytes; longer than a link is usually harmed
+constexpr Millis AcceptPause{50}; // after a failed accept, mostly for want of descriptors
+constexpr Millis GentleCloseTime{1000}; // for the caller to read the last answer
+constexpr Millis ConnectionSweep{250}; // precision of idle and header timeouts
+constexpr Millis EndpointIdleTime{10000}; // a kept connection to an endpoint, without a Keep-Alive header
+constexpr Millis EndpointIdleMargin{500}; // given up before the endpoint closes it
+constexpr size_t IdleConnectionsPerEndpoint = 64; // one engine's batch
+
 } // namespace roserail::tunables
--- a/src/state/yamlreader.h
+++ b/src/state/yamlreader.h
@@ -3,6 +3,8 @@
 
 #include "state/document.h"
 
+#include <fmt/format.h>
+
 #include <set>
 #include <yaml-cpp/yaml.h>
 
@@ -50,4 +52,17 @@
 
 std::vector<std::string> readNames(const YAML::Node &parent, const char *key);
 
+// Parses a file's text and reads it. Errors are of `kind`, with file, line and column.
+template <typename Read>
+auto readFile(const std::string &text, const std::string &file, ErrorKind kind, Read read) -> Result<decltype(read(YAML::Node()))>
+{
+    try {
+        return read(YAML::Load(text));
+    } catch (const ReadFailure &failure) {
+        return Error{kind, fmt::format("{}:{}:{}: {}", file, failure.position.line, failure.position.column, failure.message), 0};
+    } catch (const YAML::Exception &ex) {
+        return Error{kind, fmt::format("{}:{}:{}: not valid YAML ({}); correct the syntax", file, ex.mark.line + 1, ex.mark.column + 1, ex.msg), 0};
+    }
+}
+
 } // namespace roserail::yaml
--- a/src/transport/clock.h
+++ b/src/transport/clock.h
@@ -3,12 +3,17 @@
 
 #include "state/types.h"
 
+#include <ctime>
+
 namespace roserail
 {
 
+// Counts the time for which the host was suspended: a lease must not outlive a suspension.
 inline Time monotonicNow()
 {
-    return Time(std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now().time_since_epoch()));
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return Time(Millis(int64_t(now.tv_sec) * 1000 + now.tv_nsec / 1000000));
 }
 
 inline uint64_t wallMillis()
--- /dev/null
+++ b/src/transport/endpointpool.cpp
@@ -0,0 +1,140 @@
+#include "transport/endpointpool.h"
+
+#include "protocol/log.h"
+#include "protocol/metrics.h"
+#include "state/tunables.h"
+#include "transport/clock.h"
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+// Closes a socket when time is up, so that what waits on it ends.
+class Deadline
+{
+public:
+    Deadline(net::io_context &io, tcp::socket &socket, Millis timeout)
+        : m_timer(io, timeout)
+        , m_socket(std::make_shared<tcp::socket *>(&socket))
+    {
+        m_timer.async_wait([watched = m_socket](const ErrorCode &ec) {
+            ErrorCode ignored;
+            if (!ec && *watched != nullptr)
+                (*watched)->close(ignored);
+        });
+    }
+    ~Deadline()
+    {
+        *m_socket = nullptr;
+    }
+    Deadline(const Deadline &) = delete;
+    Deadline &operator=(const Deadline &) = delete;
+
+private:
+    net::steady_timer m_timer;
+    std::shared_ptr<tcp::socket *> m_socket; // the handler may run after the socket has gone
+};
+
+// "timeout=N" of a Keep-Alive header, in seconds.
+Millis keepAliveTime(std::string_view header)
+{
+    const size_t at = header.find("timeout=");
+    if (at == std::string_view::npos)
+        return EndpointIdleTime;
+    const long seconds = std::strtol(std::string(header.substr(at + 8)).c_str(), nullptr, 10);
+    return std::min(EndpointIdleTime, Millis(seconds * 1000) - EndpointIdleMargin);
+}
+
+} // namespace
+
+EndpointPool::EndpointPool(net::io_context &io)
+    : m_io(io)
+{
+}
+
+EndpointConnectionPtr EndpointPool::takeIdle(const std::string &address, Time now)
+{
+    const auto it = m_idle.find(address);
+    if (it == m_idle.end())
+        return nullptr;
+    while (!it->second.empty()) {
+        EndpointConnectionPtr connection = std::move(it->second.back());
+        it->second.pop_back();
+        if (now < connection->idleUntil && !hasUnexpectedInput(connection->socket))
+            return connection;
+    }
+    return nullptr;
+}
+
+Task<EndpointConnectionPtr> EndpointPool::connect(const std::string &address, Millis timeout)
+{
+    static Counter &connects = metrics().counter("roserail_endpoint_connects_total");
+    const Result<tcp::endpoint> endpoint = parseEndpoint(address);
+    if (endpoint.has_error())
+        co_return nullptr;
+    EndpointConnectionPtr connection = std::make_unique<EndpointConnection>(m_io);
+    connection->address = address;
+    connects.add();
+    ErrorCode ec;
+    {
+        const Deadline deadline(m_io, connection->socket, timeout);
+        co_await connection->socket.async_connect(endpoint.value(), net::redirect_error(net::use_awaitable, ec));
+    }
+    if (ec || !connection->socket.is_open())
+        co_return nullptr;
+    setUpConnection(connection->socket);
+    co_return connection;
+}
+
+void EndpointPool::keep(EndpointConnectionPtr connection, Time now)
+{
+    connection->idleUntil = now + keepAliveTime(connection->keepAliveHeader);
+    std::deque<EndpointConnectionPtr> &idle = m_idle[connection->address];
+    idle.push_back(std::move(connection));
+    if (idle.size() > IdleConnectionsPerEndpoint)
+        idle.pop_front();
+}
+
+void EndpointPool::trim(Time now)
+{
+    for (std::pair<const std::string, std::deque<EndpointConnectionPtr>> &it : m_idle) {
+        std::erase_if(it.second, [&](const EndpointConnectionPtr &connection) { return now >= connection->idleUntil; });
+    }
+    std::erase_if(m_idle, [](const auto &it) { return it.second.empty(); });
+}
+
+Task<std::optional<CallAnswer>> callEndpoint(EndpointPool &pool, std::string address, std::string method, std::string path,
+                                             std::vector<HeaderField> headers, std::string body, Millis timeout)
+{
+    EndpointConnectionPtr connection = pool.takeIdle(address, monotonicNow());
+    if (!connection)
+        connection = co_await pool.connect(address, timeout);
+    if (!connection)
+        co_return std::nullopt;
+    std::optional<Deadline> deadline;
+    deadline.emplace(pool.io(), connection->socket, timeout);
+    std::string bytes = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n", method, path, address, body.size());
+    for (const HeaderField &it : headers)
+        bytes += fmt::format("{}: {}\r\n", it.name, it.value);
+    bytes += "\r\n" + body;
+    ErrorCode ec;
+    co_await net::async_write(connection->socket, net::buffer(bytes), net::redirect_error(net::use_awaitable, ec));
+    http::response_parser<http::string_body> parser;
+    if (!ec)
+        co_await http::async_read(connection->socket, connection->buffer, parser, net::redirect_error(net::use_awaitable, ec));
+    if (ec)
+        co_return std::nullopt;
+    deadline.reset();
+    const http::response<http::string_body> response = parser.release();
+    CallAnswer answer{response.result_int(), response.body()};
+    connection->keepAliveHeader = std::string(response[http::field::keep_alive]);
+    if (response.keep_alive() && connection->buffer.size() == 0)
+        pool.keep(std::move(connection), monotonicNow());
+    co_return answer;
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/entryapi.cpp
@@ -0,0 +1,194 @@
+#include "transport/entryapi.h"
+
+#include "protocol/log.h"
+#include "state/tunables.h"
+#include "transport/clock.h"
+#include "transport/program.h"
+
+#include <future>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+constexpr size_t MostAddresses = 64; // of one answer
+constexpr size_t ZoneAddresses = 2; // an availability zone with fewer routers sends its callers to all
+constexpr Millis MaintainInterval{1000};
+
+} // namespace
+
+EntryApi::EntryApi(net::io_context &io, const EntrySettings &settings, const Dialect &dialect)
+    : m_io(io)
+    , m_settings(settings)
+    , m_dialect(dialect)
+    , m_registry(Lifetimes{EndpointSilence, RouterSilence})
+    , m_balancer(settings.host.zone)
+    , m_retries(settings.retryRatio, settings.retryWindow)
+    , m_forwarder(io, dialect, m_balancer, m_retries)
+    , m_callers(io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
+    , m_readiness(io, [this](CallerConnection &caller) { return answerReady(caller); })
+    , m_directory(io, [this](CallerConnection &caller) { return answerResolve(caller); })
+    , m_incarnation(wallMillis())
+{
+    m_forwarder.onWait([this] {
+        m_client->setWaiting(true);
+        m_client->wake();
+    });
+}
+
+Result<void> EntryApi::listen()
+{
+    BOOST_OUTCOME_TRY(m_callers.listen(m_settings.listen));
+    BOOST_OUTCOME_TRY(m_readiness.listen(m_settings.ready));
+    BOOST_OUTCOME_TRY(m_directory.listen(m_settings.directory));
+    // The session's thread asks this one for what to send, and hands over what it gets.
+    const MeshClient::Build build = [this] {
+        std::promise<pb::SyncRequest> promise;
+        std::future<pb::SyncRequest> request = promise.get_future();
+        net::post(m_io, [this, &promise] { promise.set_value(buildSync()); });
+        return request.get();
+    };
+    const MeshClient::Take take = [this](const pb::SyncReply &reply) { net::post(m_io, [this, reply] { takeSync(reply); }); };
+    m_client = std::make_unique<MeshClient>(internalSeeds(m_settings.host), build, take);
+    net::co_spawn(m_io, maintain(), net::detached);
+    return boost::outcome_v2::success();
+}
+
+void EntryApi::drain()
+{
+    m_draining = true;
+    m_callers.drain();
+    m_client->wake();
+}
+
+bool EntryApi::ready() const
+{
+    return !m_draining && m_synced && m_forwarder.table() != nullptr;
+}
+
+Call EntryApi::classify(const CallerConnection &caller) const
+{
+    const http::request<http::string_body> &request = caller.request();
+    return m_dialect.classify({request.method_string().data(), request.method_string().size()},
+                              {request.target().data(), request.target().size()});
+}
+
+Task<> EntryApi::answerReady(CallerConnection &caller)
+{
+    if (classify(caller).kind != CallKind::Ready)
+        co_await caller.answer(404);
+    else
+        co_await caller.answer(ready() ? 200 : 503);
+}
+
+// Routers of the caller's availability zone, or all if there are few of them.
+Task<> EntryApi::answerResolve(CallerConnection &caller)
+{
+    const Call call = classify(caller);
+    if (call.kind != CallKind::Resolve) {
+        co_await caller.answer(404);
+        co_return;
+    }
+    std::vector<std::string> near;
+    std::vector<std::string> all;
+    for (const std::pair<const std::string, LiveRouter> &it : m_registry.routers()) {
+        const bool self = it.first == m_settings.host.id;
+        if (self || !it.second.state.accepting())
+            continue;
+        all.push_back(it.second.state.address());
+        if (it.second.state.zone() == call.zone)
+            near.push_back(it.second.state.address());
+    }
+    if (ready()) {
+        all.push_back(m_settings.listen);
+        if (m_settings.host.zone == call.zone)
+            near.push_back(m_settings.listen);
+    }
+    std::vector<std::string> &chosen = near.size() >= ZoneAddresses ? near : all;
+    if (chosen.size() > MostAddresses)
+        chosen.resize(MostAddresses);
+    if (chosen.empty()) {
+        co_await caller.answer(503);
+        co_return;
+    }
+    std::vector<HeaderField> headers{{"Content-Type", "application/json"}};
+    co_await caller.answer(200, std::move(headers), m_dialect.encodeAddresses(chosen, ResolveLifetime));
+}
+
+Task<> EntryApi::maintain()
+{
+    net::steady_timer timer(m_io);
+    while (true) {
+        ErrorCode ec;
+        timer.expires_after(MaintainInterval);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+        m_forwarder.pool().trim(monotonicNow());
+    }
+}
+
+pb::SyncRequest EntryApi::buildSync()
+{
+    pb::SyncRequest request;
+    pb::RouterState &state = *request.mutable_router();
+    state.set_router(m_settings.host.id);
+    state.set_incarnation(m_incarnation);
+    state.set_sequence(++m_sequence);
+    state.set_address(m_settings.listen);
+    state.set_zone(m_settings.host.zone);
+    state.set_accepting(ready());
+    for (pb::ArtifactDemand &it : m_balancer.demands(monotonicNow()))
+        *state.add_demands() = std::move(it);
+    request.set_epoch(m_epoch);
+    request.set_version(m_version);
+    request.set_configuration(m_forwarder.table() ? m_forwarder.table()->version : 0);
+    m_client->setWaiting(m_balancer.anyWaiting());
+    return request;
+}
+
+void EntryApi::takeSync(const pb::SyncReply &reply)
+{
+    const Time now = monotonicNow();
+    m_epoch = reply.epoch();
+    m_version = reply.version();
+    const uint64_t before = m_registry.version();
+    for (const pb::Announcement &it : reply.endpoints())
+        m_registry.take(it, now - Millis(it.age_ms()));
+    for (const pb::Holdings &it : reply.holdings())
+        m_registry.take(it);
+    for (const pb::RouterState &it : reply.routers())
+        m_registry.take(it, now - Millis(it.age_ms()));
+    if (reply.full())
+        m_registry.dropUnlisted(reply);
+    if (reply.has_configuration())
+        takeConfiguration(reply.configuration());
+    size_t accepting = 1;
+    for (const std::pair<const std::string, LiveRouter> &it : m_registry.routers())
+        accepting += it.second.state.accepting() ? 1 : 0;
+    m_retries.setSlack(m_settings.retrySlack / double(accepting + 1));
+    m_synced = true;
+    if (m_registry.version() == before)
+        return;
+    m_balancer.update(m_registry);
+    m_forwarder.endpointsChanged();
+}
+
+// Only a higher version is taken: a router never goes back within its life, whichever control host it asks.
+void EntryApi::takeConfiguration(const pb::WholeConfiguration &configuration)
+{
+    if (m_forwarder.table() && configuration.version() <= m_forwarder.table()->version)
+        return;
+    Result<RouteTable> table = m_dialect.decodeConfiguration(configuration.content());
+    if (table.has_error()) {
+        logEvent("configuration_error", {{"version", configuration.version()}, {"error", table.error().message}});
+        return;
+    }
+    logEvent("configuration", {{"version", configuration.version()}, {"routes", table.value().routes.size()}});
+    m_callers.setLimits(table.value().limits);
+    m_forwarder.setTable(std::make_shared<const RouteTable>(std::move(table.value())));
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/entryapi.h
@@ -0,0 +1,53 @@
+// What an entry host answers: callers' requests, where to connect, and whether it is ready.
+#pragma once
+
+#include "protocol/hostsettings.h"
+#include "transport/forwarder.h"
+#include "transport/mesh.h"
+
+namespace roserail
+{
+
+class EntryApi
+{
+public:
+    EntryApi(net::io_context &io, const EntrySettings &settings, const Dialect &dialect);
+    // Errors are BadSettings.
+    Result<void> listen();
+    // Leaves the list of addresses; requests are still served.
+    void drain();
+    size_t active() const
+    {
+        return m_forwarder.active();
+    }
+
+private:
+    Task<> answerReady(CallerConnection &caller);
+    Task<> answerResolve(CallerConnection &caller);
+    Task<> maintain();
+    pb::SyncRequest buildSync();
+    void takeSync(const pb::SyncReply &reply);
+    void takeConfiguration(const pb::WholeConfiguration &configuration);
+    bool ready() const;
+    Call classify(const CallerConnection &caller) const;
+
+    net::io_context &m_io;
+    EntrySettings m_settings;
+    const Dialect &m_dialect;
+    Registry m_registry; // as the control hosts tell it
+    Balancer m_balancer;
+    RetryWindow m_retries;
+    Forwarder m_forwarder;
+    HttpServer m_callers;
+    HttpServer m_readiness;
+    HttpServer m_directory;
+    uint64_t m_incarnation;
+    uint64_t m_sequence = 0;
+    uint64_t m_epoch = 0; // of the control process whose version is `m_version`
+    uint64_t m_version = 0;
+    bool m_synced = false; // what is live has been heard at least once
+    bool m_draining = false;
+    std::unique_ptr<MeshClient> m_client;
+};
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/forwarder.cpp
@@ -0,0 +1,501 @@
+#include "transport/forwarder.h"
+
+#include "protocol/log.h"
+#include "protocol/metrics.h"
+#include "state/tunables.h"
+#include "transport/clock.h"
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+constexpr size_t RelayBytes = 8192; // read from an endpoint at once
+constexpr size_t WholeAnswerBytes = 1u << 20; // an answer that is no stream is held back up to this size until it is complete
+constexpr uint32_t AnswerHeaderBytes = 64u << 10;
+constexpr int ForeignAnswers = 2; // late answers to earlier requests that are skipped on one connection
+
+std::string_view view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::string hostWithoutPort(std::string_view host)
+{
+    return std::string(host.substr(0, host.find(':')));
+}
+
+std::string retryAfter(Millis time)
+{
+    return fmt::format("{:.3f}", double(time.count()) / 1000);
+}
+
+} // namespace
+
+// Ends what a request waits for: its caller has left, or its time is up.
+struct Forwarder::Interrupt {
+    bool callerLeft = false;
+    bool timeUp = false;
+    bool finished = false; // the request is done; nothing of it may be touched
+    std::function<void()> stop; // of what is being waited for
+    bool raised() const
+    {
+        return callerLeft || timeUp;
+    }
+    void raise(bool &why)
+    {
+        if (finished)
+            return;
+        why = true;
+        if (stop)
+            stop();
+    }
+};
+
+// One request, from its arrival to its final answer.
+struct Forwarder::Request {
+    Request(CallerConnection &connection, std::shared_ptr<const RouteTable> routes)
+        : caller(connection)
+        , table(std::move(routes))
+    {
+    }
+    CallerConnection &caller;
+    std::shared_ptr<const RouteTable> table;
+    const Route *route = nullptr;
+    RequestFacts facts;
+    Need need;
+    Time deadline{};
+    RouteProgress progress;
+    std::shared_ptr<Interrupt> interrupt = std::make_shared<Interrupt>();
+    std::string endpoint; // of the last attempt
+    unsigned status = 0; // that the caller got
+    Millis waited{0}; // for a model
+    uint64_t bytes = 0; // of the answer's body
+    std::string cause; // of the last failure
+};
+
+// An endpoint's answer while it is read.
+struct EndpointAnswer {
+    std::unique_ptr<http::response_parser<http::buffer_body>> parser;
+    AnswerFacts facts;
+    unsigned status = 0;
+    bool keepAlive = false;
+};
+
+Forwarder::Forwarder(net::io_context &io, const Dialect &dialect, Balancer &balancer, RetryWindow &retries)
+    : m_io(io)
+    , m_dialect(dialect)
+    , m_balancer(balancer)
+    , m_retries(retries)
+    , m_pool(io)
+{
+}
+
+void Forwarder::endpointsChanged()
+{
+    for (net::steady_timer *it : m_waiters)
+        it->cancel();
+}
+
+Task<> Forwarder::handle(CallerConnection &caller)
+{
+    Request request(caller, m_table);
+    request.facts = m_dialect.requestFacts(caller.lookup());
+    if (!request.table) {
+        const Error error{ErrorKind::Unavailable, "no configuration is known yet; come back later", RetryAfterBusy.count()};
+        co_await refuse(request, error, 503);
+        co_return;
+    }
+    const std::string target(view(caller.request().target()));
+    request.route = request.table->match(hostWithoutPort(caller.header("Host")), target.substr(0, target.find('?')));
+    if (request.route == nullptr) {
+        const Error error{ErrorKind::NotFound, "no route serves this host and path; correct the address", 0};
+        co_await refuse(request, error, 404);
+        co_return;
+    }
+    ++m_active;
+    const Time now = caller.arrivedAt();
+    request.deadline = now + request.route->timeout;
+    if (request.facts.patience)
+        request.deadline = std::min(request.deadline, now + *request.facts.patience);
+    net::steady_timer timer(m_io, request.deadline - monotonicNow());
+    timer.async_wait([interrupt = request.interrupt](const ErrorCode &ec) {
+        if (!ec)
+            interrupt->raise(interrupt->timeUp);
+    });
+    net::co_spawn(m_io, watchCaller(caller, request.interrupt), net::detached);
+    co_await forward(request);
+    request.interrupt->finished = true;
+    ErrorCode ec;
+    caller.socket().cancel(ec);
+    if (request.interrupt->callerLeft)
+        caller.abort();
+    --m_active;
+}
+
+// Notices a caller that closes its connection while its request is under way.
+Task<> Forwarder::watchCaller(CallerConnection &caller, std::shared_ptr<Interrupt> interrupt)
+{
+    ErrorCode ec;
+    co_await caller.socket().async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
+    if (ec || interrupt->finished)
+        co_return;
+    char byte = 0;
+    const ssize_t n = ::recv(caller.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    // Bytes are the next request, sent early: they wait.
+    if (n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+        interrupt->raise(interrupt->callerLeft);
+}
+
+Task<> Forwarder::forward(Request &request)
+{
+    const Route &route = *request.route;
+    request.need.service = route.services.front().service;
+    if (route.services.size() > 1) {
+        // The request's id spreads requests over the services by weight.
+        uint64_t total = 0;
+        for (const WeightedService &it : route.services)
+            total += it.weight;
+        uint64_t point = std::hash<std::string>()(request.facts.id) % total;
+        for (const WeightedService &it : route.services) {
+            request.need.service = it.service;
+            if (point < it.weight)
+                break;
+            point -= it.weight;
+        }
+    }
+    request.need.model = request.facts.model;
+    request.need.adapter = request.facts.adapter;
+    request.need.prompt = request.facts.prompt;
+    request.need.promptTokens = request.facts.promptTokens;
+    request.progress.repeat = route.repeat;
+    request.progress.maxRuns = route.attempts;
+    m_retries.requestStarted(monotonicNow());
+    while (true) {
+        const std::optional<Choice> choice = co_await findEndpoint(request);
+        AttemptEnd end = AttemptEnd::NotSent;
+        if (choice)
+            end = co_await attempt(request, *choice);
+        else
+            request.cause = request.cause.empty() ? "no endpoint serves it in time" : request.cause;
+        if (request.interrupt->raised())
+            end = end == AttemptEnd::Completed ? end : AttemptEnd::Abandoned;
+        const RouteStep step = !choice && !request.progress.delivered
+            ? (request.progress.runs == 0 ? RouteStep::AnswerNotRun : RouteStep::AnswerUnknown)
+            : nextRouteStep(request.progress, end, [&] { return m_retries.tryRetry(monotonicNow()); });
+        if (step != RouteStep::Retry) {
+            co_await finish(request, step, end);
+            co_return;
+        }
+    }
+}
+
+Task<std::optional<Choice>> Forwarder::findEndpoint(Request &request)
+{
+    std::optional<Choice> choice = m_balancer.choose(request.need, monotonicNow());
+    if (choice || request.need.model.empty() || !m_balancer.serves(request.need.service))
+        co_return choice;
+    const ServiceSpec *service = request.table->service(request.need.service);
+    if (!service->hasEngine || service->engine.models.count(request.need.model) == 0) {
+        request.cause = "the configuration has no such model";
+        co_return std::nullopt;
+    }
+    co_return co_await waitForModel(request);
+}
+
+// Waits until an endpoint holds the model, as long as an answer in time is still possible.
+Task<std::optional<Choice>> Forwarder::waitForModel(Request &request)
+{
+    const Time since = monotonicNow();
+    const Millis whole = request.deadline - request.caller.arrivedAt();
+    const Time until = request.caller.arrivedAt() + Millis(int64_t(double(whole.count()) * ColdWaitShare));
+    net::steady_timer timer(m_io);
+    m_balancer.waits(request.need, since);
+    m_waiters.insert(&timer);
+    request.interrupt->stop = [&timer] { timer.cancel(); };
+    if (m_onWait)
+        m_onWait();
+    std::optional<Choice> choice;
+    while (!choice && !request.interrupt->raised() && monotonicNow() < until) {
+        ErrorCode ec;
+        timer.expires_after(std::min(until - monotonicNow(), NotHeldPause));
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+        choice = m_balancer.choose(request.need, monotonicNow());
+    }
+    request.interrupt->stop = nullptr;
+    m_waiters.erase(&timer);
+    m_balancer.stopsWaiting(request.need, since);
+    request.waited += monotonicNow() - since;
+    if (!choice)
+        request.cause = "the model was not loaded in time";
+    co_return request.interrupt->raised() ? std::nullopt : choice;
+}
+
+Task<AttemptEnd> Forwarder::attempt(Request &request, const Choice &choice)
+{
+    request.endpoint = choice.endpoint;
+    EndpointConnectionPtr connection = m_pool.takeIdle(choice.address, monotonicNow());
+    if (!connection)
+        connection = co_await m_pool.connect(choice.address, EndpointConnectTimeout);
+    if (request.interrupt->raised())
+        co_return AttemptEnd::Abandoned;
+    if (!connection) {
+        request.cause = "no connection to the endpoint";
+        request.need.avoid.insert(choice.endpoint);
+        m_balancer.started(request.need, choice, monotonicNow());
+        m_balancer.ended(request.need, choice, StayEnd::Failed, monotonicNow());
+        co_return AttemptEnd::NotSent;
+    }
+    m_balancer.started(request.need, choice, monotonicNow());
+    ++request.progress.sends;
+    ++request.progress.runs;
+    request.interrupt->stop = [&socket = connection->socket] {
+        ErrorCode ec;
+        socket.close(ec);
+    };
+    bool reusable = false;
+    const AttemptEnd end = co_await exchange(request, choice, *connection, reusable);
+    request.interrupt->stop = nullptr;
+    StayEnd stay = StayEnd::Failed;
+    if (end == AttemptEnd::Completed)
+        stay = StayEnd::Answered;
+    else if (end == AttemptEnd::RefusedNotRun)
+        stay = request.status == 421 ? StayEnd::NotHeld : StayEnd::Full;
+    else if (request.interrupt->raised())
+        stay = StayEnd::Cancelled;
+    m_balancer.ended(request.need, choice, stay, monotonicNow());
+    if (end == AttemptEnd::RefusedNotRun)
+        --request.progress.runs;
+    if (end != AttemptEnd::Completed && stay != StayEnd::NotHeld)
+        request.need.avoid.insert(choice.endpoint);
+    if (reusable && connection->socket.is_open())
+        m_pool.keep(std::move(connection), monotonicNow());
+    co_return end;
+}
+
+std::string Forwarder::requestBytes(const Request &request, const Choice &choice, Time now) const
+{
+    const http::request<http::string_body> &original = request.caller.request();
+    std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", view(original.method_string()), view(original.target()));
+    for (const http::fields::value_type &it : original) {
+        const std::string_view name = view(it.name_string());
+        if (!isHopByHop(name) && !m_dialect.isReserved(name))
+            bytes += fmt::format("{}: {}\r\n", name, view(it.value()));
+    }
+    for (const HeaderField &it : m_dialect.forwardHeaders(choice.endpoint, request.deadline - now))
+        bytes += fmt::format("{}: {}\r\n", it.name, it.value);
+    const bool hasBody = !original.body().empty() || original.method() == http::verb::post || original.method() == http::verb::put;
+    if (hasBody)
+        bytes += fmt::format("Content-Length: {}\r\n", original.body().size());
+    return bytes + "\r\n" + original.body();
+}
+
+Task<AttemptEnd> Forwarder::exchange(Request &request, const Choice &choice, EndpointConnection &connection, bool &reusable)
+{
+    const std::string bytes = requestBytes(request, choice, monotonicNow());
+    ErrorCode ec;
+    co_await net::async_write(connection.socket, net::buffer(bytes), net::redirect_error(net::use_awaitable, ec));
+    if (ec) {
+        request.cause = "the connection broke while the request was sent: " + ec.message();
+        co_return AttemptEnd::Interrupted;
+    }
+    EndpointAnswer answer;
+    if (!co_await readHead(request, connection, answer))
+        co_return AttemptEnd::Interrupted;
+    if (answer.facts.load)
+        m_balancer.observeLoad(choice.endpoint, answer.facts.load->running, answer.facts.load->waiting, monotonicNow());
+    const AttemptEnd end = co_await relay(request, connection, answer);
+    reusable = answer.parser->is_done() && answer.keepAlive && connection.buffer.size() == 0;
+    co_return end;
+}
+
+// Reads the head of the answer to this request. Late answers to earlier ones on the connection are skipped.
+Task<bool> Forwarder::readHead(Request &request, EndpointConnection &connection, EndpointAnswer &answer)
+{
+    for (int skipped = 0; skipped <= ForeignAnswers; ++skipped) {
+        ErrorCode ec;
+        answer.parser = std::make_unique<http::response_parser<http::buffer_body>>();
+        answer.parser->eager(true);
+        answer.parser->header_limit(AnswerHeaderBytes);
+        answer.parser->body_limit(boost::none);
+        answer.parser->skip(request.caller.request().method() == http::verb::head);
+        co_await http::async_read_header(connection.socket, connection.buffer, *answer.parser, net::redirect_error(net::use_awaitable, ec));
+        if (ec) {
+            request.cause = "no answer from the endpoint: " + ec.message();
+            co_return false;
+        }
+        const http::response<http::buffer_body> &head = answer.parser->get();
+        answer.status = head.result_int();
+        answer.facts = m_dialect.answerFacts(int(answer.status), [&head](std::string_view name) {
+            return view(head[boost::beast::string_view(name.data(), name.size())]);
+        });
+        answer.keepAlive = answer.parser->keep_alive();
+        connection.keepAliveHeader = std::string(view(head[http::field::keep_alive]));
+        const bool success = answer.status / 100 == 2;
+        const bool foreign = answer.facts.requestId.empty() ? success : answer.facts.requestId != request.facts.id;
+        if (!foreign) {
+            if (success && answer.facts.seal.empty()) {
+                request.cause = "the answer has no signature";
+                co_return false;
+            }
+            co_return true;
+        }
+        logEvent("foreign_answer", {{"id", request.facts.id}, {"endpoint", request.endpoint}, {"answers", answer.facts.requestId}});
+        std::vector<char> rest(RelayBytes);
+        while (!answer.parser->is_done() && (!ec || ec == http::error::need_buffer)) {
+            answer.parser->get().body().data = rest.data();
+            answer.parser->get().body().size = rest.size();
+            co_await http::async_read_some(connection.socket, connection.buffer, *answer.parser, net::redirect_error(net::use_awaitable, ec));
+        }
+        if (!answer.parser->is_done() || !answer.keepAlive)
+            break;
+    }
+    request.cause = "the endpoint answered another request";
+    co_return false;
+}
+
+// Passes the answer on: a stream as it comes, other answers whole.
+Task<AttemptEnd> Forwarder::relay(Request &request, EndpointConnection &connection, EndpointAnswer &answer)
+{
+    http::response_parser<http::buffer_body> &parser = *answer.parser;
+    const bool chunked = request.caller.request().version() >= 11;
+    const bool retryable = request.route->repeat == Repeat::Always && answer.status >= 500;
+    const bool pass = !answer.facts.notRun && !(retryable && request.progress.runs < request.progress.maxRuns);
+    bool whole = !request.route->stream || !pass || answer.status / 100 != 2;
+    std::string head = fmt::format("HTTP/1.1 {} {}\r\n", answer.status, view(http::obsolete_reason(http::status(answer.status))));
+    for (const http::fields::value_type &it : parser.get()) {
+        if (!isHopByHop(view(it.name_string())))
+            head += fmt::format("{}: {}\r\n", view(it.name_string()), view(it.value()));
+    }
+    if (!request.caller.keepsAlive() || !chunked)
+        head += "Connection: close\r\n";
+    std::string pending;
+    const auto beginStream = [&] {
+        request.status = answer.status;
+        request.progress.delivered = true;
+        pending = head + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n") + pending;
+        if (!chunked)
+            request.caller.closeAfterAnswer();
+    };
+    std::vector<char> buf(RelayBytes);
+    std::string body;
+    ErrorCode ec;
+    if (!whole)
+        beginStream();
+    while (!parser.is_done()) {
+        parser.get().body().data = buf.data();
+        parser.get().body().size = buf.size();
+        co_await http::async_read_some(connection.socket, connection.buffer, parser, net::redirect_error(net::use_awaitable, ec));
+        const size_t n = buf.size() - parser.get().body().size;
+        if (ec == http::error::need_buffer)
+            ec = {};
+        request.bytes += n;
+        if (whole) {
+            body.append(buf.data(), n);
+            if (body.size() > WholeAnswerBytes && pass) {
+                whole = false;
+                beginStream();
+                pending += chunked ? fmt::format("{:x}\r\n{}\r\n", body.size(), body) : body;
+            }
+        } else if (n > 0) {
+            const std::string_view piece(buf.data(), n);
+            pending += chunked ? fmt::format("{:x}\r\n{}\r\n", n, piece) : std::string(piece);
+        }
+        if (ec)
+            break;
+        if (!whole && parser.is_done() && chunked)
+            pending += "0\r\n\r\n";
+        if (!whole && !pending.empty()) {
+            if (!co_await request.caller.write(std::exchange(pending, std::string()))) {
+                request.interrupt->callerLeft = true;
+                co_return AttemptEnd::Abandoned;
+            }
+        }
+    }
+    if (ec || !parser.is_done()) {
+        request.cause = "the endpoint's answer broke off: " + ec.message();
+        co_return AttemptEnd::Interrupted;
+    }
+    if (!pass) {
+        request.status = answer.status;
+        request.cause = fmt::format("the endpoint answered {}{}", answer.status, answer.facts.notRun ? ", not run" : "");
+        co_return answer.facts.notRun ? AttemptEnd::RefusedNotRun : AttemptEnd::Interrupted;
+    }
+    if (whole) {
+        request.status = answer.status;
+        request.progress.delivered = true;
+        const bool bodyless = answer.status == 204 || answer.status == 304;
+        head += bodyless ? "\r\n" : fmt::format("Content-Length: {}\r\n\r\n", body.size());
+        if (!co_await request.caller.write(head + body))
+            co_return AttemptEnd::Abandoned;
+    }
+    co_return AttemptEnd::Completed;
+}
+
+Task<> Forwarder::refuse(Request &request, const Error &error, unsigned status)
+{
+    request.status = status;
+    std::vector<HeaderField> headers{{"Content-Type", "application/json"}};
+    if (!request.facts.id.empty())
+        headers.push_back({"X-Request-Id", request.facts.id});
+    if (error.retryAfterMs > 0)
+        headers.push_back({"Retry-After", retryAfter(Millis(error.retryAfterMs))});
+    request.cause = error.message;
+    log(request, traits(error.kind).name);
+    co_await request.caller.answer(status, headers, m_dialect.encodeError(error));
+}
+
+Task<> Forwarder::finish(Request &request, RouteStep step, AttemptEnd end)
+{
+    if (step == RouteStep::Deliver) {
+        log(request, "completed");
+        co_return;
+    }
+    if (request.interrupt->callerLeft) {
+        request.caller.abort();
+        log(request, "caller_left");
+        co_return;
+    }
+    if (step == RouteStep::BreakOff) {
+        request.caller.abort();
+        log(request, request.interrupt->timeUp ? "broken_off_at_deadline" : "broken_off");
+        co_return;
+    }
+    const std::string cause = request.cause;
+    if (step == RouteStep::AnswerNotRun) {
+        const Millis again = end == AttemptEnd::RefusedNotRun ? RetryAfterBusy / 2 : RetryAfterBusy;
+        const Error error{ErrorKind::NotRun, cause + "; not run, come back later", again.count()};
+        co_await refuse(request, error, 503);
+    } else if (request.interrupt->timeUp) {
+        const Error error{ErrorKind::Late, "no answer in time; it may have run", 0};
+        co_await refuse(request, error, 504);
+    } else {
+        const Error error{ErrorKind::OutcomeUnknown, cause + "; it may have run", 0};
+        co_await refuse(request, error, 502);
+    }
+}
+
+void Forwarder::log(const Request &request, std::string_view outcome) const
+{
+    static Histogram &took = metrics().histogram("roserail_request_milliseconds");
+    const Time now = monotonicNow();
+    took.record(uint64_t((now - request.caller.arrivedAt()).count()));
+    metrics().counter(fmt::format("roserail_requests_total{{outcome=\"{}\"}}", outcome)).add();
+    logEvent("request", {{"id", request.facts.id},
+                         {"route", request.route == nullptr ? "" : request.route->name},
+                         {"config", request.table ? request.table->version : 0},
+                         {"model", request.need.model},
+                         {"adapter", request.need.adapter},
+                         {"endpoint", request.endpoint},
+                         {"sends", request.progress.sends},
+                         {"status", request.status},
+                         {"outcome", outcome},
+                         {"waited_ms", request.waited.count()},
+                         {"took_ms", (now - request.caller.arrivedAt()).count()},
+                         {"cause", request.cause}});
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/forwarder.h
@@ -0,0 +1,72 @@
+// Forwards callers' requests on general routes to endpoints and passes their answers back.
+#pragma once
+
+#include "coordination/balancer.h"
+#include "coordination/retry.h"
+#include "transport/endpointpool.h"
+
+#include <memory>
+
+namespace roserail
+{
+
+class Forwarder
+{
+public:
+    Forwarder(net::io_context &io, const Dialect &dialect, Balancer &balancer, RetryWindow &retries);
+
+    // Takes a new configuration. Requests under way keep theirs.
+    void setTable(std::shared_ptr<const RouteTable> table)
+    {
+        m_table = std::move(table);
+    }
+    const std::shared_ptr<const RouteTable> &table() const
+    {
+        return m_table;
+    }
+    // Endpoints, or what they hold, have changed: requests that wait look again.
+    void endpointsChanged();
+    // Called when a request begins to wait for a model.
+    void onWait(std::function<void()> callback)
+    {
+        m_onWait = std::move(callback);
+    }
+    Task<> handle(CallerConnection &caller);
+    size_t active() const
+    {
+        return m_active;
+    }
+    EndpointPool &pool()
+    {
+        return m_pool;
+    }
+
+private:
+    struct Request;
+    struct Interrupt;
+
+    Task<> forward(Request &request);
+    Task<std::optional<Choice>> findEndpoint(Request &request);
+    Task<std::optional<Choice>> waitForModel(Request &request);
+    Task<AttemptEnd> attempt(Request &request, const Choice &choice);
+    Task<AttemptEnd> exchange(Request &request, const Choice &choice, EndpointConnection &connection, bool &reusable);
+    Task<bool> readHead(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
+    Task<AttemptEnd> relay(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
+    Task<> refuse(Request &request, const Error &error, unsigned status);
+    Task<> finish(Request &request, RouteStep step, AttemptEnd end);
+    std::string requestBytes(const Request &request, const Choice &choice, Time now) const;
+    Task<> watchCaller(CallerConnection &caller, std::shared_ptr<Interrupt> interrupt);
+    void log(const Request &request, std::string_view outcome) const;
+
+    net::io_context &m_io;
+    const Dialect &m_dialect;
+    Balancer &m_balancer;
+    RetryWindow &m_retries;
+    EndpointPool m_pool;
+    std::shared_ptr<const RouteTable> m_table;
+    std::function<void()> m_onWait;
+    std::set<net::steady_timer *> m_waiters;
+    size_t m_active = 0;
+};
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/http.cpp
@@ -0,0 +1,260 @@
+#include "transport/http.h"
+
+#include "protocol/log.h"
+#include "protocol/metrics.h"
+#include "state/tunables.h"
+#include "transport/clock.h"
+
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+constexpr std::array HopByHop{"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Content-Length", "TE", "Trailer", "Upgrade"};
+
+void setOption(tcp::socket &socket, int level, int name, int value)
+{
+    ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
+}
+
+std::string_view view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+Result<tcp::endpoint> parseEndpoint(const std::string &text)
+{
+    const size_t colon = text.rfind(':');
+    ErrorCode ec;
+    const net::ip::address address = net::ip::make_address(text.substr(0, colon), ec);
+    const unsigned long port = colon == std::string::npos ? 0 : std::strtoul(text.c_str() + colon + 1, nullptr, 10);
+    if (ec || port == 0 || port > 65535)
+        return Error{ErrorKind::BadRequest, fmt::format("'{}' is not an IP address and a port", text), 0};
+    return tcp::endpoint(address, uint16_t(port));
+}
+
+void setUpConnection(tcp::socket &socket)
+{
+    setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, int(SilentPeerTimeout.count()));
+}
+
+bool isHopByHop(std::string_view name)
+{
+    return std::any_of(HopByHop.begin(), HopByHop.end(), [&](const char *it) {
+        return boost::beast::iequals(boost::beast::string_view(it), boost::beast::string_view(name.data(), name.size()));
+    });
+}
+
+bool hasUnexpectedInput(tcp::socket &socket)
+{
+    char byte = 0;
+    const ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+std::string_view CallerConnection::header(std::string_view name) const
+{
+    return view(m_request[boost::beast::string_view(name.data(), name.size())]);
+}
+
+Dialect::Lookup CallerConnection::lookup() const
+{
+    return [this](std::string_view name) { return header(name); };
+}
+
+Task<bool> CallerConnection::write(std::string bytes)
+{
+    ErrorCode ec;
+    co_await net::async_write(m_socket, net::buffer(bytes), net::redirect_error(net::use_awaitable, ec));
+    if (ec)
+        m_aborted = true;
+    co_return !ec;
+}
+
+Task<bool> CallerConnection::answer(unsigned status)
+{
+    return answer(status, std::vector<HeaderField>(), std::string());
+}
+
+Task<bool> CallerConnection::answer(unsigned status, std::vector<HeaderField> headers, std::string body)
+{
+    std::string bytes = fmt::format("HTTP/1.1 {} {}\r\n", status, view(http::obsolete_reason(http::status(status))));
+    for (const HeaderField &it : headers)
+        bytes += fmt::format("{}: {}\r\n", it.name, it.value);
+    bytes += fmt::format("Content-Length: {}\r\n{}\r\n", body.size(), m_keepAlive ? "" : "Connection: close\r\n");
+    if (m_request.method() != http::verb::head)
+        bytes += body;
+    co_return co_await write(std::move(bytes));
+}
+
+void CallerConnection::abort()
+{
+    m_aborted = true;
+    m_keepAlive = false;
+}
+
+Task<> answerMetrics(CallerConnection &caller)
+{
+    std::vector<HeaderField> headers{{"Content-Type", "text/plain"}};
+    co_await caller.answer(200, std::move(headers), metrics().text());
+}
+
+HttpServer::HttpServer(net::io_context &io, HttpHandler handler)
+    : m_io(io)
+    , m_handler(std::move(handler))
+    , m_acceptor(io)
+    , m_sweepTimer(io)
+{
+}
+
+Result<void> HttpServer::listen(const std::string &address)
+{
+    BOOST_OUTCOME_TRY(endpoint, parseEndpoint(address));
+    ErrorCode ec;
+    m_acceptor.open(endpoint.protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(endpoint, ec);
+    if (!ec)
+        m_acceptor.listen(ListenBacklog, ec);
+    if (ec)
+        return Error{ErrorKind::BadSettings, fmt::format("cannot listen on {}: {}; free the port or correct the address", address, ec.message()), 0};
+    net::co_spawn(m_io, acceptAll(), net::detached);
+    net::co_spawn(m_io, sweep(), net::detached);
+    return boost::outcome_v2::success();
+}
+
+Task<> HttpServer::acceptAll()
+{
+    while (true) {
+        ErrorCode ec;
+        tcp::socket socket = co_await m_acceptor.async_accept(net::redirect_error(net::use_awaitable, ec));
+        if (ec == net::error::operation_aborted)
+            co_return;
+        if (ec) {
+            logEvent("accept_failed", {{"error", ec.message()}});
+            net::steady_timer pause(m_io, AcceptPause);
+            co_await pause.async_wait(net::redirect_error(net::use_awaitable, ec));
+            continue;
+        }
+        setUpConnection(socket);
+        const std::shared_ptr<CallerConnection> connection = std::make_shared<CallerConnection>(std::move(socket));
+        net::co_spawn(m_io, serve(connection), net::detached);
+    }
+}
+
+Task<> HttpServer::serve(std::shared_ptr<CallerConnection> connection)
+{
+    m_connections.push_front(connection);
+    const std::list<std::shared_ptr<CallerConnection>>::iterator position = m_connections.begin();
+    while (co_await readRequest(*connection)) {
+        connection->m_keepAlive = connection->m_request.keep_alive() && !m_draining;
+        co_await m_handler(*connection);
+        if (!connection->m_keepAlive || connection->m_aborted)
+            break;
+    }
+    if (!connection->m_aborted)
+        co_await closeGently(*connection);
+    ErrorCode ec;
+    connection->m_socket.close(ec);
+    m_connections.erase(position);
+}
+
+// Reads one request within the limits. False: the connection ends.
+Task<bool> HttpServer::readRequest(CallerConnection &connection)
+{
+    ErrorCode ec;
+    if (connection.m_buffer.size() == 0) {
+        connection.m_expiresAt = monotonicNow() + m_limits.idleTimeout;
+        co_await connection.m_socket.async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
+        if (ec)
+            co_return false;
+    }
+    connection.m_expiresAt = monotonicNow() + m_limits.headerTimeout;
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(m_limits.headerBytes);
+    parser.body_limit(m_limits.bodyBytes);
+    co_await http::async_read_header(connection.m_socket, connection.m_buffer, parser, net::redirect_error(net::use_awaitable, ec));
+    if (!ec) {
+        connection.m_arrivedAt = monotonicNow();
+        connection.m_expiresAt = connection.m_arrivedAt + m_limits.idleTimeout;
+        if (!parser.is_done())
+            co_await http::async_read(connection.m_socket, connection.m_buffer, parser, net::redirect_error(net::use_awaitable, ec));
+    }
+    connection.m_expiresAt = Time::max();
+    if (ec) {
+        co_await refuse(connection, ec);
+        co_return false;
+    }
+    connection.m_request = parser.release();
+    co_return true;
+}
+
+// Answers a request that can't be read, if it still can be answered.
+Task<> HttpServer::refuse(CallerConnection &connection, const ErrorCode &ec)
+{
+    unsigned status = 0;
+    if (ec == http::error::header_limit)
+        status = 431;
+    else if (ec == http::error::body_limit)
+        status = 413;
+    else if (ec.category() == http::make_error_code(http::error::bad_target).category() && ec != http::error::end_of_stream
+             && ec != http::error::partial_message)
+        status = 400;
+    if (status == 0) {
+        connection.abort();
+        co_return;
+    }
+    connection.m_keepAlive = false;
+    logEvent("request_unreadable", {{"status", status}, {"error", ec.message()}});
+    co_await connection.answer(status);
+}
+
+// Lets the caller read the last answer: a close with unread input would reset the connection and may destroy it.
+Task<> HttpServer::closeGently(CallerConnection &connection)
+{
+    ErrorCode ec;
+    connection.m_socket.shutdown(tcp::socket::shutdown_send, ec);
+    connection.m_expiresAt = monotonicNow() + GentleCloseTime;
+    std::array<char, 1024> rest;
+    while (!ec)
+        co_await connection.m_socket.async_read_some(net::buffer(rest), net::redirect_error(net::use_awaitable, ec));
+}
+
+// Closes connections whose time is up.
+Task<> HttpServer::sweep()
+{
+    while (true) {
+        ErrorCode ec;
+        m_sweepTimer.expires_after(ConnectionSweep);
+        co_await m_sweepTimer.async_wait(net::redirect_error(net::use_awaitable, ec));
+        if (ec)
+            co_return;
+        const Time now = monotonicNow();
+        for (const std::shared_ptr<CallerConnection> &it : m_connections) {
+            if (now < it->m_expiresAt)
+                continue;
+            it->m_expiresAt = Time::max();
+            it->m_aborted = true;
+            it->m_socket.close(ec);
+        }
+    }
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/keeperapi.cpp
@@ -0,0 +1,177 @@
+#include "transport/keeperapi.h"
+
+#include "protocol/log.h"
+#include "state/tunables.h"
+#include "transport/clock.h"
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+const std::vector<HeaderField> JsonBody{{"Content-Type", "application/json"}};
+
+} // namespace
+
+KeeperApi::KeeperApi(net::io_context &io, const Dialect &dialect, LiveTable &table, ReplicaNode &node)
+    : m_io(io)
+    , m_dialect(dialect)
+    , m_table(table)
+    , m_node(node)
+{
+}
+
+Task<> KeeperApi::handle(CallerConnection &caller)
+{
+    const http::request<http::string_body> &request = caller.request();
+    const Call call = m_dialect.classify({request.method_string().data(), request.method_string().size()},
+                                         {request.target().data(), request.target().size()});
+    switch (call.kind) {
+    case CallKind::PutConfiguration:
+        co_return co_await putConfiguration(caller);
+    case CallKind::GetConfiguration:
+        co_return co_await getConfiguration(caller);
+    case CallKind::Announce:
+        co_return co_await announce(caller, call.subject);
+    case CallKind::Withdraw:
+        co_return co_await withdraw(caller, call.subject);
+    default:
+        break;
+    }
+    const Error error{ErrorKind::NotFound, "control hosts don't answer this call; correct the path", 0};
+    co_await answerError(caller, error);
+}
+
+Task<> KeeperApi::answerError(CallerConnection &caller, const Error &error)
+{
+    std::vector<HeaderField> headers = JsonBody;
+    if (error.retryAfterMs > 0)
+        headers.push_back({"Retry-After", fmt::format("{:.3f}", double(error.retryAfterMs) / 1000)});
+    co_await caller.answer(unsigned(traits(error.kind).httpStatus), headers, m_dialect.encodeError(error));
+}
+
+Task<> KeeperApi::redirect(CallerConnection &caller)
+{
+    const ReplicaStatus status = m_node.status();
+    for (const pb::Member &it : status.membership.members()) {
+        const bool leader = status.leader && fromProto(it.identity()) == *status.leader && *status.leader != status.self;
+        if (!leader)
+            continue;
+        const boost::beast::string_view target = caller.request().target();
+        const std::string location = fmt::format("http://{}{}", it.operator_address(), std::string_view(target.data(), target.size()));
+        std::vector<HeaderField> headers{{"Location", location}};
+        co_await caller.answer(307, std::move(headers), "");
+        co_return;
+    }
+    const Error error{ErrorKind::Unavailable, "no control host leads now; ask again", RetryAfterMin.count()};
+    co_await answerError(caller, error);
+}
+
+// Waits for a command's outcome without holding up the thread.
+Task<Result<pb::CommandResult>> KeeperApi::propose(pb::Command command)
+{
+    struct Outcome {
+        explicit Outcome(net::io_context &io)
+            : done(io)
+        {
+        }
+        net::steady_timer done;
+        std::optional<Result<pb::CommandResult>> result;
+    };
+    const std::shared_ptr<Outcome> outcome = std::make_shared<Outcome>(m_io);
+    outcome->done.expires_after(ConfigurationCommitTime);
+    m_node.propose(std::move(command), [&io = m_io, outcome](const Result<pb::CommandResult> &result) {
+        net::post(io, [outcome, result] {
+            outcome->result = result;
+            outcome->done.cancel();
+        });
+    });
+    ErrorCode ec;
+    co_await outcome->done.async_wait(net::redirect_error(net::use_awaitable, ec));
+    if (!outcome->result)
+        co_return Error{ErrorKind::Unavailable, "no majority of control hosts answered in time; send the same configuration again", 0};
+    co_return *outcome->result;
+}
+
+Task<> KeeperApi::putConfiguration(CallerConnection &caller)
+{
+    const std::string &body = caller.request().body();
+    const Result<RouteTable> table = m_dialect.decodeConfiguration(body);
+    if (table.has_error()) {
+        logEvent("configuration_refused", {{"error", table.error().message}});
+        const Error error{ErrorKind::BadRequest, table.error().message, 0};
+        co_return co_await answerError(caller, error);
+    }
+    if (!m_node.status().leads(monotonicNow()))
+        co_return co_await redirect(caller);
+    pb::Command command;
+    command.mutable_put_configuration()->mutable_configuration()->set_version(table.value().version);
+    command.mutable_put_configuration()->mutable_configuration()->set_content(body);
+    const Result<pb::CommandResult> result = co_await propose(std::move(command));
+    logEvent("configuration_put", {{"version", table.value().version},
+                                   {"outcome", result.has_value() ? "acknowledged" : "unknown"},
+                                   {"in_force", result.has_value() ? result.value().revision() : 0},
+                                   {"error", result.has_value() ? "" : result.error().message}});
+    if (result.has_error()) {
+        const Error error{ErrorKind::Unavailable, result.error().message, RetryAfterMin.count()};
+        co_return co_await answerError(caller, error);
+    }
+    co_await caller.answer(200, JsonBody, "{}");
+}
+
+Task<> KeeperApi::getConfiguration(CallerConnection &caller)
+{
+    if (!m_node.status().leads(monotonicNow()))
+        co_return co_await redirect(caller);
+    const pb::WholeConfiguration configuration = m_node.withMachine([](const Machine &machine) { return machine.configuration(); });
+    // The lease must have held while the configuration was read.
+    if (!m_node.status().leads(monotonicNow()))
+        co_return co_await redirect(caller);
+    if (configuration.version() == 0) {
+        const Error error{ErrorKind::Unavailable, "there is no configuration yet; send one", RetryAfterMin.count()};
+        co_return co_await answerError(caller, error);
+    }
+    co_await caller.answer(200, JsonBody, configuration.content());
+}
+
+Task<> KeeperApi::announce(CallerConnection &caller, const std::string &endpoint)
+{
+    Result<pb::Announcement> word = m_dialect.decodeAnnouncement(endpoint, caller.request().body());
+    if (word.has_value() && parseEndpoint(word.value().address()).has_error())
+        word = Error{ErrorKind::InvalidDocument, "the endpoint's address is not an IP address and a port; correct it", 0};
+    if (word.has_error()) {
+        logEvent("announcement_refused", {{"endpoint", endpoint}, {"error", word.error().message}});
+        const Error error{ErrorKind::BadRequest, word.error().message, 0};
+        co_return co_await answerError(caller, error);
+    }
+    const Time now = monotonicNow();
+    bool known = false;
+    bool leaving = false;
+    const bool taken = m_table.change([&](Registry &registry) {
+        const auto it = registry.endpoints().find(endpoint);
+        known = it != registry.endpoints().end() && it->second.word.born_ms() == word.value().born_ms();
+        leaving = known && !it->second.usable();
+        return registry.take(word.value(), now);
+    });
+    if (taken && (!known || leaving != word.value().leaving()))
+        logEvent("endpoint", {{"endpoint", endpoint},
+                              {"service", word.value().service()},
+                              {"address", word.value().address()},
+                              {"born_ms", word.value().born_ms()},
+                              {"sequence", word.value().sequence()},
+                              {"state", word.value().leaving() ? "leaving" : "ready"},
+                              {"models", word.value().models_size()}});
+    co_await caller.answer(200, JsonBody, "{}");
+}
+
+Task<> KeeperApi::withdraw(CallerConnection &caller, const std::string &endpoint)
+{
+    m_table.change([&](Registry &registry) { registry.withdraw(endpoint, monotonicNow()); });
+    logEvent("endpoint", {{"endpoint", endpoint}, {"state", "gone"}});
+    co_await caller.answer(200, JsonBody, "{}");
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/keeperapi.h
@@ -0,0 +1,33 @@
+// What a control host answers over HTTP: operators' configurations and endpoints' words about themselves.
+#pragma once
+
+#include "transport/http.h"
+#include "transport/livetable.h"
+#include "transport/replicanode.h"
+
+namespace roserail
+{
+
+class KeeperApi
+{
+public:
+    KeeperApi(net::io_context &io, const Dialect &dialect, LiveTable &table, ReplicaNode &node);
+    Task<> handle(CallerConnection &caller);
+
+private:
+    Task<> putConfiguration(CallerConnection &caller);
+    Task<> getConfiguration(CallerConnection &caller);
+    Task<> announce(CallerConnection &caller, const std::string &endpoint);
+    Task<> withdraw(CallerConnection &caller, const std::string &endpoint);
+    Task<> answerError(CallerConnection &caller, const Error &error);
+    // Sends the caller to the leader, or tells it to come back.
+    Task<> redirect(CallerConnection &caller);
+    Task<Result<pb::CommandResult>> propose(pb::Command command);
+
+    net::io_context &m_io;
+    const Dialect &m_dialect;
+    LiveTable &m_table;
+    ReplicaNode &m_node;
+};
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/orderdesk.cpp
@@ -0,0 +1,142 @@
+#include "transport/orderdesk.h"
+
+#include "protocol/log.h"
+#include "protocol/metrics.h"
+#include "state/tunables.h"
+#include "transport/clock.h"
+
+namespace roserail
+{
+
+using namespace tunables;
+
+OrderDesk::OrderDesk(net::io_context &io, const Dialect &dialect, LiveTable &table, ReplicaNode &node, std::string holder, Millis orderLease)
+    : m_io(io)
+    , m_dialect(dialect)
+    , m_table(table)
+    , m_node(node)
+    , m_holder(std::move(holder))
+    , m_orderLease(orderLease)
+    , m_pool(io)
+{
+}
+
+Task<> OrderDesk::run()
+{
+    net::steady_timer timer(m_io);
+    while (true) {
+        ErrorCode ec;
+        timer.expires_after(PlacementInterval);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+        planOnce(monotonicNow());
+        m_pool.trim(monotonicNow());
+    }
+}
+
+// The configuration in force, decoded once for each version.
+std::shared_ptr<const RouteTable> OrderDesk::routes()
+{
+    const uint64_t known = m_routes ? m_routes->version : 0;
+    const std::string content = m_node.withMachine([&](const Machine &machine) {
+        return machine.configuration().version() == known ? std::string() : machine.configuration().content();
+    });
+    if (content.empty())
+        return m_routes;
+    Result<RouteTable> table = m_dialect.decodeConfiguration(content);
+    if (table.has_error())
+        logEvent("configuration_error", {{"error", table.error().message}});
+    else
+        m_routes = std::make_shared<const RouteTable>(std::move(table.value()));
+    return m_routes;
+}
+
+void OrderDesk::planOnce(Time now)
+{
+    const ReplicaStatus status = m_node.status();
+    if (!status.leads(now)) {
+        if (m_residency)
+            logEvent("orders_stopped", {{"term", m_term}});
+        m_residency.reset();
+        return;
+    }
+    if (!m_residency || m_term != status.term) {
+        m_term = status.term;
+        // An earlier leader's last order left before its lease ended, which was before this term began.
+        m_residency = std::make_unique<Residency>(m_term, m_holder, now + m_orderLease + OrderLeaseMargin);
+        logEvent("orders_begin", {{"term", m_term}, {"from_ms", m_orderLease.count() + OrderLeaseMargin.count()}});
+    }
+    const std::shared_ptr<const RouteTable> table = routes();
+    if (!table)
+        return;
+    struct Target {
+        std::string address;
+        uint64_t born = 0;
+    };
+    std::map<std::string, Target> targets;
+    m_table.change([&](Registry &registry) {
+        registry.expire(now);
+        m_residency->observe(*table, registry, now);
+        for (const std::pair<const std::string, LiveEndpoint> &it : registry.endpoints())
+            targets[it.first] = Target{it.second.word.address(), it.second.word.born_ms()};
+    });
+    Residency::Plan plan = m_residency->decide(now);
+    const std::vector<pb::Holdings> holdings = m_residency->takeHoldings();
+    if (!holdings.empty()) {
+        m_table.change([&](Registry &registry) {
+            for (const pb::Holdings &it : holdings)
+                registry.take(it);
+        });
+    }
+    for (ArtifactOrder &it : plan.orders) {
+        const std::string address = targets[it.endpoint].address;
+        net::co_spawn(m_io, send(std::move(it), address, m_term), net::detached);
+    }
+    for (const std::string &it : plan.reports)
+        net::co_spawn(m_io, ask(it, targets[it].address, targets[it].born, m_term), net::detached);
+}
+
+Task<> OrderDesk::send(ArtifactOrder order, std::string address, uint64_t term)
+{
+    std::optional<CallAnswer> answer;
+    // A process that was frozen checks again right before the order leaves.
+    const bool leads = m_node.status().leads(monotonicNow());
+    const Time sentAt = monotonicNow();
+    if (leads)
+        answer = co_await callEndpoint(m_pool, address, "POST", m_dialect.orderPath(), m_dialect.orderHeaders(order),
+                                       m_dialect.encodeOrder(order), OrderTimeout);
+    metrics().counter(answer ? "roserail_orders_total{answer=\"yes\"}" : "roserail_orders_total{answer=\"none\"}").add();
+    logEvent("order", {{"action", order.action == OrderAction::Load ? "load" : "unload"},
+                       {"endpoint", order.endpoint},
+                       {"model", order.model},
+                       {"adapter", order.adapter},
+                       {"fence", order.fence},
+                       {"expected", order.expectedSequence},
+                       {"sent", leads},
+                       {"status", answer ? answer->status : 0},
+                       {"took_ms", (monotonicNow() - sentAt).count()}});
+    if (!m_residency || m_term != term)
+        co_return;
+    std::optional<OrderAnswer> outcome;
+    if (answer)
+        outcome = m_dialect.decodeOrderAnswer(int(answer->status));
+    m_residency->answered(order, outcome, monotonicNow());
+}
+
+Task<> OrderDesk::ask(std::string endpoint, std::string address, uint64_t born, uint64_t term)
+{
+    const Time askedAt = monotonicNow();
+    const std::optional<CallAnswer> answer = co_await callEndpoint(m_pool, address, "GET", m_dialect.reportPath(), {}, "", OrderTimeout);
+    if (!m_residency || m_term != term)
+        co_return;
+    if (answer && answer->status == 200) {
+        const Result<EngineReport> report = m_dialect.decodeReport(answer->body);
+        if (report.has_value()) {
+            m_residency->takeReport(endpoint, born, report.value(), askedAt);
+            co_return;
+        }
+        logEvent("report_refused", {{"endpoint", endpoint}, {"error", report.error().message}});
+    }
+    m_residency->reportFailed(endpoint, monotonicNow());
+}
+
+} // namespace roserail
--- /dev/null
+++ b/src/transport/orderdesk.h
@@ -0,0 +1,37 @@
+// Runs the plan for engines' contents on the leader: sends its orders, asks for reports, and tells routers what
+// engines hold. Orders leave only from the process whose lease surely runs.
+#pragma once
+
+#include "coordination/residency.h"
+#include "transport/endpointpool.h"
+#include "transport/livetable.h"
+#include "transport/replicanode.h"
+
+namespace roserail
+{
+
+class OrderDesk
+{
+public:
+    OrderDesk(net::io_context &io, const Dialect &dialect, LiveTable &table, ReplicaNode &node, std::string holder, Millis orderLease);
+    Task<> run();
+
+private:
+    void planOnce(Time now);
+    std::shared_ptr<const RouteTable> routes();
+    Task<> send(ArtifactOrder order, std::string address, uint64_t term);
+    Task<> ask(std::string endpoint, std::string address, uint64_t born, uint64_t term);
+
+    net::io_context &m_io;
+    const Dialect &m_dialect;
+    LiveTable &m_table;
+    ReplicaNode &m_node;
+    std::string m_holder;
+    Millis m_orderLease;
+    EndpointPool m_pool;
+    std::shared_ptr<const RouteTable> m_routes;
+    std::unique_ptr<Residency> m_residency; // while this process leads
+    uint64_t m_term = 0;
+};
+
+} // namespace roserail
--- a/src/transport/program.cpp
+++ b/src/transport/program.cpp
@@ -20,6 +20,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
@@ -49,9 +50,11 @@
 void waitForStop()
 {
     const sigset_t signals = stopSignals();
-    int signal = 0;
-    sigwait(&signals, &signal);
-    logEvent("stopping", {{"signal", signal}});
+    int signal = SIGHUP;
+    while (signal == SIGHUP) {
+        sigwait(&signals, &signal);
+        logEvent(signal == SIGHUP ? "reload" : "stopping", {{"signal", signal}});
+    }
 }
 
 uint64_t randomNumber()
@@ -82,11 +85,13 @@
             std::cout << program.name << " " ROSERAIL_VERSION "\n";
             return 0;
         }
-        if (!arguments.count("settings")) {
-            std::cerr << "a settings file is needed; see --help\n";
+        const char *fromEnvironment = std::getenv("ROSERAIL_CONFIG");
+        const std::string path = arguments.count("settings") ? arguments["settings"].as<std::string>() : fromEnvironment ? fromEnvironment : "";
+        if (path.empty()) {
+            std::cerr << "a settings file is needed, as argument or in ROSERAIL_CONFIG; see --help\n";
             return traits(ErrorKind::BadRequest).exitCode;
         }
-        return runWithSettings(program, arguments["settings"].as<std::string>(), arguments.count("check") != 0);
+        return runWithSettings(program, path, arguments.count("check") != 0);
     } catch (const cxxopts::exceptions::exception &ex) {
         std::cerr << ex.what() << "; see --help\n";
         return traits(ErrorKind::BadRequest).exitCode;
--- a/src/transport/replicanode.cpp
+++ b/src/transport/replicanode.cpp
@@ -7,6 +7,7 @@
 #include "transport/clock.h"
 
 #include <future>
+#include <set>
 
 namespace roserail
 {
@@ -19,6 +20,7 @@
 constexpr size_t EventsPerBatch = 2048;
 constexpr Millis JoinInterval{500};
 constexpr Millis DiskRetry{500};
+constexpr Millis LeaderlessTime{3000}; // several elections; after it a member may have been replaced
 
 Error notLeader()
 {
@@ -33,12 +35,14 @@
 } // namespace
 
 ReplicaNode::ReplicaNode(std::unique_ptr<Storage> storage, pb::Member self, std::map<uint64_t, std::string> seedAddresses,
-                         uint64_t snapshotEvery, uint64_t seed)
+                         uint64_t snapshotEvery, uint64_t seed, MembershipPolicy policy)
     : m_storage(std::move(storage))
     , m_self(std::move(self))
     , m_seedAddresses(std::move(seedAddresses))
     , m_snapshotEvery(snapshotEvery)
     , m_seed(seed)
+    , m_plan(policy)
+    , m_leaderKnownAt(monotonicNow())
 {
     DurableState state = m_storage->state();
     *m_self.mutable_identity() = state.identity.identity();
@@ -354,21 +358,30 @@
     logEvent("snapshot_saved", {{"index", snapshot.index()}, {"bytes", snapshot.ByteSizeLong()}});
 }
 
-// A replica with an empty data folder asks every configured replica to be taken in.
+// A replica that is no member asks to be taken in: one with an empty data folder, or one that was replaced while it was
+// away and whose log doesn't say so yet.
 void ReplicaNode::askToJoin(Time now)
 {
     const Replica self = m_raft->self();
     const bool member = std::any_of(m_raft->membership().members().begin(), m_raft->membership().members().end(),
                                     [&](const pb::Member &it) { return fromProto(it.identity()) == self; });
-    if (member || now < m_nextJoin)
+    if (m_raft->leader())
+        m_leaderKnownAt = now;
+    if ((member && now < m_leaderKnownAt + LeaderlessTime) || now < m_nextJoin)
         return;
     m_nextJoin = now + JoinInterval;
-    for (const std::pair<const uint64_t, std::string> &it : m_seedAddresses) {
+    std::set<std::string> addresses;
+    for (const std::pair<const uint64_t, std::string> &it : m_seedAddresses)
+        addresses.insert(it.second);
+    for (const pb::Member &it : m_raft->membership().members())
+        addresses.insert(it.peer_address());
+    addresses.erase(m_self.peer_address());
+    for (const std::string &it : addresses) {
         pb::RaftMessage msg;
         msg.set_kind(pb::RaftMessage::JOIN);
         *msg.mutable_from() = m_self.identity();
         *msg.mutable_member() = m_self;
-        m_peers.send(it.second, std::move(msg));
+        m_peers.send(it, std::move(msg));
     }
 }
 
--- a/src/transport/replicanode.h
+++ b/src/transport/replicanode.h
@@ -50,7 +50,7 @@
 {
 public:
     ReplicaNode(std::unique_ptr<Storage> storage, pb::Member self, std::map<uint64_t, std::string> seedAddresses, uint64_t snapshotEvery,
-                uint64_t seed);
+                uint64_t seed, MembershipPolicy policy = {});
     ~ReplicaNode();
     ReplicaNode(const ReplicaNode &) = delete;
     ReplicaNode &operator=(const ReplicaNode &) = delete;
@@ -130,6 +130,7 @@
     uint64_t m_appliedTerm = 0;
     Time m_nextTick{};
     Time m_nextJoin{};
+    Time m_leaderKnownAt{}; // when this replica last knew a leader
     std::map<uint64_t, std::string> m_joinAddresses;
 
     mutable std::shared_mutex m_machineMutex;
