--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -5,6 +5,8 @@
 #include "state/tunables.h"
 #include "transport/clock.h"
 
+#include <limits>
+
 namespace roserail
 {
 
@@ -320,7 +322,7 @@
         answer.parser = std::make_unique<http::response_parser<http::buffer_body>>();
         answer.parser->eager(true);
         answer.parser->header_limit(AnswerHeaderBytes);
-        answer.parser->body_limit(boost::none);
+        answer.parser->body_limit(std::numeric_limits<uint64_t>::max());
         answer.parser->skip(request.caller.request().method() == http::verb::head);
         co_await http::async_read_header(connection.socket, connection.buffer, *answer.parser, net::redirect_error(net::use_awaitable, ec));
         if (ec) {
