--- a/src/protocol/hostsettings.cpp
+++ b/src/protocol/hostsettings.cpp
@@ -34,7 +34,7 @@
         if (parseHostPort(it).has_error())
             fail(root["seeds"], fmt::format("'{}' in 'seeds' must be host:port", it));
     }
-    const uint64_t port = readCount(root, "internalPort", 0);
+    const uint32_t port = readValue<uint32_t>(root, "internalPort", 0, "a port");
     if (port == 0 || port > 65535)
         fail(root, "'internalPort' must be a port from 1 to 65535");
     host.internalPort = uint16_t(port);
--- /dev/null
+++ b/tests/fleet.cpp
@@ -0,0 +1,176 @@
+#include "fleet.h"
+
+#include <fmt/format.h>
+
+namespace roserail::test
+{
+
+namespace
+{
+
+constexpr int Keepers = 3;
+
+httplib::Client clientFor(const std::string &host, int port)
+{
+    httplib::Client client(host, port);
+    client.set_connection_timeout(std::chrono::milliseconds(500));
+    client.set_read_timeout(std::chrono::seconds(20));
+    client.set_follow_location(true);
+    return client;
+}
+
+std::string keeperHost(int n)
+{
+    return fmt::format("127.0.0.{}", n);
+}
+
+Json engine()
+{
+    Json models = Json::array();
+    for (int i = 1; i <= 6; ++i)
+        models.push_back(Json{{"name", fmt::format("m{}", i)},
+                              {"weights_mb", 60},
+                              {"load_time_s", 0.2},
+                              {"adapters", 0},
+                              {"warm_s", 0.2},
+                              {"disk_load_s", 0.2}});
+    return Json{{"slots", 8}, {"weights_mb", 200}, {"adapter_slots", 4}, {"loads_per_s", 4}, {"models", models}};
+}
+
+} // namespace
+
+Fleet::Fleet(const std::string &name, int base)
+    : Processes(name)
+    , m_base(base)
+{
+}
+
+std::string Fleet::settings(const std::string &id, const std::string &address) const
+{
+    std::string seeds;
+    for (int n = 1; n <= Keepers; ++n)
+        seeds += fmt::format("{}\"{}:{}\"", n == 1 ? "" : ", ", keeperHost(n), m_base + 1);
+    return fmt::format("id: {}\nzone: z1\naddress: {}\nseeds: [{}]\ninternalPort: {}\ngrace: 4s\n", id, address, seeds, m_base + 2);
+}
+
+void Fleet::startKeeper(int n, bool mayFound)
+{
+    const std::string id = fmt::format("keeper-{}", n);
+    const std::string text = settings(id, keeperHost(n))
+        + fmt::format("listen: \"{}:{}\"\ndataFolder: \"{}\"\nmayFound: {}\norderLease: 300ms\n", keeperHost(n), m_base + 1,
+                      (folder() / ("data-" + id)).string(), mayFound);
+    spawn(id, {ROSERAIL_BUILD "/roserail-keeper", writeFile(id + ".yaml", text)});
+}
+
+void Fleet::startEntry(int n)
+{
+    const std::string id = fmt::format("entry-{}", n);
+    const std::string text = settings(id, "127.0.0.1")
+        + fmt::format("listen: \"127.0.0.1:{}\"\nready: \"127.0.0.1:{}\"\ndirectory: \"127.0.0.1:{}\"\n", entryPort(n), m_base + 20 + n,
+                      m_base + 30 + n);
+    spawn(id, {ROSERAIL_BUILD "/roserail-entry", writeFile(id + ".yaml", text)});
+}
+
+void Fleet::startRunner(int n, const std::string &service, const std::string &models, bool refuseOrders)
+{
+    std::vector<std::string> command{ROSERAIL_BUILD "/tests/standin-runner",
+                                     "--id",
+                                     fmt::format("i-{}", n),
+                                     "--port",
+                                     std::to_string(m_base + 40 + n),
+                                     "--service",
+                                     service,
+                                     "--models",
+                                     models,
+                                     "--control"};
+    std::string control;
+    for (int i = 1; i <= Keepers; ++i)
+        control += fmt::format("{}{}:{}", i == 1 ? "" : ",", keeperHost(i), m_base + 1);
+    command.push_back(control);
+    if (refuseOrders)
+        command.push_back("--refuse-orders");
+    spawn(fmt::format("runner-{}", n), command);
+}
+
+void Fleet::wipe(int keeper)
+{
+    std::filesystem::remove_all(folder() / fmt::format("data-keeper-{}", keeper));
+}
+
+httplib::Result Fleet::putText(int keeper, const std::string &body)
+{
+    return clientFor(keeperHost(keeper), m_base + 1).Put("/api/config", body, "application/json");
+}
+
+httplib::Result Fleet::putConfiguration(int keeper, uint64_t version, int streamTimeoutMs)
+{
+    const Json routes = Json::array({
+        Json{{"name", "stream"},
+             {"host", "h.example"},
+             {"path_prefix", "/s/"},
+             {"type", "streaming"},
+             {"timeout_ms", streamTimeoutMs},
+             {"target_latency_ms", 500},
+             {"priority", 0},
+             {"service", "engines"},
+             {"max_attempts", 1},
+             {"resumable", false}},
+        Json{{"name", "once"},
+             {"host", "h.example"},
+             {"path_prefix", "/u/"},
+             {"type", "unsafe"},
+             {"timeout_ms", 5000},
+             {"service", "plain"},
+             {"max_attempts", 1}},
+        Json{{"name", "read"},
+             {"host", "h.example"},
+             {"path_prefix", "/r/"},
+             {"type", "safe"},
+             {"timeout_ms", 5000},
+             {"service", "plain"},
+             {"max_attempts", 2}},
+    });
+    const Json services
+        = Json::array({Json{{"name", "engines"}, {"health_path", "/healthz"}, {"max_connections", 100}, {"engine", engine()}},
+                       Json{{"name", "plain"}, {"health_path", "/healthz"}, {"max_connections", 100}}});
+    return putText(keeper, Json{{"version", version}, {"routes", routes}, {"services", services}, {"limits", Json::object()}}.dump());
+}
+
+httplib::Result Fleet::getConfiguration(int keeper)
+{
+    return clientFor(keeperHost(keeper), m_base + 1).Get("/api/config");
+}
+
+bool Fleet::ready(const std::vector<int> &entries)
+{
+    return eventually([&] {
+        return std::all_of(entries.begin(), entries.end(), [&](int n) {
+            const httplib::Result result = clientFor("127.0.0.1", m_base + 20 + n).Get("/api/readyz");
+            return result && result->status == 200;
+        });
+    });
+}
+
+Json Fleet::resolve(int entry)
+{
+    const httplib::Result result = clientFor("127.0.0.1", m_base + 30 + entry).Get("/api/resolve?name=h.example&region=r&zone=z1");
+    return result && result->status == 200 ? Json::parse(result->body) : Json();
+}
+
+httplib::Result Fleet::ask(int entry, const std::string &path, const std::string &id, const std::string &model, httplib::Headers more)
+{
+    more.emplace("Host", "h.example");
+    more.emplace("X-Request-Id", id);
+    more.emplace("X-Deadline-Ms", "10000");
+    if (!model.empty())
+        more.emplace("X-Model", model);
+    return clientFor("127.0.0.1", entryPort(entry)).Post(path, more, "the body", "text/plain");
+}
+
+Json Fleet::seen(int runner, const std::string &id)
+{
+    const httplib::Result result = clientFor("127.0.0.1", m_base + 40 + runner).Get("/seen");
+    return result ? Json::parse(result->body).value(id, Json::object()) : Json::object();
+}
+
+} // namespace roserail::test
--- /dev/null
+++ b/tests/fleet_system_test.cpp
@@ -0,0 +1,215 @@
+// Real processes on loopback that speak the users' protocol: control hosts found by seeds, entry hosts, stand-in runners.
+#define BOOST_TEST_MODULE fleet_system
+#include "fleet.h"
+
+#include <boost/test/included/unit_test.hpp>
+#include <csignal>
+#include <thread>
+
+using namespace roserail::test;
+
+namespace
+{
+
+// Ports of the systems of this file; each test has its own.
+constexpr int PortBase = 26000;
+
+void startAll(Fleet &fleet)
+{
+    for (const int n : {1, 2, 3})
+        fleet.startKeeper(n, true);
+    for (const int n : {1, 2})
+        fleet.startEntry(n);
+    fleet.startRunner(1, "engines", "m1,m2");
+    fleet.startRunner(2, "engines", "m3");
+    fleet.startRunner(3, "plain", "");
+}
+
+bool put(Fleet &fleet, uint64_t version)
+{
+    return eventually([&] {
+        const httplib::Result result = fleet.putConfiguration(int(version % 3) + 1, version);
+        return result && result->status == 200;
+    });
+}
+
+uint64_t versionAt(Fleet &fleet, int keeper)
+{
+    const httplib::Result result = fleet.getConfiguration(keeper);
+    return result && result->status == 200 ? Json::parse(result->body)["version"].get<uint64_t>() : 0;
+}
+
+bool answers(Fleet &fleet, int entry, const std::string &path, const std::string &model = "")
+{
+    static int n = 0;
+    return eventually([&] {
+        const httplib::Result result = fleet.ask(entry, path, "probe-" + std::to_string(++n), model);
+        return result && result->status == 200;
+    });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(wholePath)
+{
+    Fleet fleet("fleet-path", PortBase);
+    startAll(fleet);
+    // Without a configuration an entry host says "not run", never "no such route".
+    BOOST_TEST(eventually([&] {
+        const httplib::Result early = fleet.ask(1, "/u/x", "early");
+        return early && early->status == 503;
+    }));
+    BOOST_TEST(put(fleet, 5));
+    BOOST_TEST(fleet.ready({1, 2}));
+    BOOST_TEST(eventually([&] { return fleet.resolve(1).value("addresses", Json::array()).size() == 2; }));
+    BOOST_TEST(answers(fleet, 1, "/u/x"));
+
+    const httplib::Result plain = fleet.ask(1, "/u/some/thing?q=1", "p1", "", {{"X-Custom", "kept"}, {"X-Hold", "forged"}});
+    BOOST_REQUIRE(plain);
+    BOOST_TEST(plain->status == 200);
+    BOOST_TEST(plain->body == "plain answer of i-3");
+    BOOST_TEST(plain->get_header_value("X-Server-Seal") == "seal-p1");
+    BOOST_TEST(plain->get_header_value("X-Request-Id") == "p1");
+    const Json at = fleet.seen(3, "p1");
+    BOOST_TEST(at["runs"] == 1);
+    BOOST_TEST(at["body"] == "the body");
+    BOOST_TEST(at["headers"]["X-Custom"] == "kept");
+    BOOST_TEST(at["headers"].count("X-Hold") == 0u);
+    BOOST_TEST(at["headers"]["X-Expect-Instance"] == "i-3");
+    BOOST_TEST(std::stoi(at["headers"]["X-Deadline-Ms"].get<std::string>()) <= 5000);
+
+    const httplib::Result stream = fleet.ask(2, "/s/events/5/pause/20/", "s1", "m1");
+    BOOST_REQUIRE(stream);
+    BOOST_TEST(stream->status == 200);
+    BOOST_TEST(stream->body.find("id: 5\n") != std::string::npos);
+    BOOST_TEST(fleet.ask(1, "/none/x", "n1")->status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(modelThatNobodyHoldsIsLoadedForTheRequestThatWaits)
+{
+    Fleet fleet("fleet-load", PortBase + 100);
+    startAll(fleet);
+    BOOST_TEST(put(fleet, 5));
+    BOOST_TEST(fleet.ready({1, 2}));
+    for (const char *model : {"m4", "m5", "m6", "m1", "m3"}) {
+        const httplib::Result result = fleet.ask(1, "/s/events/2/pause/5/", std::string("load-") + model, model);
+        BOOST_REQUIRE(result);
+        BOOST_TEST(result->status == 200, model);
+    }
+    BOOST_TEST(fleet.running("runner-1")); // it aborts if it is overfilled
+    BOOST_TEST(fleet.running("runner-2"));
+    // What the configuration doesn't name is refused at once.
+    const std::chrono::steady_clock::time_point asked = std::chrono::steady_clock::now();
+    const httplib::Result unknown = fleet.ask(1, "/s/events/2/", "unknown", "nothing");
+    BOOST_TEST(unknown->status == 503);
+    BOOST_TEST((std::chrono::steady_clock::now() - asked < std::chrono::milliseconds(500)));
+}
+
+BOOST_AUTO_TEST_CASE(highestConfigurationSurvivesEverything)
+{
+    Fleet fleet("fleet-config", PortBase + 200);
+    for (const int n : {1, 2, 3})
+        fleet.startKeeper(n, true);
+    BOOST_TEST(put(fleet, 5));
+    BOOST_TEST(put(fleet, 9));
+    BOOST_TEST(put(fleet, 7)); // older: acknowledged, and changes nothing
+    BOOST_TEST(fleet.putText(1, "{\"version\": 50}")->status == 400);
+    BOOST_TEST(fleet.putText(1, "no JSON")->status == 400);
+    BOOST_TEST(eventually([&] { return versionAt(fleet, 2) == 9; }));
+    for (const int n : {1, 2, 3})
+        fleet.kill("keeper-" + std::to_string(n));
+    for (const int n : {1, 2, 3})
+        fleet.startKeeper(n, false);
+    BOOST_TEST(eventually([&] { return versionAt(fleet, 1) == 9; }));
+    // A host that loses its disk comes back empty, and then a second one may go.
+    fleet.kill("keeper-1");
+    fleet.wipe(1);
+    fleet.startKeeper(1, false);
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    fleet.kill("keeper-2");
+    BOOST_TEST(eventually([&] { return versionAt(fleet, 1) == 9 || versionAt(fleet, 3) == 9; }));
+    BOOST_TEST(put(fleet, 12));
+}
+
+BOOST_AUTO_TEST_CASE(emptyHostsThatMayNotFoundFoundNothing)
+{
+    Fleet fleet("fleet-empty", PortBase + 300);
+    for (const int n : {1, 2, 3})
+        fleet.startKeeper(n, false);
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    const httplib::Result result = fleet.putConfiguration(1, 5);
+    BOOST_TEST((!result || result->status == 503));
+}
+
+BOOST_AUTO_TEST_CASE(entryHostServesOnWithoutControl)
+{
+    Fleet fleet("fleet-alone", PortBase + 400);
+    startAll(fleet);
+    BOOST_TEST(put(fleet, 5));
+    BOOST_TEST(fleet.ready({1, 2}));
+    BOOST_TEST(answers(fleet, 1, "/u/x"));
+    for (const int n : {1, 2, 3})
+        fleet.kill("keeper-" + std::to_string(n));
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    BOOST_TEST(fleet.ask(1, "/u/x", "alone")->status == 200);
+    BOOST_TEST(fleet.ask(2, "/s/events/2/", "alone-stream", "m1")->status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(stoppingEntryHostFinishesWhatRunsAndRefusesWhatWaits)
+{
+    Fleet fleet("fleet-stop", PortBase + 500);
+    for (const int n : {1, 2, 3})
+        fleet.startKeeper(n, true);
+    for (const int n : {1, 2})
+        fleet.startEntry(n);
+    fleet.startRunner(1, "engines", "m1", true);
+    BOOST_TEST(put(fleet, 5));
+    BOOST_TEST(fleet.ready({1, 2}));
+    BOOST_TEST(answers(fleet, 1, "/s/events/1/", "m1"));
+    httplib::Result runs(nullptr, httplib::Error::Unknown);
+    httplib::Result waits(nullptr, httplib::Error::Unknown);
+    std::thread first([&] { runs = fleet.ask(1, "/s/events/10/pause/200/", "runs", "m1"); });
+    std::thread second([&] { waits = fleet.ask(1, "/s/events/1/", "waits", "m2"); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    fleet.signal("entry-1", SIGTERM);
+    first.join();
+    second.join();
+    BOOST_REQUIRE(runs);
+    BOOST_TEST(runs->status == 200);
+    BOOST_TEST(runs->body.find("id: 10\n") != std::string::npos);
+    BOOST_REQUIRE(waits);
+    BOOST_TEST(waits->status == 503);
+    BOOST_TEST(!waits->get_header_value("Retry-After").empty());
+    BOOST_TEST(fleet.seen(1, "waits").empty());
+    BOOST_TEST(fleet.wait("entry-1") == 0);
+    BOOST_TEST(eventually([&] { return fleet.resolve(2).value("addresses", Json::array()).size() == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(runOfACallerThatLeavesIsCancelled)
+{
+    Fleet fleet("fleet-leave", PortBase + 600);
+    startAll(fleet);
+    BOOST_TEST(put(fleet, 5));
+    BOOST_TEST(fleet.ready({1, 2}));
+    BOOST_TEST(answers(fleet, 1, "/s/events/1/", "m1"));
+    httplib::Client client("127.0.0.1", fleet.entryPort(1));
+    client.set_read_timeout(std::chrono::milliseconds(600));
+    const httplib::Headers headers{{"Host", "h.example"}, {"X-Request-Id", "leaves"}, {"X-Deadline-Ms", "10000"}, {"X-Model", "m1"}};
+    client.Post("/s/events/20/pause/1000/", headers, "", "text/plain");
+    client.stop();
+    BOOST_TEST(eventually([&] { return fleet.seen(1, "leaves").value("cancelled", false); }, std::chrono::milliseconds(5000)));
+    BOOST_TEST(fleet.seen(1, "leaves")["events"] < 5);
+}
+
+BOOST_AUTO_TEST_CASE(settingsSignalEndsNoProcess)
+{
+    Fleet fleet("fleet-hup", PortBase + 700);
+    startAll(fleet);
+    BOOST_TEST(put(fleet, 5));
+    BOOST_TEST(fleet.ready({1, 2}));
+    for (const char *it : {"keeper-1", "entry-1"})
+        fleet.signal(it, SIGHUP);
+    BOOST_TEST(eventually([&] { return fleet.output("entry-1").find("event=reload") != std::string::npos; }));
+    BOOST_TEST(answers(fleet, 1, "/u/x"));
+    BOOST_TEST(fleet.running("keeper-1"));
+}
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,247 @@
+// The adapter to the users' platform: what is decoded from its messages, and what is refused.
+#define BOOST_TEST_MODULE platform
+#include "platform/dialect.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/included/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace roserail;
+
+namespace bdata = boost::unit_test::data;
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+const Dialect &Speech = platform::dialect();
+
+Json configuration()
+{
+    return Json::parse(R"({"version":7,
+        "routes":[{"name":"r1","host":"h","path_prefix":"/a/","type":"streaming","timeout_ms":25000,"target_latency_ms":2500,
+                   "priority":1,"service":"s1","max_attempts":2,"session_affinity":true,"resumable":true,"gap_target_ms":250},
+                  {"name":"r2","host":"h","path_prefix":"/b/","type":"safe","timeout_ms":1000,
+                   "weighted_services":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max_attempts":1}],
+        "services":[{"name":"s1","health_path":"/healthz","max_connections":370,"protocol":"h1","tls":false,
+                     "engine":{"slots":64,"kv_capacity":166161,"weights_mb":200000.0,"adapter_slots":8,"loads_per_s":3.3,
+                               "models":[{"name":"m1","weights_mb":42700.0,"load_time_s":6.0,"adapters":28,"adapter_size_mb":66.0,
+                                          "warm_s":0.44,"disk_load_s":0.57}]}},
+                    {"name":"s2","health_path":"/healthz","max_connections":110}],
+        "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+        "a_field_of_later":{}})");
+}
+
+Json heartbeat()
+{
+    return Json::parse(R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":64,"state":"ready",
+        "cold_remaining_ms":0,"stage":"combined","models":[{"name":"m1","version":1,"adapters":["a3"]}],"sequence":4,
+        "available":{"in_memory":["m1"],"on_disk":["m1","m2"]},"born":1700000000000})");
+}
+
+struct Change {
+    const char *pointer; // what is replaced
+    const char *value; // JSON; empty: removed
+};
+
+std::ostream &operator<<(std::ostream &os, const Change &change)
+{
+    return os << change.pointer << " = " << change.value;
+}
+
+std::string changed(Json body, const Change &change)
+{
+    const Json::json_pointer pointer(change.pointer);
+    if (*change.value == '\0')
+        body[pointer.parent_pointer()].erase(pointer.back());
+    else
+        body[pointer] = Json::parse(change.value);
+    return body.dump();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(configurationIsDecoded)
+{
+    const RouteTable table = Speech.decodeConfiguration(configuration().dump()).value();
+    BOOST_TEST(table.version == 7u);
+    BOOST_REQUIRE(table.routes.size() == 2u);
+    const Route &first = table.routes[0];
+    BOOST_TEST((first.repeat == Repeat::Resume));
+    BOOST_TEST(first.stream);
+    BOOST_TEST((first.aim == Millis(2500)));
+    BOOST_TEST(first.attempts == 2u);
+    BOOST_TEST((table.routes[1].repeat == Repeat::Always));
+    BOOST_TEST(table.routes[1].services.size() == 2u);
+    const EngineSpec &engine = table.service(ServiceId("s1"))->engine;
+    BOOST_TEST(engine.adapterSlots == 8u);
+    BOOST_TEST((engine.models.at("m1").diskLoad == Millis(570)));
+    BOOST_TEST(!table.service(ServiceId("s2"))->hasEngine);
+}
+
+const Change InvalidConfigurations[] = {
+    {"/version", ""},
+    {"/version", "\"7\""},
+    {"/version", "-1"},
+    {"/routes", "{}"},
+    {"/services", "null"},
+    {"/routes/0/service", "\"unknown\""},
+    {"/routes/0/service", "5"},
+    {"/routes/0/timeout_ms", "0"},
+    {"/routes/0/timeout_ms", "\"1s\""},
+    {"/routes/0/type", "\"other\""},
+    {"/routes/0/type", ""},
+    {"/routes/0/resumable", "\"yes\""},
+    {"/routes/0/path_prefix", "\"a\""},
+    {"/routes/1/path_prefix", "\"/a/\""},
+    {"/routes/1/weighted_services", "[]"},
+    {"/routes/1/weighted_services", "[{\"service\":\"s1\",\"weight\":0}]"},
+    {"/routes/1/weighted_services/0/weight", "1e300"},
+    {"/routes/0", "7"},
+    {"/services/1/name", "\"s1\""},
+    {"/services/0/engine/models/0/weights_mb", "\"much\""},
+};
+BOOST_DATA_TEST_CASE(invalidConfigurationIsRefused, bdata::make(InvalidConfigurations), change)
+{
+    const Result<RouteTable> table = Speech.decodeConfiguration(changed(configuration(), change));
+    BOOST_REQUIRE(table.has_error());
+    BOOST_TEST((table.error().kind == ErrorKind::InvalidDocument));
+    BOOST_TEST(!table.error().message.empty());
+}
+
+BOOST_AUTO_TEST_CASE(heartbeatIsDecoded)
+{
+    const pb::Announcement word = Speech.decodeAnnouncement("i-1", heartbeat().dump()).value();
+    BOOST_TEST(word.endpoint() == "i-1");
+    BOOST_TEST(word.sequence() == 4u);
+    BOOST_TEST(word.born_ms() == 1700000000000u);
+    BOOST_TEST(!word.leaving());
+    BOOST_TEST(word.models(0).adapters(0) == "a3");
+    BOOST_TEST(word.on_disk_size() == 2);
+    Json leaving = heartbeat();
+    leaving["state"] = "draining";
+    BOOST_TEST(Speech.decodeAnnouncement("i-1", leaving.dump()).value().leaving());
+}
+
+const Change HostileHeartbeats[] = {
+    {"/service", ""},       {"/service", "[]"},      {"/address", "7"},           {"/state", "\"other\""},
+    {"/state", ""},         {"/sequence", "\"4\""},  {"/sequence", "-4"},         {"/models", "{}"},
+    {"/models/0", "null"},  {"/models/0/name", "1"}, {"/models/0/adapters", "3"}, {"/models/0/adapters", "[3]"},
+    {"/slots", "\"many\""}, {"/born", "1e400"},
+};
+BOOST_DATA_TEST_CASE(hostileHeartbeatIsRefused, bdata::make(HostileHeartbeats), change)
+{
+    const Json body = heartbeat();
+    std::string text = std::string(change.value) == "1e400" ? body.dump() : changed(body, change);
+    if (std::string(change.value) == "1e400")
+        text.replace(text.find("1700000000000"), 13, "1e400");
+    BOOST_TEST(Speech.decodeAnnouncement("i-1", text).has_error());
+}
+
+BOOST_AUTO_TEST_CASE(anyBytesAreDecodedOrRefusedButNeverMore)
+{
+    rc::check([](const std::string &bytes, size_t cut) {
+        (void)Speech.decodeConfiguration(bytes).has_error();
+        (void)Speech.decodeAnnouncement("i", bytes).has_error();
+        (void)Speech.decodeReport(bytes).has_error();
+        const std::string whole = configuration().dump();
+        if (cut % whole.size() != 0)
+            RC_ASSERT(Speech.decodeConfiguration(whole.substr(0, cut % whole.size())).has_error());
+        const Dialect::Lookup lookup = [&bytes](std::string_view) {
+            return std::string_view(bytes);
+        };
+        (void)Speech.requestFacts(lookup);
+        (void)Speech.answerFacts(200, lookup);
+    });
+}
+
+struct CallRow {
+    const char *method;
+    const char *target;
+    CallKind kind;
+    const char *subject;
+};
+std::ostream &operator<<(std::ostream &os, const CallRow &row)
+{
+    return os << row.method << " " << row.target;
+}
+const CallRow CallRows[] = {
+    {"GET", "/api/readyz", CallKind::Ready, ""},
+    {"GET", "/api/resolve?name=h&region=r&zone=z", CallKind::Resolve, ""},
+    {"PUT", "/api/config", CallKind::PutConfiguration, ""},
+    {"GET", "/api/config", CallKind::GetConfiguration, ""},
+    {"POST", "/api/config", CallKind::Forward, ""},
+    {"PUT", "/api/instances/i-1", CallKind::Announce, "i-1"},
+    {"DELETE", "/api/instances/i-1", CallKind::Withdraw, "i-1"},
+    {"GET", "/api/instances/i-1", CallKind::Forward, ""},
+    {"GET", "/other", CallKind::Forward, ""},
+};
+BOOST_DATA_TEST_CASE(callsAreTold, bdata::make(CallRows), row)
+{
+    const Call call = Speech.classify(row.method, row.target);
+    BOOST_TEST((call.kind == row.kind));
+    BOOST_TEST(call.subject == row.subject);
+}
+
+BOOST_AUTO_TEST_CASE(requestIsDecoded)
+{
+    const std::map<std::string, std::string> headers{{"X-Request-Id", "id"},
+                                                     {"X-Deadline-Ms", "1200"},
+                                                     {"X-Model", "m1/a3"},
+                                                     {"X-Token-Count", "1460,80"},
+                                                     {"X-Prefix-Hash", "5c1e07a2:800,91bd3f06:410,broken"}};
+    const RequestFacts facts = Speech.requestFacts([&](std::string_view name) {
+        const auto it = headers.find(std::string(name));
+        return it == headers.end() ? std::string_view() : std::string_view(it->second);
+    });
+    BOOST_TEST(facts.id == "id");
+    BOOST_TEST((facts.patience == Millis(1200)));
+    BOOST_TEST(facts.model == "m1");
+    BOOST_TEST(facts.adapter == "a3");
+    BOOST_TEST(facts.promptTokens == 1460u);
+    BOOST_TEST(facts.outputTokens == 80u);
+    BOOST_REQUIRE(facts.prompt.size() == 2u);
+    BOOST_TEST(facts.prompt[0].id == 0x5c1e07a2u);
+    BOOST_TEST(facts.prompt[1].tokens == 410u);
+}
+
+BOOST_AUTO_TEST_CASE(orderIsEncoded)
+{
+    ArtifactOrder order;
+    order.model = "m1";
+    order.holder = "node-7";
+    order.fence = 41;
+    order.expectedSequence = 2;
+    Json body = Json::parse(Speech.encodeOrder(order));
+    BOOST_TEST(body == Json::parse(R"({"operation":"load","model":"m1","expect":2,"holder":"node-7","fencing_token":41})"));
+    order.action = OrderAction::Unload;
+    order.adapter = "a3";
+    body = Json::parse(Speech.encodeOrder(order));
+    BOOST_TEST(body["operation"] == "unload");
+    BOOST_TEST(body["adapter"] == "a3");
+}
+
+struct AnswerRow {
+    int status;
+    OrderAnswer answer;
+};
+std::ostream &operator<<(std::ostream &os, const AnswerRow &row)
+{
+    return os << row.status;
+}
+const AnswerRow AnswerRows[] = {{202, OrderAnswer::Accepted}, {200, OrderAnswer::AlreadyHolds}, {409, OrderAnswer::Busy},
+                                {412, OrderAnswer::Refused},  {421, OrderAnswer::Refused},      {400, OrderAnswer::Refused}};
+BOOST_DATA_TEST_CASE(orderAnswerIsDecoded, bdata::make(AnswerRows), row)
+{
+    BOOST_TEST((Speech.decodeOrderAnswer(row.status) == row.answer));
+}
+
+BOOST_AUTO_TEST_CASE(onlyTheSystemSetsItsHeaders)
+{
+    for (const char *it : {"X-Hold", "x-pin-ms", "X-KV-BACKUP", "Kv-From", "X-Deadline-Ms", "x-expect-instance"})
+        BOOST_TEST(Speech.isReserved(it));
+    for (const char *it : {"X-Request-Id", "X-Model", "X-Token-Count", "X-Prefix-Hash", "Last-Event-Id", "X-Length-Hint"})
+        BOOST_TEST(!Speech.isReserved(it));
+}
--- /dev/null
+++ b/tests/processes.cpp
@@ -0,0 +1,126 @@
+#include "processes.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace roserail::test
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds Poll{20};
+
+// Starts a program with its output in files and returns its process id.
+int start(const std::vector<std::string> &command, const std::filesystem::path &out, const std::filesystem::path &err,
+          const std::string &in)
+{
+    std::vector<char *> words;
+    for (const std::string &it : command)
+        words.push_back(const_cast<char *>(it.c_str()));
+    words.push_back(nullptr);
+    const int pid = ::fork();
+    if (pid != 0)
+        return pid;
+    ::dup2(::open(in.empty() ? "/dev/null" : in.c_str(), O_RDONLY), 0);
+    ::dup2(::open(out.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600), 1);
+    ::dup2(::open(err.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600), 2);
+    ::execv(words[0], words.data());
+    ::_exit(127);
+}
+
+} // namespace
+
+int runToEnd(const std::vector<std::string> &command, const std::filesystem::path &out, const std::filesystem::path &err,
+             const std::string &in)
+{
+    int status = 0;
+    ::waitpid(start(command, out, err, in), &status, 0);
+    return WEXITSTATUS(status);
+}
+
+std::string readWholeFile(const std::filesystem::path &path)
+{
+    std::ifstream in(path);
+    return std::string((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+}
+
+bool eventually(const std::function<bool()> &condition, std::chrono::milliseconds time)
+{
+    const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + time;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(Poll);
+    }
+    return true;
+}
+
+Processes::Processes(const std::string &name)
+    : m_folder(std::filesystem::temp_directory_path() / fmt::format("roserail-{}-{}", name, ::getpid()))
+{
+    std::filesystem::remove_all(m_folder);
+    std::filesystem::create_directories(m_folder);
+}
+
+Processes::~Processes()
+{
+    for (const std::pair<const std::string, int> &it : m_pids) {
+        ::kill(it.second, SIGCONT);
+        ::kill(it.second, SIGKILL);
+        ::waitpid(it.second, nullptr, 0);
+    }
+    if (std::getenv("ROSERAIL_KEEP_LOGS") == nullptr)
+        std::filesystem::remove_all(m_folder);
+}
+
+void Processes::spawn(const std::string &name, const std::vector<std::string> &command)
+{
+    m_pids[name] = start(command, m_folder / (name + ".out"), m_folder / (name + ".log"), "");
+}
+
+std::string Processes::writeFile(const std::string &name, const std::string &text) const
+{
+    const std::filesystem::path path = m_folder / name;
+    std::ofstream(path) << text;
+    return path.string();
+}
+
+void Processes::signal(const std::string &process, int number)
+{
+    ::kill(m_pids.at(process), number);
+}
+
+void Processes::kill(const std::string &process)
+{
+    const int pid = m_pids.at(process);
+    ::kill(pid, SIGKILL);
+    ::waitpid(pid, nullptr, 0);
+    m_pids.erase(process);
+}
+
+int Processes::wait(const std::string &process)
+{
+    int status = 0;
+    ::waitpid(m_pids.at(process), &status, 0);
+    m_pids.erase(process);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+bool Processes::running(const std::string &process)
+{
+    return ::waitpid(m_pids.at(process), nullptr, WNOHANG) == 0;
+}
+
+std::string Processes::output(const std::string &process) const
+{
+    return readWholeFile(m_folder / (process + ".out"));
+}
+
+} // namespace roserail::test
--- /dev/null
+++ b/tests/standin/runner_main.cpp
@@ -0,0 +1,249 @@
+// A stand-in for one of the users' runners: speaks their platform's protocol, holds models, takes orders, and says of
+// itself where it is. What a request asks for stands in its path: /events/N/ makes N events, /pause/MS/ pauses between
+// them, or before a plain answer.
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <httplib.h>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <thread>
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::milliseconds HeartbeatInterval{200};
+constexpr std::chrono::milliseconds LoadTime{200};
+constexpr double ModelMegabytes = 60;
+constexpr double Megabytes = 200;
+
+struct Options {
+    std::string id;
+    int port = 0;
+    std::string service;
+    std::vector<std::string> control;
+    bool refuseOrders = false;
+};
+
+class Runner
+{
+public:
+    Runner(Options options, const std::vector<std::string> &models)
+        : m_options(std::move(options))
+    {
+        for (const std::string &it : models)
+            m_models[it];
+        m_server.new_task_queue = [] {
+            return new httplib::ThreadPool(32);
+        };
+        m_server.Post("/api/order", [this](const httplib::Request &request, httplib::Response &response) { order(request, response); });
+        m_server.Get("/api/report", [this](const httplib::Request &, httplib::Response &response) { report(response); });
+        m_server.Get("/seen", [this](const httplib::Request &, httplib::Response &response) { seen(response); });
+        m_server.Post(".*", [this](const httplib::Request &request, httplib::Response &response) { run(request, response); });
+    }
+
+    void serve()
+    {
+        std::thread beats([this] { heartbeats(); });
+        m_server.listen("127.0.0.1", m_options.port);
+        m_stop = true;
+        beats.join();
+    }
+
+private:
+    Json models()
+    {
+        Json list = Json::array();
+        for (const std::pair<const std::string, std::set<std::string>> &it : m_models)
+            list.push_back(Json{{"name", it.first}, {"version", 1}, {"adapters", it.second}});
+        return list;
+    }
+
+    void heartbeats()
+    {
+        size_t turn = 0;
+        for (uint64_t sequence = 1; !m_stop; ++sequence) {
+            Json body{{"service", m_options.service},
+                      {"address", fmt::format("127.0.0.1:{}", m_options.port)},
+                      {"zone", "z1"},
+                      {"version", "v1"},
+                      {"slots", 8},
+                      {"state", "ready"},
+                      {"cold_remaining_ms", 0},
+                      {"sequence", sequence},
+                      {"born", m_born}};
+            {
+                const std::lock_guard lock(m_mutex);
+                settle();
+                body["models"] = models();
+                body["available"] = Json{{"in_memory", m_copies}, {"on_disk", m_copies}};
+            }
+            const std::string &control = m_options.control[turn % m_options.control.size()];
+            const size_t colon = control.find(':');
+            httplib::Client client(control.substr(0, colon), std::stoi(control.substr(colon + 1)));
+            client.set_connection_timeout(std::chrono::milliseconds(300));
+            client.set_read_timeout(std::chrono::milliseconds(500));
+            const httplib::Result result = client.Put("/api/instances/" + m_options.id, body.dump(), "application/json");
+            if (!result || result->status != 200)
+                ++turn;
+            std::this_thread::sleep_for(HeartbeatInterval);
+        }
+    }
+
+    // Finishes the order that is under way, if its time has come.
+    void settle()
+    {
+        if (!m_busy || std::chrono::steady_clock::now() < m_doneAt)
+            return;
+        m_busy = false;
+        if (m_unloads)
+            m_models.erase(m_ordered);
+        else
+            m_models[m_ordered];
+        m_copies.insert(m_ordered);
+    }
+
+    void order(const httplib::Request &request, httplib::Response &response)
+    {
+        const std::lock_guard lock(m_mutex);
+        settle();
+        const Json body = Json::parse(request.body);
+        response.status = 409;
+        if (m_options.refuseOrders || m_busy || body.value("expect", m_sequence) != m_sequence)
+            return;
+        ++m_sequence;
+        const std::string adapter = body.value("adapter", "");
+        m_ordered = body.at("model");
+        m_unloads = body.at("operation") == "unload";
+        response.status = 202;
+        if (!adapter.empty()) {
+            if (m_unloads)
+                m_models[m_ordered].erase(adapter);
+            else
+                m_models[m_ordered].insert(adapter);
+            return;
+        }
+        if (!m_unloads && ModelMegabytes * double(m_models.size() + 1) > Megabytes)
+            std::abort(); // as the users' runners do
+        m_busy = true;
+        m_doneAt = std::chrono::steady_clock::now() + LoadTime;
+    }
+
+    void report(httplib::Response &response)
+    {
+        const std::lock_guard lock(m_mutex);
+        settle();
+        const Json body{{"stage", "combined"},      {"models", models()},
+                        {"busy", m_busy},           {"sequence", m_sequence},
+                        {"pending", Json::array()}, {"available", Json{{"in_memory", m_copies}, {"on_disk", m_copies}}}};
+        response.set_content(body.dump(), "application/json");
+    }
+
+    void seen(httplib::Response &response)
+    {
+        const std::lock_guard lock(m_mutex);
+        response.set_content(m_seen.dump(), "application/json");
+    }
+
+    static int number(const std::string &path, const std::string &key, int fallback)
+    {
+        const size_t at = path.find("/" + key + "/");
+        return at == std::string::npos ? fallback : std::atoi(path.c_str() + at + key.size() + 2);
+    }
+
+    void run(const httplib::Request &request, httplib::Response &response)
+    {
+        const std::string id = request.get_header_value("X-Request-Id");
+        response.set_header("X-Request-Id", id);
+        const std::string artifact = request.get_header_value("X-Model");
+        const std::string model = artifact.substr(0, artifact.find('/'));
+        {
+            const std::lock_guard lock(m_mutex);
+            settle();
+            const std::string expected = request.get_header_value("X-Expect-Instance");
+            if ((!expected.empty() && expected != m_options.id) || (!model.empty() && m_models.count(model) == 0)) {
+                response.status = 421;
+                response.set_header("X-Not-Executed", "1");
+                return;
+            }
+            Json &entry = m_seen[id];
+            if (entry.is_null())
+                entry = Json::object();
+            entry["runs"] = entry.value("runs", 0) + 1;
+            entry["headers"] = Json::object();
+            for (const std::pair<const std::string, std::string> &it : request.headers)
+                entry["headers"][it.first] = it.second;
+            entry["path"] = request.path;
+            entry["body"] = request.body;
+        }
+        response.set_header("X-Server-Seal", "seal-" + id);
+        response.set_header("X-Server-Load", "1,0,8");
+        const int pause = number(request.path, "pause", 0);
+        const int events = number(request.path, "events", 0);
+        if (events == 0) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(pause));
+            response.set_content("plain answer of " + m_options.id, "text/plain");
+            return;
+        }
+        response.set_chunked_content_provider("text/event-stream",
+                                              [this, id, events, pause, n = 0](size_t, httplib::DataSink &sink) mutable {
+                                                  ++n;
+                                                  const std::string event = fmt::format("id: {}\ndata: token\n\n", n);
+                                                  const bool sent = sink.write(event.data(), event.size());
+                                                  {
+                                                      const std::lock_guard lock(m_mutex);
+                                                      m_seen[id]["events"] = n;
+                                                      if (!sent)
+                                                          m_seen[id]["cancelled"] = true;
+                                                  }
+                                                  if (!sent)
+                                                      return false;
+                                                  if (n == events)
+                                                      sink.done();
+                                                  else
+                                                      std::this_thread::sleep_for(std::chrono::milliseconds(pause));
+                                                  return true;
+                                              });
+    }
+
+    Options m_options;
+    httplib::Server m_server;
+    std::mutex m_mutex;
+    std::map<std::string, std::set<std::string>> m_models;
+    std::set<std::string> m_copies;
+    Json m_seen = Json::object(); // by request id
+    uint64_t m_sequence = 0;
+    bool m_busy = false;
+    bool m_unloads = false;
+    std::string m_ordered;
+    std::chrono::steady_clock::time_point m_doneAt;
+    uint64_t m_born
+        = uint64_t(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    std::atomic<bool> m_stop{false};
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("standin-runner", "A stand-in for a runner of the users' platform.");
+    options.add_options()("id", "", cxxopts::value<std::string>())("port", "", cxxopts::value<int>())(
+        "service", "", cxxopts::value<std::string>())("control", "", cxxopts::value<std::vector<std::string>>())(
+        "models", "", cxxopts::value<std::vector<std::string>>()->default_value(""))("refuse-orders", "");
+    const cxxopts::ParseResult arguments = options.parse(argc, argv);
+    std::vector<std::string> models = arguments["models"].as<std::vector<std::string>>();
+    std::erase(models, "");
+    std::signal(SIGPIPE, SIG_IGN);
+    Runner runner(Options{arguments["id"].as<std::string>(), arguments["port"].as<int>(), arguments["service"].as<std::string>(),
+                          arguments["control"].as<std::vector<std::string>>(), arguments.count("refuse-orders") != 0},
+                  models);
+    runner.serve();
+    return 0;
+}
--- a/tests/system.cpp
+++ b/tests/system.cpp
@@ -3,11 +3,7 @@
 #include "protocol/json.h"
 #include "protocol/sse.h"
 
-#include <csignal>
-#include <fcntl.h>
 #include <fmt/format.h>
-#include <fstream>
-#include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
 
@@ -27,76 +23,18 @@
     return client;
 }
 
-std::string readFile(const std::filesystem::path &path)
-{
-    std::ifstream in(path);
-    return std::string((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
-}
-
-void writeFile(const std::filesystem::path &path, const std::string &text)
-{
-    std::ofstream(path) << text;
-}
-
-// Starts a program with its output in files and returns its process id.
-int start(const std::vector<std::string> &command, const std::filesystem::path &out, const std::filesystem::path &err,
-          const std::string &in)
-{
-    std::vector<char *> words;
-    for (const std::string &it : command)
-        words.push_back(const_cast<char *>(it.c_str()));
-    words.push_back(nullptr);
-    const int pid = ::fork();
-    if (pid != 0)
-        return pid;
-    ::dup2(::open(in.empty() ? "/dev/null" : in.c_str(), O_RDONLY), 0);
-    ::dup2(::open(out.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600), 1);
-    ::dup2(::open(err.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600), 2);
-    ::execv(words[0], words.data());
-    ::_exit(127);
-}
-
 } // namespace
 
-bool eventually(const std::function<bool()> &condition, std::chrono::milliseconds time)
-{
-    const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + time;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() > end)
-            return false;
-        std::this_thread::sleep_for(Poll);
-    }
-    return true;
-}
-
 std::string freshKey(const std::string &name)
 {
     return fmt::format("{}-{}", std::time(nullptr), name);
 }
 
 System::System(const std::string &name, int base, int snapshotEvery)
-    : m_folder(std::filesystem::temp_directory_path() / fmt::format("roserail-{}-{}", name, ::getpid()))
+    : Processes(name)
     , m_base(base)
     , m_snapshotEvery(snapshotEvery)
 {
-    std::filesystem::remove_all(m_folder);
-    std::filesystem::create_directories(m_folder);
-}
-
-System::~System()
-{
-    for (const std::pair<const std::string, int> &it : m_pids) {
-        ::kill(it.second, SIGCONT);
-        ::kill(it.second, SIGKILL);
-        ::waitpid(it.second, nullptr, 0);
-    }
-    if (std::getenv("ROSERAIL_KEEP_LOGS") == nullptr)
-        std::filesystem::remove_all(m_folder);
-}
-
-void System::spawn(const std::string &name, const std::vector<std::string> &command)
-{
-    m_pids[name] = start(command, m_folder / (name + ".out"), m_folder / (name + ".log"), "");
 }
 
 std::string System::routers() const
@@ -107,24 +45,23 @@
 void System::startControl(int id)
 {
     std::string settings = fmt::format("id: {}\nzone: zone-{}\ndataFolder: {}\nrootTokenSha256: \"{}\"\nsnapshotEvery: {}\nreplicas:\n", id,
-                                       id, (m_folder / fmt::format("data-{}", id)).string(), sha256Hex("root-token"), m_snapshotEvery);
+                                       id, (folder() / fmt::format("data-{}", id)).string(), sha256Hex("root-token"), m_snapshotEvery);
     for (const int it : {1, 2, 3})
         settings += fmt::format("  - {{id: {}, peerAddress: \"127.0.0.1:{}\", operatorAddress: \"127.0.0.1:{}\"}}\n", it, m_base + it,
                                 controlPort(it));
-    const std::filesystem::path path = m_folder / fmt::format("control-{}.yaml", id);
-    writeFile(path, settings);
-    spawn(fmt::format("control-{}", id), {ROSERAIL_BUILD "/roserail-control", path.string()});
+    const std::string path = writeFile(fmt::format("control-{}.yaml", id), settings);
+    spawn(fmt::format("control-{}", id), {ROSERAIL_BUILD "/roserail-control", path});
 }
 
 void System::startRouter(int id)
 {
-    const std::filesystem::path path = m_folder / fmt::format("router-{}.yaml", id);
+    const std::filesystem::path path = folder() / fmt::format("router-{}.yaml", id);
     writeFile(
         path,
         fmt::format(
             "id: router-{}\nzone: zone-{}\nlisten: \"127.0.0.1:{}\"\ncontrol: [\"127.0.0.1:{}\", \"127.0.0.1:{}\", \"127.0.0.1:{}\"]\n", id,
             id, routerPort(id), m_base + 1, m_base + 2, m_base + 3));
-    spawn(fmt::format("router-{}", id), {ROSERAIL_BUILD "/roserail-router", path.string()});
+    spawn(fmt::format("router-{}", id), {ROSERAIL_BUILD "/roserail-router", path});
 }
 
 void System::startEngine(int id, std::vector<std::string> options)
@@ -171,7 +108,7 @@
 
 void System::found()
 {
-    const Output founded = ctl({"bootstrap", "-f", (m_folder / "control-1.yaml").string()});
+    const Output founded = ctl({"bootstrap", "-f", (folder() / "control-1.yaml").string()});
     if (founded.code != 0)
         throw std::runtime_error("bootstrap: " + founded.err);
     const Output applied
@@ -182,52 +119,24 @@
         throw std::runtime_error("apply: " + applied.err);
 }
 
-void System::signal(const std::string &process, int number)
-{
-    ::kill(m_pids.at(process), number);
-}
-
-void System::kill(const std::string &process)
-{
-    const int pid = m_pids.at(process);
-    ::kill(pid, SIGKILL);
-    ::waitpid(pid, nullptr, 0);
-    m_pids.erase(process);
-}
-
-int System::wait(const std::string &process)
-{
-    int status = 0;
-    ::waitpid(m_pids.at(process), &status, 0);
-    m_pids.erase(process);
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-}
-
-bool System::running(const std::string &process)
-{
-    return ::waitpid(m_pids.at(process), nullptr, WNOHANG) == 0;
-}
-
 void System::wipe(int control)
 {
-    std::filesystem::remove_all(m_folder / fmt::format("data-{}", control));
+    std::filesystem::remove_all(folder() / fmt::format("data-{}", control));
 }
 
 System::Output System::ctl(const std::vector<std::string> &arguments, const std::string &text)
 {
     static std::atomic<int> calls{0};
-    const std::filesystem::path stem = m_folder / fmt::format("ctl-{}", ++calls);
+    const std::filesystem::path stem = folder() / fmt::format("ctl-{}", ++calls);
     std::vector<std::string> command{ROSERAIL_BUILD "/roserailctl", "--control",
                                      fmt::format("127.0.0.1:{},127.0.0.1:{},127.0.0.1:{}", controlPort(1), controlPort(2), controlPort(3))};
     const bool ownToken = std::find(arguments.begin(), arguments.end(), "--token") != arguments.end();
     if (!ownToken)
         command.insert(command.end(), {"--token", "root-token"});
     command.insert(command.end(), arguments.begin(), arguments.end());
-    writeFile(stem.string() + ".in", text);
-    const int pid = start(command, stem.string() + ".out", stem.string() + ".err", stem.string() + ".in");
-    int status = 0;
-    ::waitpid(pid, &status, 0);
-    return Output{WEXITSTATUS(status), readFile(stem.string() + ".out"), readFile(stem.string() + ".err")};
+    writeFile(stem.filename().string() + ".in", text);
+    const int code = runToEnd(command, stem.string() + ".out", stem.string() + ".err", stem.string() + ".in");
+    return Output{code, readWholeFile(stem.string() + ".out"), readWholeFile(stem.string() + ".err")};
 }
 
 Json System::status(int control)
@@ -239,7 +148,7 @@
 int System::leader()
 {
     for (const int id : {1, 2, 3}) {
-        if (m_pids.count(fmt::format("control-{}", id)) != 0 && status(id).value("leads", false))
+        if (started(fmt::format("control-{}", id)) && status(id).value("leads", false))
             return id;
     }
     return 0;
--- a/tests/system.h
+++ b/tests/system.h
@@ -4,12 +4,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <chrono>
-#include <filesystem>
-#include <functional>
-#include <map>
-#include <string>
-#include <vector>
+#include "processes.h"
 
 namespace roserail::test
 {
@@ -27,14 +22,11 @@
     std::string retryAfter;
 };
 
-class System
+class System : public Processes
 {
 public:
     // Ports from `base` on belong to this system.
     System(const std::string &name, int base, int snapshotEvery = 20000);
-    ~System();
-    System(const System &) = delete;
-    System &operator=(const System &) = delete;
 
     void startControl(int id);
     void startRouter(int id);
@@ -43,10 +35,6 @@
     // Founds the system and puts the document in.
     void found();
 
-    void signal(const std::string &process, int number);
-    void kill(const std::string &process); // SIGKILL, and waits
-    int wait(const std::string &process); // exit code; -1 after a signal
-    bool running(const std::string &process);
     void wipe(int control);
 
     // Runs roserailctl; `text` goes to its standard input.
@@ -92,19 +80,13 @@
     static std::string document(const std::string &models);
 
 private:
-    void spawn(const std::string &name, const std::vector<std::string> &command);
     Received read(int router, httplib::Request request, const std::function<bool(const Received &)> &goOn);
     std::string routers() const;
 
-    std::filesystem::path m_folder;
     int m_base;
     int m_snapshotEvery;
-    std::map<std::string, int> m_pids;
 };
 
-// Waits until the condition holds; false after the time.
-bool eventually(const std::function<bool()> &condition, std::chrono::milliseconds time = std::chrono::milliseconds(15000));
-
 // An idempotency key of now.
 std::string freshKey(const std::string &name);
 
