--- /dev/null
+++ b/src/coordination/founding.cpp
@@ -0,0 +1,69 @@
+#include "coordination/founding.h"
+
+#include "state/tunables.h"
+
+#include <algorithm>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+struct SeedDisks {
+    bool allKnown = true;
+    std::vector<std::string> disks; // seeds with a disk, in order
+};
+
+// Whether a seed has a disk doesn't change: all hosts that have heard of every seed agree.
+SeedDisks seedDisks(const FoundingView &view, const Registry &registry)
+{
+    SeedDisks result;
+    std::vector<std::string> seeds = view.seeds;
+    std::sort(seeds.begin(), seeds.end());
+    for (const std::string &it : seeds) {
+        const auto known = registry.keepers().find(it);
+        result.allKnown &= known != registry.keepers().end();
+        if (known != registry.keepers().end() && known->second.state.disk())
+            result.disks.push_back(it);
+    }
+    return result;
+}
+
+std::string firstSeed(const FoundingView &view)
+{
+    return *std::min_element(view.seeds.begin(), view.seeds.end());
+}
+
+} // namespace
+
+std::vector<std::string> founders(const FoundingView &view, const Registry &registry)
+{
+    if (!view.mayFound || !view.disk)
+        return {};
+    const SeedDisks seeds = seedDisks(view, registry);
+    if (!seeds.allKnown)
+        return {};
+    if (std::find(seeds.disks.begin(), seeds.disks.end(), view.self) != seeds.disks.end())
+        return seeds.disks;
+    const auto first = registry.keepers().find(firstSeed(view));
+    const bool named = seeds.disks.empty() && first->second.state.founder() == view.self;
+    return named ? std::vector<std::string>{view.self} : std::vector<std::string>();
+}
+
+std::string nameFounder(const FoundingView &view, const Registry &registry, Time now)
+{
+    const bool first = firstSeed(view) == view.self;
+    const SeedDisks seeds = seedDisks(view, registry);
+    if (!first || !view.mayFound || !seeds.allKnown || !seeds.disks.empty() || now < view.startedAt + FoundingPatience)
+        return "";
+    for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
+        if (it.second.state.disk() && it.second.state.may_found())
+            return it.first;
+    }
+    return "";
+}
+
+} // namespace roserail
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -58,13 +58,18 @@
 {
 }
 
-void Registry::touch(uint64_t &version, uint64_t &visibleVersion, bool visible)
+template <typename Entry>
+void Registry::touch(Entry &entry, bool visible, Time now)
 {
-    version = ++m_version;
-    if (!visible)
+    entry.version = ++m_version;
+    if (visible) {
+        entry.visibleVersion = m_version;
+        m_visibleVersion = m_version;
+    }
+    if (!visible && now < entry.spreadAt + SignOfLifeInterval)
         return;
-    visibleVersion = m_version;
-    m_visibleVersion = m_version;
+    entry.spreadVersion = m_version;
+    entry.spreadAt = now;
 }
 
 bool Registry::take(const pb::Announcement &word, Time heardAt)
@@ -83,7 +88,7 @@
     const bool changed = first || !sameForRouters(known.word, word);
     known.word = word;
     known.heardAt = std::max(known.heardAt, heardAt);
-    touch(known.version, known.visibleVersion, changed);
+    touch(known, changed, heardAt);
     if (changed && !word.gone())
         settleAddress(known, heardAt);
     return true;
@@ -106,7 +111,7 @@
     }
 }
 
-bool Registry::take(const pb::Holdings &holdings)
+bool Registry::take(const pb::Holdings &holdings, Time now)
 {
     const auto it = m_endpoints.find(holdings.endpoint());
     if (it == m_endpoints.end())
@@ -118,7 +123,7 @@
     if (!known.endpoint().empty() && newness(holdings) <= newness(known))
         return false;
     known = holdings;
-    touch(it->second.version, it->second.visibleVersion, true);
+    touch(it->second, true, now);
     return true;
 }
 
@@ -134,7 +139,19 @@
     const bool changed = known.version == 0 || !sameForRouters(known.state, state);
     known.state = state;
     known.heardAt = std::max(known.heardAt, heardAt);
-    touch(known.version, known.visibleVersion, changed);
+    touch(known, changed, heardAt);
+    return true;
+}
+
+bool Registry::take(const pb::KeeperState &state, Time heardAt)
+{
+    LiveKeeper &known = m_keepers[state.address()];
+    const auto newness = [](const pb::KeeperState &s) { return std::pair(s.incarnation(), s.sequence()); };
+    if (known.version != 0 && newness(state) <= newness(known.state))
+        return false;
+    known.state = state;
+    known.heardAt = std::max(known.heardAt, heardAt);
+    known.version = ++m_version;
     return true;
 }
 
@@ -151,35 +168,36 @@
         return;
     endpoint.word.set_gone(true);
     endpoint.heardAt = now;
-    touch(endpoint.version, endpoint.visibleVersion, true);
+    touch(endpoint, true, now);
 }
 
-void Registry::markLost(LiveEndpoint &endpoint)
+void Registry::markLost(LiveEndpoint &endpoint, Time now)
 {
     if (endpoint.word.gone() || endpoint.word.lost())
         return;
     endpoint.word.set_lost(true);
-    touch(endpoint.version, endpoint.visibleVersion, true);
+    touch(endpoint, true, now);
 }
 
-void Registry::markLost(LiveRouter &router)
+void Registry::markLost(LiveRouter &router, Time now)
 {
     if (!router.state.accepting())
         return;
     router.state.set_accepting(false);
-    touch(router.version, router.visibleVersion, true);
+    touch(router, true, now);
 }
 
 void Registry::expire(Time now)
 {
     for (std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
         if (now > it.second.heardAt + m_lifetimes.endpoint)
-            markLost(it.second);
+            markLost(it.second, now);
     }
     for (std::pair<const std::string, LiveRouter> &it : m_routers) {
         if (now > it.second.heardAt + m_lifetimes.router)
-            markLost(it.second);
+            markLost(it.second, now);
     }
+    std::erase_if(m_keepers, [&](const std::pair<const std::string, LiveKeeper> &it) { return now > it.second.heardAt + KeeperSilence; });
     const auto forget = [&](const auto &entry, bool gone) {
         const bool old = gone && now > entry.heardAt + GoneEntryKept;
         if (old)
@@ -193,7 +211,7 @@
                   [&](const std::pair<const std::string, LiveRouter> &it) { return forget(it.second, !it.second.state.accepting()); });
 }
 
-void Registry::dropUnlisted(const pb::SyncReply &reply)
+void Registry::dropUnlisted(const pb::SyncReply &reply, Time now)
 {
     std::set<std::string> listed;
     for (const pb::Announcement &it : reply.endpoints())
@@ -202,30 +220,32 @@
         listed.insert(it.router());
     for (std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
         if (listed.count(it.first) == 0)
-            markLost(it.second);
+            markLost(it.second, now);
     }
     for (std::pair<const std::string, LiveRouter> &it : m_routers) {
         if (listed.count(it.first) == 0)
-            markLost(it.second);
+            markLost(it.second, now);
     }
 }
 
-void Registry::changesSince(uint64_t version, Time now, pb::ShareRequest &out) const
+void Registry::changesSince(uint64_t version, bool all, Time now, pb::ShareRequest &out) const
 {
     for (const std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
-        if (it.second.version <= version)
+        if ((all ? it.second.version : it.second.spreadVersion) <= version)
             continue;
         pb::Announcement &word = *out.add_endpoints();
         word = it.second.word;
         word.set_age_ms(ageMs(it.second.heardAt, now));
-        if (!it.second.holdings.endpoint().empty())
+        if (!it.second.holdings.endpoint().empty() && it.second.visibleVersion > version)
             *out.add_holdings() = it.second.holdings;
     }
     for (const std::pair<const std::string, LiveRouter> &it : m_routers) {
-        if (it.second.version <= version)
+        if ((all ? it.second.version : it.second.spreadVersion) <= version)
             continue;
         pb::RouterState &state = *out.add_routers();
         state = it.second.state;
+        if (!all)
+            state.clear_demands();
         state.set_age_ms(ageMs(it.second.heardAt, now));
     }
 }
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -23,6 +23,8 @@
     Time heardAt{};
     uint64_t version = 0; // of the last change
     uint64_t visibleVersion = 0; // of the last change that matters to routers
+    uint64_t spreadVersion = 0; // of the last change that all control hosts get: a visible one, or a sign of life now and then
+    Time spreadAt{};
     bool usable() const
     {
         return !word.leaving() && !word.gone() && !word.lost();
@@ -36,6 +38,14 @@
     Time heardAt{};
     uint64_t version = 0;
     uint64_t visibleVersion = 0;
+    uint64_t spreadVersion = 0;
+    Time spreadAt{};
+};
+
+struct LiveKeeper {
+    pb::KeeperState state;
+    Time heardAt{};
+    uint64_t version = 0;
 };
 
 class Registry
@@ -45,14 +55,15 @@
 
     // Each takes a word if it is newer than what is known, and returns whether it was.
     bool take(const pb::Announcement &word, Time heardAt);
-    bool take(const pb::Holdings &holdings);
+    bool take(const pb::Holdings &holdings, Time now);
     bool take(const pb::RouterState &state, Time heardAt);
+    bool take(const pb::KeeperState &state, Time heardAt);
     // An endpoint says that it ends.
     void withdraw(const std::string &endpoint, Time now);
     // Marks as lost what was silent too long, and forgets what has been gone or lost for long.
     void expire(Time now);
     // Marks everything as lost that `reply`, a full list, does not name.
-    void dropUnlisted(const pb::SyncReply &reply);
+    void dropUnlisted(const pb::SyncReply &reply, Time now);
 
     uint64_t version() const
     {
@@ -62,8 +73,9 @@
     {
         return m_visibleVersion;
     }
-    // All changes after a version, for another control host.
-    void changesSince(uint64_t version, Time now, pb::ShareRequest &out) const;
+    // Changes after a version, for another control host: all of them for the one that orders what engines hold, for
+    // others those that matter to routers, and signs of life.
+    void changesSince(uint64_t version, bool all, Time now, pb::ShareRequest &out) const;
     // Changes after a version that matter to routers.
     void visibleSince(uint64_t version, Time now, pb::SyncReply &out) const;
 
@@ -75,13 +87,19 @@
     {
         return m_routers;
     }
+    // Control hosts by internal address.
+    const std::map<std::string, LiveKeeper> &keepers() const
+    {
+        return m_keepers;
+    }
 
 private:
     void markGone(LiveEndpoint &endpoint, Time now);
-    void markLost(LiveEndpoint &endpoint);
-    void markLost(LiveRouter &router);
+    void markLost(LiveEndpoint &endpoint, Time now);
+    void markLost(LiveRouter &router, Time now);
     void settleAddress(const LiveEndpoint &newcomer, Time now);
-    void touch(uint64_t &version, uint64_t &visibleVersion, bool visible);
+    template <typename Entry>
+    void touch(Entry &entry, bool visible, Time now);
 
     Lifetimes m_lifetimes;
     Time m_startedAt; // what was said before has not been heard
@@ -90,6 +108,7 @@
     uint64_t m_forgottenVersion = 0; // latest version of anything that was forgotten
     std::map<std::string, LiveEndpoint> m_endpoints;
     std::map<std::string, LiveRouter> m_routers;
+    std::map<std::string, LiveKeeper> m_keepers;
 };
 
 } // namespace roserail
--- a/src/keeper.cpp
+++ b/src/keeper.cpp
@@ -1,6 +1,7 @@
 // roserail-keeper: a control host of a system that is found by seeds. It keeps the configuration and the live state, and
 // the one that leads orders what engines hold.
 
+#include "coordination/founding.h"
 #include "platform/dialect.h"
 #include "protocol/hostsettings.h"
 #include "protocol/log.h"
@@ -21,7 +22,7 @@
 using namespace roserail;
 
 constexpr Millis HandOverTime{1500};
-constexpr Millis PeersInterval{500};
+constexpr Millis NeighbourhoodInterval{100}; // a change of leader or configuration is known to all hosts soon after
 constexpr uint64_t FounderIncarnation = 1; // a later life of a disk has a random one
 constexpr uint64_t SnapshotEvery = 200; // entries; a configuration has 40 KB, and a disk 64 MB
 
@@ -31,26 +32,19 @@
     return XXH64(internalAddress.data(), internalAddress.size(), 0) | 1;
 }
 
-// All seeds found the same system without a word to each other: its first members are the seeds, in any order.
-void found(ReplicaNode &node, const KeeperSettings &settings)
+// Begins a new system with these hosts as its first members. Each of them does the same, in any order.
+void found(ReplicaNode &node, const std::vector<std::string> &founders, const Registry &registry)
 {
-    std::vector<std::string> seeds = settings.host.seeds;
-    std::sort(seeds.begin(), seeds.end());
     pb::Membership membership;
-    bool seed = false;
     uint64_t clusterId = 1;
-    for (const std::string &it : seeds) {
+    for (const std::string &it : founders) {
         pb::Member &member = *membership.add_members();
-        const std::string internal = fmt::format("{}:{}", parseEndpoint(it).value().address().to_string(), settings.host.internalPort);
-        *member.mutable_identity() = toProto(Replica{replicaId(internal), FounderIncarnation});
-        member.set_peer_address(internal);
-        member.set_operator_address(it);
+        *member.mutable_identity() = toProto(Replica{replicaId(it), FounderIncarnation});
+        member.set_peer_address(it);
+        member.set_operator_address(registry.keepers().at(it).state.operator_address());
         member.set_voter(true);
-        seed |= it == settings.listen;
         clusterId = XXH64(it.data(), it.size(), clusterId) | 1;
     }
-    if (!seed)
-        return;
     const Result<void> result = node.found(clusterId, membership);
     if (result.has_error())
         logEvent("founding_refused", {{"error", result.error().message}});
@@ -66,30 +60,111 @@
     }
 }
 
-// Keeps the list of hosts to share live state with.
-Task<> followMembers(net::io_context &io, ReplicaNode &node, MeshSharer &sharer, std::vector<std::string> seeds)
+// A control host's knowledge of the others: says what it is itself, founds a new system if that falls to it, and keeps
+// the lists of hosts to share live state with and to ask to be taken in.
+class Neighbourhood
 {
-    net::steady_timer timer(io);
-    while (true) {
-        std::vector<std::string> addresses = seeds;
-        const ReplicaStatus status = node.status();
-        for (const pb::Member &it : status.membership.members())
-            addresses.push_back(it.peer_address());
-        sharer.setPeers(addresses);
-        ErrorCode ec;
-        timer.expires_after(PeersInterval);
-        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+public:
+    Neighbourhood(net::io_context &io, const KeeperSettings &settings, LiveTable &table, ReplicaNode *node)
+        : m_io(io)
+        , m_table(table)
+        , m_node(node)
+        , m_sharer(table, internalAddress(settings))
+    {
+        m_view.self = internalAddress(settings);
+        m_view.seeds = internalSeeds(settings.host);
+        m_view.disk = node != nullptr;
+        m_view.mayFound = settings.mayFound;
+        m_view.startedAt = monotonicNow();
+        m_state.set_address(m_view.self);
+        m_state.set_operator_address(settings.listen);
+        m_state.set_incarnation(wallMillis());
+        m_state.set_zone(settings.host.zone);
+        m_state.set_disk(m_view.disk);
+        m_state.set_may_found(m_view.mayFound);
     }
-}
 
-int serve(const KeeperSettings &settings)
+    static std::string internalAddress(const KeeperSettings &settings)
+    {
+        return fmt::format("{}:{}", settings.host.address, settings.host.internalPort);
+    }
+
+    Task<> run()
+    {
+        net::steady_timer timer(m_io);
+        while (true) {
+            step(monotonicNow());
+            ErrorCode ec;
+            timer.expires_after(NeighbourhoodInterval);
+            co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+        }
+    }
+
+private:
+    void step(Time now)
+    {
+        sayState(now);
+        std::vector<std::string> addresses = m_view.seeds;
+        std::map<uint64_t, std::string> contacts;
+        m_table.read([&](const Registry &registry) {
+            for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
+                addresses.push_back(it.first);
+                if (it.second.state.disk() && it.first != m_view.self)
+                    contacts[replicaId(it.first)] = it.first;
+            }
+        });
+        m_sharer.setPeers(addresses);
+        if (m_node == nullptr)
+            return;
+        m_node->setContacts(std::move(contacts));
+        const uint64_t known = m_table.configurationVersion();
+        m_node->withMachine([&](const Machine &machine) {
+            if (machine.configuration().version() > known)
+                m_table.takeConfiguration(machine.configuration());
+        });
+        if (m_view.mayFound && m_node->status().clusterId == 0)
+            foundIfDue();
+    }
+
+    void sayState(Time now)
+    {
+        const ReplicaStatus status = m_node == nullptr ? ReplicaStatus() : m_node->status();
+        const uint64_t term = status.leads(now) ? status.term : 0;
+        const std::string founder
+            = m_view.mayFound ? m_table.read([&](const Registry &registry) { return nameFounder(m_view, registry, now); }) : "";
+        // A name once given stays: nobody else may found.
+        if (m_state.founder().empty())
+            m_state.set_founder(founder);
+        if (now < m_sayAt && term == m_state.term() && founder == m_state.founder())
+            return;
+        m_sayAt = now + tunables::KeeperInterval;
+        m_state.set_term(term);
+        m_state.set_sequence(m_state.sequence() + 1);
+        m_table.change([&](Registry &registry) { registry.take(m_state, now); });
+    }
+
+    void foundIfDue()
+    {
+        const std::vector<std::string> first = m_table.read([&](const Registry &registry) { return founders(m_view, registry); });
+        if (!first.empty())
+            m_table.read([&](const Registry &registry) { found(*m_node, first, registry); });
+    }
+
+    net::io_context &m_io;
+    LiveTable &m_table;
+    ReplicaNode *m_node; // null on a host without a disk
+    FoundingView m_view;
+    pb::KeeperState m_state;
+    Time m_sayAt{};
+    MeshSharer m_sharer;
+};
+
+// The replica of the log, on a host with a disk.
+Result<std::unique_ptr<ReplicaNode>> openReplica(const KeeperSettings &settings)
 {
-    const std::string internal = fmt::format("{}:{}", settings.host.address, settings.host.internalPort);
-    const uint64_t id = replicaId(internal);
-    Result<std::unique_ptr<Storage>> storage
-        = Storage::open(settings.dataFolder, id, settings.mayFound ? FounderIncarnation : randomNumber());
-    if (storage.has_error())
-        return reportFatal(storage.error());
+    const std::string internal = Neighbourhood::internalAddress(settings);
+    const uint64_t incarnation = settings.mayFound ? FounderIncarnation : randomNumber();
+    BOOST_OUTCOME_TRY(storage, Storage::open(settings.dataFolder, replicaId(internal), incarnation));
     pb::Member self;
     self.set_peer_address(internal);
     self.set_operator_address(settings.listen);
@@ -99,18 +174,31 @@
             seeds[replicaId(it)] = it;
     }
     const MembershipPolicy policy{true, 2 * settings.lossesToBear + 1};
-    ReplicaNode node(std::move(storage.value()), self, seeds, SnapshotEvery, randomNumber(), policy);
-    if (settings.mayFound && node.status().clusterId == 0)
-        found(node, settings);
+    return std::make_unique<ReplicaNode>(std::move(storage), self, seeds, SnapshotEvery, randomNumber(), policy);
+}
+
+int serve(const KeeperSettings &settings)
+{
+    const std::string internal = Neighbourhood::internalAddress(settings);
+    std::unique_ptr<ReplicaNode> node;
+    std::vector<grpc::Service *> services;
+    std::unique_ptr<PeerService> peerService;
+    if (!settings.dataFolder.empty()) {
+        Result<std::unique_ptr<ReplicaNode>> opened = openReplica(settings);
+        if (opened.has_error())
+            return reportFatal(opened.error());
+        node = std::move(opened.value());
+        peerService = std::make_unique<PeerService>(*node);
+        services.push_back(peerService.get());
+    }
     LiveTable table(Lifetimes{tunables::EndpointSilence, tunables::RouterSilence}, monotonicNow());
-    PeerService peerService(node);
-    MeshService meshService(table, node, internalSeeds(settings.host), randomNumber());
-    const std::unique_ptr<grpc::Server> server = startGrpcServer(internal, {&peerService, &meshService});
+    MeshService meshService(table, internalSeeds(settings.host), node != nullptr, randomNumber());
+    services.push_back(&meshService);
+    const std::unique_ptr<grpc::Server> server = startGrpcServer(internal, services);
     if (!server)
-        return reportFatal(
-            Error{ErrorKind::BadSettings, fmt::format("cannot listen on {}; free the port or correct 'internalPort'", internal), 0});
+        return reportFatal(Error{ErrorKind::BadSettings, fmt::format("cannot listen on {}; free the port or correct 'internalPort'", internal), 0});
     net::io_context io(1);
-    KeeperApi api(io, platform::dialect(), table, node);
+    KeeperApi api(io, platform::dialect(), table, node.get());
     HttpServer http(io, [&api](CallerConnection &caller) { return api.handle(caller); });
     const Result<void> listening = http.listen(settings.listen);
     if (listening.has_error())
@@ -118,15 +206,22 @@
     HttpServer metricsServer(io, answerMetrics);
     if (!settings.host.metrics.empty() && metricsServer.listen(settings.host.metrics).has_error())
         return reportFatal(Error{ErrorKind::BadSettings, "cannot listen on 'metrics'; free the port or correct the address", 0});
-    OrderDesk desk(io, platform::dialect(), table, node, settings.host.id, settings.orderLease);
-    MeshSharer sharer(table, internal);
-    net::co_spawn(io, desk.run(), net::detached);
-    net::co_spawn(io, followMembers(io, node, sharer, internalSeeds(settings.host)), net::detached);
+    std::unique_ptr<OrderDesk> desk;
+    if (node) {
+        desk = std::make_unique<OrderDesk>(io, platform::dialect(), table, *node, settings.host.id, settings.orderLease);
+        net::co_spawn(io, desk->run(), net::detached);
+    }
+    Neighbourhood neighbourhood(io, settings, table, node.get());
+    net::co_spawn(io, neighbourhood.run(), net::detached);
     std::thread worker([&io] { io.run(); });
-    logEvent("started",
-             {{"version", ROSERAIL_VERSION}, {"internal", internal}, {"listen", settings.listen}, {"mayFound", settings.mayFound}});
+    logEvent("started", {{"version", ROSERAIL_VERSION},
+                         {"internal", internal},
+                         {"listen", settings.listen},
+                         {"disk", node != nullptr},
+                         {"may_found", settings.mayFound}});
     waitForStop();
-    handOver(node);
+    if (node)
+        handOver(*node);
     io.stop();
     worker.join();
     server->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(200));
--- a/src/protocol/hostsettings.cpp
+++ b/src/protocol/hostsettings.cpp
@@ -67,7 +67,7 @@
     KeeperSettings settings;
     settings.host = readHost(root);
     settings.listen = readAddress(root, "listen");
-    settings.dataFolder = readName(root, "dataFolder", "the settings");
+    settings.dataFolder = root["dataFolder"] ? readName(root, "dataFolder", "the settings") : "";
     settings.mayFound = readValue<bool>(root, "mayFound", false, "true or false");
     settings.lossesToBear = uint32_t(readCount(root, "lossesToBear", 1));
     settings.orderLease = readDuration(root, "orderLease", Millis(3000));
--- a/src/protocol/hostsettings.h
+++ b/src/protocol/hostsettings.h
@@ -34,7 +34,7 @@
 struct KeeperSettings {
     HostSettings host;
     std::string listen; // for operators and endpoints
-    std::string dataFolder;
+    std::string dataFolder; // empty: the host has no disk, and passes calls on
     bool mayFound = false; // the whole system starts for the first time
     uint32_t lossesToBear = 0; // hosts with a disk that may be lost at the same time
     Millis orderLease{0}; // no other host orders within this time of the last order
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -46,13 +46,19 @@
 // Live state of systems that are found by seeds
 constexpr Millis GoneEntryKept = std::chrono::seconds(60); // longer than any router is out of reach in the users' trials
 constexpr Millis EndpointSilence{9000}; // heartbeats come every 1.2 s and may be seconds late
-constexpr Millis RouterSilence{2000}; // eight syncs
+constexpr Millis RouterSilence{5000}; // two signs of life, and the time that they take
+constexpr Millis SignOfLifeInterval{2000}; // of what doesn't change, to control hosts that don't order
+constexpr Millis KeeperSilence{15000}; // a control host that is gone is no longer shared with
+constexpr Millis KeeperFresh{4000}; // four of its words: routers are sent to it
+constexpr Millis KeeperInterval{1000}; // between two words of a control host about itself
+constexpr Millis FoundingPatience{1000}; // for control hosts with a disk to be heard of, if no seed has one
 constexpr Millis SyncInterval{250}; // a change is at every router in a fraction of the second from which it is priced
 constexpr Millis SyncWhileWaiting{40}; // while requests wait for a model to be loaded
+constexpr Millis NearestAgain{10000}; // a router that asks a distant control host tries the nearest one again
 constexpr Millis SyncTimeout{600}; // a round trip takes 3 ms; what takes longer is asked of another host
 constexpr Millis ShareTimeout{600};
 constexpr Millis ShareAnyway{1000}; // without a change, to learn that the peer has started again
-constexpr Millis ShareGather{5}; // a tenth of the time in which a waiting router asks again
+constexpr Millis ShareGather{15}; // less than half of the time in which a waiting router asks again
 constexpr Millis ShareRetry{200};
 
 // Requests on general routes
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -161,11 +161,11 @@
     for (const pb::Announcement &it : reply.endpoints())
         m_registry.take(it, now - Millis(it.age_ms()));
     for (const pb::Holdings &it : reply.holdings())
-        m_registry.take(it);
+        m_registry.take(it, now);
     for (const pb::RouterState &it : reply.routers())
         m_registry.take(it, now - Millis(it.age_ms()));
     if (reply.full())
-        m_registry.dropUnlisted(reply);
+        m_registry.dropUnlisted(reply, now);
     if (reply.has_configuration())
         takeConfiguration(reply.configuration());
     size_t accepting = 1;
--- a/src/transport/keeperapi.cpp
+++ b/src/transport/keeperapi.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-KeeperApi::KeeperApi(net::io_context &io, const Dialect &dialect, LiveTable &table, ReplicaNode &node)
+KeeperApi::KeeperApi(net::io_context &io, const Dialect &dialect, LiveTable &table, ReplicaNode *node)
     : m_io(io)
     , m_dialect(dialect)
     , m_table(table)
@@ -53,21 +53,43 @@
     co_await caller.answer(unsigned(traits(error.kind).httpStatus), headers, m_dialect.encodeError(error));
 }
 
+bool KeeperApi::leads() const
+{
+    return m_node != nullptr && m_node->status().leads(monotonicNow());
+}
+
+std::string KeeperApi::betterPlaced() const
+{
+    if (m_node != nullptr) {
+        const ReplicaStatus status = m_node->status();
+        for (const pb::Member &it : status.membership.members()) {
+            if (status.leader && fromProto(it.identity()) == *status.leader && *status.leader != status.self)
+                return it.operator_address();
+        }
+        return "";
+    }
+    const Time now = monotonicNow();
+    return m_table.read([&](const Registry &registry) {
+        const pb::KeeperState *best = nullptr;
+        for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
+            const pb::KeeperState &state = it.second.state;
+            if (state.disk() && now < it.second.heardAt + KeeperFresh && (best == nullptr || state.term() > best->term()))
+                best = &state;
+        }
+        return best == nullptr ? std::string() : best->operator_address();
+    });
+}
+
 Task<> KeeperApi::redirect(CallerConnection &caller)
 {
-    const ReplicaStatus status = m_node.status();
-    for (const pb::Member &it : status.membership.members()) {
-        const bool leader = status.leader && fromProto(it.identity()) == *status.leader && *status.leader != status.self;
-        if (!leader)
-            continue;
-        const boost::beast::string_view target = caller.request().target();
-        const std::string location = fmt::format("http://{}{}", it.operator_address(), std::string_view(target.data(), target.size()));
-        std::vector<HeaderField> headers{{"Location", location}};
-        co_await caller.answer(307, std::move(headers), "");
-        co_return;
+    const std::string address = betterPlaced();
+    if (address.empty()) {
+        const Error error{ErrorKind::Unavailable, "no control host leads now; ask again", RetryAfterMin.count()};
+        co_return co_await answerError(caller, error);
     }
-    const Error error{ErrorKind::Unavailable, "no control host leads now; ask again", RetryAfterMin.count()};
-    co_await answerError(caller, error);
+    const boost::beast::string_view target = caller.request().target();
+    std::vector<HeaderField> headers{{"Location", fmt::format("http://{}{}", address, std::string_view(target.data(), target.size()))}};
+    co_await caller.answer(307, std::move(headers), "");
 }
 
 // Waits for a command's outcome without holding up the thread.
@@ -83,7 +105,7 @@
     };
     const std::shared_ptr<Outcome> outcome = std::make_shared<Outcome>(m_io);
     outcome->done.expires_after(ConfigurationCommitTime);
-    m_node.propose(std::move(command), [&io = m_io, outcome](const Result<pb::CommandResult> &result) {
+    m_node->propose(std::move(command), [&io = m_io, outcome](const Result<pb::CommandResult> &result) {
         net::post(io, [outcome, result] {
             outcome->result = result;
             outcome->done.cancel();
@@ -105,7 +127,7 @@
         const Error error{ErrorKind::BadRequest, table.error().message, 0};
         co_return co_await answerError(caller, error);
     }
-    if (!m_node.status().leads(monotonicNow()))
+    if (!leads())
         co_return co_await redirect(caller);
     pb::Command command;
     command.mutable_put_configuration()->mutable_configuration()->set_version(table.value().version);
@@ -125,11 +147,11 @@
 
 Task<> KeeperApi::getConfiguration(CallerConnection &caller)
 {
-    if (!m_node.status().leads(monotonicNow()))
+    if (!leads())
         co_return co_await redirect(caller);
-    const pb::WholeConfiguration configuration = m_node.withMachine([](const Machine &machine) { return machine.configuration(); });
+    const pb::WholeConfiguration configuration = m_node->withMachine([](const Machine &machine) { return machine.configuration(); });
     // The lease must have held while the configuration was read.
-    if (!m_node.status().leads(monotonicNow()))
+    if (!leads())
         co_return co_await redirect(caller);
     if (configuration.version() == 0) {
         const Error error{ErrorKind::Unavailable, "there is no configuration yet; send one", RetryAfterMin.count()};
--- a/src/transport/keeperapi.h
+++ b/src/transport/keeperapi.h
@@ -11,7 +11,8 @@
 class KeeperApi
 {
 public:
-    KeeperApi(net::io_context &io, const Dialect &dialect, LiveTable &table, ReplicaNode &node);
+    // `node` is null on a host without a disk.
+    KeeperApi(net::io_context &io, const Dialect &dialect, LiveTable &table, ReplicaNode *node);
     Task<> handle(CallerConnection &caller);
 
 private:
@@ -27,7 +28,11 @@
     net::io_context &m_io;
     const Dialect &m_dialect;
     LiveTable &m_table;
-    ReplicaNode &m_node;
+    bool leads() const;
+    // Operator address of the control host that leads, or else of one that may know who does; empty: none is known.
+    std::string betterPlaced() const;
+
+    ReplicaNode *m_node;
 };
 
 } // namespace roserail
--- a/src/transport/livetable.h
+++ b/src/transport/livetable.h
@@ -36,7 +36,28 @@
     void waitForChange(uint64_t version, Millis timeout, const std::function<bool()> &stop)
     {
         std::unique_lock lock(m_mutex);
-        m_changed.wait_for(lock, timeout, [&] { return m_registry.version() > version || stop(); });
+        const uint64_t changes = m_configurationChanges;
+        m_changed.wait_for(lock, timeout, [&] { return m_registry.version() > version || m_configurationChanges != changes || stop(); });
+    }
+    // The newest configuration that was committed, as far as this process has heard.
+    pb::WholeConfiguration configuration() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_configuration;
+    }
+    uint64_t configurationVersion() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_configuration.version();
+    }
+    void takeConfiguration(const pb::WholeConfiguration &configuration)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (configuration.version() <= m_configuration.version())
+            return;
+        m_configuration = configuration;
+        ++m_configurationChanges;
+        m_changed.notify_all();
     }
     void wakeAll()
     {
@@ -47,6 +68,8 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     Registry m_registry;
+    pb::WholeConfiguration m_configuration;
+    uint64_t m_configurationChanges = 0;
 };
 
 } // namespace roserail
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -13,9 +13,9 @@
 
 using namespace tunables;
 
-MeshService::MeshService(LiveTable &table, ReplicaNode &node, std::vector<std::string> seeds, uint64_t epoch)
+MeshService::MeshService(LiveTable &table, std::vector<std::string> seeds, bool disk, uint64_t epoch)
     : m_table(table)
-    , m_node(node)
+    , m_disk(disk)
     , m_seeds(std::move(seeds))
     , m_epoch(epoch)
 {
@@ -26,22 +26,26 @@
     const Time now = monotonicNow();
     if (request->router().router().empty())
         return grpc::Status(grpc::StatusCode::INVALID_ARGUMENT, "'router' is empty; set 'id' in the router's settings");
+    // Hosts of the router's own availability zone come first.
+    std::set<std::pair<bool, std::string>> control;
     m_table.change([&](Registry &registry) {
-        registry.take(request->router(), now);
-        registry.expire(now);
-        registry.visibleSince(request->epoch() == m_epoch ? request->version() : 0, now, *reply);
-    });
-    reply->set_epoch(m_epoch);
-    m_node.withMachine([&](const Machine &machine) {
-        if (machine.configuration().version() > request->configuration())
-            *reply->mutable_configuration() = machine.configuration();
+        if (m_disk) {
+            registry.take(request->router(), now);
+            registry.expire(now);
+            registry.visibleSince(request->epoch() == m_epoch ? request->version() : 0, now, *reply);
+        }
+        for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
+            if (it.second.state.disk() && now < it.second.heardAt + KeeperFresh)
+                control.emplace(it.second.state.zone() != request->router().zone(), it.first);
+        }
     });
-    std::set<std::string> control(m_seeds.begin(), m_seeds.end());
-    const ReplicaStatus status = m_node.status();
-    for (const pb::Member &it : status.membership.members())
-        control.insert(it.peer_address());
-    for (const std::string &it : control)
-        reply->add_control(it);
+    reply->set_epoch(m_disk ? m_epoch : 0);
+    if (m_table.configurationVersion() > request->configuration())
+        *reply->mutable_configuration() = m_table.configuration();
+    for (const std::pair<bool, std::string> &it : control)
+        reply->add_control(it.second);
+    if (control.empty())
+        reply->mutable_control()->Add(m_seeds.begin(), m_seeds.end());
     return grpc::Status::OK;
 }
 
@@ -52,10 +56,19 @@
         for (const pb::Announcement &it : request->endpoints())
             registry.take(it, now - Millis(it.age_ms()));
         for (const pb::Holdings &it : request->holdings())
-            registry.take(it);
+            registry.take(it, now);
         for (const pb::RouterState &it : request->routers())
             registry.take(it, now - Millis(it.age_ms()));
+        for (const pb::KeeperState &it : request->keepers())
+            registry.take(it, now - Millis(it.age_ms()));
+        if (request->keepers_size() > 0) {
+            for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers())
+                *reply->add_keepers() = it.second.state;
+        }
     });
+    if (request->has_configuration())
+        m_table.takeConfiguration(request->configuration());
+    reply->set_configuration(m_table.configurationVersion());
     reply->set_epoch(m_epoch);
     return grpc::Status::OK;
 }
@@ -97,22 +110,55 @@
     });
 }
 
+// What a peer is to be told, by what it is.
+MeshSharer::PeerKind MeshSharer::kindOf(const std::string &address) const
+{
+    return m_table.read([&](const Registry &registry) {
+        const auto it = registry.keepers().find(address);
+        if (it == registry.keepers().end())
+            return PeerKind::Unknown;
+        if (!it->second.state.disk())
+            return PeerKind::PassesOn;
+        return it->second.state.term() > 0 ? PeerKind::Orders : PeerKind::Keeps;
+    });
+}
+
 void MeshSharer::run(Peer &peer)
 {
     uint64_t shared = 0; // version that the peer has
     uint64_t epoch = 0; // of the peer's process
+    uint64_t configuration = UINT64_MAX; // version that the peer has; unknown before its first answer
+    PeerKind before = PeerKind::Unknown;
+    Time stateDue{};
     bool reachable = true;
     while (!peer.stop) {
-        m_table.waitForChange(shared, ShareAnyway, [&] { return peer.stop.load(); });
         // Changes that come together go out together.
         std::this_thread::sleep_for(ShareGather);
+        m_table.waitForChange(shared, ShareAnyway, [&] { return peer.stop.load(); });
+        const PeerKind kind = kindOf(peer.channel.address());
+        // The one that begins to order needs what others were not told.
+        if (kind == PeerKind::Orders && before != kind)
+            shared = 0;
+        before = kind;
+        const Time now = monotonicNow();
         pb::ShareRequest request;
-        request.set_from(m_self);
         uint64_t version = 0;
         m_table.read([&](const Registry &registry) {
             version = registry.version();
-            registry.changesSince(shared, monotonicNow(), request);
+            if (kind == PeerKind::Keeps || kind == PeerKind::Orders)
+                registry.changesSince(shared, kind == PeerKind::Orders, now, request);
+            const auto self = registry.keepers().find(m_self);
+            if (now >= stateDue && self != registry.keepers().end())
+                *request.add_keepers() = self->second.state;
         });
+        const bool empty = request.endpoints_size() + request.routers_size() + request.keepers_size() == 0;
+        if (empty && m_table.configurationVersion() <= configuration) {
+            shared = version;
+            continue;
+        }
+        request.set_from(m_self);
+        if (m_table.configurationVersion() > configuration)
+            *request.mutable_configuration() = m_table.configuration();
         const std::shared_ptr<grpc::Channel> channel = peer.channel.get();
         grpc::ClientContext context;
         setDeadline(context, ShareTimeout);
@@ -122,6 +168,8 @@
         if (status.ok() != reachable)
             logEvent(status.ok() ? "peer_regained" : "peer_lost", {{"peer", peer.channel.address()}, {"error", status.error_message()}});
         reachable = status.ok();
+        if (request.keepers_size() > 0 && status.ok())
+            stateDue = now + KeeperInterval;
         if (!status.ok()) {
             std::this_thread::sleep_for(ShareRetry);
             continue;
@@ -129,14 +177,32 @@
         // A process that has started again knows nothing of before.
         shared = epoch == 0 || epoch == reply.epoch() ? version : 0;
         epoch = reply.epoch();
+        configuration = reply.configuration();
+        takeKeepers(reply);
     }
 }
 
+// The answer names control hosts that this one may not have heard of.
+void MeshSharer::takeKeepers(const pb::ShareReply &reply)
+{
+    const Time now = monotonicNow();
+    const bool news = m_table.read([&](const Registry &registry) {
+        return std::any_of(reply.keepers().begin(), reply.keepers().end(),
+                           [&](const pb::KeeperState &it) { return registry.keepers().count(it.address()) == 0; });
+    });
+    if (!news)
+        return;
+    m_table.change([&](Registry &registry) {
+        for (const pb::KeeperState &it : reply.keepers())
+            registry.take(it, now);
+    });
+}
+
 MeshClient::MeshClient(std::vector<std::string> seeds, Build build, Take take)
     : m_seeds(std::move(seeds))
     , m_build(std::move(build))
     , m_take(std::move(take))
-    , m_turn(randomNumber() % 1024)
+    , m_spread(randomNumber() % 1024)
     , m_thread([this] { run(); })
 {
 }
@@ -157,12 +223,13 @@
     m_wake.notify_one();
 }
 
-// Goes through the hosts that were heard of, and the seeds now and then in case all of those have gone.
+// The nearest host that was heard of, then the others in turn, and the seeds in case all of those have gone.
 std::string MeshClient::nextAddress()
 {
+    const std::vector<std::string> &known = m_control.empty() || m_turn % 4 == 3 ? m_seeds : m_control;
+    const size_t n = m_control.empty() ? m_spread + m_turn : m_turn;
     ++m_turn;
-    const std::vector<std::string> &known = m_control.empty() || m_turn % 4 == 0 ? m_seeds : m_control;
-    return known[m_turn % known.size()];
+    return known[n % known.size()];
 }
 
 bool MeshClient::syncOnce()
@@ -180,10 +247,27 @@
         return false;
     }
     m_control.assign(reply.control().begin(), reply.control().end());
+    if (reply.epoch() == 0) {
+        m_channel.reset();
+        return false;
+    }
     m_take(reply);
+    returnToNearest();
     return true;
 }
 
+// Now and then tries the nearest host again, if another one was asked meanwhile.
+void MeshClient::returnToNearest()
+{
+    const Time now = monotonicNow();
+    if (now < m_nearestAt || m_control.empty())
+        return;
+    m_nearestAt = now + NearestAgain;
+    m_turn = 0;
+    if (m_channel->address() != m_control.front())
+        m_channel.reset();
+}
+
 void MeshClient::run()
 {
     bool reachable = true;
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -4,9 +4,10 @@
 #include "mesh.grpc.pb.h"
 #include "transport/channel.h"
 #include "transport/livetable.h"
-#include "transport/replicanode.h"
 
 #include <atomic>
+#include <condition_variable>
+#include <functional>
 #include <map>
 #include <thread>
 
@@ -17,14 +18,15 @@
 class MeshService : public pb::Mesh::Service
 {
 public:
-    MeshService(LiveTable &table, ReplicaNode &node, std::vector<std::string> seeds, uint64_t epoch);
+    // Without a disk, routers are only told of other control hosts.
+    MeshService(LiveTable &table, std::vector<std::string> seeds, bool disk, uint64_t epoch);
     grpc::Status Sync(grpc::ServerContext *context, const pb::SyncRequest *request, pb::SyncReply *reply) override;
     grpc::Status Share(grpc::ServerContext *context, const pb::ShareRequest *request, pb::ShareReply *reply) override;
 
 private:
     LiveTable &m_table;
-    ReplicaNode &m_node;
     std::vector<std::string> m_seeds; // internal addresses
+    bool m_disk;
     uint64_t m_epoch; // of this process
 };
 
@@ -49,7 +51,15 @@
         std::atomic<bool> stop{false};
         std::thread thread;
     };
+    enum class PeerKind {
+        Unknown,
+        PassesOn, // has no disk: it needs no live state
+        Keeps, // answers routers
+        Orders, // decides what engines hold
+    };
+    PeerKind kindOf(const std::string &address) const;
     void run(Peer &peer);
+    void takeKeepers(const pb::ShareReply &reply);
     void stop(Peer &peer);
 
     LiveTable &m_table;
@@ -79,12 +89,15 @@
     void run();
     bool syncOnce();
     std::string nextAddress();
+    void returnToNearest();
 
     std::vector<std::string> m_seeds;
     Build m_build;
     Take m_take;
     std::vector<std::string> m_control; // heard of
-    size_t m_turn;
+    size_t m_spread; // so that routers begin with different seeds
+    size_t m_turn = 0;
+    Time m_nearestAt{};
     std::unique_ptr<Channel> m_channel;
     std::atomic<bool> m_stop{false};
     std::atomic<bool> m_waiting{false};
--- a/src/transport/orderdesk.cpp
+++ b/src/transport/orderdesk.cpp
@@ -85,7 +85,7 @@
     if (!holdings.empty()) {
         m_table.change([&](Registry &registry) {
             for (const pb::Holdings &it : holdings)
-                registry.take(it);
+                registry.take(it, now);
         });
     }
     for (ArtifactOrder &it : plan.orders) {
--- a/src/transport/replicanode.cpp
+++ b/src/transport/replicanode.cpp
@@ -118,6 +118,12 @@
     m_events.push(Administration{Administration::Transfer});
 }
 
+void ReplicaNode::setContacts(std::map<uint64_t, std::string> contacts)
+{
+    const std::lock_guard lock(m_contactsMutex);
+    m_seedAddresses = std::move(contacts);
+}
+
 ReplicaStatus ReplicaNode::status() const
 {
     const std::lock_guard lock(m_statusMutex);
@@ -293,6 +299,7 @@
         if (it.identity().id() == replica.id)
             return it.peer_address();
     }
+    const std::lock_guard lock(m_contactsMutex);
     const auto seed = m_seedAddresses.find(replica.id);
     return seed == m_seedAddresses.end() ? "" : seed->second;
 }
@@ -361,8 +368,11 @@
     if (!m_joinTimer.due(*m_raft, now))
         return;
     std::set<std::string> addresses;
-    for (const std::pair<const uint64_t, std::string> &it : m_seedAddresses)
-        addresses.insert(it.second);
+    {
+        const std::lock_guard lock(m_contactsMutex);
+        for (const std::pair<const uint64_t, std::string> &it : m_seedAddresses)
+            addresses.insert(it.second);
+    }
     for (const pb::Member &it : m_raft->membership().members())
         addresses.insert(it.peer_address());
     addresses.erase(m_self.peer_address());
--- a/src/transport/replicanode.h
+++ b/src/transport/replicanode.h
@@ -66,6 +66,8 @@
     void approveReplica(uint64_t id);
     void removeReplica(uint64_t id);
     void transferLeadership();
+    // Further addresses to ask to be taken in, by replica id.
+    void setContacts(std::map<uint64_t, std::string> contacts);
 
     ReplicaStatus status() const;
     // Runs `read` while no command is applied.
@@ -119,7 +121,8 @@
 
     std::unique_ptr<Storage> m_storage;
     pb::Member m_self;
-    std::map<uint64_t, std::string> m_seedAddresses; // of the replicas in the settings, by id
+    mutable std::mutex m_contactsMutex;
+    std::map<uint64_t, std::string> m_seedAddresses; // of the replicas in the settings or heard of, by id
     uint64_t m_snapshotEvery;
     uint64_t m_seed;
     std::unique_ptr<Raft> m_raft;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -250,7 +250,7 @@
     reply.Clear();
     restarted.visibleSince(0, Now + Lives.endpoint + Millis(1), reply);
     BOOST_TEST(reply.full());
-    router.dropUnlisted(reply);
+    router.dropUnlisted(reply, Now);
     BOOST_TEST(!usable(router, "e"));
 }
 
@@ -268,7 +268,7 @@
             for (const pb::Announcement &it : request.endpoints())
                 to.take(it, Now);
             for (const pb::Holdings &it : request.holdings())
-                to.take(it);
+                to.take(it, Now);
         };
         const auto sync = [&](Registry &from, uint64_t since) {
             pb::SyncReply reply;
@@ -276,7 +276,7 @@
             for (const pb::Announcement &it : reply.endpoints())
                 router.take(it, Now);
             if (reply.full())
-                router.dropUnlisted(reply);
+                router.dropUnlisted(reply, Now);
         };
         for (const std::tuple<uint8_t, uint8_t, uint8_t> &it : events) {
             Registry &host = hosts[std::get<1>(it) % 3];
@@ -298,7 +298,7 @@
                 break;
             case 3: {
                 pb::ShareRequest request;
-                host.changesSince(std::get<2>(it), Now, request);
+                host.changesSince(std::get<2>(it), std::get<2>(it) % 2 == 0, Now, request);
                 network.push_back(request);
                 break;
             }
@@ -313,7 +313,7 @@
         for (int round = 0; round < 2; ++round) {
             for (Registry &from : hosts) {
                 pb::ShareRequest request;
-                from.changesSince(0, Now, request);
+                from.changesSince(0, false, Now, request);
                 for (Registry &to : hosts)
                     share(to, request);
             }
@@ -590,7 +590,7 @@
             residency->answered(it, answer, now);
         }
         for (const pb::Holdings &it : residency->takeHoldings())
-            registry.take(it);
+            registry.take(it, now);
         while (!storeLoads.empty() && storeLoads.front() + Millis(5000) < now)
             storeLoads.pop_front();
         invariant(double(storeLoads.size()) <= 3 * 5 * 1.1 + 3, "loads from the store stay under their rate");
