Streams go on at another runner within one answer; settings are read again on SIGHUP

A route whose streams may be resumed passes whole events on; when the run breaks off, another runner goes on after the last one, within the route's attempts and the retry budget. A run that doesn't go on at the next event breaks the answer off.

--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -146,7 +146,9 @@
 bool Registry::take(const pb::KeeperState &state, Time heardAt)
 {
     LiveKeeper &known = m_keepers[state.address()];
-    const auto newness = [](const pb::KeeperState &s) { return std::pair(s.incarnation(), s.sequence()); };
+    const auto newness = [](const pb::KeeperState &s) {
+        return std::pair(s.incarnation(), s.sequence());
+    };
     if (known.version != 0 && newness(state) <= newness(known.state))
         return false;
     known.state = state;
--- a/src/coordination/retry.cpp
+++ b/src/coordination/retry.cpp
@@ -88,13 +88,16 @@
 {
     if (end == AttemptEnd::Completed)
         return RouteStep::Deliver;
-    if (progress.delivered)
+    // What has begun can only go on where another endpoint continues the stream.
+    if (progress.delivered && progress.repeat != Repeat::Resume)
         return RouteStep::BreakOff;
     const bool unrun = end == AttemptEnd::NotSent || end == AttemptEnd::RefusedNotRun;
     const bool room = progress.sends < SendsPerRequest;
-    const bool allowed = unrun || (progress.repeat == Repeat::Always && progress.runs < progress.maxRuns);
+    const bool allowed = unrun || (progress.repeat != Repeat::Never && progress.runs < progress.maxRuns);
     if (end != AttemptEnd::Abandoned && allowed && room && mayRetry())
         return RouteStep::Retry;
+    if (progress.delivered)
+        return RouteStep::BreakOff;
     return progress.runs == 0 ? RouteStep::AnswerNotRun : RouteStep::AnswerUnknown;
 }
 
--- a/src/coordination/retry.h
+++ b/src/coordination/retry.h
@@ -80,6 +80,10 @@
 {
 public:
     RetryWindow(double ratio, Millis window);
+    void setRatio(double ratio)
+    {
+        m_ratio = ratio;
+    }
     void setSlack(double slack)
     {
         m_slack = slack;
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -24,7 +24,7 @@
         std::this_thread::sleep_for(DrainPoll);
 }
 
-int serve(const EntrySettings &settings)
+int serve(const EntrySettings &settings, const std::string &file)
 {
     net::io_context io(1);
     EntryApi api(io, settings, platform::dialect());
@@ -36,7 +36,10 @@
         return reportFatal(Error{ErrorKind::BadSettings, "cannot listen on 'metrics'; free the port or correct the address", 0});
     std::thread worker([&io] { io.run(); });
     logEvent("started", {{"version", ROSERAIL_VERSION}, {"listen", settings.listen}, {"zone", settings.host.zone}});
-    waitForStop();
+    waitForStop([&] {
+        reloadSettings<EntrySettings>(file, parseEntrySettings,
+                                      [&](const EntrySettings &now) { net::post(io, [&api, now] { api.applySettings(now); }); });
+    });
     net::post(io, [&api] { api.drain(); });
     drain(api, settings.host.grace);
     io.stop();
@@ -60,7 +63,7 @@
             const EntrySettings settings = parseEntrySettings(text, file).value();
             setLogProcess(fmt::format("entry-{}", settings.host.id));
             logToStandardOutput();
-            return serve(settings);
+            return serve(settings, file);
         },
     };
     return runProgram(argc, argv, program);
--- a/src/keeper.cpp
+++ b/src/keeper.cpp
@@ -89,6 +89,13 @@
         return fmt::format("{}:{}", settings.host.address, settings.host.internalPort);
     }
 
+    // Takes over what may change while the process runs: the seeds.
+    void applySettings(const KeeperSettings &settings)
+    {
+        m_view.seeds = internalSeeds(settings.host);
+        logEvent("settings", {{"seeds", fmt::format("{}", fmt::join(settings.host.seeds, ","))}});
+    }
+
     Task<> run()
     {
         net::steady_timer timer(m_io);
@@ -177,7 +184,7 @@
     return std::make_unique<ReplicaNode>(std::move(storage), self, seeds, SnapshotEvery, randomNumber(), policy);
 }
 
-int serve(const KeeperSettings &settings)
+int serve(const KeeperSettings &settings, const std::string &file)
 {
     const std::string internal = Neighbourhood::internalAddress(settings);
     std::unique_ptr<ReplicaNode> node;
@@ -196,7 +203,8 @@
     services.push_back(&meshService);
     const std::unique_ptr<grpc::Server> server = startGrpcServer(internal, services);
     if (!server)
-        return reportFatal(Error{ErrorKind::BadSettings, fmt::format("cannot listen on {}; free the port or correct 'internalPort'", internal), 0});
+        return reportFatal(
+            Error{ErrorKind::BadSettings, fmt::format("cannot listen on {}; free the port or correct 'internalPort'", internal), 0});
     net::io_context io(1);
     KeeperApi api(io, platform::dialect(), table, node.get());
     HttpServer http(io, [&api](CallerConnection &caller) { return api.handle(caller); });
@@ -214,12 +222,17 @@
     Neighbourhood neighbourhood(io, settings, table, node.get());
     net::co_spawn(io, neighbourhood.run(), net::detached);
     std::thread worker([&io] { io.run(); });
-    logEvent("started", {{"version", ROSERAIL_VERSION},
-                         {"internal", internal},
-                         {"listen", settings.listen},
-                         {"disk", node != nullptr},
-                         {"may_found", settings.mayFound}});
-    waitForStop();
+    logEvent("started",
+             {{"version", ROSERAIL_VERSION},
+              {"internal", internal},
+              {"listen", settings.listen},
+              {"disk", node != nullptr},
+              {"may_found", settings.mayFound}});
+    waitForStop([&] {
+        reloadSettings<KeeperSettings>(file, parseKeeperSettings, [&](const KeeperSettings &now) {
+            net::post(io, [&neighbourhood, now] { neighbourhood.applySettings(now); });
+        });
+    });
     if (node)
         handOver(*node);
     io.stop();
@@ -244,7 +257,7 @@
             const KeeperSettings settings = parseKeeperSettings(text, file).value();
             setLogProcess(fmt::format("keeper-{}", settings.host.id));
             logToStandardOutput();
-            return serve(settings);
+            return serve(settings, file);
         },
     };
     return runProgram(argc, argv, program);
--- /dev/null
+++ b/src/protocol/eventrelay.cpp
@@ -0,0 +1,95 @@
+#include "protocol/eventrelay.h"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace roserail
+{
+
+namespace
+{
+
+constexpr std::string_view IdField = "id:";
+
+std::optional<uint64_t> number(std::string_view text)
+{
+    uint64_t value = 0;
+    const std::from_chars_result parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+// End of the first event in `bytes`, its empty line included; npos if it isn't whole.
+size_t eventEnd(std::string_view bytes)
+{
+    const size_t plain = bytes.find("\n\n");
+    const size_t withReturn = bytes.find("\r\n\r\n");
+    if (plain == std::string_view::npos && withReturn == std::string_view::npos)
+        return std::string_view::npos;
+    return plain < withReturn ? plain + 2 : withReturn + 4;
+}
+
+std::string_view idOf(std::string_view event)
+{
+    while (!event.empty()) {
+        const size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+        if (line.substr(0, IdField.size()) != IdField)
+            continue;
+        line.remove_prefix(IdField.size());
+        if (!line.empty() && line.front() == ' ')
+            line.remove_prefix(1);
+        if (!line.empty() && line.back() == '\r')
+            line.remove_suffix(1);
+        return line;
+    }
+    return {};
+}
+
+} // namespace
+
+void EventRelay::noteEvent(std::string_view event)
+{
+    const std::string_view id = idOf(event);
+    if (id.empty())
+        return;
+    const std::optional<uint64_t> last = number(m_lastId);
+    const std::optional<uint64_t> next = number(id);
+    if (m_resumed && last && next && *next != *last + 1)
+        m_continuous = false;
+    m_resumed = false;
+    m_lastId = std::string(id);
+}
+
+std::string EventRelay::take(std::string_view bytes)
+{
+    m_unfinished.append(bytes);
+    size_t whole = 0;
+    while (true) {
+        const std::string_view rest = std::string_view(m_unfinished).substr(whole);
+        const size_t end = eventEnd(rest);
+        if (end == std::string_view::npos)
+            break;
+        noteEvent(rest.substr(0, end));
+        whole += end;
+    }
+    std::string result = m_unfinished.substr(0, whole);
+    m_unfinished.erase(0, whole);
+    return result;
+}
+
+std::string EventRelay::takeRest()
+{
+    return std::exchange(m_unfinished, std::string());
+}
+
+void EventRelay::beginRun()
+{
+    m_unfinished.clear();
+    m_resumed = !m_lastId.empty();
+}
+
+} // namespace roserail
--- a/src/protocol/hostsettings.cpp
+++ b/src/protocol/hostsettings.cpp
@@ -1,6 +1,5 @@
 #include "protocol/hostsettings.h"
 
-#include "protocol/settings.h"
 #include "state/yamlreader.h"
 
 #include <fmt/format.h>
--- a/src/protocol/hostsettings.h
+++ b/src/protocol/hostsettings.h
@@ -1,9 +1,12 @@
 // Settings of the processes that serve general HTTP routes and find each other by seeds.
 #pragma once
 
+#include "protocol/log.h"
+#include "protocol/settings.h"
 #include "state/errors.h"
 #include "state/types.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -43,6 +46,19 @@
 Result<EntrySettings> parseEntrySettings(const std::string &text, const std::string &file);
 Result<KeeperSettings> parseKeeperSettings(const std::string &text, const std::string &file);
 
+// Reads the settings file again after a signal. A file that can't be read or is wrong changes nothing, and is logged.
+template <typename Settings>
+void reloadSettings(const std::string &path, Result<Settings> (*parse)(const std::string &, const std::string &),
+                    const std::function<void(const Settings &)> &apply)
+{
+    const Result<std::string> text = readTextFile(path);
+    const Result<Settings> settings = text.has_error() ? Result<Settings>(text.error()) : parse(text.value(), path);
+    if (settings.has_error())
+        logEvent("settings_kept", {{"error", settings.error().message}});
+    else
+        apply(settings.value());
+}
+
 // The settings with every default filled in, as YAML.
 std::string describe(const EntrySettings &settings);
 std::string describe(const KeeperSettings &settings);
--- a/src/state/machine.cpp
+++ b/src/state/machine.cpp
@@ -70,11 +70,16 @@
         Apply apply;
     };
     static constexpr std::array table{
-        Row{pb::Command::kChangeDocument, &Machine::changeDocument}, Row{pb::Command::kStartClaim, &Machine::startClaim},
-        Row{pb::Command::kFinishClaim, &Machine::finishClaim},       Row{pb::Command::kRegisterEndpoint, &Machine::registerEndpoint},
-        Row{pb::Command::kForgetEndpoint, &Machine::forgetEndpoint}, Row{pb::Command::kReserveSlot, &Machine::reserveSlot},
-        Row{pb::Command::kSendOrder, &Machine::sendOrder},           Row{pb::Command::kAnswerOrder, &Machine::answerOrder},
-        Row{pb::Command::kReleaseSlot, &Machine::releaseSlot},       Row{pb::Command::kReportCrash, &Machine::reportCrash},
+        Row{pb::Command::kChangeDocument, &Machine::changeDocument},
+        Row{pb::Command::kStartClaim, &Machine::startClaim},
+        Row{pb::Command::kFinishClaim, &Machine::finishClaim},
+        Row{pb::Command::kRegisterEndpoint, &Machine::registerEndpoint},
+        Row{pb::Command::kForgetEndpoint, &Machine::forgetEndpoint},
+        Row{pb::Command::kReserveSlot, &Machine::reserveSlot},
+        Row{pb::Command::kSendOrder, &Machine::sendOrder},
+        Row{pb::Command::kAnswerOrder, &Machine::answerOrder},
+        Row{pb::Command::kReleaseSlot, &Machine::releaseSlot},
+        Row{pb::Command::kReportCrash, &Machine::reportCrash},
         Row{pb::Command::kPutConfiguration, &Machine::putConfiguration},
     };
     m_clock = std::max(m_clock, WallTime(Millis(int64_t(command.wall_ms()))));
--- a/src/state/yamlreader.h
+++ b/src/state/yamlreader.h
@@ -61,7 +61,8 @@
     } catch (const ReadFailure &failure) {
         return Error{kind, fmt::format("{}:{}:{}: {}", file, failure.position.line, failure.position.column, failure.message), 0};
     } catch (const YAML::Exception &ex) {
-        return Error{kind, fmt::format("{}:{}:{}: not valid YAML ({}); correct the syntax", file, ex.mark.line + 1, ex.mark.column + 1, ex.msg), 0};
+        return Error{
+            kind, fmt::format("{}:{}:{}: not valid YAML ({}); correct the syntax", file, ex.mark.line + 1, ex.mark.column + 1, ex.msg), 0};
     }
 }
 
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -60,6 +60,19 @@
     return boost::outcome_v2::success();
 }
 
+void EntryApi::applySettings(const EntrySettings &settings)
+{
+    m_settings.host.seeds = settings.host.seeds;
+    m_settings.retryRatio = settings.retryRatio;
+    m_settings.retrySlack = settings.retrySlack;
+    m_retries.setRatio(settings.retryRatio);
+    m_client->setSeeds(internalSeeds(settings.host));
+    logEvent("settings",
+             {{"seeds", fmt::format("{}", fmt::join(settings.host.seeds, ","))},
+              {"retry_ratio", settings.retryRatio},
+              {"retry_slack", settings.retrySlack}});
+}
+
 void EntryApi::drain()
 {
     m_draining = true;
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -14,6 +14,8 @@
     EntryApi(net::io_context &io, const EntrySettings &settings, const Dialect &dialect);
     // Errors are BadSettings.
     Result<void> listen();
+    // Takes over what may change while the process runs: seeds and limits of retries.
+    void applySettings(const EntrySettings &settings);
     // Leaves the list of addresses; requests are still served.
     void drain();
     size_t active() const
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -1,10 +1,13 @@
 #include "transport/forwarder.h"
 
+#include "protocol/eventrelay.h"
 #include "protocol/log.h"
 #include "protocol/metrics.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
 
+#include <boost/beast/core/string.hpp>
+
 #include <limits>
 
 namespace roserail
@@ -15,8 +18,10 @@
 namespace
 {
 
+constexpr const char *LastEventId = "Last-Event-Id"; // of the HTML standard's event streams
 constexpr size_t RelayBytes = 8192; // read from an endpoint at once
-constexpr size_t WholeAnswerBytes = 1u << 20; // an answer that is no stream is held back up to this size until it is complete
+constexpr size_t WholeAnswerBytes
+    = 8u << 20; // an answer that is no stream is held back until it is complete; twice the largest body of a request
 constexpr uint32_t AnswerHeaderBytes = 64u << 10;
 constexpr int ForeignAnswers = 2; // late answers to earlier requests that are skipped on one connection
 
@@ -71,6 +76,7 @@
     Need need;
     Time deadline{};
     RouteProgress progress;
+    EventRelay events; // of a stream that can go on at another endpoint
     std::shared_ptr<Interrupt> interrupt = std::make_shared<Interrupt>();
     std::string endpoint; // of the last attempt
     unsigned status = 0; // that the caller got
@@ -293,12 +299,16 @@
 std::string Forwarder::requestBytes(const Request &request, const Choice &choice, Time now) const
 {
     const http::request<http::string_body> &original = request.caller.request();
+    const bool resumes = request.route->repeat == Repeat::Resume && !request.events.lastId().empty();
     std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", view(original.method_string()), view(original.target()));
     for (const http::fields::value_type &it : original) {
         const std::string_view name = view(it.name_string());
-        if (!isHopByHop(name) && !m_dialect.isReserved(name))
+        const bool replaced = resumes && boost::beast::iequals(it.name_string(), LastEventId);
+        if (!isHopByHop(name) && !m_dialect.isReserved(name) && !replaced)
             bytes += fmt::format("{}: {}\r\n", name, view(it.value()));
     }
+    if (resumes)
+        bytes += fmt::format("{}: {}\r\n", LastEventId, request.events.lastId());
     for (const HeaderField &it : m_dialect.forwardHeaders(choice.endpoint, request.deadline - now))
         bytes += fmt::format("{}: {}\r\n", it.name, it.value);
     const bool hasBody = !original.body().empty() || original.method() == http::verb::post || original.method() == http::verb::put;
@@ -371,80 +381,107 @@
     co_return false;
 }
 
-// Passes the answer on: a stream as it comes, other answers whole.
-Task<AttemptEnd> Forwarder::relay(Request &request, EndpointConnection &connection, EndpointAnswer &answer)
+std::string Forwarder::answerHead(const Request &request, const EndpointAnswer &answer) const
 {
-    http::response_parser<http::buffer_body> &parser = *answer.parser;
-    const bool chunked = request.caller.request().version() >= 11;
-    const bool retryable = request.route->repeat == Repeat::Always && answer.status >= 500;
-    const bool pass = !answer.facts.notRun && !(retryable && request.progress.runs < request.progress.maxRuns);
-    bool whole = !request.route->stream || !pass || answer.status / 100 != 2;
     std::string head = fmt::format("HTTP/1.1 {} {}\r\n", answer.status, view(http::obsolete_reason(http::status(answer.status))));
-    for (const http::fields::value_type &it : parser.get()) {
+    for (const http::fields::value_type &it : answer.parser->get()) {
         if (!isHopByHop(view(it.name_string())))
             head += fmt::format("{}: {}\r\n", view(it.name_string()), view(it.value()));
     }
-    if (!request.caller.keepsAlive() || !chunked)
+    if (!request.caller.keepsAlive())
         head += "Connection: close\r\n";
-    std::string pending;
-    const auto beginStream = [&] {
-        request.status = answer.status;
-        request.progress.delivered = true;
-        pending = head + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n") + pending;
-        if (!chunked)
-            request.caller.closeAfterAnswer();
-    };
+    return head;
+}
+
+// Reads what has come of the body, at most the buffer's size. False: the answer broke off.
+Task<bool> Forwarder::readBody(Request &request, EndpointConnection &connection, EndpointAnswer &answer, std::vector<char> &buf, size_t &n)
+{
+    ErrorCode ec;
+    answer.parser->get().body().data = buf.data();
+    answer.parser->get().body().size = buf.size();
+    co_await http::async_read_some(connection.socket, connection.buffer, *answer.parser, net::redirect_error(net::use_awaitable, ec));
+    n = buf.size() - answer.parser->get().body().size;
+    request.bytes += n;
+    if (!ec || ec == http::error::need_buffer)
+        co_return true;
+    request.cause = "the endpoint's answer broke off: " + ec.message();
+    co_return false;
+}
+
+// Passes the answer on: a stream as it comes, other answers whole.
+Task<AttemptEnd> Forwarder::relay(Request &request, EndpointConnection &connection, EndpointAnswer &answer)
+{
+    const bool retryable = request.route->repeat == Repeat::Always && answer.status >= 500;
+    const bool another = retryable && request.progress.runs < request.progress.maxRuns;
+    if (request.route->stream && answer.status / 100 == 2 && !answer.facts.notRun)
+        co_return co_await relayStream(request, connection, answer);
     std::vector<char> buf(RelayBytes);
     std::string body;
-    ErrorCode ec;
-    if (!whole)
-        beginStream();
-    while (!parser.is_done()) {
-        parser.get().body().data = buf.data();
-        parser.get().body().size = buf.size();
-        co_await http::async_read_some(connection.socket, connection.buffer, parser, net::redirect_error(net::use_awaitable, ec));
-        const size_t n = buf.size() - parser.get().body().size;
-        if (ec == http::error::need_buffer)
-            ec = {};
-        request.bytes += n;
-        if (whole) {
-            body.append(buf.data(), n);
-            if (body.size() > WholeAnswerBytes && pass) {
-                whole = false;
-                beginStream();
-                pending += chunked ? fmt::format("{:x}\r\n{}\r\n", body.size(), body) : body;
-            }
-        } else if (n > 0) {
-            const std::string_view piece(buf.data(), n);
-            pending += chunked ? fmt::format("{:x}\r\n{}\r\n", n, piece) : std::string(piece);
+    while (!answer.parser->is_done()) {
+        size_t n = 0;
+        if (!co_await readBody(request, connection, answer, buf, n))
+            co_return AttemptEnd::Interrupted;
+        body.append(buf.data(), n);
+        if (body.size() > WholeAnswerBytes) {
+            request.cause = "the endpoint's answer is too long to be held back";
+            co_return AttemptEnd::Interrupted;
         }
-        if (ec)
-            break;
-        if (!whole && parser.is_done() && chunked)
-            pending += "0\r\n\r\n";
-        if (!whole && !pending.empty()) {
-            if (!co_await request.caller.write(std::exchange(pending, std::string()))) {
-                request.interrupt->callerLeft = true;
-                co_return AttemptEnd::Abandoned;
-            }
-        }
-    }
-    if (ec || !parser.is_done()) {
-        request.cause = "the endpoint's answer broke off: " + ec.message();
-        co_return AttemptEnd::Interrupted;
     }
-    if (!pass) {
+    if (answer.facts.notRun || another || request.progress.delivered) {
         request.status = answer.status;
         request.cause = fmt::format("the endpoint answered {}{}", answer.status, answer.facts.notRun ? ", not run" : "");
         co_return answer.facts.notRun ? AttemptEnd::RefusedNotRun : AttemptEnd::Interrupted;
     }
-    if (whole) {
+    request.status = answer.status;
+    request.progress.delivered = true;
+    const bool bodyless = answer.status == 204 || answer.status == 304;
+    std::string head = answerHead(request, answer);
+    head += bodyless ? "\r\n" : fmt::format("Content-Length: {}\r\n\r\n", body.size());
+    if (!co_await request.caller.write(head + body))
+        co_return AttemptEnd::Abandoned;
+    co_return AttemptEnd::Completed;
+}
+
+// Passes a stream's events on as they come. The head leaves with the first of them; a run that goes on for another one
+// adds its events only.
+Task<AttemptEnd> Forwarder::relayStream(Request &request, EndpointConnection &connection, EndpointAnswer &answer)
+{
+    const bool chunked = request.caller.request().version() >= 11;
+    const bool resumable = request.route->repeat == Repeat::Resume;
+    if (!chunked)
+        request.caller.closeAfterAnswer();
+    request.events.beginRun();
+    std::vector<char> buf(RelayBytes);
+    bool done = false;
+    while (!done) {
+        size_t n = 0;
+        if (!answer.parser->is_done() && !co_await readBody(request, connection, answer, buf, n))
+            co_return AttemptEnd::Interrupted;
+        done = answer.parser->is_done();
+        std::string piece(buf.data(), n);
+        if (resumable)
+            piece = request.events.take(piece);
+        if (resumable && done)
+            piece += request.events.takeRest();
+        if (!request.events.continuous()) {
+            request.cause = "the endpoint's run doesn't go on at the next event";
+            co_return AttemptEnd::Interrupted;
+        }
+        if (piece.empty() && !done)
+            continue;
+        std::string bytes;
+        if (!request.progress.delivered)
+            bytes = answerHead(request, answer) + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+        if (!piece.empty())
+            bytes += chunked ? fmt::format("{:x}\r\n{}\r\n", piece.size(), piece) : piece;
+        if (done && chunked)
+            bytes += "0\r\n\r\n";
         request.status = answer.status;
         request.progress.delivered = true;
-        const bool bodyless = answer.status == 204 || answer.status == 304;
-        head += bodyless ? "\r\n" : fmt::format("Content-Length: {}\r\n\r\n", body.size());
-        if (!co_await request.caller.write(head + body))
+        if (!co_await request.caller.write(std::move(bytes))) {
+            request.interrupt->callerLeft = true;
             co_return AttemptEnd::Abandoned;
+        }
     }
     co_return AttemptEnd::Completed;
 }
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -55,6 +55,9 @@
     Task<AttemptEnd> exchange(Request &request, const Choice &choice, EndpointConnection &connection, bool &reusable);
     Task<bool> readHead(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
     Task<AttemptEnd> relay(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
+    Task<AttemptEnd> relayStream(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
+    Task<bool> readBody(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer, std::vector<char> &buf, size_t &n);
+    std::string answerHead(const Request &request, const struct EndpointAnswer &answer) const;
     Task<> refuse(Request &request, const Error &error, unsigned status);
     Task<> finish(Request &request, RouteStep step, AttemptEnd end);
     std::string requestBytes(const Request &request, const Choice &choice, Time now) const;
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -223,9 +223,16 @@
     m_wake.notify_one();
 }
 
+void MeshClient::setSeeds(std::vector<std::string> seeds)
+{
+    const std::lock_guard lock(m_mutex);
+    m_seeds = std::move(seeds);
+}
+
 // The nearest host that was heard of, then the others in turn, and the seeds in case all of those have gone.
 std::string MeshClient::nextAddress()
 {
+    const std::lock_guard lock(m_mutex);
     const std::vector<std::string> &known = m_control.empty() || m_turn % 4 == 3 ? m_seeds : m_control;
     const size_t n = m_control.empty() ? m_spread + m_turn : m_turn;
     ++m_turn;
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -78,6 +78,8 @@
     ~MeshClient();
     MeshClient(const MeshClient &) = delete;
     MeshClient &operator=(const MeshClient &) = delete;
+    // The hosts to begin with from now on.
+    void setSeeds(std::vector<std::string> seeds);
     // Asks soon, and often while `waiting` is set.
     void wake();
     void setWaiting(bool waiting)
--- a/src/transport/program.cpp
+++ b/src/transport/program.cpp
@@ -47,13 +47,15 @@
     return traits(error.kind).exitCode;
 }
 
-void waitForStop()
+void waitForStop(const std::function<void()> &reload)
 {
     const sigset_t signals = stopSignals();
     int signal = SIGHUP;
     while (signal == SIGHUP) {
         sigwait(&signals, &signal);
         logEvent(signal == SIGHUP ? "reload" : "stopping", {{"signal", signal}});
+        if (signal == SIGHUP)
+            reload();
     }
 }
 
--- a/src/transport/program.h
+++ b/src/transport/program.h
@@ -24,8 +24,8 @@
 // Logs an error that ends the process and returns its exit code.
 int reportFatal(const Error &error);
 
-// Blocks until SIGTERM or SIGINT.
-void waitForStop();
+// Blocks until SIGTERM or SIGINT. Each SIGHUP until then calls `reload`.
+void waitForStop(const std::function<void()> &reload = [] {});
 
 // A number that differs between processes and runs.
 uint64_t randomNumber();
