Control peers in a file of their own; names that say what they hold

A router whose clock was set back while it was away counts as new after a silence; tests of founding. Otherwise no functional change.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -35,11 +35,11 @@
 {
     for (const std::pair<const std::string, LiveEndpoint> &it : registry.endpoints()) {
         Endpoint &endpoint = m_endpoints[it.first];
-        if (endpoint.word.born_ms() != it.second.word.born_ms()) {
+        if (endpoint.announcement.born_ms() != it.second.announcement.born_ms()) {
             endpoint.parts.clear();
             endpoint.failedUntil = Time();
         }
-        endpoint.word = it.second.word;
+        endpoint.announcement = it.second.announcement;
         endpoint.usable = it.second.usable();
         endpoint.held.clear();
         for (const pb::HeldModel &model : it.second.models())
@@ -55,13 +55,14 @@
 bool Balancer::serves(const ServiceId &service) const
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const std::pair<const std::string, Endpoint> &it) {
-        return it.second.usable && it.second.word.service() == service.value();
+        return it.second.usable && it.second.announcement.service() == service.value();
     });
 }
 
 bool Balancer::holds(const Endpoint &endpoint, const Need &need, Time now) const
 {
-    if (!endpoint.usable || endpoint.word.service() != need.service.value() || need.avoid.count(endpoint.word.endpoint()) != 0)
+    if (!endpoint.usable || endpoint.announcement.service() != need.service.value()
+        || need.avoid.count(endpoint.announcement.endpoint()) != 0)
         return false;
     if (need.model.empty())
         return true;
@@ -88,8 +89,8 @@
 {
     const bool fresh = now < endpoint.observedAt + LoadKnown;
     const double running = double(endpoint.own) + (fresh ? double(endpoint.observed) : 0);
-    const double slots = std::max(1u, endpoint.word.slots());
-    double ms = endpoint.word.zone() == m_zone ? 0 : ZoneCrossing;
+    const double slots = std::max(1u, endpoint.announcement.slots());
+    double ms = endpoint.announcement.zone() == m_zone ? 0 : ZoneCrossing;
     if (!need.model.empty()) {
         const uint32_t cached = std::min(cachedTokens(endpoint, need), need.promptTokens);
         ms += double(need.promptTokens - cached) / PrefillTokensPerMs;
@@ -117,7 +118,7 @@
     }
     if (best == nullptr)
         return std::nullopt;
-    return Choice{best->word.endpoint(), best->word.address(), best->word.born_ms()};
+    return Choice{best->announcement.endpoint(), best->announcement.address(), best->announcement.born_ms()};
 }
 
 void Balancer::rememberPrompt(Endpoint &endpoint, const Need &need, Time now)
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -64,7 +64,7 @@
 
 private:
     struct Endpoint {
-        pb::Announcement word;
+        pb::Announcement announcement;
         bool usable = false;
         std::map<std::string, std::set<std::string>> held; // adapters by model
         uint32_t own = 0; // requests of this router on it
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -14,9 +14,9 @@
 {
 
 // An announcement without what changes at every heartbeat and without what routers don't use.
-pb::Announcement visible(const pb::Announcement &word)
+pb::Announcement visible(const pb::Announcement &announcement)
 {
-    pb::Announcement result = word;
+    pb::Announcement result = announcement;
     result.clear_sequence();
     result.clear_age_ms();
     result.clear_in_memory();
@@ -48,8 +48,8 @@
 
 const google::protobuf::RepeatedPtrField<pb::HeldModel> &LiveEndpoint::models() const
 {
-    const bool ordered = !holdings.endpoint().empty() && holdings.born_ms() == word.born_ms();
-    return ordered ? holdings.models() : word.models();
+    const bool ordered = !holdings.endpoint().empty() && holdings.born_ms() == announcement.born_ms();
+    return ordered ? holdings.models() : announcement.models();
 }
 
 Registry::Registry(Lifetimes lifetimes, Time startedAt)
@@ -72,24 +72,24 @@
     entry.spreadAt = now;
 }
 
-bool Registry::take(const pb::Announcement &word, Time heardAt)
+bool Registry::take(const pb::Announcement &announcement, Time heardAt)
 {
-    LiveEndpoint &known = m_endpoints[word.endpoint()];
+    LiveEndpoint &known = m_endpoints[announcement.endpoint()];
     const bool first = known.version == 0;
-    const bool sameLife = !first && word.born_ms() == known.word.born_ms();
-    if (!first && word.born_ms() < known.word.born_ms())
+    const bool sameLife = !first && announcement.born_ms() == known.announcement.born_ms();
+    if (!first && announcement.born_ms() < known.announcement.born_ms())
         return false;
     // The end of a life is final: a heartbeat that was on its way doesn't undo it.
-    if (sameLife && known.word.gone())
+    if (sameLife && known.announcement.gone())
         return false;
-    const bool newlyLost = word.lost() && word.sequence() == known.word.sequence() && !known.word.lost();
-    if (sameLife && !word.gone() && !newlyLost && word.sequence() <= known.word.sequence())
+    const bool newlyLost = announcement.lost() && announcement.sequence() == known.announcement.sequence() && !known.announcement.lost();
+    if (sameLife && !announcement.gone() && !newlyLost && announcement.sequence() <= known.announcement.sequence())
         return false;
-    const bool changed = first || !sameForRouters(known.word, word);
-    known.word = word;
+    const bool changed = first || !sameForRouters(known.announcement, announcement);
+    known.announcement = announcement;
     known.heardAt = std::max(known.heardAt, heardAt);
     touch(known, changed, heardAt);
-    if (changed && !word.gone())
+    if (changed && !announcement.gone())
         settleAddress(known, heardAt);
     return true;
 }
@@ -97,14 +97,14 @@
 // Two lives can't share an address: the one that was born earlier has ended.
 void Registry::settleAddress(const LiveEndpoint &newcomer, Time now)
 {
-    const std::string address = newcomer.word.address();
-    const uint64_t born = newcomer.word.born_ms();
+    const std::string address = newcomer.announcement.address();
+    const uint64_t born = newcomer.announcement.born_ms();
     for (std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
-        const bool other = it.first != newcomer.word.endpoint() && it.second.word.address() == address;
-        if (!other || it.second.word.gone())
+        const bool other = it.first != newcomer.announcement.endpoint() && it.second.announcement.address() == address;
+        if (!other || it.second.announcement.gone())
             continue;
-        if (it.second.word.born_ms() > born) {
-            markGone(m_endpoints[newcomer.word.endpoint()], now);
+        if (it.second.announcement.born_ms() > born) {
+            markGone(m_endpoints[newcomer.announcement.endpoint()], now);
             return;
         }
         markGone(it.second, now);
@@ -134,7 +134,9 @@
         return std::pair(s.incarnation(), s.sequence());
     };
     const bool newlyLost = newness(state) == newness(known.state) && !state.accepting() && known.state.accepting();
-    if (known.version != 0 && !newlyLost && newness(state) <= newness(known.state))
+    // A router whose clock was set back has started again with a lower incarnation: after a silence it counts as new.
+    const bool restarted = state.incarnation() != known.state.incarnation() && heardAt > known.heardAt + m_lifetimes.router;
+    if (known.version != 0 && !newlyLost && !restarted && newness(state) <= newness(known.state))
         return false;
     const bool changed = known.version == 0 || !sameForRouters(known.state, state);
     known.state = state;
@@ -166,18 +168,18 @@
 
 void Registry::markGone(LiveEndpoint &endpoint, Time now)
 {
-    if (endpoint.word.gone())
+    if (endpoint.announcement.gone())
         return;
-    endpoint.word.set_gone(true);
+    endpoint.announcement.set_gone(true);
     endpoint.heardAt = now;
     touch(endpoint, true, now);
 }
 
 void Registry::markLost(LiveEndpoint &endpoint, Time now)
 {
-    if (endpoint.word.gone() || endpoint.word.lost())
+    if (endpoint.announcement.gone() || endpoint.announcement.lost())
         return;
-    endpoint.word.set_lost(true);
+    endpoint.announcement.set_lost(true);
     touch(endpoint, true, now);
 }
 
@@ -207,7 +209,7 @@
         return old;
     };
     std::erase_if(m_endpoints, [&](const std::pair<const std::string, LiveEndpoint> &it) {
-        return forget(it.second, it.second.word.gone() || it.second.word.lost());
+        return forget(it.second, it.second.announcement.gone() || it.second.announcement.lost());
     });
     std::erase_if(m_routers,
                   [&](const std::pair<const std::string, LiveRouter> &it) { return forget(it.second, !it.second.state.accepting()); });
@@ -235,9 +237,9 @@
     for (const std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
         if ((all ? it.second.version : it.second.spreadVersion) <= version)
             continue;
-        pb::Announcement &word = *out.add_endpoints();
-        word = it.second.word;
-        word.set_age_ms(ageMs(it.second.heardAt, now));
+        pb::Announcement &announcement = *out.add_endpoints();
+        announcement = it.second.announcement;
+        announcement.set_age_ms(ageMs(it.second.heardAt, now));
         if (!it.second.holdings.endpoint().empty() && it.second.visibleVersion > version)
             *out.add_holdings() = it.second.holdings;
     }
@@ -261,11 +263,11 @@
     for (const std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
         if (it.second.visibleVersion <= since)
             continue;
-        pb::Announcement &word = *out.add_endpoints();
-        word = it.second.word;
-        word.clear_in_memory();
-        word.clear_on_disk();
-        word.set_age_ms(ageMs(it.second.heardAt, now));
+        pb::Announcement &announcement = *out.add_endpoints();
+        announcement = it.second.announcement;
+        announcement.clear_in_memory();
+        announcement.clear_on_disk();
+        announcement.set_age_ms(ageMs(it.second.heardAt, now));
         if (!it.second.holdings.endpoint().empty())
             *out.add_holdings() = it.second.holdings;
     }
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -18,7 +18,7 @@
 };
 
 struct LiveEndpoint {
-    pb::Announcement word; // its newest word
+    pb::Announcement announcement; // its newest announcement
     pb::Holdings holdings; // of the holder of orders; empty endpoint: none
     Time heardAt{};
     uint64_t version = 0; // of the last change
@@ -27,7 +27,7 @@
     Time spreadAt{};
     bool usable() const
     {
-        return !word.leaving() && !word.gone() && !word.lost();
+        return !announcement.leaving() && !announcement.gone() && !announcement.lost();
     }
     // What the endpoint holds, by the newest source.
     const google::protobuf::RepeatedPtrField<pb::HeldModel> &models() const;
@@ -53,8 +53,8 @@
 public:
     Registry(Lifetimes lifetimes, Time startedAt);
 
-    // Each takes a word if it is newer than what is known, and returns whether it was.
-    bool take(const pb::Announcement &word, Time heardAt);
+    // Each takes a message if it is newer than what is known, and returns whether it was.
+    bool take(const pb::Announcement &announcement, Time heardAt);
     bool take(const pb::Holdings &holdings, Time now);
     bool take(const pb::RouterState &state, Time heardAt);
     bool take(const pb::KeeperState &state, Time heardAt);
--- a/src/coordination/residency.cpp
+++ b/src/coordination/residency.cpp
@@ -57,34 +57,34 @@
 
 void Residency::observeEndpoint(const LiveEndpoint &live, Time now)
 {
-    const ServiceId service(live.word.service());
+    const ServiceId service(live.announcement.service());
     if (spec(service) == nullptr)
         return;
-    Engine &engine = m_engines[live.word.endpoint()];
-    if (engine.endpoint.empty() || engine.born != live.word.born_ms()) {
+    Engine &engine = m_engines[live.announcement.endpoint()];
+    if (engine.endpoint.empty() || engine.born != live.announcement.born_ms()) {
         engine = Engine();
-        engine.endpoint = live.word.endpoint();
+        engine.endpoint = live.announcement.endpoint();
         engine.service = service;
-        engine.born = live.word.born_ms();
-        engine.zone = live.word.zone();
+        engine.born = live.announcement.born_ms();
+        engine.zone = live.announcement.zone();
     }
     engine.usable = live.usable();
-    engine.inMemory.insert(live.word.in_memory().begin(), live.word.in_memory().end());
-    engine.onDisk = std::set<std::string>(live.word.on_disk().begin(), live.word.on_disk().end());
-    settleByWord(engine, live, now);
+    engine.inMemory.insert(live.announcement.in_memory().begin(), live.announcement.in_memory().end());
+    engine.onDisk = std::set<std::string>(live.announcement.on_disk().begin(), live.announcement.on_disk().end());
+    settleByHeartbeat(engine, live, now);
 }
 
 // A heartbeat that was heard after an order was accepted shows whether it is done.
-void Residency::settleByWord(Engine &engine, const LiveEndpoint &live, Time now)
+void Residency::settleByHeartbeat(Engine &engine, const LiveEndpoint &live, Time now)
 {
     if (!engine.known)
         return;
-    const std::map<std::string, std::set<std::string>> word = contents(live.word.models());
+    const std::map<std::string, std::set<std::string>> announcement = contents(live.announcement.models());
     if (engine.current) {
         const CurrentOrder &current = *engine.current;
         const bool ofModel = current.order.adapter.empty();
         const bool load = current.order.action == OrderAction::Load;
-        const bool shows = (word.count(current.order.model) != 0) == load;
+        const bool shows = (announcement.count(current.order.model) != 0) == load;
         if (current.phase == Phase::CarriedOut && ofModel && shows && live.heardAt > current.changedAt)
             finishCurrent(engine, now);
         return;
@@ -96,7 +96,7 @@
             names.insert(it.first);
         return names;
     };
-    if (live.heardAt > engine.changedAt + HeartbeatDelay && models(word) != models(engine.held))
+    if (live.heardAt > engine.changedAt + HeartbeatDelay && models(announcement) != models(engine.held))
         engine.known = false;
 }
 
@@ -227,7 +227,7 @@
     Plan plan;
     for (std::pair<const std::string, Engine> &it : m_engines) {
         const std::optional<CurrentOrder> &current = it.second.current;
-        // Adapters are loaded without a word: they take a known time.
+        // Adapters are loaded without a heartbeat: they take a known time.
         if (current && current->phase == Phase::CarriedOut && !current->order.adapter.empty() && now >= current->doneBy)
             finishCurrent(it.second, now);
     }
--- a/src/coordination/residency.h
+++ b/src/coordination/residency.h
@@ -90,7 +90,7 @@
     const EngineSpec *spec(const ServiceId &service) const;
     void observeEndpoint(const LiveEndpoint &live, Time now);
     void observeDemand(const Registry &registry, Time now);
-    void settleByWord(Engine &engine, const LiveEndpoint &live, Time now);
+    void settleByHeartbeat(Engine &engine, const LiveEndpoint &live, Time now);
     void finishCurrent(Engine &engine, Time now);
     void apply(Engine &engine, const ArtifactOrder &order, Time now);
     void chaseReports(Plan &plan, Time now);
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -49,8 +49,8 @@
 constexpr Millis RouterSilence{5000}; // two signs of life, and the time that they take
 constexpr Millis SignOfLifeInterval{2000}; // of what doesn't change, to control hosts that don't order
 constexpr Millis KeeperSilence{15000}; // a control host that is gone is no longer shared with
-constexpr Millis KeeperFresh{4000}; // four of its words: routers are sent to it
-constexpr Millis KeeperInterval{1000}; // between two words of a control host about itself
+constexpr Millis KeeperFresh{4000}; // four of its announcements: routers are sent to it
+constexpr Millis KeeperInterval{1000}; // between two announcements of a control host about itself
 constexpr Millis FoundingPatience{1000}; // for control hosts with a disk to be heard of, if no seed has one
 constexpr Millis SyncInterval{250}; // a change is at every router in a fraction of the second from which it is priced
 constexpr Millis SyncWhileWaiting{40}; // while requests wait for a model to be loaded
--- /dev/null
+++ b/src/transport/controlpeers.cpp
@@ -0,0 +1,134 @@
+#include "transport/controlpeers.h"
+
+#include "protocol/log.h"
+#include "state/tunables.h"
+#include "transport/clock.h"
+
+#include <xxhash.h>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+constexpr Millis PeersInterval{100}; // a change of leader or configuration is known to all hosts soon after
+
+// Begins a new system with these hosts as its first members. Each of them does the same, in any order.
+void found(ReplicaNode &node, const std::vector<std::string> &founders, const Registry &registry)
+{
+    pb::Membership membership;
+    uint64_t clusterId = 1;
+    for (const std::string &it : founders) {
+        pb::Member &member = *membership.add_members();
+        *member.mutable_identity() = toProto(Replica{replicaId(it), FounderIncarnation});
+        member.set_peer_address(it);
+        member.set_operator_address(registry.keepers().at(it).state.operator_address());
+        member.set_voter(true);
+        clusterId = XXH64(it.data(), it.size(), clusterId) | 1;
+    }
+    const Result<void> result = node.found(clusterId, membership);
+    if (result.has_error())
+        logEvent("founding_refused", {{"error", result.error().message}});
+}
+
+} // namespace
+
+std::string internalAddress(const KeeperSettings &settings)
+{
+    return fmt::format("{}:{}", settings.host.address, settings.host.internalPort);
+}
+
+uint64_t replicaId(const std::string &internalAddress)
+{
+    return XXH64(internalAddress.data(), internalAddress.size(), 0) | 1;
+}
+
+ControlPeers::ControlPeers(net::io_context &io, const KeeperSettings &settings, LiveTable &table, ReplicaNode *node)
+    : m_io(io)
+    , m_table(table)
+    , m_node(node)
+    , m_sharer(table, internalAddress(settings))
+{
+    m_view.self = internalAddress(settings);
+    m_view.seeds = internalSeeds(settings.host);
+    m_view.disk = node != nullptr;
+    m_view.mayFound = settings.mayFound;
+    m_view.startedAt = monotonicNow();
+    m_state.set_address(m_view.self);
+    m_state.set_operator_address(settings.listen);
+    m_state.set_incarnation(wallMillis());
+    m_state.set_zone(settings.host.zone);
+    m_state.set_disk(m_view.disk);
+    m_state.set_may_found(m_view.mayFound);
+}
+
+void ControlPeers::applySettings(const KeeperSettings &settings)
+{
+    m_view.seeds = internalSeeds(settings.host);
+    logEvent("settings", {{"seeds", fmt::format("{}", fmt::join(settings.host.seeds, ","))}});
+}
+
+Task<> ControlPeers::run()
+{
+    net::steady_timer timer(m_io);
+    while (true) {
+        step(monotonicNow());
+        ErrorCode ec;
+        timer.expires_after(PeersInterval);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    }
+}
+
+void ControlPeers::step(Time now)
+{
+    sayState(now);
+    std::vector<std::string> addresses = m_view.seeds;
+    std::map<uint64_t, std::string> contacts;
+    m_table.read([&](const Registry &registry) {
+        for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
+            addresses.push_back(it.first);
+            if (it.second.state.disk() && it.first != m_view.self)
+                contacts[replicaId(it.first)] = it.first;
+        }
+    });
+    m_sharer.setPeers(addresses);
+    if (m_node == nullptr)
+        return;
+    m_node->setContacts(std::move(contacts));
+    const uint64_t known = m_table.configurationVersion();
+    m_node->withMachine([&](const Machine &machine) {
+        if (machine.configuration().version() > known)
+            m_table.takeConfiguration(machine.configuration());
+    });
+    if (m_view.mayFound && m_node->status().clusterId == 0)
+        foundIfDue();
+}
+
+void ControlPeers::sayState(Time now)
+{
+    const ReplicaStatus status = m_node == nullptr ? ReplicaStatus() : m_node->status();
+    const uint64_t term = status.leads(now) ? status.term : 0;
+    const std::string founder
+        = m_view.mayFound ? m_table.read([&](const Registry &registry) { return nameFounder(m_view, registry, now); }) : "";
+    // A name once given stays: nobody else may found.
+    if (m_state.founder().empty())
+        m_state.set_founder(founder);
+    if (now < m_sayAt && term == m_state.term() && founder == m_state.founder())
+        return;
+    m_sayAt = now + KeeperInterval;
+    m_state.set_term(term);
+    m_state.set_sequence(m_state.sequence() + 1);
+    m_table.change([&](Registry &registry) { registry.take(m_state, now); });
+}
+
+void ControlPeers::foundIfDue()
+{
+    const std::vector<std::string> first = m_table.read([&](const Registry &registry) { return founders(m_view, registry); });
+    if (!first.empty())
+        m_table.read([&](const Registry &registry) { found(*m_node, first, registry); });
+}
+
+} // namespace roserail
--- a/src/transport/keeperapi.cpp
+++ b/src/transport/keeperapi.cpp
@@ -162,12 +162,12 @@
 
 Task<> KeeperApi::announce(CallerConnection &caller, const std::string &endpoint)
 {
-    Result<pb::Announcement> word = m_dialect.decodeAnnouncement(endpoint, caller.request().body());
-    if (word.has_value() && parseEndpoint(word.value().address()).has_error())
-        word = Error{ErrorKind::InvalidDocument, "the endpoint's address is not an IP address and a port; correct it", 0};
-    if (word.has_error()) {
-        logEvent("announcement_refused", {{"endpoint", endpoint}, {"error", word.error().message}});
-        const Error error{ErrorKind::BadRequest, word.error().message, 0};
+    Result<pb::Announcement> announcement = m_dialect.decodeAnnouncement(endpoint, caller.request().body());
+    if (announcement.has_value() && parseEndpoint(announcement.value().address()).has_error())
+        announcement = Error{ErrorKind::InvalidDocument, "the endpoint's address is not an IP address and a port; correct it", 0};
+    if (announcement.has_error()) {
+        logEvent("announcement_refused", {{"endpoint", endpoint}, {"error", announcement.error().message}});
+        const Error error{ErrorKind::BadRequest, announcement.error().message, 0};
         co_return co_await answerError(caller, error);
     }
     const Time now = monotonicNow();
@@ -175,19 +175,19 @@
     bool leaving = false;
     const bool taken = m_table.change([&](Registry &registry) {
         const auto it = registry.endpoints().find(endpoint);
-        known = it != registry.endpoints().end() && it->second.word.born_ms() == word.value().born_ms();
+        known = it != registry.endpoints().end() && it->second.announcement.born_ms() == announcement.value().born_ms();
         leaving = known && !it->second.usable();
-        return registry.take(word.value(), now);
+        return registry.take(announcement.value(), now);
     });
-    if (taken && (!known || leaving != word.value().leaving()))
+    if (taken && (!known || leaving != announcement.value().leaving()))
         logEvent("endpoint",
                  {{"endpoint", endpoint},
-                  {"service", word.value().service()},
-                  {"address", word.value().address()},
-                  {"born_ms", word.value().born_ms()},
-                  {"sequence", word.value().sequence()},
-                  {"state", word.value().leaving() ? "leaving" : "ready"},
-                  {"models", word.value().models_size()}});
+                  {"service", announcement.value().service()},
+                  {"address", announcement.value().address()},
+                  {"born_ms", announcement.value().born_ms()},
+                  {"sequence", announcement.value().sequence()},
+                  {"state", announcement.value().leaving() ? "leaving" : "ready"},
+                  {"models", announcement.value().models_size()}});
     co_await caller.answer(200, JsonBody, "{}");
 }
 
--- a/src/transport/keeperapi.h
+++ b/src/transport/keeperapi.h
@@ -1,4 +1,4 @@
-// What a control host answers over HTTP: operators' configurations and endpoints' words about themselves.
+// What a control host answers over HTTP: operators' configurations and endpoints' announcements about themselves.
 #pragma once
 
 #include "transport/http.h"
--- a/src/transport/orderdesk.cpp
+++ b/src/transport/ordersender.cpp
@@ -1,4 +1,4 @@
-#include "transport/orderdesk.h"
+#include "transport/ordersender.h"
 
 #include "protocol/log.h"
 #include "protocol/metrics.h"
@@ -10,8 +10,8 @@
 
 using namespace tunables;
 
-OrderDesk::OrderDesk(net::io_context &io, const Dialect &dialect, LiveTable &table, ReplicaNode &node, std::string holder,
-                     Millis orderLease)
+OrderSender::OrderSender(net::io_context &io, const Dialect &dialect, LiveTable &table, ReplicaNode &node, std::string holder,
+                         Millis orderLease)
     : m_io(io)
     , m_dialect(dialect)
     , m_table(table)
@@ -22,7 +22,7 @@
 {
 }
 
-Task<> OrderDesk::run()
+Task<> OrderSender::run()
 {
     net::steady_timer timer(m_io);
     while (true) {
@@ -35,7 +35,7 @@
 }
 
 // The configuration in force, decoded once for each version.
-std::shared_ptr<const RouteTable> OrderDesk::routes()
+std::shared_ptr<const RouteTable> OrderSender::routes()
 {
     const uint64_t known = m_routes ? m_routes->version : 0;
     const std::string content = m_node.withMachine([&](const Machine &machine) {
@@ -51,7 +51,7 @@
     return m_routes;
 }
 
-void OrderDesk::planOnce(Time now)
+void OrderSender::planOnce(Time now)
 {
     const ReplicaStatus status = m_node.status();
     if (!status.leads(now)) {
@@ -78,7 +78,7 @@
         registry.expire(now);
         m_residency->observe(*table, registry, now);
         for (const std::pair<const std::string, LiveEndpoint> &it : registry.endpoints())
-            targets[it.first] = Target{it.second.word.address(), it.second.word.born_ms()};
+            targets[it.first] = Target{it.second.announcement.address(), it.second.announcement.born_ms()};
     });
     Residency::Plan plan = m_residency->decide(now);
     const std::vector<pb::Holdings> holdings = m_residency->takeHoldings();
@@ -96,7 +96,7 @@
         net::co_spawn(m_io, ask(it, targets[it].address, targets[it].born, m_term), net::detached);
 }
 
-Task<> OrderDesk::send(ArtifactOrder order, std::string address, uint64_t term)
+Task<> OrderSender::send(ArtifactOrder order, std::string address, uint64_t term)
 {
     std::optional<CallAnswer> answer;
     // A process that was frozen checks again right before the order leaves.
@@ -124,7 +124,7 @@
     m_residency->answered(order, outcome, monotonicNow());
 }
 
-Task<> OrderDesk::ask(std::string endpoint, std::string address, uint64_t born, uint64_t term)
+Task<> OrderSender::ask(std::string endpoint, std::string address, uint64_t born, uint64_t term)
 {
     const Time askedAt = monotonicNow();
     const std::optional<CallAnswer> answer = co_await callEndpoint(m_pool, address, "GET", m_dialect.reportPath(), {}, "", OrderTimeout);
--- a/src/transport/orderdesk.h
+++ b/src/transport/ordersender.h
@@ -10,10 +10,10 @@
 namespace roserail
 {
 
-class OrderDesk
+class OrderSender
 {
 public:
-    OrderDesk(net::io_context &io, const Dialect &dialect, LiveTable &table, ReplicaNode &node, std::string holder, Millis orderLease);
+    OrderSender(net::io_context &io, const Dialect &dialect, LiveTable &table, ReplicaNode &node, std::string holder, Millis orderLease);
     Task<> run();
 
 private:
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -2,6 +2,7 @@
 // membership from seeds. No network, no clock.
 #define BOOST_TEST_MODULE fleet
 #include "coordination/balancer.h"
+#include "coordination/founding.h"
 #include "coordination/residency.h"
 #include "coordination/retry.h"
 #include "protocol/eventrelay.h"
@@ -43,7 +44,7 @@
     return table;
 }
 
-pb::Announcement word(const std::string &id, uint64_t born, uint64_t sequence, const std::string &address = "10.0.0.1:1")
+pb::Announcement announcement(const std::string &id, uint64_t born, uint64_t sequence, const std::string &address = "10.0.0.1:1")
 {
     pb::Announcement it;
     it.set_endpoint(id);
@@ -252,45 +253,62 @@
 BOOST_AUTO_TEST_CASE(lateAndRepeatedWordsNeverUndoNewerOnes)
 {
     Registry registry(Lives, Now);
-    BOOST_TEST(registry.take(word("e", 10, 5), Now));
-    BOOST_TEST(!registry.take(word("e", 10, 5), Now));
-    BOOST_TEST(!registry.take(word("e", 10, 4), Now));
+    BOOST_TEST(registry.take(announcement("e", 10, 5), Now));
+    BOOST_TEST(!registry.take(announcement("e", 10, 5), Now));
+    BOOST_TEST(!registry.take(announcement("e", 10, 4), Now));
     registry.withdraw("e", Now);
-    BOOST_TEST(!registry.take(word("e", 10, 9), Now)); // was on its way when the endpoint withdrew
+    BOOST_TEST(!registry.take(announcement("e", 10, 9), Now)); // was on its way when the endpoint withdrew
     BOOST_TEST(!usable(registry, "e"));
-    BOOST_TEST(registry.take(word("e", 11, 1), Now)); // a new life under the same id
+    BOOST_TEST(registry.take(announcement("e", 11, 1), Now)); // a new life under the same id
     BOOST_TEST(usable(registry, "e"));
-    BOOST_TEST(!registry.take(word("e", 10, 99), Now));
+    BOOST_TEST(!registry.take(announcement("e", 10, 99), Now));
 }
 
 BOOST_AUTO_TEST_CASE(silentEndpointIsLostUntilItSpeaksAgain)
 {
     Registry registry(Lives, Now);
-    registry.take(word("e", 10, 5), Now);
+    registry.take(announcement("e", 10, 5), Now);
     registry.expire(Now + Lives.endpoint + Millis(1));
     BOOST_TEST(!usable(registry, "e"));
-    BOOST_TEST(registry.take(word("e", 10, 6), Now + Lives.endpoint + Millis(2)));
+    BOOST_TEST(registry.take(announcement("e", 10, 6), Now + Lives.endpoint + Millis(2)));
     BOOST_TEST(usable(registry, "e"));
 }
 
 BOOST_AUTO_TEST_CASE(addressBelongsToTheLatestLife)
 {
     Registry registry(Lives, Now);
-    registry.take(word("old", 10, 5), Now);
-    registry.take(word("new", 20, 1), Now);
+    registry.take(announcement("old", 10, 5), Now);
+    registry.take(announcement("new", 20, 1), Now);
     BOOST_TEST(!usable(registry, "old"));
     BOOST_TEST(usable(registry, "new"));
     // A heartbeat of the earlier life that was held up changes nothing.
-    registry.take(word("older", 5, 9), Now);
+    registry.take(announcement("older", 5, 9), Now);
     BOOST_TEST(!usable(registry, "older"));
     BOOST_TEST(usable(registry, "new"));
 }
 
+// Its clock was set back while it was away.
+BOOST_AUTO_TEST_CASE(routerThatStartsAgainWithAnEarlierClockIsHeardAfterASilence)
+{
+    Registry registry(Lives, Now);
+    pb::RouterState state;
+    state.set_router("r");
+    state.set_incarnation(100);
+    state.set_sequence(7);
+    state.set_accepting(true);
+    BOOST_TEST(registry.take(state, Now));
+    state.set_incarnation(90);
+    state.set_sequence(1);
+    BOOST_TEST(!registry.take(state, Now + Millis(100)));
+    BOOST_TEST(registry.take(state, Now + Lives.router + Millis(100)));
+    BOOST_TEST(registry.routers().at("r").state.accepting());
+}
+
 // A control process that has just started knows nothing yet: routers go on with what they have.
 BOOST_AUTO_TEST_CASE(emptyTableOfANewProcessTakesNothingAway)
 {
     Registry router(Lives, Now);
-    router.take(word("e", 10, 5), Now);
+    router.take(announcement("e", 10, 5), Now);
     Registry restarted(Lives, Now);
     pb::SyncReply reply;
     restarted.visibleSince(0, Now + Millis(100), reply);
@@ -333,7 +351,7 @@
             switch (std::get<0>(it) % 6) {
             case 0:
             case 1: {
-                pb::Announcement said = word(id, 10, ++sequences[id], "10.0.0.1:" + id.substr(1) + "1");
+                pb::Announcement said = announcement(id, 10, ++sequences[id], "10.0.0.1:" + id.substr(1) + "1");
                 said.set_leaving(std::get<2>(it) % 8 == 7);
                 if (withdrawn.count(id) == 0)
                     host.take(said, Now);
@@ -395,7 +413,7 @@
 {
     Registry registry(Lives, Now);
     for (int i = 0; i < n; ++i) {
-        pb::Announcement it = word("e" + std::to_string(i), 10, 1, "10.0.0.1:" + std::to_string(100 + i));
+        pb::Announcement it = announcement("e" + std::to_string(i), 10, 1, "10.0.0.1:" + std::to_string(100 + i));
         it.add_models()->set_model("m");
         it.set_zone(i == 0 ? "near" : "far");
         registry.take(it, Now);
@@ -550,7 +568,7 @@
 
     void beat(FakeEngine &engine)
     {
-        pb::Announcement said = word(engine.id, engine.born, ++engine.beats, "10.0.0.1:10" + engine.id.substr(1));
+        pb::Announcement said = announcement(engine.id, engine.born, ++engine.beats, "10.0.0.1:10" + engine.id.substr(1));
         for (const std::pair<const std::string, std::set<std::string>> &it : engine.held) {
             pb::HeldModel &model = *said.add_models();
             model.set_model(it.first);
@@ -741,6 +759,64 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(Founding)
+
+pb::KeeperState keeper(const std::string &address, bool disk, const std::string &founder = "")
+{
+    pb::KeeperState state;
+    state.set_address(address);
+    state.set_incarnation(1);
+    state.set_sequence(1);
+    state.set_disk(disk);
+    state.set_may_found(true);
+    state.set_founder(founder);
+    return state;
+}
+
+FoundingView viewOf(const std::string &self, bool disk)
+{
+    return FoundingView{self, {"c:1", "a:1", "b:1"}, disk, true, Now};
+}
+
+BOOST_AUTO_TEST_CASE(seedsWithADiskFoundOnceEverySeedIsKnown)
+{
+    Registry registry(Lives, Now);
+    registry.take(keeper("a:1", true), Now);
+    registry.take(keeper("b:1", false), Now);
+    BOOST_TEST(founders(viewOf("a:1", true), registry).empty());
+    registry.take(keeper("c:1", true), Now);
+    registry.take(keeper("d:1", true), Now);
+    const std::vector<std::string> first{"a:1", "c:1"};
+    BOOST_TEST((founders(viewOf("a:1", true), registry) == first));
+    BOOST_TEST((founders(viewOf("c:1", true), registry) == first));
+    BOOST_TEST(founders(viewOf("b:1", false), registry).empty());
+    BOOST_TEST(founders(viewOf("d:1", true), registry).empty());
+    FoundingView later = viewOf("a:1", true);
+    later.mayFound = false;
+    BOOST_TEST(founders(later, registry).empty());
+}
+
+BOOST_AUTO_TEST_CASE(withoutDisksAmongTheSeedsTheFirstSeedNamesOneFounder)
+{
+    Registry registry(Lives, Now);
+    for (const char *it : {"a:1", "b:1", "c:1"})
+        registry.take(keeper(it, false), Now);
+    registry.take(keeper("d:1", true), Now);
+    registry.take(keeper("e:1", true), Now);
+    const Time later = Now + Millis(5000);
+    BOOST_TEST(nameFounder(viewOf("a:1", false), registry, Now).empty());
+    BOOST_TEST(nameFounder(viewOf("a:1", false), registry, later) == "d:1");
+    BOOST_TEST(nameFounder(viewOf("b:1", false), registry, later).empty());
+    BOOST_TEST(founders(viewOf("d:1", true), registry).empty());
+    pb::KeeperState named = keeper("a:1", false, "d:1");
+    named.set_sequence(2);
+    registry.take(named, Now);
+    BOOST_TEST((founders(viewOf("d:1", true), registry) == std::vector<std::string>{"d:1"}));
+    BOOST_TEST(founders(viewOf("e:1", true), registry).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(MembershipFromSeeds)
 
 const MembershipPolicy Three{true, 3};
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -113,13 +113,13 @@
 
 BOOST_AUTO_TEST_CASE(heartbeatIsDecoded)
 {
-    const pb::Announcement word = Speech.decodeAnnouncement("i-1", heartbeat().dump()).value();
-    BOOST_TEST(word.endpoint() == "i-1");
-    BOOST_TEST(word.sequence() == 4u);
-    BOOST_TEST(word.born_ms() == 1700000000000u);
-    BOOST_TEST(!word.leaving());
-    BOOST_TEST(word.models(0).adapters(0) == "a3");
-    BOOST_TEST(word.on_disk_size() == 2);
+    const pb::Announcement announcement = Speech.decodeAnnouncement("i-1", heartbeat().dump()).value();
+    BOOST_TEST(announcement.endpoint() == "i-1");
+    BOOST_TEST(announcement.sequence() == 4u);
+    BOOST_TEST(announcement.born_ms() == 1700000000000u);
+    BOOST_TEST(!announcement.leaving());
+    BOOST_TEST(announcement.models(0).adapters(0) == "a3");
+    BOOST_TEST(announcement.on_disk_size() == 2);
     Json leaving = heartbeat();
     leaving["state"] = "draining";
     BOOST_TEST(Speech.decodeAnnouncement("i-1", leaving.dump()).value().leaving());
