A stream for which no endpoint is left is broken off at once

Found by reading: after a run that broke off, a route that allows a resume asked for an endpoint again and again until the retry budget was used up, if none held the model or the host was stopping. Test: withoutAnEndpointARequestEnds.

--- a/src/coordination/retry.cpp
+++ b/src/coordination/retry.cpp
@@ -84,6 +84,13 @@
     return true;
 }
 
+RouteStep stepWithoutEndpoint(const RouteProgress &progress)
+{
+    if (progress.delivered)
+        return RouteStep::BreakOff;
+    return progress.runs == 0 ? RouteStep::AnswerNotRun : RouteStep::AnswerUnknown;
+}
+
 RouteStep nextRouteStep(const RouteProgress &progress, AttemptEnd end, const std::function<bool()> &mayRetry)
 {
     if (end == AttemptEnd::Completed)
@@ -96,9 +103,7 @@
     const bool allowed = unrun || (progress.repeat != Repeat::Never && progress.runs < progress.maxRuns);
     if (end != AttemptEnd::Abandoned && allowed && room && mayRetry())
         return RouteStep::Retry;
-    if (progress.delivered)
-        return RouteStep::BreakOff;
-    return progress.runs == 0 ? RouteStep::AnswerNotRun : RouteStep::AnswerUnknown;
+    return stepWithoutEndpoint(progress);
 }
 
 Step nextStep(const ExchangeState &state, AttemptEnd end, Time now, RetryBudget &budget)
--- a/src/coordination/retry.h
+++ b/src/coordination/retry.h
@@ -72,6 +72,9 @@
     BreakOff, // the answer that has begun ends so that it looks incomplete
 };
 
+// What follows if no endpoint can be found for a request.
+RouteStep stepWithoutEndpoint(const RouteProgress &progress);
+
 // `mayRetry` is asked only if a retry is allowed by the route, and uses up a place in the budget.
 RouteStep nextRouteStep(const RouteProgress &progress, AttemptEnd end, const std::function<bool()> &mayRetry);
 
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -35,6 +35,21 @@
     return std::string(host.substr(0, host.find(':')));
 }
 
+// The request's id spreads requests over a route's services by weight.
+ServiceId serviceFor(const Route &route, const std::string &requestId)
+{
+    uint64_t total = 0;
+    for (const WeightedService &it : route.services)
+        total += it.weight;
+    uint64_t point = std::hash<std::string>()(requestId) % total;
+    for (const WeightedService &it : route.services) {
+        if (point < it.weight)
+            return it.service;
+        point -= it.weight;
+    }
+    return route.services.back().service;
+}
+
 std::string retryAfter(Millis time)
 {
     return fmt::format("{:.3f}", double(time.count()) / 1000);
@@ -167,20 +182,7 @@
 Task<> Forwarder::forward(Request &request)
 {
     const Route &route = *request.route;
-    request.need.service = route.services.front().service;
-    if (route.services.size() > 1) {
-        // The request's id spreads requests over the services by weight.
-        uint64_t total = 0;
-        for (const WeightedService &it : route.services)
-            total += it.weight;
-        uint64_t point = std::hash<std::string>()(request.facts.id) % total;
-        for (const WeightedService &it : route.services) {
-            request.need.service = it.service;
-            if (point < it.weight)
-                break;
-            point -= it.weight;
-        }
-    }
+    request.need.service = serviceFor(route, request.facts.id);
     request.need.model = request.facts.model;
     request.need.adapter = request.facts.adapter;
     request.need.prompt = request.facts.prompt;
@@ -197,9 +199,8 @@
             request.cause = request.cause.empty() ? "no endpoint serves it in time" : request.cause;
         if (request.interrupt->raised())
             end = end == AttemptEnd::Completed ? end : AttemptEnd::Abandoned;
-        const RouteStep step = !choice && !request.progress.delivered
-            ? (request.progress.runs == 0 ? RouteStep::AnswerNotRun : RouteStep::AnswerUnknown)
-            : nextRouteStep(request.progress, end, [&] { return m_retries.tryRetry(monotonicNow()); });
+        const RouteStep step = choice ? nextRouteStep(request.progress, end, [&] { return m_retries.tryRetry(monotonicNow()); })
+                                      : stepWithoutEndpoint(request.progress);
         if (step != RouteStep::Retry) {
             co_await finish(request, step, end);
             co_return;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -177,6 +177,14 @@
     BOOST_TEST((nextRouteStep(progress, row.end, [] { return false; }) != RouteStep::Retry));
 }
 
+// A stream that has begun and for which no endpoint is left is broken off, not tried again and again.
+BOOST_AUTO_TEST_CASE(withoutAnEndpointARequestEnds)
+{
+    BOOST_TEST((stepWithoutEndpoint(RouteProgress{Repeat::Resume, true, 1, 1, 2}) == RouteStep::BreakOff));
+    BOOST_TEST((stepWithoutEndpoint(RouteProgress{Repeat::Resume, false, 1, 1, 2}) == RouteStep::AnswerUnknown));
+    BOOST_TEST((stepWithoutEndpoint(RouteProgress{Repeat::Never, false, 1, 0, 1}) == RouteStep::AnswerNotRun));
+}
+
 BOOST_AUTO_TEST_CASE(repeatsStayUnderTheShareInEveryWindow)
 {
     rc::check([](const std::vector<std::pair<uint8_t, bool>> &events) {
