One hand-over, one reader of addresses, one way to tell a call; unused parts removed

handOver stood in both control programs, readAddress in both settings files, the decoding of a call in both HTTP interfaces. Removed: a version, a count and a sum that nobody read. No functional change. Checked: build, format, lint of the changed files, fleet_test, state_test, fleet_system_test, two cases of system_test.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -12,18 +12,6 @@
 
 using namespace roserail;
 
-constexpr Millis HandOverTime{1500};
-
-// Lets another replica lead before this one goes away.
-void handOver(ReplicaNode &node)
-{
-    const Time deadline = monotonicNow() + HandOverTime;
-    while (node.status().role == Role::Leader && monotonicNow() < deadline) {
-        node.transferLeadership();
-        std::this_thread::sleep_for(Millis(50));
-    }
-}
-
 int serve(const ControlSettings &settings)
 {
     Result<std::unique_ptr<Storage>> storage = Storage::open(settings.dataFolder, settings.id, randomNumber());
@@ -52,7 +40,7 @@
     std::thread http([&] { api.listen(); });
     logEvent("started", {{"version", ROSERAIL_VERSION}, {"peer", settings.peerAddress}, {"operator", settings.operatorAddress}});
     waitForStop();
-    handOver(node);
+    node.handOver();
     api.stop();
     http.join();
     server->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(500));
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -62,10 +62,8 @@
 void Registry::touch(Entry &entry, bool visible, Time now)
 {
     entry.version = ++m_version;
-    if (visible) {
+    if (visible)
         entry.visibleVersion = m_version;
-        m_visibleVersion = m_version;
-    }
     if (!visible && now < entry.spreadAt + SignOfLifeInterval)
         return;
     entry.spreadVersion = m_version;
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -69,10 +69,6 @@
     {
         return m_version;
     }
-    uint64_t visibleVersion() const
-    {
-        return m_visibleVersion;
-    }
     // Changes after a version, for another control host: all of them for the one that orders what engines hold, for
     // others those that matter to routers, and signs of life.
     void changesSince(uint64_t version, bool all, Time now, pb::ShareRequest &out) const;
@@ -104,7 +100,6 @@
     Lifetimes m_lifetimes;
     Time m_startedAt; // what was said before has not been heard
     uint64_t m_version = 0;
-    uint64_t m_visibleVersion = 0; // version of the last visible change
     uint64_t m_forgottenVersion = 0; // latest version of anything that was forgotten
     std::map<std::string, LiveEndpoint> m_endpoints;
     std::map<std::string, LiveRouter> m_routers;
--- a/src/keeper.cpp
+++ b/src/keeper.cpp
@@ -18,19 +18,8 @@
 
 using namespace roserail;
 
-constexpr Millis HandOverTime{1500};
 constexpr uint64_t SnapshotEvery = 200; // entries; a configuration has 40 KB, and a disk 64 MB
 
-// Lets another replica lead before this one goes away.
-void handOver(ReplicaNode &node)
-{
-    const Time deadline = monotonicNow() + HandOverTime;
-    while (node.status().role == Role::Leader && monotonicNow() < deadline) {
-        node.transferLeadership();
-        std::this_thread::sleep_for(Millis(50));
-    }
-}
-
 // The replica of the log, on a host with a disk.
 Result<std::unique_ptr<ReplicaNode>> openReplica(const KeeperSettings &settings)
 {
@@ -98,7 +87,7 @@
                                        [&](const KeeperSettings &now) { net::post(io, [&peers, now] { peers.applySettings(now); }); });
     });
     if (node)
-        handOver(*node);
+        node->handOver();
     io.stop();
     worker.join();
     server->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(200));
--- a/src/protocol/hostsettings.cpp
+++ b/src/protocol/hostsettings.cpp
@@ -12,14 +12,6 @@
 namespace
 {
 
-std::string readAddress(const YAML::Node &parent, const char *key)
-{
-    const std::string address = readName(parent, key, "the settings");
-    if (parseHostPort(address).has_error())
-        fail(parent[key], fmt::format("'{}' must be host:port with a port from 1 to 65535", key));
-    return address;
-}
-
 HostSettings readHost(const YAML::Node &root)
 {
     HostSettings host;
@@ -37,7 +29,7 @@
     if (port == 0 || port > 65535)
         fail(root, "'internalPort' must be a port from 1 to 65535");
     host.internalPort = uint16_t(port);
-    host.metrics = root["metrics"] ? readAddress(root, "metrics") : "";
+    host.metrics = root["metrics"] ? readAddress(root, "metrics", "the settings") : "";
     host.grace = readDuration(root, "grace", Millis(8000));
     return host;
 }
@@ -49,9 +41,9 @@
                "retrySlack", "retryWindow"});
     EntrySettings settings;
     settings.host = readHost(root);
-    settings.listen = readAddress(root, "listen");
-    settings.ready = readAddress(root, "ready");
-    settings.directory = readAddress(root, "directory");
+    settings.listen = readAddress(root, "listen", "the settings");
+    settings.ready = readAddress(root, "ready", "the settings");
+    settings.directory = readAddress(root, "directory", "the settings");
     settings.retryRatio = readValue<double>(root, "retryRatio", 0.2, "a share of requests");
     settings.retrySlack = readValue<double>(root, "retrySlack", 20, "a number of requests");
     settings.retryWindow = readDuration(root, "retryWindow", Millis(10000));
@@ -65,7 +57,7 @@
                "orderLease"});
     KeeperSettings settings;
     settings.host = readHost(root);
-    settings.listen = readAddress(root, "listen");
+    settings.listen = readAddress(root, "listen", "the settings");
     settings.dataFolder = root["dataFolder"] ? readName(root, "dataFolder", "the settings") : "";
     settings.mayFound = readValue<bool>(root, "mayFound", false, "true or false");
     settings.lossesToBear = uint32_t(readCount(root, "lossesToBear", 1));
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -15,14 +15,6 @@
 namespace
 {
 
-std::string readAddress(const YAML::Node &parent, const char *key, const char *what)
-{
-    const std::string address = readName(parent, key, what);
-    if (parseHostPort(address).has_error())
-        fail(parent[key], fmt::format("'{}' must be host:port with a port from 1 to 65535", key));
-    return address;
-}
-
 std::string readOptionalHash(const YAML::Node &parent, const char *key)
 {
     const std::string hash = readValue<std::string>(parent, key, "", "64 lower-case hex digits");
@@ -86,6 +78,14 @@
 
 } // namespace
 
+std::string readAddress(const YAML::Node &parent, const char *key, const char *what)
+{
+    const std::string address = readName(parent, key, what);
+    if (parseHostPort(address).has_error())
+        fail(parent[key], fmt::format("'{}' must be host:port with a port from 1 to 65535", key));
+    return address;
+}
+
 Result<HostPort> parseHostPort(const std::string &text)
 {
     const size_t colon = text.rfind(':');
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "state/errors.h"
+#include "state/yamlreader.h"
 
 #include <string>
 #include <vector>
@@ -49,6 +50,9 @@
 };
 Result<HostPort> parseHostPort(const std::string &text);
 
+// Reads "host:port" that must be there; `what` names the mapping in the error.
+std::string readAddress(const YAML::Node &parent, const char *key, const char *what);
+
 Result<std::string> readTextFile(const std::string &path);
 
 } // namespace roserail
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -86,16 +86,9 @@
     return !m_draining && m_synced && m_forwarder.table() != nullptr;
 }
 
-Call EntryApi::classify(const CallerConnection &caller) const
-{
-    const http::request<http::string_body> &request = caller.request();
-    return m_dialect.classify({request.method_string().data(), request.method_string().size()},
-                              {request.target().data(), request.target().size()});
-}
-
 Task<> EntryApi::answerReady(CallerConnection &caller)
 {
-    if (classify(caller).kind != CallKind::Ready)
+    if (caller.call(m_dialect).kind != CallKind::Ready)
         co_await caller.answer(404);
     else
         co_await caller.answer(ready() ? 200 : 503);
@@ -104,7 +97,7 @@
 // Routers of the caller's availability zone, or all if there are few of them.
 Task<> EntryApi::answerResolve(CallerConnection &caller)
 {
-    const Call call = classify(caller);
+    const Call call = caller.call(m_dialect);
     if (call.kind != CallKind::Resolve) {
         co_await caller.answer(404);
         co_return;
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -31,7 +31,6 @@
     void takeSync(const pb::SyncReply &reply);
     void takeConfiguration(const pb::WholeConfiguration &configuration);
     bool ready() const;
-    Call classify(const CallerConnection &caller) const;
 
     net::io_context &m_io;
     EntrySettings m_settings;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -96,7 +96,6 @@
     std::string endpoint; // of the last attempt
     unsigned status = 0; // that the caller got
     Millis waited{0}; // for a model
-    uint64_t bytes = 0; // of the answer's body
     std::string cause; // of the last failure
 };
 
@@ -402,7 +401,6 @@
     answer.parser->get().body().size = buf.size();
     co_await http::async_read_some(connection.socket, connection.buffer, *answer.parser, net::redirect_error(net::use_awaitable, ec));
     n = buf.size() - answer.parser->get().body().size;
-    request.bytes += n;
     if (!ec || ec == http::error::need_buffer)
         co_return true;
     request.cause = "the endpoint's answer broke off: " + ec.message();
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -80,6 +80,11 @@
     };
 }
 
+Call CallerConnection::call(const Dialect &dialect) const
+{
+    return dialect.classify(view(m_request.method_string()), view(m_request.target()));
+}
+
 Task<bool> CallerConnection::write(std::string bytes)
 {
     ErrorCode ec;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -56,6 +56,8 @@
     std::string_view header(std::string_view name) const;
     // Looks headers up by name; valid as long as the connection.
     Dialect::Lookup lookup() const;
+    // What the request asks the system itself for, if anything.
+    Call call(const Dialect &dialect) const;
     // Sends a whole answer. False if the caller has gone.
     Task<bool> answer(unsigned status, std::vector<HeaderField> headers, std::string body);
     // Sends a whole answer without headers of its own.
@@ -107,10 +109,6 @@
     {
         m_draining = true;
     }
-    size_t connections() const
-    {
-        return m_connections.size();
-    }
 
 private:
     Task<> acceptAll();
--- a/src/transport/keeperapi.cpp
+++ b/src/transport/keeperapi.cpp
@@ -26,9 +26,7 @@
 
 Task<> KeeperApi::handle(CallerConnection &caller)
 {
-    const http::request<http::string_body> &request = caller.request();
-    const Call call = m_dialect.classify({request.method_string().data(), request.method_string().size()},
-                                         {request.target().data(), request.target().size()});
+    const Call call = caller.call(m_dialect);
     switch (call.kind) {
     case CallKind::PutConfiguration:
         co_return co_await putConfiguration(caller);
--- a/src/transport/replicanode.cpp
+++ b/src/transport/replicanode.cpp
@@ -19,6 +19,8 @@
 
 constexpr size_t EventsPerBatch = 2048;
 constexpr Millis DiskRetry{500};
+constexpr Millis HandOverTime{1500}; // a hand-over takes one election at most
+constexpr Millis HandOverPoll{50};
 
 Error notLeader()
 {
@@ -118,6 +120,15 @@
     m_events.push(Administration{Administration::Transfer});
 }
 
+void ReplicaNode::handOver()
+{
+    const Time deadline = monotonicNow() + HandOverTime;
+    while (status().role == Role::Leader && monotonicNow() < deadline) {
+        transferLeadership();
+        std::this_thread::sleep_for(HandOverPoll);
+    }
+}
+
 void ReplicaNode::setContacts(std::map<uint64_t, std::string> contacts)
 {
     const std::lock_guard lock(m_contactsMutex);
--- a/src/transport/replicanode.h
+++ b/src/transport/replicanode.h
@@ -66,6 +66,8 @@
     void approveReplica(uint64_t id);
     void removeReplica(uint64_t id);
     void transferLeadership();
+    // Lets another replica lead before this one goes away; returns once it does, or after a while.
+    void handOver();
     // Further addresses to ask to be taken in, by replica id.
     void setContacts(std::map<uint64_t, std::string> contacts);
 
