Log each decision of a request and each change of what a process believes, within a bound

Cause: a request had one line at its end; why an endpoint was chosen, what a wait hoped for and why a retry was refused could not be found afterwards, nor on how old a picture they rested. Control hosts told nothing of changes of leader, of endpoints given up for silence, nor why an order was given; a failing disk wrote a line every retry.

Now: send, wait and attempt_failed lines with the inputs and their age or version; orders with demand, holders, memory and age of the contents; routers tell each endpoint's change and holdings as they learn of it; role, silent, configuration, disk_regained on control hosts. Standard output takes at most 200 lines a second and a burst of 1000 (LogLimit); steps of requests go first, then outcomes, and drops are counted by reason. A setting 'log' (events, outcomes, decisions).

Tests: log_test (bound, order of giving way, setting), everyDecisionOfARequestIsInTheLog with processes; both fail without the change.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -107,9 +107,11 @@
 {
     const Endpoint *best = nullptr;
     double bestCost = 0;
+    uint32_t candidates = 0;
     for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
         if (!holds(it.second, need, now))
             continue;
+        ++candidates;
         const double candidate = cost(it.second, need, now);
         if (best == nullptr || candidate < bestCost) {
             best = &it.second;
@@ -118,7 +120,11 @@
     }
     if (best == nullptr)
         return std::nullopt;
-    return Choice{best->announcement.endpoint(), best->announcement.address(), best->announcement.born_ms()};
+    Choice choice{best->announcement.endpoint(), best->announcement.address(), best->announcement.born_ms(), {}};
+    choice.inputs = ChoiceInputs{candidates, bestCost, best->own, best->observed, Millis(-1), cachedTokens(*best, need)};
+    if (best->observedAt != Time())
+        choice.inputs.othersAge = now - best->observedAt;
+    return choice;
 }
 
 void Balancer::rememberPrompt(Endpoint &endpoint, const Need &need, Time now)
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -23,10 +23,21 @@
     std::set<std::string> avoid; // endpoints that were tried
 };
 
+// What decided a choice, for the log.
+struct ChoiceInputs {
+    uint32_t candidates = 0; // endpoints that hold what the request needs
+    double expectedMs = 0; // until the first byte
+    uint32_t own = 0; // requests of this router on the endpoint
+    uint32_t others = 0; // of other routers, as far as an answer told
+    Millis othersAge{-1}; // since that answer; negative: none
+    uint32_t cachedTokens = 0; // of the prompt, read there before
+};
+
 struct Choice {
     std::string endpoint;
     std::string address;
     uint64_t born = 0;
+    ChoiceInputs inputs;
 };
 
 // How a request's stay at an endpoint ended, for later choices.
--- a/src/coordination/raft.cpp
+++ b/src/coordination/raft.cpp
@@ -36,6 +36,19 @@
     return persist.has_hard_state() || persist.truncate_from() != 0 || persist.entries_size() != 0;
 }
 
+std::string_view toString(Role role)
+{
+    switch (role) {
+    case Role::Leader:
+        return "leader";
+    case Role::Candidate:
+    case Role::PreCandidate:
+        return "candidate";
+    default:
+        return "follower";
+    }
+}
+
 Raft::Raft(Replica self, const DurableState &disk, uint64_t seed, Time now)
     : m_self(self)
     , m_clusterId(disk.identity.cluster_id())
--- a/src/coordination/raft.h
+++ b/src/coordination/raft.h
@@ -45,6 +45,8 @@
 
 enum class Role { Follower, PreCandidate, Candidate, Leader };
 
+std::string_view toString(Role role);
+
 class Raft
 {
 public:
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -173,31 +173,34 @@
     touch(endpoint, true, now);
 }
 
-void Registry::markLost(LiveEndpoint &endpoint, Time now)
+bool Registry::markLost(LiveEndpoint &endpoint, Time now)
 {
     if (endpoint.announcement.gone() || endpoint.announcement.lost())
-        return;
+        return false;
     endpoint.announcement.set_lost(true);
     touch(endpoint, true, now);
+    return true;
 }
 
-void Registry::markLost(LiveRouter &router, Time now)
+bool Registry::markLost(LiveRouter &router, Time now)
 {
     if (!router.state.accepting())
-        return;
+        return false;
     router.state.set_accepting(false);
     touch(router, true, now);
+    return true;
 }
 
-void Registry::expire(Time now)
+std::vector<std::string> Registry::expire(Time now)
 {
+    std::vector<std::string> lost;
     for (std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
-        if (now > it.second.heardAt + m_lifetimes.endpoint)
-            markLost(it.second, now);
+        if (now > it.second.heardAt + m_lifetimes.endpoint && markLost(it.second, now))
+            lost.push_back(it.first);
     }
     for (std::pair<const std::string, LiveRouter> &it : m_routers) {
-        if (now > it.second.heardAt + m_lifetimes.router)
-            markLost(it.second, now);
+        if (now > it.second.heardAt + m_lifetimes.router && markLost(it.second, now))
+            lost.push_back(it.first);
     }
     std::erase_if(m_keepers, [&](const std::pair<const std::string, LiveKeeper> &it) { return now > it.second.heardAt + KeeperSilence; });
     const auto forget = [&](const auto &entry, bool gone) {
@@ -211,6 +214,7 @@
     });
     std::erase_if(m_routers,
                   [&](const std::pair<const std::string, LiveRouter> &it) { return forget(it.second, !it.second.state.accepting()); });
+    return lost;
 }
 
 void Registry::dropUnlisted(const pb::SyncReply &reply, Time now)
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace roserail
 {
@@ -61,7 +62,8 @@
     // An endpoint says that it ends.
     void withdraw(const std::string &endpoint, Time now);
     // Marks as lost what was silent too long, and forgets what has been gone or lost for long.
-    void expire(Time now);
+    // Returns the ids of endpoints and routers that are lost from now on.
+    std::vector<std::string> expire(Time now);
     // Marks everything as lost that `reply`, a full list, does not name.
     void dropUnlisted(const pb::SyncReply &reply, Time now);
 
@@ -91,8 +93,9 @@
 
 private:
     void markGone(LiveEndpoint &endpoint, Time now);
-    void markLost(LiveEndpoint &endpoint, Time now);
-    void markLost(LiveRouter &router, Time now);
+    // Both return whether it was not lost before.
+    bool markLost(LiveEndpoint &endpoint, Time now);
+    bool markLost(LiveRouter &router, Time now);
     void settleAddress(const LiveEndpoint &newcomer, Time now);
     template <typename Entry>
     void touch(Entry &entry, bool visible, Time now);
--- a/src/coordination/residency.cpp
+++ b/src/coordination/residency.cpp
@@ -486,6 +486,22 @@
     return true;
 }
 
+OrderInputs Residency::inputsOf(const Engine &engine, const ArtifactName &name, bool fromStore, Time now) const
+{
+    OrderInputs inputs;
+    if (const ModelWant *wanted = want(engine.service, name)) {
+        inputs.waiting = wanted->waiting;
+        inputs.running = wanted->running;
+        inputs.longestWait = wanted->longestWait;
+    }
+    inputs.holders = uint32_t(holders(engine.service, name.model));
+    inputs.usedMegabytes = used(engine, *spec(engine.service));
+    inputs.contentsAge = now - engine.changedAt;
+    inputs.fromStore = fromStore;
+    inputs.roomFor = engine.reservedFor;
+    return inputs;
+}
+
 void Residency::order(Engine &engine, OrderAction action, const ArtifactName &name, bool fromStore, Plan &plan, Time now)
 {
     invariant(engine.known && !engine.current, "an engine gets one order at a time, on known contents");
@@ -502,6 +518,7 @@
     current.order.holder = m_holder;
     current.order.fence = ++m_fence;
     current.order.expectedSequence = engine.sequence;
+    current.order.inputs = inputsOf(engine, name, fromStore, now);
     current.fromStore = fromStore;
     current.changedAt = now;
     Millis duration = AdapterLoadTime * 2;
--- a/src/coordination/retry.cpp
+++ b/src/coordination/retry.cpp
@@ -14,6 +14,9 @@
 
 constexpr int MaxResumes = 5; // of one stream
 
+constexpr std::string_view AttemptEndNames[] = {"completed", "not_sent", "refused_not_run", "interrupted", "endpoint_lost", "abandoned"};
+constexpr std::string_view RouteStepNames[] = {"deliver", "retry", "answer_not_run", "answer_unknown", "break_off"};
+
 bool mayRetry(const ExchangeState &state, RetryBudget &budget)
 {
     return state.attempts < AttemptsPerRequest && budget.tryRetry();
@@ -31,6 +34,16 @@
 
 } // namespace
 
+std::string_view toString(AttemptEnd end)
+{
+    return AttemptEndNames[size_t(end)];
+}
+
+std::string_view toString(RouteStep step)
+{
+    return RouteStepNames[size_t(step)];
+}
+
 void RetryBudget::requestStarted()
 {
     if (!m_started)
@@ -67,20 +80,25 @@
     ++bucket(now).requests;
 }
 
-bool RetryWindow::tryRetry(Time now)
+RetryWindow::Usage RetryWindow::usage(Time now)
 {
-    Bucket &current = bucket(now);
-    double allowed = m_slack;
-    double used = 0;
+    const int64_t current = bucket(now).number;
+    Usage usage{0, m_slack};
     for (const Bucket &it : m_buckets) {
-        if (it.number <= current.number - Buckets)
+        if (it.number <= current - Buckets)
             continue;
-        allowed += m_ratio * it.requests;
-        used += it.retries;
+        usage.allowed += m_ratio * it.requests;
+        usage.used += it.retries;
     }
-    if (used + 1 > allowed)
+    return usage;
+}
+
+bool RetryWindow::tryRetry(Time now)
+{
+    const Usage window = usage(now);
+    if (window.used + 1 > window.allowed)
         return false;
-    ++current.retries;
+    ++bucket(now).retries;
     return true;
 }
 
--- a/src/coordination/retry.h
+++ b/src/coordination/retry.h
@@ -21,6 +21,8 @@
     Abandoned, // the caller has gone
 };
 
+std::string_view toString(AttemptEnd end);
+
 // What is known of the request when the attempt ends.
 struct ExchangeState {
     bool idempotent = true;
@@ -72,6 +74,8 @@
     BreakOff, // the answer that has begun ends so that it looks incomplete
 };
 
+std::string_view toString(RouteStep step);
+
 // What follows if no endpoint can be found for a request.
 RouteStep stepWithoutEndpoint(const RouteProgress &progress);
 
@@ -93,6 +97,12 @@
     }
     void requestStarted(Time now);
     bool tryRetry(Time now);
+    struct Usage {
+        double used = 0;
+        double allowed = 0;
+    };
+    // Of the window that ends now.
+    Usage usage(Time now);
 
 private:
     static constexpr int Buckets = 20;
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -62,6 +62,7 @@
         [](const std::string &text, const std::string &file) {
             const EntrySettings settings = parseEntrySettings(text, file).value();
             setLogProcess(fmt::format("entry-{}", settings.host.id));
+            setLogDetail(settings.host.log);
             logToStandardOutput();
             return serve(settings, file);
         },
--- a/src/keeper.cpp
+++ b/src/keeper.cpp
@@ -109,6 +109,7 @@
         [](const std::string &text, const std::string &file) {
             const KeeperSettings settings = parseKeeperSettings(text, file).value();
             setLogProcess(fmt::format("keeper-{}", settings.host.id));
+            setLogDetail(settings.host.log);
             logToStandardOutput();
             return serve(settings, file);
         },
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -71,6 +71,18 @@
 
 enum class OrderAction { Load, Unload };
 
+// What decided an order, for the log.
+struct OrderInputs {
+    uint32_t waiting = 0; // requests for the artifact
+    uint32_t running = 0;
+    Millis longestWait{0};
+    uint32_t holders = 0; // engines that hold its model
+    double usedMegabytes = 0; // of the engine, before the order
+    Millis contentsAge{0}; // since the engine's contents were last known to change
+    bool fromStore = false;
+    std::string roomFor; // model for which the engine makes room
+};
+
 // An order to a model engine, valid only if the engine has accepted exactly `expectedSequence` orders in this life.
 struct ArtifactOrder {
     OrderAction action = OrderAction::Load;
@@ -80,6 +92,7 @@
     std::string holder;
     uint64_t fence = 0;
     uint64_t expectedSequence = 0;
+    OrderInputs inputs;
 };
 
 enum class OrderAnswer {
--- a/src/protocol/hostsettings.cpp
+++ b/src/protocol/hostsettings.cpp
@@ -12,6 +12,27 @@
 namespace
 {
 
+constexpr std::pair<LogDetail, std::string_view> LogNames[] = {
+    {LogDetail::Events, "events"},
+    {LogDetail::Outcomes, "outcomes"},
+    {LogDetail::Decisions, "decisions"},
+};
+
+LogDetail readLogDetail(const YAML::Node &root)
+{
+    const std::string name = root["log"] ? readName(root, "log", "the settings") : "decisions";
+    for (const std::pair<LogDetail, std::string_view> &it : LogNames) {
+        if (it.second == name)
+            return it.first;
+    }
+    fail(root["log"], fmt::format("'log' is '{}'; it must be events, outcomes or decisions", name));
+}
+
+std::string_view logName(LogDetail detail)
+{
+    return LogNames[size_t(detail)].second;
+}
+
 HostSettings readHost(const YAML::Node &root)
 {
     HostSettings host;
@@ -31,13 +52,14 @@
     host.internalPort = uint16_t(port);
     host.metrics = root["metrics"] ? readAddress(root, "metrics", "the settings") : "";
     host.grace = readDuration(root, "grace", Millis(8000));
+    host.log = readLogDetail(root);
     return host;
 }
 
 EntrySettings readEntry(const YAML::Node &root)
 {
     checkKeys(root, "the settings",
-              {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "listen", "ready", "directory", "retryRatio",
+              {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "log", "listen", "ready", "directory", "retryRatio",
                "retrySlack", "retryWindow"});
     EntrySettings settings;
     settings.host = readHost(root);
@@ -53,8 +75,8 @@
 KeeperSettings readKeeper(const YAML::Node &root)
 {
     checkKeys(root, "the settings",
-              {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "listen", "dataFolder", "mayFound", "lossesToBear",
-               "orderLease"});
+              {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "log", "listen", "dataFolder", "mayFound",
+               "lossesToBear", "orderLease"});
     KeeperSettings settings;
     settings.host = readHost(root);
     settings.listen = readAddress(root, "listen", "the settings");
@@ -67,8 +89,9 @@
 
 std::string describeHost(const HostSettings &host)
 {
-    return fmt::format("id: {}\nzone: {}\naddress: {}\nseeds: [\"{}\"]\ninternalPort: {}\nmetrics: \"{}\"\ngrace: {}ms\n", host.id,
-                       host.zone, host.address, fmt::join(host.seeds, "\", \""), host.internalPort, host.metrics, host.grace.count());
+    return fmt::format("id: {}\nzone: {}\naddress: {}\nseeds: [\"{}\"]\ninternalPort: {}\nmetrics: \"{}\"\ngrace: {}ms\nlog: {}\n", host.id,
+                       host.zone, host.address, fmt::join(host.seeds, "\", \""), host.internalPort, host.metrics, host.grace.count(),
+                       logName(host.log));
 }
 
 } // namespace
--- a/src/protocol/hostsettings.h
+++ b/src/protocol/hostsettings.h
@@ -22,6 +22,7 @@
     uint16_t internalPort = 0; // of the control hosts' own protocol, the same on each of them
     std::string metrics; // host:port; empty: not served
     Millis grace{0}; // from a stop signal to the end of the process
+    LogDetail log = LogDetail::Decisions; // of requests
 };
 
 struct EntrySettings {
--- a/src/protocol/log.cpp
+++ b/src/protocol/log.cpp
@@ -1,11 +1,15 @@
 #include "protocol/log.h"
 
 #include "protocol/metrics.h"
+#include "state/tunables.h"
 
+#include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <fcntl.h>
 #include <fmt/chrono.h>
+#include <mutex>
 #include <unistd.h>
 
 namespace roserail
@@ -14,8 +18,18 @@
 namespace
 {
 
+using namespace tunables;
+
+// A line is dropped if fewer than these would be left for more important ones.
+constexpr double ReserveOfEvents = 0;
+constexpr double ReserveOfOutcomes = LogLinesBurst / 4;
+constexpr double ReserveOfDecisions = LogLinesBurst / 2;
+
 std::string processName = "roserail";
 int target = STDERR_FILENO;
+std::atomic<LogDetail> detail{LogDetail::Decisions};
+std::mutex limitMutex;
+LogLimit limit; // guarded by limitMutex
 
 // Quotes a value that would not be one word.
 std::string quoted(const std::string &value)
@@ -39,11 +53,50 @@
         return;
     }
     if (::write(target, line.data(), line.size()) != ssize_t(line.size()))
-        metrics().counter("roserail_log_lines_dropped_total").add();
+        metrics().counter("roserail_log_lines_dropped_total{reason=\"full_pipe\"}").add();
+}
+
+// Standard error is left to the programs that block on it anyway.
+bool withinLimit(double reserve)
+{
+    if (target == STDERR_FILENO)
+        return true;
+    const Time now = Time(std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now().time_since_epoch()));
+    const std::lock_guard lock(limitMutex);
+    if (limit.take(now, reserve))
+        return true;
+    metrics().counter("roserail_log_lines_dropped_total{reason=\"rate\"}").add();
+    return false;
+}
+
+void logLine(std::string_view event, std::initializer_list<LogField> fields, double reserve)
+{
+    if (!withinLimit(reserve))
+        return;
+    const std::chrono::system_clock::time_point now = std::chrono::system_clock::now();
+    const int64_t ms = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+    std::string line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z process={} event={}",
+                                   fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms, processName, event);
+    for (const LogField &it : fields)
+        line += fmt::format(" {}={}", it.key, quoted(it.value));
+    line += '\n';
+    writeLine(line);
 }
 
 } // namespace
 
+bool LogLimit::take(Time now, double reserve)
+{
+    const bool first = m_refilledAt == Time();
+    const double gained = first ? LogLinesBurst : double((now - m_refilledAt).count()) / 1000 * LogLinesPerSecond;
+    m_left = std::min(LogLinesBurst, m_left + gained);
+    m_refilledAt = now;
+    if (m_left < reserve + 1)
+        return false;
+    m_left -= 1;
+    return true;
+}
+
 void setLogProcess(const std::string &name)
 {
     processName = name;
@@ -55,16 +108,31 @@
     ::fcntl(target, F_SETFL, ::fcntl(target, F_GETFL) | O_NONBLOCK);
 }
 
+void setLogDetail(LogDetail value)
+{
+    detail = value;
+}
+
+LogDetail logDetail()
+{
+    return detail;
+}
+
 void logEvent(std::string_view event, std::initializer_list<LogField> fields)
 {
-    const std::chrono::system_clock::time_point now = std::chrono::system_clock::now();
-    const int64_t ms = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
-    std::string line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z process={} event={}",
-                                   fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms, processName, event);
-    for (const LogField &it : fields)
-        line += fmt::format(" {}={}", it.key, quoted(it.value));
-    line += '\n';
-    writeLine(line);
+    logLine(event, fields, ReserveOfEvents);
+}
+
+void logOutcome(std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (detail != LogDetail::Events)
+        logLine(event, fields, ReserveOfOutcomes);
+}
+
+void logDecision(std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (detail == LogDetail::Decisions)
+        logLine(event, fields, ReserveOfDecisions);
 }
 
 } // namespace roserail
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -131,6 +131,10 @@
 constexpr double RetryBudgetRatio = 0.1; // retries per request
 constexpr double RetryBudgetBurst = 10;
 
+// Logs
+constexpr double LogLinesPerSecond = 200; // of one process; 10 times what a router of the users' sites writes at 3 lines a request
+constexpr double LogLinesBurst = 1000; // a change of leader or a burst of callers in some seconds
+
 // HTTP
 constexpr size_t MaxBodyBytes = 8u << 20;
 constexpr size_t RouterThreads = 512;
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -19,6 +19,26 @@
 constexpr size_t ZoneAddresses = 2; // an availability zone with fewer routers sends its callers to all
 constexpr Millis MaintainInterval{1000};
 
+std::string_view stateName(const pb::Announcement &announcement)
+{
+    if (announcement.gone())
+        return "gone";
+    if (announcement.lost())
+        return "lost";
+    return announcement.leaving() ? "leaving" : "ready";
+}
+
+std::string modelNames(const pb::Holdings &holdings)
+{
+    std::string names;
+    for (const pb::HeldModel &it : holdings.models()) {
+        names += (names.empty() ? "" : ",") + it.model();
+        for (const std::string &adapter : it.adapters())
+            names += "/" + adapter;
+    }
+    return names;
+}
+
 } // namespace
 
 EntryApi::EntryApi(net::io_context &io, const EntrySettings &settings, const Dialect &dialect)
@@ -67,6 +87,7 @@
     m_settings.retrySlack = settings.retrySlack;
     m_retries.setRatio(settings.retryRatio);
     m_client->setSeeds(internalSeeds(settings.host));
+    setLogDetail(settings.host.log);
     logEvent("settings",
              {{"seeds", fmt::format("{}", fmt::join(settings.host.seeds, ","))},
               {"retry_ratio", settings.retryRatio},
@@ -164,10 +185,22 @@
     m_epoch = reply.epoch();
     m_version = reply.version();
     const uint64_t before = m_registry.version();
-    for (const pb::Announcement &it : reply.endpoints())
-        m_registry.take(it, now - Millis(it.age_ms()));
-    for (const pb::Holdings &it : reply.holdings())
-        m_registry.take(it, now);
+    for (const pb::Announcement &it : reply.endpoints()) {
+        if (m_registry.take(it, now - Millis(it.age_ms())))
+            logEvent("endpoint",
+                     {{"endpoint", it.endpoint()},
+                      {"service", it.service()},
+                      {"address", it.address()},
+                      {"born_ms", it.born_ms()},
+                      {"state", stateName(it)},
+                      {"age_ms", it.age_ms()},
+                      {"known", reply.version()}});
+    }
+    for (const pb::Holdings &it : reply.holdings()) {
+        if (m_registry.take(it, now))
+            logEvent("holdings",
+                     {{"endpoint", it.endpoint()}, {"models", modelNames(it)}, {"term", it.term()}, {"known", reply.version()}});
+    }
     for (const pb::RouterState &it : reply.routers())
         m_registry.take(it, now - Millis(it.age_ms()));
     if (reply.full())
@@ -179,6 +212,7 @@
         accepting += it.second.state.accepting() ? 1 : 0;
     m_retries.setSlack(m_settings.retrySlack / double(accepting + 1));
     m_synced = true;
+    m_forwarder.controlHeard(reply.version(), now);
     if (m_registry.version() == before)
         return;
     m_balancer.update(m_registry);
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -200,6 +200,8 @@
             end = end == AttemptEnd::Completed ? end : AttemptEnd::Abandoned;
         const RouteStep step = choice ? nextRouteStep(request.progress, end, [&] { return m_retries.tryRetry(monotonicNow()); })
                                       : stepWithoutEndpoint(request.progress);
+        if (choice && end != AttemptEnd::Completed)
+            logFailedAttempt(request, end, step, monotonicNow());
         if (step != RouteStep::Retry) {
             co_await finish(request, step, end);
             co_return;
@@ -231,6 +233,7 @@
     const Millis whole = request.deadline - request.caller.arrivedAt();
     const Time until = request.caller.arrivedAt() + Millis(int64_t(double(whole.count()) * ColdWaitShare));
     net::steady_timer timer(m_io);
+    logWait(request, since, until);
     m_balancer.waits(request.need, since);
     m_waiters.insert(&timer);
     request.interrupt->stop = [&timer] {
@@ -269,6 +272,7 @@
         m_balancer.ended(request.need, choice, StayEnd::Failed, monotonicNow());
         co_return AttemptEnd::NotSent;
     }
+    logSend(request, choice, monotonicNow());
     m_balancer.started(request.need, choice, monotonicNow());
     ++request.progress.sends;
     ++request.progress.runs;
@@ -534,19 +538,66 @@
     const Time now = monotonicNow();
     took.record(uint64_t((now - request.caller.arrivedAt()).count()));
     metrics().counter(fmt::format("roserail_requests_total{{outcome=\"{}\"}}", outcome)).add();
-    logEvent("request",
-             {{"id", request.facts.id},
-              {"route", request.route == nullptr ? "" : request.route->name},
-              {"config", request.table ? request.table->version : 0},
-              {"model", request.need.model},
-              {"adapter", request.need.adapter},
-              {"endpoint", request.endpoint},
-              {"sends", request.progress.sends},
-              {"status", request.status},
-              {"outcome", outcome},
-              {"waited_ms", request.waited.count()},
-              {"took_ms", (now - request.caller.arrivedAt()).count()},
-              {"cause", request.cause}});
+    logOutcome("request",
+               {{"id", request.facts.id},
+                {"route", request.route == nullptr ? "" : request.route->name},
+                {"config", request.table ? request.table->version : 0},
+                {"model", request.need.model},
+                {"adapter", request.need.adapter},
+                {"endpoint", request.endpoint},
+                {"sends", request.progress.sends},
+                {"status", request.status},
+                {"outcome", outcome},
+                {"waited_ms", request.waited.count()},
+                {"took_ms", (now - request.caller.arrivedAt()).count()},
+                {"cause", request.cause}});
+}
+
+void Forwarder::logSend(const Request &request, const Choice &choice, Time now) const
+{
+    if (logDetail() != LogDetail::Decisions)
+        return;
+    const ChoiceInputs &inputs = choice.inputs;
+    logDecision("send",
+                {{"id", request.facts.id},
+                 {"endpoint", choice.endpoint},
+                 {"send", request.progress.sends + 1},
+                 {"candidates", inputs.candidates},
+                 {"expected_ms", int64_t(inputs.expectedMs)},
+                 {"own", inputs.own},
+                 {"others", inputs.others},
+                 {"others_age_ms", inputs.othersAge.count()},
+                 {"prompt", request.need.promptTokens},
+                 {"cached", inputs.cachedTokens},
+                 {"left_ms", (request.deadline - now).count()},
+                 {"known", m_knownVersion},
+                 {"known_age_ms", (now - m_knownAt).count()}});
+}
+
+void Forwarder::logWait(const Request &request, Time now, Time until) const
+{
+    logDecision("wait",
+                {{"id", request.facts.id},
+                 {"model", request.need.model},
+                 {"adapter", request.need.adapter},
+                 {"at_most_ms", (until - now).count()},
+                 {"known", m_knownVersion},
+                 {"known_age_ms", (now - m_knownAt).count()}});
+}
+
+void Forwarder::logFailedAttempt(const Request &request, AttemptEnd end, RouteStep step, Time now) const
+{
+    const RetryWindow::Usage budget = m_retries.usage(now);
+    logDecision("attempt_failed",
+                {{"id", request.facts.id},
+                 {"endpoint", request.endpoint},
+                 {"end", toString(end)},
+                 {"next", toString(step)},
+                 {"sends", request.progress.sends},
+                 {"runs", request.progress.runs},
+                 {"retries", budget.used},
+                 {"retries_allowed", int64_t(budget.allowed)},
+                 {"cause", request.cause}});
 }
 
 } // namespace roserail
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -26,6 +26,12 @@
     }
     // Endpoints, or what they hold, have changed: requests that wait look again.
     void endpointsChanged();
+    // Control was heard: what is known of endpoints is of this version, and as of now.
+    void controlHeard(uint64_t version, Time now)
+    {
+        m_knownVersion = version;
+        m_knownAt = now;
+    }
     // Called when a request begins to wait for a model.
     void onWait(std::function<void()> callback)
     {
@@ -63,6 +69,9 @@
     std::string requestBytes(const Request &request, const Choice &choice, Time now) const;
     Task<> watchCaller(CallerConnection &caller, std::shared_ptr<Interrupt> interrupt);
     void log(const Request &request, std::string_view outcome) const;
+    void logSend(const Request &request, const Choice &choice, Time now) const;
+    void logWait(const Request &request, Time now, Time until) const;
+    void logFailedAttempt(const Request &request, AttemptEnd end, RouteStep step, Time now) const;
 
     net::io_context &m_io;
     const Dialect &m_dialect;
@@ -73,6 +82,8 @@
     std::function<void()> m_onWait;
     std::set<net::steady_timer *> m_waiters;
     size_t m_active = 0;
+    uint64_t m_knownVersion = 0; // of what control told of endpoints
+    Time m_knownAt{};
     Time m_waitUntil = Time::max(); // no request waits for a model later
     Time m_streamsUntil = Time::max(); // no stream begins later
 };
--- a/src/transport/livetable.h
+++ b/src/transport/livetable.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/registry.h"
+#include "protocol/log.h"
 
 #include <condition_variable>
 #include <functional>
@@ -32,6 +33,13 @@
         m_changed.notify_all();
         return change(m_registry);
     }
+    // Gives up what was silent for too long.
+    void expire(Time now)
+    {
+        const std::vector<std::string> lost = change([now](Registry &registry) { return registry.expire(now); });
+        for (const std::string &it : lost)
+            logEvent("silent", {{"id", it}, {"state", "lost"}});
+    }
     // Waits until there is a change after `version`, `stop` holds after a wake, or the time is up.
     void waitForChange(uint64_t version, Millis timeout, const std::function<bool()> &stop)
     {
@@ -58,6 +66,7 @@
         m_configuration = configuration;
         ++m_configurationChanges;
         m_changed.notify_all();
+        logEvent("configuration", {{"version", configuration.version()}});
     }
     void wakeAll()
     {
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -15,8 +15,8 @@
 
 MeshService::MeshService(LiveTable &table, std::vector<std::string> seeds, bool disk, uint64_t epoch)
     : m_table(table)
-    , m_disk(disk)
     , m_seeds(std::move(seeds))
+    , m_disk(disk)
     , m_epoch(epoch)
 {
 }
@@ -28,10 +28,11 @@
         return grpc::Status(grpc::StatusCode::INVALID_ARGUMENT, "'router' is empty; set 'id' in the router's settings");
     // Hosts of the router's own availability zone come first.
     std::set<std::pair<bool, std::string>> control;
+    if (m_disk)
+        m_table.expire(now);
     m_table.change([&](Registry &registry) {
         if (m_disk) {
             registry.take(request->router(), now);
-            registry.expire(now);
             registry.visibleSince(request->epoch() == m_epoch ? request->version() : 0, now, *reply);
         }
         for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
--- a/src/transport/operatorapi.cpp
+++ b/src/transport/operatorapi.cpp
@@ -21,19 +21,6 @@
 constexpr Millis DocumentTimeout{5000}; // an accepted change is in force within this time
 constexpr Millis ForcePoll{10};
 
-const char *roleName(Role role)
-{
-    switch (role) {
-    case Role::Leader:
-        return "leader";
-    case Role::Candidate:
-    case Role::PreCandidate:
-        return "candidate";
-    default:
-        return "follower";
-    }
-}
-
 void answer(httplib::Response &response, const Error &error)
 {
     response.status = traits(error.kind).httpStatus;
@@ -67,7 +54,7 @@
     return Json{{"self", describe(status.self)},
                 {"clusterId", status.clusterId},
                 {"founded", status.clusterId != 0},
-                {"role", roleName(status.role)},
+                {"role", toString(status.role)},
                 {"leads", status.leads(now)},
                 {"term", status.term},
                 {"commitIndex", status.commitIndex},
--- a/src/transport/ordersender.cpp
+++ b/src/transport/ordersender.cpp
@@ -74,8 +74,8 @@
         uint64_t born = 0;
     };
     std::map<std::string, Target> targets;
+    m_table.expire(now);
     m_table.change([&](Registry &registry) {
-        registry.expire(now);
         m_residency->observe(*table, registry, now);
         for (const std::pair<const std::string, LiveEndpoint> &it : registry.endpoints())
             targets[it.first] = Target{it.second.announcement.address(), it.second.announcement.born_ms()};
@@ -115,7 +115,15 @@
               {"expected", order.expectedSequence},
               {"sent", leads},
               {"status", answer ? answer->status : 0},
-              {"took_ms", (monotonicNow() - sentAt).count()}});
+              {"took_ms", (monotonicNow() - sentAt).count()},
+              {"waiting", order.inputs.waiting},
+              {"running", order.inputs.running},
+              {"longest_wait_ms", order.inputs.longestWait.count()},
+              {"holders", order.inputs.holders},
+              {"used_mb", int64_t(order.inputs.usedMegabytes)},
+              {"contents_age_ms", order.inputs.contentsAge.count()},
+              {"from_store", order.inputs.fromStore},
+              {"room_for", order.inputs.roomFor}});
     if (!m_residency || m_term != term)
         co_return;
     std::optional<OrderAnswer> outcome;
--- a/src/transport/replicanode.cpp
+++ b/src/transport/replicanode.cpp
@@ -259,6 +259,7 @@
 // While the disk fails, the replica does nothing at all, as if it were frozen: others take over.
 void ReplicaNode::retryUntilDurable(const std::function<Result<void>()> &write)
 {
+    std::string lastFault;
     while (true) {
         const Result<void> result = write();
         const std::string fault = result.has_error() ? result.error().message : "";
@@ -266,9 +267,11 @@
             const std::lock_guard lock(m_statusMutex);
             m_status.diskFault = fault;
         }
+        if (fault != lastFault)
+            logEvent(fault.empty() ? "disk_regained" : "disk_failure", {{"error", fault}});
+        lastFault = fault;
         if (fault.empty() || m_stop)
             return;
-        logEvent("disk_failure", {{"error", fault}});
         std::this_thread::sleep_for(DiskRetry);
     }
 }
@@ -418,6 +421,13 @@
             status.matchIndexes[fromProto(it.identity())] = m_raft->matchIndex(fromProto(it.identity()));
     }
     const std::lock_guard lock(m_statusMutex);
+    if (status.role != m_status.role || status.leader != m_status.leader)
+        logEvent("role",
+                 {{"role", toString(status.role)},
+                  {"term", status.term},
+                  {"leader", status.leader ? addressOf(*status.leader) : ""},
+                  {"committed", status.commitIndex},
+                  {"members", status.membership.members_size()}});
     status.diskFault = m_status.diskFault;
     m_status = std::move(status);
 }
--- a/tests/fleet_system_test.cpp
+++ b/tests/fleet_system_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/included/unit_test.hpp>
 #include <csignal>
+#include <sstream>
 #include <thread>
 
 using namespace roserail::test;
@@ -85,6 +86,41 @@
     BOOST_TEST(fleet.ask(1, "/none/x", "n1")->status == 404);
 }
 
+// The lines of a request, from its id: how each step was decided, with the age of what decided it.
+BOOST_AUTO_TEST_CASE(everyDecisionOfARequestIsInTheLog)
+{
+    Fleet fleet("fleet-log", PortBase + 1100);
+    startAll(fleet);
+    BOOST_TEST(put(fleet, 5));
+    BOOST_TEST(fleet.ready({1, 2}));
+    BOOST_TEST(answers(fleet, 1, "/s/events/1/", "m1"));
+    BOOST_TEST(fleet.ask(1, "/s/events/2/pause/5/", "held", "m1")->status == 200);
+    BOOST_TEST(fleet.ask(1, "/s/events/2/pause/5/", "cold", "m5")->status == 200);
+    const auto lines = [&](const std::string &event, const std::string &id) {
+        std::vector<std::string> found;
+        std::istringstream text(fleet.output("entry-1"));
+        for (std::string line; std::getline(text, line);) {
+            if (line.find(" event=" + event + " id=" + id + " ") != std::string::npos)
+                found.push_back(line);
+        }
+        return found;
+    };
+    BOOST_TEST(lines("wait", "held").empty());
+    BOOST_REQUIRE(lines("send", "held").size() == 1u);
+    for (const char *field : {" endpoint=i-1 ", " candidates=1 ", " left_ms=", " known=", " known_age_ms="})
+        BOOST_TEST(lines("send", "held").front().find(field) != std::string::npos, field);
+    BOOST_REQUIRE(lines("wait", "cold").size() == 1u);
+    BOOST_TEST(lines("wait", "cold").front().find(" model=m5 ") != std::string::npos);
+    BOOST_REQUIRE(lines("request", "cold").size() == 1u);
+    BOOST_TEST(lines("request", "cold").front().find(" outcome=completed ") != std::string::npos);
+    const std::string orders = fleet.output("keeper-1") + fleet.output("keeper-2") + fleet.output("keeper-3");
+    const size_t order = orders.find(" event=order action=load endpoint=i-");
+    BOOST_REQUIRE(order != std::string::npos);
+    const std::string line = orders.substr(order, orders.find('\n', order) - order);
+    for (const char *field : {" waiting=", " holders=", " used_mb=", " contents_age_ms=", " from_store="})
+        BOOST_TEST(line.find(field) != std::string::npos, field);
+}
+
 BOOST_AUTO_TEST_CASE(modelThatNobodyHoldsIsLoadedForTheRequestThatWaits)
 {
     Fleet fleet("fleet-load", PortBase + 100);
--- /dev/null
+++ b/tests/log_test.cpp
@@ -0,0 +1,90 @@
+// Logs: how much is written, what is given up first, and what a line looks like.
+#define BOOST_TEST_MODULE log
+#include "protocol/hostsettings.h"
+#include "protocol/log.h"
+#include "state/tunables.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/included/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace roserail;
+using namespace roserail::tunables;
+
+namespace bdata = boost::unit_test::data;
+
+BOOST_AUTO_TEST_CASE(linesAreBoundedInEverySpan)
+{
+    BOOST_TEST(rc::check("lines are bounded in every span", [] {
+        LogLimit limit;
+        const Time start(Millis(1000));
+        Time now = start;
+        double taken = 0;
+        for (int n = 0; n < 4000; ++n) {
+            now += Millis(*rc::gen::inRange(0, 4));
+            taken += limit.take(now, 0) ? 1 : 0;
+            const double seconds = double((now - start).count()) / 1000;
+            RC_ASSERT(taken <= LogLinesBurst + seconds * LogLinesPerSecond + 1);
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(decisionsGiveWayToOutcomesAndEvents)
+{
+    LogLimit limit;
+    const Time now(Millis(1000));
+    while (limit.take(now, LogLinesBurst / 2)) { }
+    BOOST_TEST(!limit.take(now, LogLinesBurst / 2));
+    int left = 0;
+    while (limit.take(now, 0))
+        ++left;
+    BOOST_TEST(left >= LogLinesBurst / 2 - 1);
+    BOOST_TEST(limit.take(now + Millis(1000), 0));
+}
+
+namespace
+{
+
+std::string settingsWith(const std::string &log)
+{
+    return "id: e1\nzone: a\naddress: 127.0.0.1\nseeds: [\"127.0.0.1:9000\"]\ninternalPort: 9100\nmetrics: \"127.0.0.1:9004\"\nlisten: \"127.0.0.1:9001\"\n"
+           "ready: \"127.0.0.1:9002\"\ndirectory: \"127.0.0.1:9003\"\n"
+        + log;
+}
+
+struct DetailRow {
+    const char *text;
+    LogDetail detail;
+};
+
+std::ostream &operator<<(std::ostream &out, const DetailRow &row)
+{
+    return out << row.text;
+}
+
+const DetailRow DetailRows[] = {
+    {"", LogDetail::Decisions},
+    {"log: decisions\n", LogDetail::Decisions},
+    {"log: outcomes\n", LogDetail::Outcomes},
+    {"log: events\n", LogDetail::Events},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(detailIsASetting, bdata::make(DetailRows), row)
+{
+    const Result<EntrySettings> settings = parseEntrySettings(settingsWith(row.text), "f");
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST((settings.value().host.log == row.detail));
+    // What --check prints can be read again.
+    const Result<EntrySettings> again = parseEntrySettings(describe(settings.value()), "f");
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST((again.value().host.log == row.detail));
+}
+
+BOOST_AUTO_TEST_CASE(unknownDetailNamesTheRemedy)
+{
+    const Result<EntrySettings> settings = parseEntrySettings(settingsWith("log: loud\n"), "f");
+    BOOST_REQUIRE(settings.has_error());
+    BOOST_TEST(settings.error().message.find("events, outcomes or decisions") != std::string::npos);
+}
