--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -206,6 +206,10 @@
         out.set_adapter(std::get<2>(it.first));
         out.set_running(demand.running);
         out.set_waiting(uint32_t(demand.waiting.size()));
+        Millis total{0};
+        for (const Time since : demand.waiting)
+            total += now - since;
+        out.set_total_wait_ms(uint64_t(total.count()));
         if (!demand.waiting.empty())
             out.set_longest_wait_ms(uint32_t((now - *demand.waiting.begin()).count()));
         result.push_back(std::move(out));
--- /dev/null
+++ b/src/coordination/demandorder.cpp
@@ -0,0 +1,41 @@
+#include "coordination/demandorder.h"
+
+#include "state/tunables.h"
+
+#include <algorithm>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+// The wait, in milliseconds, that one more holder would end; 0: none is wanted.
+double pressure(const ModelDemand &demand, uint32_t slots)
+{
+    if (demand.holders == 0)
+        return demand.waiting == 0 ? 0 : double(std::max(demand.totalWait, Millis(1)).count());
+    const double crowded = double(demand.running + demand.waiting) - double(demand.holders) * slots * CrowdedShare;
+    return std::max(0.0, crowded) * double(CrowdedWait.count());
+}
+
+} // namespace
+
+std::vector<std::string> demandOrder(const std::vector<ModelDemand> &demands, uint32_t slots)
+{
+    std::vector<std::pair<double, std::string>> rows;
+    for (const ModelDemand &it : demands) {
+        const double wait = pressure(it, slots);
+        if (wait > 0)
+            rows.emplace_back(-wait, it.model);
+    }
+    std::sort(rows.begin(), rows.end());
+    std::vector<std::string> models;
+    for (std::pair<double, std::string> &it : rows)
+        models.push_back(std::move(it.second));
+    return models;
+}
+
+} // namespace roserail
--- a/src/coordination/residency.cpp
+++ b/src/coordination/residency.cpp
@@ -1,5 +1,6 @@
 #include "coordination/residency.h"
 
+#include "coordination/demandorder.h"
 #include "state/invariant.h"
 #include "state/tunables.h"
 
@@ -107,14 +108,15 @@
         if (now > it.second.heardAt + RouterSilence)
             continue;
         for (const pb::ArtifactDemand &demand : it.second.state.demands()) {
-            const Millis wait = Millis(demand.longest_wait_ms()) + std::chrono::duration_cast<Millis>(now - it.second.heardAt);
+            const Millis age = now - it.second.heardAt;
             const auto add = [&](const ArtifactName &name) {
                 const ServiceArtifact key{ServiceId(demand.service()), name};
                 ModelWant &want = m_wants[key];
                 want.waiting += demand.waiting();
                 want.running += demand.running();
                 if (demand.waiting() > 0)
-                    want.longestWait = std::max(want.longestWait, wait);
+                    want.longestWait = std::max(want.longestWait, Millis(demand.longest_wait_ms()) + age);
+                want.totalWait += Millis(int64_t(demand.total_wait_ms())) + age * demand.waiting();
                 if (demand.waiting() + demand.running() > 0)
                     m_lastUse[key] = now;
             };
@@ -291,27 +293,18 @@
     }
 }
 
-// Models that requests wait for, longest wait first, and those whose holders are busy.
+// Models that requests wait for, and those whose holders are crowded.
 void Residency::planWaitingModels(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now)
 {
-    struct Row {
-        Millis wait;
-        std::string model;
-    };
-    std::vector<Row> rows;
+    std::vector<ModelDemand> demands;
     for (const std::pair<const std::string, ModelSpec> &it : spec.models) {
         const ModelWant *wanted = want(service, ArtifactName{it.first, ""});
         if (wanted == nullptr || loadsOrMakesRoom(service, it.first, now))
             continue;
-        const size_t held = holders(service, it.first);
-        const bool missing = held == 0 && wanted->waiting > 0;
-        const bool crowded = held > 0 && wanted->running + wanted->waiting > held * spec.slots * CrowdedShare;
-        if (missing || crowded)
-            rows.push_back(Row{missing ? wanted->longestWait : Millis(0), it.first});
+        demands.push_back(ModelDemand{it.first, wanted->waiting, wanted->running, wanted->totalWait, uint32_t(holders(service, it.first))});
     }
-    std::sort(rows.begin(), rows.end(), [](const Row &a, const Row &b) { return std::pair(b.wait, a.model) < std::pair(a.wait, b.model); });
-    for (const Row &it : rows)
-        placeModel(service, spec, it.model, true, plan, now);
+    for (const std::string &it : demandOrder(demands, spec.slots))
+        placeModel(service, spec, it, true, plan, now);
 }
 
 // Brings models of which no engine has a copy from the store ahead of need: a later load from a copy takes a tenth.
--- a/src/coordination/residency.h
+++ b/src/coordination/residency.h
@@ -21,6 +21,7 @@
     uint32_t waiting = 0;
     uint32_t running = 0;
     Millis longestWait{0};
+    Millis totalWait{0}; // of all that wait
 };
 
 class Residency
