A wait for a model ends before the caller leaves

Callers of a stream leave when nothing came for 2 s, 4 aims or 8 pauses; the wait was 0.6 of the deadline, 7.2 s and 15 s. They got no answer, though nothing had run and they could have been told to come back.

The route now carries the time after which callers leave (decoded in platform/), and coldWait, in a module without network, ends the wait a second before that, at 0.6 of a short patience. Tests: waitForAModelEndsBeforeTheCallerLeaves (table), platform_test of the decoded time.

--- a/src/state/routes.h
+++ b/src/state/routes.h
@@ -36,6 +36,7 @@
     Millis timeout{0}; // longest time until the final answer
     Millis aim{0}; // time until the first byte of an answer in time
     Millis gapAim{0}; // longest pause between events of an answer in time; 0: none
+    Millis abandonedAfter{0}; // callers of a stream leave when nothing came for so long; 0: at their deadline
     uint32_t priority = 0; // 0 is the most urgent
     uint32_t attempts = 1; // endpoints that one request may be sent to
     bool prefixAffinity = false; // requests name the parts of their prompts
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -63,7 +63,8 @@
 
 // Requests on general routes
 constexpr uint32_t SendsPerRequest = 3; // endpoints tried, those that refused it included
-constexpr double ColdWaitShare = 0.6; // of a request's time, for its model to be loaded; the rest is for the answer
+constexpr Millis ColdAnswerTime{1000}; // from a model's load to the first event, in a full batch; the end of a caller's patience
+constexpr double ColdWaitShare = 0.6; // of a short patience, for the load
 constexpr Millis DrainWaitTime{1500}; // of a stopping host, for models that are being loaded from a copy
 constexpr Millis DrainStreamTime{1000}; // later streams, of 6 s when engines are busy, would not end in the users' 8 s of grace
 constexpr Millis RetryAfterBusy{1000}; // about the time of a load from a copy, after which the model may be there
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "transport/forwarder.h"
 
+#include "coordination/admission.h"
 #include "protocol/eventrelay.h"
 #include "protocol/log.h"
 #include "protocol/metrics.h"
@@ -230,8 +231,7 @@
 Task<std::optional<Choice>> Forwarder::waitForModel(Request &request)
 {
     const Time since = monotonicNow();
-    const Millis whole = request.deadline - request.caller.arrivedAt();
-    const Time until = request.caller.arrivedAt() + Millis(int64_t(double(whole.count()) * ColdWaitShare));
+    const Time until = request.caller.arrivedAt() + coldWait(*request.route, request.deadline - request.caller.arrivedAt());
     net::steady_timer timer(m_io);
     logWait(request, since, until);
     m_balancer.waits(request.need, since);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,6 +1,7 @@
 // Decisions of the processes that serve general routes: routes, live state, choice of endpoint, membership from
 // seeds. No network, no clock.
 #define BOOST_TEST_MODULE fleet
+#include "coordination/admission.h"
 #include "coordination/balancer.h"
 #include "coordination/founding.h"
 #include "coordination/retry.h"
@@ -170,6 +171,34 @@
     BOOST_TEST((stepWithoutEndpoint(RouteProgress{Repeat::Never, false, 1, 0, 1}) == RouteStep::AnswerNotRun));
 }
 
+struct WaitRow {
+    bool stream;
+    int abandonedAfterMs;
+    int patienceMs;
+    int waitMs;
+};
+
+std::ostream &operator<<(std::ostream &out, const WaitRow &row)
+{
+    return out << row.stream << ' ' << row.abandonedAfterMs << ' ' << row.patienceMs;
+}
+
+// Load pattern: nothing is loaded for some seconds. A caller that leaves without an answer can't be told to come back.
+const WaitRow WaitRows[] = {
+    {true, 2000, 12000, 1200}, // leaves long before its deadline
+    {true, 2000, 1000, 600}, // or has little time itself
+    {true, 10000, 25000, 9000}, // a load from the store takes 6 s
+    {true, 0, 25000, 24000},    {false, 2000, 1000, 600}, {false, 0, 8000, 7000},
+};
+
+BOOST_DATA_TEST_CASE(waitForAModelEndsBeforeTheCallerLeaves, bdata::make(WaitRows), row)
+{
+    Route route;
+    route.stream = row.stream;
+    route.abandonedAfter = Millis(row.abandonedAfterMs);
+    BOOST_TEST(coldWait(route, Millis(row.patienceMs)).count() == row.waitMs);
+}
+
 BOOST_AUTO_TEST_CASE(repeatsStayUnderTheShareInEveryWindow)
 {
     rc::check([](const std::vector<std::pair<uint8_t, bool>> &events) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -72,6 +72,7 @@
     BOOST_TEST((first.repeat == Repeat::Resume));
     BOOST_TEST(first.stream);
     BOOST_TEST((first.aim == Millis(2500)));
+    BOOST_TEST((first.abandonedAfter == Millis(10000)));
     BOOST_TEST(first.attempts == 2u);
     BOOST_TEST((table.routes[1].repeat == Repeat::Always));
     BOOST_TEST(table.routes[1].services.size() == 2u);
