--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -97,6 +97,17 @@
     std::string endpoint; // of the last attempt
     unsigned status = 0; // that the caller got
     Millis waited{0}; // for a model
+    Time firstAt{}; // first bytes of the answer were passed on
+    Time lastAt{}; // the latest were
+    Millis longestPause{0}; // between two of them
+    void passedOn(Time now)
+    {
+        if (firstAt == Time())
+            firstAt = now;
+        else
+            longestPause = std::max(longestPause, Millis(now - lastAt));
+        lastAt = now;
+    }
     std::string cause; // of the last failure
 };
 
@@ -439,6 +450,7 @@
     request.progress.delivered = true;
     const bool bodyless = answer.status == 204 || answer.status == 304;
     std::string head = answerHead(request, answer);
+    request.passedOn(monotonicNow());
     head += bodyless ? "\r\n" : fmt::format("Content-Length: {}\r\n\r\n", body.size());
     if (!co_await request.caller.write(head + body))
         co_return AttemptEnd::Abandoned;
@@ -481,6 +493,7 @@
             bytes += "0\r\n\r\n";
         request.status = answer.status;
         request.progress.delivered = true;
+        request.passedOn(monotonicNow());
         if (!co_await request.caller.write(std::move(bytes))) {
             request.interrupt->callerLeft = true;
             co_return AttemptEnd::Abandoned;
@@ -549,6 +562,8 @@
                 {"status", request.status},
                 {"outcome", outcome},
                 {"waited_ms", request.waited.count()},
+                {"first_ms", request.firstAt == Time() ? -1 : (request.firstAt - request.caller.arrivedAt()).count()},
+                {"longest_pause_ms", request.longestPause.count()},
                 {"took_ms", (now - request.caller.arrivedAt()).count()},
                 {"cause", request.cause}});
 }
