--- a/src/coordination/residency.cpp
+++ b/src/coordination/residency.cpp
@@ -26,11 +26,11 @@
 
 } // namespace
 
-Residency::Residency(uint64_t term, std::string holder, Time ordersFrom)
+Residency::Residency(uint64_t term, uint64_t lastFence, std::string holder, Time ordersFrom)
     : m_term(term)
     , m_holder(std::move(holder))
     , m_ordersFrom(ordersFrom)
-    , m_fence(term * FencesPerTerm)
+    , m_fence(std::max(term * FencesPerTerm, lastFence))
 {
 }
 
--- a/src/coordination/residency.h
+++ b/src/coordination/residency.h
@@ -27,8 +27,9 @@
 class Residency
 {
 public:
-    // Starts to plan as leader of a term. No order leaves before `ordersFrom`.
-    Residency(uint64_t term, std::string holder, Time ordersFrom);
+    // Starts to plan as leader of a term, perhaps not for the first time in it: a leader that loses its lease and gets it
+    // back goes on after `lastFence`, the highest fencing number that it gave. No order leaves before `ordersFrom`.
+    Residency(uint64_t term, uint64_t lastFence, std::string holder, Time ordersFrom);
 
     // Takes what is configured and what is known of endpoints and of routers' demand.
     void observe(const RouteTable &table, const Registry &registry, Time now);
@@ -44,6 +45,11 @@
     };
     // What to send now. The caller sends all of it, and tells of each how it ended.
     Plan decide(Time now);
+    // The highest fencing number given so far.
+    uint64_t lastFence() const
+    {
+        return m_fence;
+    }
     // What routers have to know of engines' contents since the last call.
     std::vector<pb::Holdings> takeHoldings();
 
--- a/src/transport/ordersender.cpp
+++ b/src/transport/ordersender.cpp
@@ -51,21 +51,32 @@
     return m_routes;
 }
 
+// A leader that lost its lease and got it back in the same term goes on: nobody else led meanwhile.
+void OrderSender::beginTerm(uint64_t term, Time now)
+{
+    if (m_residency)
+        m_lastFence = m_residency->lastFence();
+    // An earlier leader's last order left before its lease ended, which was before this term began.
+    if (m_term != term)
+        m_ordersFrom = now + m_orderLease + OrderLeaseMargin;
+    m_term = term;
+    m_residency = std::make_unique<Residency>(m_term, m_lastFence, m_holder, m_ordersFrom);
+    logEvent("orders_begin", {{"term", m_term}, {"from_ms", (m_ordersFrom - now).count()}});
+}
+
 void OrderSender::planOnce(Time now)
 {
     const ReplicaStatus status = m_node.status();
     if (!status.leads(now)) {
-        if (m_residency)
-            logEvent("orders_stopped", {{"term", m_term}});
+        if (m_residency) {
+            m_lastFence = m_residency->lastFence();
+            logEvent("orders_stopped", {{"term", m_term}, {"last_fence", m_lastFence}});
+        }
         m_residency.reset();
         return;
     }
-    if (!m_residency || m_term != status.term) {
-        m_term = status.term;
-        // An earlier leader's last order left before its lease ended, which was before this term began.
-        m_residency = std::make_unique<Residency>(m_term, m_holder, now + m_orderLease + OrderLeaseMargin);
-        logEvent("orders_begin", {{"term", m_term}, {"from_ms", m_orderLease.count() + OrderLeaseMargin.count()}});
-    }
+    if (!m_residency || m_term != status.term)
+        beginTerm(status.term, now);
     const std::shared_ptr<const RouteTable> table = routes();
     if (!table)
         return;
--- a/src/transport/ordersender.h
+++ b/src/transport/ordersender.h
@@ -18,6 +18,7 @@
 
 private:
     void planOnce(Time now);
+    void beginTerm(uint64_t term, Time now);
     std::shared_ptr<const RouteTable> routes();
     Task<> send(ArtifactOrder order, std::string address, uint64_t term);
     Task<> ask(std::string endpoint, std::string address, uint64_t born, uint64_t term);
@@ -32,6 +33,8 @@
     std::shared_ptr<const RouteTable> m_routes;
     std::unique_ptr<Residency> m_residency; // while this process leads
     uint64_t m_term = 0;
+    Time m_ordersFrom{}; // no order leaves earlier in this term
+    uint64_t m_lastFence = 0; // of the plans before
 };
 
 } // namespace roserail
--- a/tests/residency_test.cpp
+++ b/tests/residency_test.cpp
@@ -62,7 +62,7 @@
 
     void lead()
     {
-        residency = std::make_unique<Residency>(term++, "holder", now);
+        residency = std::make_unique<Residency>(term++, 0, "holder", now);
     }
 
     double used(const FakeEngine &engine) const
@@ -187,7 +187,7 @@
 
     // One round of the leader. `fate` decides what becomes of each order: 0 to 5 answered, 6 carried out without an
     // answer, 7 lost, 8 late without an answer.
-    void plan(const std::function<int()> &fate)
+    void plan(const std::function<int()> &fate, std::vector<uint64_t> *fences = nullptr)
     {
         now += Millis(50);
         for (std::pair<const std::string, FakeEngine> &it : engines) {
@@ -221,6 +221,8 @@
         }
         for (const ArtifactOrder &it : plan.orders) {
             FakeEngine &engine = engines.at(it.endpoint);
+            if (fences != nullptr)
+                fences->push_back(it.fence);
             const int what = fate();
             if (what == 8)
                 engine.late.emplace_back(now + Millis(2000), it);
@@ -442,3 +444,28 @@
     // An unload or two and a load from a copy: 300 ms each, seen within a round.
     BOOST_TEST((rounds - 10) * 50 <= 1500);
 }
+
+// A leader that loses its lease and gets it back in the same term gives no fencing number twice, and no lower one.
+BOOST_AUTO_TEST_CASE(fencingNumbersRiseOverALeaseThatComesBack)
+{
+    World world;
+    std::vector<uint64_t> fences;
+    uint64_t sequence = 0;
+    for (std::pair<const std::string, FakeEngine> &it : world.engines) {
+        for (int i = 0; i < 7; ++i)
+            world.copies.insert(it.first + "/m" + std::to_string(i));
+        world.beat(it.second);
+    }
+    for (int life = 0; life < 3; ++life) {
+        const uint64_t last = world.residency->lastFence();
+        world.residency = std::make_unique<Residency>(7, last, "holder", world.now);
+        for (int i = 0; i < 40; ++i) {
+            world.want({{waits(("m" + std::to_string(life)).c_str(), 2, 2000), Millis(1000)}}, ++sequence);
+            world.plan([] { return 0; }, &fences);
+            for (std::pair<const std::string, FakeEngine> &it : world.engines)
+                world.beat(it.second);
+        }
+    }
+    BOOST_TEST(fences.size() >= 3u);
+    BOOST_TEST(std::is_sorted(fences.begin(), fences.end(), std::less_equal<uint64_t>()));
+}
