--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -53,12 +53,12 @@
     return fmt::format("id: {}\nzone: z1\naddress: {}\nseeds: [{}]\ninternalPort: {}\ngrace: 4s\n", id, address, seeds, m_base + 2);
 }
 
-void Fleet::startKeeper(int n, bool mayFound)
+void Fleet::startKeeper(int n, bool mayFound, int orderLeaseMs)
 {
     const std::string id = fmt::format("keeper-{}", n);
     const std::string text = settings(id, keeperHost(n))
-        + fmt::format("listen: \"{}:{}\"\ndataFolder: \"{}\"\nmayFound: {}\norderLease: 300ms\n", keeperHost(n), m_base + 1,
-                      (folder() / ("data-" + id)).string(), mayFound);
+        + fmt::format("listen: \"{}:{}\"\ndataFolder: \"{}\"\nmayFound: {}\norderLease: {}ms\n", keeperHost(n), m_base + 1,
+                      (folder() / ("data-" + id)).string(), mayFound, orderLeaseMs);
     spawn(id, {ROSERAIL_BUILD "/roserail-keeper", writeFile(id + ".yaml", text)});
 }
 
@@ -183,4 +183,10 @@
     return result ? Json::parse(result->body).value(id, Json::object()) : Json::object();
 }
 
+Json Fleet::orders(int runner)
+{
+    const httplib::Result result = clientFor("127.0.0.1", m_base + 40 + runner).Get("/orders");
+    return result ? Json::parse(result->body) : Json::array();
+}
+
 } // namespace roserail::test
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -17,7 +17,7 @@
     // Ports from `base` on belong to this system. Control host N has the address 127.0.0.N.
     Fleet(const std::string &name, int base);
 
-    void startKeeper(int n, bool mayFound);
+    void startKeeper(int n, bool mayFound, int orderLeaseMs = 300);
     void startEntry(int n);
     void startRunner(int n, const std::string &service, const std::string &models, bool refuseOrders = false);
     void wipe(int keeper);
@@ -34,6 +34,8 @@
                         httplib::Headers more = {});
     // What a runner has seen of a request.
     Json seen(int runner, const std::string &id);
+    // All orders that a runner got: holder, fence, ms.
+    Json orders(int runner);
     int entryPort(int n) const
     {
         return m_base + 10 + n;
--- /dev/null
+++ b/tests/fleet_faults_test.cpp
@@ -0,0 +1,178 @@
+// Faults of a whole system that is found by seeds, with real processes: a leader that stands still, answers that are cut,
+// callers that leave.
+#define BOOST_TEST_MODULE fleet_faults
+#include "fleet.h"
+
+#include <atomic>
+#include <boost/test/included/unit_test.hpp>
+#include <csignal>
+#include <thread>
+
+using namespace roserail::test;
+
+namespace
+{
+
+// Ports of the systems of this file; each test has its own.
+constexpr int PortBase = 28000;
+constexpr int OrderLeaseMs = 3000; // longer than an election, so that the wait is seen
+
+void startControl(Fleet &fleet, const std::vector<int> &entries)
+{
+    for (const int n : {1, 2, 3})
+        fleet.startKeeper(n, true, OrderLeaseMs);
+    for (const int n : entries)
+        fleet.startEntry(n);
+}
+
+bool serves(Fleet &fleet, const std::vector<int> &entries)
+{
+    const bool configured = eventually([&] {
+        const httplib::Result result = fleet.putConfiguration(1, 5);
+        return result && result->status == 200;
+    });
+    return configured && fleet.ready(entries);
+}
+
+// The control host that ordered last, by the logs.
+int leader(Fleet &fleet)
+{
+    int last = 0;
+    size_t term = 0;
+    for (const int n : {1, 2, 3}) {
+        const std::string text = fleet.output("keeper-" + std::to_string(n));
+        const size_t at = text.rfind("event=orders_begin term=");
+        if (at == std::string::npos)
+            continue;
+        const size_t its = std::stoul(text.substr(at + std::string("event=orders_begin term=").size()));
+        if (its > term) {
+            term = its;
+            last = n;
+        }
+    }
+    return last;
+}
+
+} // namespace
+
+// A leader stands still while models are loaded, another one takes over, and the first one wakes with orders planned.
+BOOST_AUTO_TEST_CASE(leaderThatStoodStillWithOrdersOutGivesNoMore)
+{
+    Fleet fleet("faults-freeze", PortBase);
+    startControl(fleet, {1, 2});
+    // Room for three of the six models that are asked for in turn: an order for nearly every request.
+    fleet.startRunner(1, "engines", "m1,m2,m3");
+    BOOST_TEST(serves(fleet, {1, 2}));
+    std::atomic<bool> stop{false};
+    const auto load = [&](int entry) {
+        for (int n = 0; !stop; ++n) {
+            const std::string id = "load-" + std::to_string(entry) + "-" + std::to_string(n);
+            fleet.ask(entry, "/s/events/1/", id, "m" + std::to_string((n * 5 + entry) % 6 + 1));
+        }
+    };
+    const auto orderedMore = [&] {
+        const size_t before = fleet.orders(1).size();
+        return eventually([&] { return fleet.orders(1).size() > before + 4; });
+    };
+    std::thread first(load, 1);
+    std::thread second(load, 2);
+    for (int round = 0; round < 2; ++round) {
+        BOOST_TEST(orderedMore());
+        const int frozen = leader(fleet);
+        fleet.signal("keeper-" + std::to_string(frozen), SIGSTOP);
+        BOOST_TEST(eventually([&] { return leader(fleet) != frozen; }));
+        BOOST_TEST(orderedMore());
+        fleet.signal("keeper-" + std::to_string(frozen), SIGCONT);
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+    }
+    stop = true;
+    first.join();
+    second.join();
+    const Json orders = fleet.orders(1);
+    BOOST_TEST(orders.size() > 10u);
+    size_t changes = 0;
+    for (size_t n = 1; n < orders.size(); ++n) {
+        BOOST_TEST(orders[n]["fence"] > orders[n - 1]["fence"]);
+        if (orders[n]["holder"] == orders[n - 1]["holder"])
+            continue;
+        ++changes;
+        BOOST_TEST(orders[n]["ms"].get<int64_t>() >= orders[n - 1]["ms"].get<int64_t>() + OrderLeaseMs);
+    }
+    BOOST_TEST(changes >= 2u);
+    BOOST_TEST(fleet.running("runner-1")); // it ends if it is overfilled
+}
+
+// An answer that ends in its middle is never passed on as whole, nor is its request run again where it must not.
+BOOST_AUTO_TEST_CASE(answersThatAreCutAreNotTakenForWhole)
+{
+    Fleet fleet("faults-cut", PortBase + 100);
+    startControl(fleet, {1});
+    for (const int n : {1, 2})
+        fleet.startRunner(n, "plain", "");
+    BOOST_TEST(serves(fleet, {1}));
+    BOOST_TEST(eventually([&] {
+        const httplib::Result result = fleet.ask(1, "/u/x", "probe");
+        return result && result->status == 200;
+    }));
+    int cut = 0;
+    for (int n = 0; n < 20; ++n) {
+        const std::string id = "once-" + std::to_string(n);
+        const httplib::Result once = fleet.ask(1, "/u/cut/1/", id);
+        const int runs = fleet.seen(1, id).value("runs", 0) + fleet.seen(2, id).value("runs", 0);
+        BOOST_TEST(runs == 1);
+        BOOST_REQUIRE(once);
+        BOOST_TEST((once->status == 200 || once->status == 502));
+        BOOST_TEST((once->status != 200 || once->body == "plain answer of i-2"));
+        cut += once->status == 502 ? 1 : 0;
+        // What may be repeated is, at the other runner.
+        const httplib::Result read = fleet.ask(1, "/r/cut/1/", "read-" + std::to_string(n));
+        BOOST_REQUIRE(read);
+        BOOST_TEST((read->status == 200 ? read->body == "plain answer of i-2" : read->status == 502));
+    }
+    BOOST_TEST(cut > 0);
+}
+
+// A caller that leaves while its model isn't there is forgotten: its request never runs.
+BOOST_AUTO_TEST_CASE(callerThatLeavesWhileItWaitsIsForgotten)
+{
+    Fleet fleet("faults-leave", PortBase + 200);
+    startControl(fleet, {1});
+    fleet.startRunner(1, "engines", "m1", true);
+    BOOST_TEST(serves(fleet, {1}));
+    BOOST_TEST(eventually([&] {
+        const httplib::Result result = fleet.ask(1, "/s/events/1/", "probe", "m1");
+        return result && result->status == 200;
+    }));
+    httplib::Client client("127.0.0.1", fleet.entryPort(1));
+    client.set_read_timeout(std::chrono::milliseconds(400));
+    const httplib::Headers headers{{"Host", "h.example"}, {"X-Request-Id", "leaves"}, {"X-Deadline-Ms", "10000"}, {"X-Model", "m2"}};
+    BOOST_TEST(!client.Post("/s/events/1/", headers, "", "text/plain"));
+    client.stop();
+    BOOST_TEST(eventually([&] { return fleet.output("entry-1").find(" id=leaves route=stream ") != std::string::npos; },
+                          std::chrono::milliseconds(1000)));
+    const std::string log = fleet.output("entry-1");
+    const size_t at = log.find("event=request id=leaves ");
+    BOOST_REQUIRE(at != std::string::npos);
+    BOOST_TEST(log.substr(at, log.find('\n', at) - at).find("outcome=caller_left") != std::string::npos);
+    BOOST_TEST(fleet.seen(1, "leaves").empty());
+}
+
+// Who waits for a model that doesn't come is told so before the time after which callers leave.
+BOOST_AUTO_TEST_CASE(waitEndsWithAnAnswerWhileTheCallerIsStillThere)
+{
+    Fleet fleet("faults-wait", PortBase + 300);
+    startControl(fleet, {1});
+    fleet.startRunner(1, "engines", "m1", true);
+    BOOST_TEST(serves(fleet, {1}));
+    BOOST_TEST(eventually([&] {
+        const httplib::Result result = fleet.ask(1, "/s/events/1/", "probe", "m1");
+        return result && result->status == 200;
+    }));
+    const std::chrono::steady_clock::time_point asked = std::chrono::steady_clock::now();
+    const httplib::Result result = fleet.ask(1, "/s/events/1/", "waits", "m2");
+    BOOST_REQUIRE(result);
+    BOOST_TEST(result->status == 503);
+    BOOST_TEST(!result->get_header_value("Retry-After").empty());
+    // The route's aim is 500 ms: callers leave after 2 s.
+    BOOST_TEST((std::chrono::steady_clock::now() - asked < std::chrono::milliseconds(2000)));
+}
--- a/tests/standin/runner_main.cpp
+++ b/tests/standin/runner_main.cpp
@@ -1,6 +1,6 @@
 // A stand-in for one of the users' runners: speaks their platform's protocol, holds models, takes orders, and says of
 // itself where it is. What a request asks for stands in its path: /events/N/ makes N events, /pause/MS/ pauses between
-// them, or before a plain answer.
+// them, or before a plain answer, /cut/N/ ends a plain answer in its middle if this is runner N.
 
 #include <atomic>
 #include <chrono>
@@ -45,6 +45,7 @@
         };
         m_server.Post("/api/order", [this](const httplib::Request &request, httplib::Response &response) { order(request, response); });
         m_server.Get("/api/report", [this](const httplib::Request &, httplib::Response &response) { report(response); });
+        m_server.Get("/orders", [this](const httplib::Request &, httplib::Response &response) { orders(response); });
         m_server.Get("/seen", [this](const httplib::Request &, httplib::Response &response) { seen(response); });
         m_server.Post(".*", [this](const httplib::Request &request, httplib::Response &response) { run(request, response); });
     }
@@ -115,6 +116,9 @@
         const std::lock_guard lock(m_mutex);
         settle();
         const Json body = Json::parse(request.body);
+        const std::chrono::milliseconds now
+            = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch());
+        m_orders.push_back(Json{{"holder", body.value("holder", "")}, {"fence", body.value("fencing_token", 0ull)}, {"ms", now.count()}});
         response.status = 409;
         if (m_options.refuseOrders || m_busy || body.value("expect", m_sequence) != m_sequence)
             return;
@@ -146,6 +150,13 @@
         response.set_content(body.dump(), "application/json");
     }
 
+    // All orders that arrived, also those that were refused.
+    void orders(httplib::Response &response)
+    {
+        const std::lock_guard lock(m_mutex);
+        response.set_content(m_orders.dump(), "application/json");
+    }
+
     void seen(httplib::Response &response)
     {
         const std::lock_guard lock(m_mutex);
@@ -187,6 +198,13 @@
         response.set_header("X-Server-Load", "1,0,8");
         const int pause = number(request.path, "pause", 0);
         const int events = number(request.path, "events", 0);
+        if (m_options.id == fmt::format("i-{}", number(request.path, "cut", 0))) {
+            const std::string half = "half of an answer";
+            response.set_content_provider(2 * half.size(), "text/plain", [half](size_t offset, size_t, httplib::DataSink &sink) {
+                return offset == 0 && sink.write(half.data(), half.size());
+            });
+            return;
+        }
         if (events == 0) {
             std::this_thread::sleep_for(std::chrono::milliseconds(pause));
             response.set_content("plain answer of " + m_options.id, "text/plain");
@@ -220,6 +238,7 @@
     std::map<std::string, std::set<std::string>> m_models;
     std::set<std::string> m_copies;
     Json m_seen = Json::object(); // by request id
+    Json m_orders = Json::array();
     uint64_t m_sequence = 0;
     bool m_busy = false;
     bool m_unloads = false;
