Refuse at once what no engine can load before its caller leaves, and say when to come back

The leader says from when on it orders; control hosts pass it on to routers. admitCold, without network, refuses at once if the pause and a load from a copy outlast the caller's patience, with that time as Retry-After, spread over half a second; who waits long enough still waits. Test whatCannotBeLoadedInTimeIsRefusedAtOnce.

--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -17,4 +17,14 @@
     return std::max(mostOfIt, whole - ColdAnswerTime);
 }
 
+ColdAdmission admitCold(const Route &route, const ModelSpec &model, Time arrived, Time deadline, Time ordersFrom, double spread, Time now)
+{
+    ColdAdmission result;
+    result.until = arrived + coldWait(route, deadline - arrived);
+    const Time loaded = ordersFrom + std::min(model.memoryLoad, model.diskLoad) + ColdRoundTime;
+    if (ordersFrom > now && loaded > result.until)
+        result.comeBackIn = loaded - now + Millis(int64_t(spread * double(ColdSpread.count())));
+    return result;
+}
+
 } // namespace roserail
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -1,4 +1,4 @@
-// How long a request may wait for its model.
+// Whether and how long a request may wait for its model.
 //
 // Load pattern: models are asked for faster than engines can load them, or nothing is loaded for some seconds after a
 // change of the holder of orders. Callers of streams don't wait until their deadline: they leave when nothing came for
@@ -7,10 +7,22 @@
 
 #include "state/routes.h"
 
+#include <optional>
+
 namespace roserail
 {
 
 // `patience`: the time until the request's deadline, counted from its arrival, as is the result.
 Millis coldWait(const Route &route, Millis patience);
 
+// What becomes of a request for a model that no engine holds.
+struct ColdAdmission {
+    Time until{}; // it may wait
+    std::optional<Millis> comeBackIn; // it can't be served: refused at once, and told when it can be
+};
+
+// While nothing may be loaded before `ordersFrom`, a request whose caller would have left by then is refused at once.
+// `spread`, from 0 to 1, keeps the refused from coming back all at the same moment.
+ColdAdmission admitCold(const Route &route, const ModelSpec &model, Time arrived, Time deadline, Time ordersFrom, double spread, Time now);
+
 } // namespace roserail
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -191,6 +191,17 @@
     return true;
 }
 
+Time Registry::ordersFrom() const
+{
+    const LiveKeeper *leader = nullptr;
+    for (const std::pair<const std::string, LiveKeeper> &it : m_keepers) {
+        const uint64_t term = it.second.state.term();
+        if (term > 0 && (leader == nullptr || term > leader->state.term()))
+            leader = &it.second;
+    }
+    return leader == nullptr ? Time() : leader->heardAt + Millis(leader->state.orders_in_ms());
+}
+
 std::vector<std::string> Registry::expire(Time now)
 {
     std::vector<std::string> lost;
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -77,6 +77,9 @@
     // Changes after a version that matter to routers.
     void visibleSince(uint64_t version, Time now, pb::SyncReply &out) const;
 
+    // From when on engines may be given orders, by the leader of the highest term that was heard of.
+    Time ordersFrom() const;
+
     const std::map<std::string, LiveEndpoint> &endpoints() const
     {
         return m_endpoints;
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -64,6 +64,8 @@
 // Requests on general routes
 constexpr uint32_t SendsPerRequest = 3; // endpoints tried, those that refused it included
 constexpr Millis ColdAnswerTime{1000}; // from a model's load to the first event, in a full batch; the end of a caller's patience
+constexpr Millis ColdRoundTime{300}; // an unload before a load, and the news of both
+constexpr Millis ColdSpread{500}; // over which callers that were refused come back; 6 loads of the users' sites
 constexpr double ColdWaitShare = 0.6; // of a short patience, for the load
 constexpr Millis DrainWaitTime{1500}; // of a stopping host, for models that are being loaded from a copy
 constexpr Millis DrainStreamTime{1000}; // later streams, of 6 s when engines are busy, would not end in the users' 8 s of grace
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -110,7 +110,9 @@
 void ControlPeers::sayState(Time now)
 {
     const ReplicaStatus status = m_node == nullptr ? ReplicaStatus() : m_node->status();
-    const uint64_t term = status.leads(now) ? status.term : 0;
+    // It leads for others once it knows when it may order.
+    const LiveTable::OrderStart orders = m_table.orderStart();
+    const uint64_t term = status.leads(now) && orders.term == status.term ? status.term : 0;
     const std::string founder
         = m_view.mayFound ? m_table.read([&](const Registry &registry) { return nameFounder(m_view, registry, now); }) : "";
     // A name once given stays: nobody else may found.
@@ -120,6 +122,7 @@
         return;
     m_sayAt = now + KeeperInterval;
     m_state.set_term(term);
+    m_state.set_orders_in_ms(orders.from > now ? uint64_t((orders.from - now).count()) : 0);
     m_state.set_sequence(m_state.sequence() + 1);
     m_table.change([&](Registry &registry) { registry.take(m_state, now); });
 }
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -97,6 +97,7 @@
     std::string endpoint; // of the last attempt
     unsigned status = 0; // that the caller got
     Millis waited{0}; // for a model
+    std::optional<Millis> comeBackIn; // when the model can be there
     Time firstAt{}; // first bytes of the answer were passed on
     Time lastAt{}; // the latest were
     Millis longestPause{0}; // between two of them
@@ -242,7 +243,16 @@
 Task<std::optional<Choice>> Forwarder::waitForModel(Request &request)
 {
     const Time since = monotonicNow();
-    const Time until = request.caller.arrivedAt() + coldWait(*request.route, request.deadline - request.caller.arrivedAt());
+    const ModelSpec &model = request.table->service(request.need.service)->engine.models.at(request.need.model);
+    const double spread = double(std::hash<std::string>()(request.facts.id) % 1000) / 1000;
+    const ColdAdmission admission
+        = admitCold(*request.route, model, request.caller.arrivedAt(), request.deadline, m_ordersFrom, spread, since);
+    request.comeBackIn = admission.comeBackIn;
+    if (request.comeBackIn) {
+        request.cause = fmt::format("no model is loaded for {} ms, after a change of control", (m_ordersFrom - since).count());
+        co_return std::nullopt;
+    }
+    const Time until = admission.until;
     net::steady_timer timer(m_io);
     logWait(request, since, until);
     m_balancer.waits(request.need, since);
@@ -533,7 +543,8 @@
     }
     const std::string cause = request.cause;
     if (step == RouteStep::AnswerNotRun) {
-        const Millis again = end == AttemptEnd::RefusedNotRun ? RetryAfterBusy / 2 : RetryAfterBusy;
+        const Millis busy = end == AttemptEnd::RefusedNotRun ? RetryAfterBusy / 2 : RetryAfterBusy;
+        const Millis again = request.comeBackIn.value_or(busy);
         const Error error{ErrorKind::NotRun, cause + "; not run, come back later", again.count()};
         co_await refuse(request, error, 503);
     } else if (request.interrupt->timeUp) {
--- a/src/transport/livetable.h
+++ b/src/transport/livetable.h
@@ -68,6 +68,21 @@
         m_changed.notify_all();
         logEvent("configuration", {{"version", configuration.version()}});
     }
+    // Since which term this process orders what engines hold, and from when on.
+    struct OrderStart {
+        uint64_t term = 0;
+        Time from{};
+    };
+    void setOrderStart(const OrderStart &start)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_orderStart = start;
+    }
+    OrderStart orderStart() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_orderStart;
+    }
     void wakeAll()
     {
         m_changed.notify_all();
@@ -79,6 +94,7 @@
     Registry m_registry;
     pb::WholeConfiguration m_configuration;
     uint64_t m_configurationChanges = 0;
+    OrderStart m_orderStart;
 };
 
 } // namespace roserail
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -35,6 +35,8 @@
             registry.take(request->router(), now);
             registry.visibleSince(request->epoch() == m_epoch ? request->version() : 0, now, *reply);
         }
+        if (registry.ordersFrom() > now)
+            reply->set_orders_in_ms(uint64_t((registry.ordersFrom() - now).count()));
         for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
             if (it.second.state.disk() && now < it.second.heardAt + KeeperFresh)
                 control.emplace(it.second.state.zone() != request->router().zone(), it.first);
--- a/src/transport/ordersender.cpp
+++ b/src/transport/ordersender.cpp
@@ -61,6 +61,7 @@
         m_ordersFrom = now + m_orderLease + OrderLeaseMargin;
     m_term = term;
     m_residency = std::make_unique<Residency>(m_term, m_lastFence, m_holder, m_ordersFrom);
+    m_table.setOrderStart(LiveTable::OrderStart{m_term, m_ordersFrom});
     logEvent("orders_begin", {{"term", m_term}, {"from_ms", (m_ordersFrom - now).count()}});
 }
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -199,6 +199,28 @@
     BOOST_TEST(coldWait(route, Millis(row.patienceMs)).count() == row.waitMs);
 }
 
+// Load pattern: the holder of orders has changed, and nothing is loaded for some seconds.
+BOOST_AUTO_TEST_CASE(whatCannotBeLoadedInTimeIsRefusedAtOnce)
+{
+    Route chat;
+    chat.stream = true;
+    chat.abandonedAfter = Millis(2000);
+    Route guide = chat;
+    guide.abandonedAfter = Millis(10000);
+    ModelSpec model;
+    model.memoryLoad = Millis(600);
+    model.diskLoad = Millis(800);
+    const Time deadline = Now + Millis(25000);
+    const ColdAdmission refused = admitCold(chat, model, Now, deadline, Now + Millis(3000), 0, Now);
+    BOOST_REQUIRE(refused.comeBackIn.has_value());
+    BOOST_TEST(refused.comeBackIn->count() == 3900);
+    BOOST_TEST((*admitCold(chat, model, Now, deadline, Now + Millis(3000), 1, Now).comeBackIn > *refused.comeBackIn));
+    // A caller who waits long enough, or for whom the pause is nearly over, waits.
+    BOOST_TEST(!admitCold(guide, model, Now, deadline, Now + Millis(3000), 0, Now).comeBackIn.has_value());
+    BOOST_TEST(!admitCold(chat, model, Now, deadline, Now + Millis(200), 0, Now).comeBackIn.has_value());
+    BOOST_TEST(!admitCold(chat, model, Now, deadline, Now - Millis(1), 0, Now).comeBackIn.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(repeatsStayUnderTheShareInEveryWindow)
 {
     rc::check([](const std::vector<std::pair<uint8_t, bool>> &events) {
