--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -132,7 +132,8 @@
     uint64_t epoch = 0; // of the peer's process
     uint64_t configuration = UINT64_MAX; // version that the peer has; unknown before its first answer
     PeerKind before = PeerKind::Unknown;
-    Time stateDue{};
+    Time stateDue{}; // of this host's own state
+    uint64_t saidTerm = 0; // that it had then
     bool reachable = true;
     while (!peer.stop) {
         // Changes that come together go out together.
@@ -151,7 +152,9 @@
             if (kind == PeerKind::Keeps || kind == PeerKind::Orders)
                 registry.changesSince(shared, kind == PeerKind::Orders, now, request);
             const auto self = registry.keepers().find(m_self);
-            if (now >= stateDue && self != registry.keepers().end())
+            const bool known = self != registry.keepers().end();
+            // Who leads, and from when on it orders, is urgent news.
+            if (known && (now >= stateDue || self->second.state.term() != saidTerm))
                 *request.add_keepers() = self->second.state;
         });
         const bool empty = request.endpoints_size() + request.routers_size() + request.keepers_size() == 0;
@@ -171,8 +174,10 @@
         if (status.ok() != reachable)
             logEvent(status.ok() ? "peer_regained" : "peer_lost", {{"peer", peer.channel.address()}, {"error", status.error_message()}});
         reachable = status.ok();
-        if (request.keepers_size() > 0 && status.ok())
+        if (request.keepers_size() > 0 && status.ok()) {
             stateDue = now + KeeperInterval;
+            saidTerm = request.keepers(0).term();
+        }
         if (!status.ok()) {
             std::this_thread::sleep_for(ShareRetry);
             continue;
