--- a/tests/log_test.cpp
+++ b/tests/log_test.cpp
@@ -47,7 +47,8 @@
 
 std::string settingsWith(const std::string &log)
 {
-    return "id: e1\nzone: a\naddress: 127.0.0.1\nseeds: [\"127.0.0.1:9000\"]\ninternalPort: 9100\nmetrics: \"127.0.0.1:9004\"\nlisten: \"127.0.0.1:9001\"\n"
+    return "id: e1\nzone: a\naddress: 127.0.0.1\nseeds: [\"127.0.0.1:9000\"]\ninternalPort: 9100\nmetrics: \"127.0.0.1:9004\"\nlisten: "
+           "\"127.0.0.1:9001\"\n"
            "ready: \"127.0.0.1:9002\"\ndirectory: \"127.0.0.1:9003\"\n"
         + log;
 }
