Residency in two sources: what is known of engines, and the plan made from it

Control hosts take over the detail of the log on a signal, as routers do. No functional change otherwise.

--- a/src/coordination/residency.h
+++ b/src/coordination/residency.h
@@ -116,7 +116,7 @@
     bool free(const Engine &engine, const std::string &forModel, Time now) const;
     bool storeAllows(const EngineSpec &spec, size_t inFlight, const Engine *besides, Time now) const;
     size_t storeLoads(const ServiceId &service, const Engine *besides, Time now) const;
-    bool reservedFromStore(const Engine &engine, Time now) const;
+    bool makesRoomForStore(const Engine &engine, Time now) const;
     size_t holders(const ServiceId &service, const std::string &model) const;
     bool loadsOrMakesRoom(const ServiceId &service, const std::string &model, Time now) const;
     double used(const Engine &engine, const EngineSpec &spec) const;
--- /dev/null
+++ b/src/coordination/residencyplan.cpp
@@ -0,0 +1,365 @@
+// The planning half of Residency: from demand and known contents to orders.
+#include "coordination/demandorder.h"
+#include "coordination/residency.h"
+#include "state/invariant.h"
+#include "state/tunables.h"
+
+#include <algorithm>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+Residency::Plan Residency::decide(Time now)
+{
+    Plan plan;
+    for (std::pair<const std::string, Engine> &it : m_engines) {
+        const std::optional<CurrentOrder> &current = it.second.current;
+        // Adapters are loaded without a heartbeat: they take a known time.
+        if (current && current->phase == Phase::CarriedOut && !current->order.adapter.empty() && now >= current->doneBy)
+            finishCurrent(it.second, now);
+    }
+    chaseReports(plan, now);
+    if (now < m_ordersFrom)
+        return plan;
+    while (!m_storeBegins.empty() && m_storeBegins.front() + StoreWindow < now)
+        m_storeBegins.pop_front();
+    for (const std::pair<const ServiceId, EngineSpec> &it : m_specs)
+        planService(it.first, it.second, plan, now);
+    return plan;
+}
+
+// Asks engines whose contents aren't known, and those whose order should have shown its effect by now.
+void Residency::chaseReports(Plan &plan, Time now)
+{
+    for (std::pair<const std::string, Engine> &it : m_engines) {
+        Engine &engine = it.second;
+        if (!engine.usable || engine.reportUnderWay || now < engine.reportFrom)
+            continue;
+        const bool overdue = engine.current && engine.current->phase != Phase::Sent && now > engine.current->doneBy + ReportLag;
+        const bool unknown = !engine.known && !engine.current;
+        if (!overdue && !unknown)
+            continue;
+        engine.reportUnderWay = true;
+        plan.reports.push_back(engine.endpoint);
+    }
+}
+
+void Residency::planService(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now)
+{
+    continueReservations(service, spec, plan, now);
+    planWaitingModels(service, spec, plan, now);
+    planAdapters(service, spec, plan, now);
+    planCopies(service, spec, plan, now);
+}
+
+// Goes on where an engine has made room, or part of it.
+void Residency::continueReservations(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now)
+{
+    for (std::pair<const std::string, Engine> &it : m_engines) {
+        Engine &engine = it.second;
+        const std::string model = engine.reservedFor;
+        if (engine.service != service || model.empty() || engine.current)
+            continue;
+        if (now >= engine.reservedUntil || spec.models.count(model) == 0) {
+            engine.reservedFor.clear();
+            continue;
+        }
+        if (!engine.known || !engine.usable || engine.held.count(model) != 0)
+            continue;
+        const ModelWant *wanted = want(service, ArtifactName{model, ""});
+        const bool urgent = wanted != nullptr && wanted->waiting > 0;
+        const std::optional<Option> option = optionOn(engine, spec, spec.models.at(model), urgent, now);
+        if (!option || (option->fromStore && !storeAllows(spec, StoreLoadsInFlight, &engine, now)))
+            continue;
+        if (option->victims.empty())
+            order(engine, OrderAction::Load, ArtifactName{model, ""}, option->fromStore, plan, now);
+        else
+            order(engine, OrderAction::Unload, ArtifactName{option->victims.front(), ""}, false, plan, now);
+    }
+}
+
+// Models that requests wait for, and those whose holders are crowded.
+void Residency::planWaitingModels(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now)
+{
+    std::vector<ModelDemand> demands;
+    for (const std::pair<const std::string, ModelSpec> &it : spec.models) {
+        const ModelWant *wanted = want(service, ArtifactName{it.first, ""});
+        if (wanted == nullptr || loadsOrMakesRoom(service, it.first, now))
+            continue;
+        demands.push_back(ModelDemand{it.first, wanted->waiting, wanted->running, wanted->totalWait, uint32_t(holders(service, it.first))});
+    }
+    for (const std::string &it : demandOrder(demands, spec.slots))
+        placeModel(service, spec, it, true, plan, now);
+}
+
+// Brings models of which no engine has a copy from the store ahead of need: a later load from a copy takes a tenth.
+void Residency::planCopies(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now)
+{
+    if (storeLoads(service, nullptr, now) >= StoreLoadsAhead)
+        return;
+    std::set<std::string> copied;
+    for (const std::pair<const std::string, Engine> &it : m_engines) {
+        const Engine &engine = it.second;
+        if (engine.service != service || !engine.usable)
+            continue;
+        copied.insert(engine.inMemory.begin(), engine.inMemory.end());
+        copied.insert(engine.onDisk.begin(), engine.onDisk.end());
+        for (const std::pair<const std::string, std::set<std::string>> &held : engine.held)
+            copied.insert(held.first);
+        if (engine.current)
+            copied.insert(engine.current->order.model);
+        copied.insert(engine.reservedFor);
+        // As long as an engine's contents are unknown, it may have any copy.
+        if (!engine.known)
+            return;
+    }
+    for (const std::pair<const std::string, ModelSpec> &it : spec.models) {
+        if (copied.count(it.first) == 0 && placeModel(service, spec, it.first, false, plan, now))
+            return;
+    }
+}
+
+void Residency::planAdapters(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now)
+{
+    std::vector<ArtifactName> waiting;
+    std::vector<ArtifactName> idle;
+    for (const std::pair<const std::string, ModelSpec> &it : spec.models) {
+        if (it.second.adapters == 0 || holders(service, it.first) == 0)
+            continue;
+        for (uint32_t n = 1; n <= it.second.adapters; ++n) {
+            const ArtifactName name{it.first, "a" + std::to_string(n)};
+            const ModelWant *wanted = want(service, name);
+            if (wanted != nullptr && wanted->waiting > 0)
+                waiting.push_back(name);
+            else if (lastUse(service, ArtifactName{it.first, ""}) + AdapterAheadTime > now)
+                idle.push_back(name);
+        }
+    }
+    for (const ArtifactName &it : waiting)
+        placeAdapter(service, spec, it, true, plan, now);
+    for (const ArtifactName &it : idle)
+        placeAdapter(service, spec, it, false, plan, now);
+}
+
+bool Residency::placeModel(const ServiceId &service, const EngineSpec &spec, const std::string &name, bool urgent, Plan &plan, Time now)
+{
+    const ModelSpec &model = spec.models.at(name);
+    std::optional<Option> best;
+    for (std::pair<const std::string, Engine> &it : m_engines) {
+        if (it.second.service != service || !free(it.second, name, now) || it.second.held.count(name) != 0)
+            continue;
+        const std::optional<Option> option = optionOn(it.second, spec, model, urgent, now);
+        if (!option || (option->fromStore && !storeAllows(spec, urgent ? StoreLoadsInFlight : StoreLoadsAhead, &it.second, now)))
+            continue;
+        if (!best || option->cost < best->cost)
+            best = option;
+    }
+    if (!best)
+        return false;
+    Engine &engine = *best->engine;
+    engine.reservedFor = name;
+    engine.reservedUntil = now + ReservationTime;
+    engine.reservedFromStore = best->fromStore;
+    if (best->victims.empty())
+        order(engine, OrderAction::Load, ArtifactName{name, ""}, best->fromStore, plan, now);
+    else
+        order(engine, OrderAction::Unload, ArtifactName{best->victims.front(), ""}, false, plan, now);
+    return true;
+}
+
+// The time until the engine would hold the model, and what it would have to unload, cheapest first.
+std::optional<Residency::Option> Residency::optionOn(Engine &engine, const EngineSpec &spec, const ModelSpec &model, bool urgent,
+                                                     Time now) const
+{
+    Option option;
+    option.engine = &engine;
+    const bool inMemory = engine.inMemory.count(model.name) != 0;
+    const bool onDisk = engine.onDisk.count(model.name) != 0;
+    option.fromStore = !inMemory && !onDisk;
+    option.cost = double((option.fromStore ? model.storeLoad : onDisk ? model.diskLoad : model.memoryLoad).count());
+    double room = spec.megabytes - used(engine, spec);
+    std::vector<std::pair<double, std::string>> victims;
+    for (const std::pair<const std::string, std::set<std::string>> &it : engine.held) {
+        const std::optional<double> cost = victimCost(engine, it.first, urgent, now);
+        if (cost)
+            victims.emplace_back(*cost, it.first);
+    }
+    std::sort(victims.begin(), victims.end());
+    for (const std::pair<double, std::string> &it : victims) {
+        if (room >= model.megabytes)
+            break;
+        const auto victim = spec.models.find(it.second);
+        room += victim == spec.models.end() ? 0 : victim->second.megabytes;
+        room += double(engine.held.at(it.second).size()) * (victim == spec.models.end() ? 0 : victim->second.adapterMegabytes);
+        option.cost += it.first;
+        option.victims.push_back(it.second);
+    }
+    if (room < model.megabytes)
+        return std::nullopt;
+    return option;
+}
+
+// What it costs callers, in milliseconds, that an engine gives up a model; nothing: it must not.
+std::optional<double> Residency::victimCost(const Engine &engine, const std::string &model, bool urgent, Time now) const
+{
+    const ArtifactName name{model, ""};
+    const size_t held = holders(engine.service, model);
+    const ModelWant *wanted = want(engine.service, name);
+    const uint32_t busy = wanted == nullptr ? 0 : wanted->running + wanted->waiting;
+    const EngineSpec *engineSpec = spec(engine.service);
+    if (busy > 0) {
+        // A busy model keeps enough holders for its requests.
+        const bool spare = held > 1 && busy < (held - 1) * engineSpec->slots * SpareShare;
+        if (!spare || !urgent)
+            return std::nullopt;
+        return VictimBusy;
+    }
+    const Time last = lastUse(engine.service, name);
+    const double idle = double(std::min(VictimIdle, std::chrono::duration_cast<Millis>(now - last)).count());
+    const double recent = 1 - idle / double(VictimIdle.count());
+    return UnloadTime + VictimRecent * recent / double(std::max<size_t>(1, held));
+}
+
+bool Residency::placeAdapter(const ServiceId &service, const EngineSpec &spec, const ArtifactName &name, bool urgent, Plan &plan, Time now)
+{
+    Engine *best = nullptr;
+    for (std::pair<const std::string, Engine> &it : m_engines) {
+        Engine &engine = it.second;
+        const auto held = engine.held.find(name.model);
+        if (engine.service != service || held == engine.held.end())
+            continue;
+        if (engine.known && held->second.count(name.adapter) != 0 && engine.usable)
+            return false;
+        const bool loading = engine.current && engine.current->order.model == name.model && engine.current->order.adapter == name.adapter;
+        if (loading)
+            return false;
+        if (!free(engine, name.model, now) || used(engine, spec) + spec.models.at(name.model).adapterMegabytes > spec.megabytes)
+            continue;
+        if (adapters(engine) >= spec.adapterSlots && !urgent)
+            continue;
+        if (best == nullptr || adapters(engine) < adapters(*best))
+            best = &engine;
+    }
+    if (best == nullptr)
+        return false;
+    if (adapters(*best) < spec.adapterSlots) {
+        order(*best, OrderAction::Load, name, false, plan, now);
+        return true;
+    }
+    // The adapter that was not used for longest makes room.
+    std::optional<std::pair<Time, ArtifactName>> oldest;
+    for (const std::pair<const std::string, std::set<std::string>> &it : best->held) {
+        for (const std::string &adapter : it.second) {
+            const ArtifactName candidate{it.first, adapter};
+            const ModelWant *wanted = want(service, candidate);
+            if (wanted != nullptr && wanted->running + wanted->waiting > 0)
+                continue;
+            const Time last = lastUse(service, candidate);
+            if (!oldest || last < oldest->first)
+                oldest = std::pair(last, candidate);
+        }
+    }
+    if (!oldest)
+        return false;
+    order(*best, OrderAction::Unload, oldest->second, false, plan, now);
+    return true;
+}
+
+OrderInputs Residency::inputsOf(const Engine &engine, const ArtifactName &name, bool fromStore, Time now) const
+{
+    OrderInputs inputs;
+    if (const ModelWant *wanted = want(engine.service, name)) {
+        inputs.waiting = wanted->waiting;
+        inputs.running = wanted->running;
+        inputs.longestWait = wanted->longestWait;
+    }
+    inputs.holders = uint32_t(holders(engine.service, name.model));
+    inputs.usedMegabytes = used(engine, *spec(engine.service));
+    inputs.contentsAge = now - engine.changedAt;
+    inputs.fromStore = fromStore;
+    inputs.roomFor = engine.reservedFor;
+    return inputs;
+}
+
+void Residency::order(Engine &engine, OrderAction action, const ArtifactName &name, bool fromStore, Plan &plan, Time now)
+{
+    invariant(engine.known && !engine.current, "an engine gets one order at a time, on known contents");
+    const EngineSpec &limits = *spec(engine.service);
+    if (action == OrderAction::Load && name.adapter.empty())
+        invariant(used(engine, limits) + limits.models.at(name.model).megabytes <= limits.megabytes, "a load fits into the memory left");
+    if (action == OrderAction::Load && !name.adapter.empty())
+        invariant(adapters(engine) < limits.adapterSlots, "an adapter fits into the slots left");
+    CurrentOrder current;
+    current.order.action = action;
+    current.order.endpoint = engine.endpoint;
+    current.order.model = name.model;
+    current.order.adapter = name.adapter;
+    current.order.holder = m_holder;
+    current.order.fence = ++m_fence;
+    current.order.expectedSequence = engine.sequence;
+    current.order.inputs = inputsOf(engine, name, fromStore, now);
+    current.fromStore = fromStore;
+    current.changedAt = now;
+    Millis duration = AdapterLoadTime * 2;
+    if (name.adapter.empty()) {
+        const auto model = limits.models.find(name.model);
+        duration = action == OrderAction::Unload || model == limits.models.end() ? UnloadWait : model->second.storeLoad;
+        if (action == OrderAction::Load && !fromStore)
+            duration = std::max(model->second.diskLoad, model->second.memoryLoad);
+    }
+    current.doneBy = now + duration;
+    if (fromStore)
+        m_storeBegins.push_back(now);
+    engine.current = current;
+    engine.published = false;
+    plan.orders.push_back(engine.current->order);
+}
+
+bool Residency::free(const Engine &engine, const std::string &forModel, Time now) const
+{
+    const bool reserved = !engine.reservedFor.empty() && engine.reservedFor != forModel && now < engine.reservedUntil;
+    return engine.usable && engine.known && !engine.current && !reserved;
+}
+
+bool Residency::makesRoomForStore(const Engine &engine, Time now) const
+{
+    return engine.reservedFromStore && !engine.reservedFor.empty() && now < engine.reservedUntil;
+}
+
+// Loads from the weight store that are under way, or for which room is being made, on other engines than `besides`.
+size_t Residency::storeLoads(const ServiceId &service, const Engine *besides, Time now) const
+{
+    return size_t(std::count_if(m_engines.begin(), m_engines.end(), [&](const std::pair<const std::string, Engine> &it) {
+        const Engine &engine = it.second;
+        // An engine whose contents are unknown may be loading for an earlier holder of orders.
+        const bool unknown = !engine.known && !engine.current && engine.usable;
+        const bool loads = engine.current && engine.current->fromStore;
+        return engine.service == service && &engine != besides && (loads || unknown || makesRoomForStore(engine, now));
+    }));
+}
+
+// True if one more load from the weight store, on `engine`, stays under its rate in every window and under `inFlight`.
+bool Residency::storeAllows(const EngineSpec &spec, size_t inFlight, const Engine *engine, Time now) const
+{
+    size_t under = 0;
+    for (const std::pair<const ServiceId, EngineSpec> &it : m_specs)
+        under += storeLoads(it.first, engine, now);
+    const double window = double(StoreWindow.count()) / 1000;
+    const auto recent = std::count_if(m_storeBegins.begin(), m_storeBegins.end(), [&](Time t) { return t + StoreWindow > now; });
+    return under < inFlight && double(recent) < spec.storeLoadsPerSecond * window;
+}
+
+bool Residency::loadsOrMakesRoom(const ServiceId &service, const std::string &model, Time now) const
+{
+    return std::any_of(m_engines.begin(), m_engines.end(), [&](const std::pair<const std::string, Engine> &it) {
+        const Engine &engine = it.second;
+        const bool loads = engine.current && engine.current->order.action == OrderAction::Load && engine.current->order.adapter.empty()
+            && engine.current->order.model == model;
+        const bool makesRoom = engine.reservedFor == model && now < engine.reservedUntil;
+        return engine.service == service && engine.usable && (loads || makesRoom);
+    });
+}
+
+} // namespace roserail
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -68,6 +68,7 @@
 void ControlPeers::applySettings(const KeeperSettings &settings)
 {
     m_view.seeds = internalSeeds(settings.host);
+    setLogDetail(settings.host.log);
     logEvent("settings", {{"seeds", fmt::format("{}", fmt::join(settings.host.seeds, ","))}});
 }
 
--- a/src/transport/controlpeers.h
+++ b/src/transport/controlpeers.h
@@ -25,7 +25,7 @@
 public:
     // `node` is null on a host without a disk.
     ControlPeers(net::io_context &io, const KeeperSettings &settings, LiveTable &table, ReplicaNode *node);
-    // Takes over what may change while the process runs: the seeds.
+    // Takes over what may change while the process runs: the seeds, the detail of the log.
     void applySettings(const KeeperSettings &settings);
     Task<> run();
 
