--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -17,6 +17,7 @@
 constexpr int PortBase = 28000;
 constexpr int OrderLeaseMs = 3000; // longer than an election, so that the wait is seen
 constexpr int ShortLeaseMs = 300;
+constexpr int EndlessLeaseMs = 30000; // no order is given while a test lasts
 
 void startControl(Fleet &fleet, const std::vector<int> &entries, int orderLeaseMs = ShortLeaseMs)
 {
@@ -62,6 +63,17 @@
     return begun;
 }
 
+// A system whose only engine holds m1 and takes no orders: any other model is waited for in vain.
+bool servesOnlyOneModel(Fleet &fleet, int orderLeaseMs)
+{
+    startControl(fleet, {1}, orderLeaseMs);
+    fleet.startRunner(1, "engines", "m1", true);
+    return serves(fleet, {1}) && eventually([&] {
+               const httplib::Result result = fleet.ask(1, "/s/events/1/", "probe", "m1");
+               return result && result->status == 200;
+           });
+}
+
 } // namespace
 
 // A leader stands still while models are loaded, another one takes over, and the first one wakes with orders planned.
@@ -145,13 +157,7 @@
 BOOST_AUTO_TEST_CASE(callerThatLeavesWhileItWaitsIsForgotten)
 {
     Fleet fleet("faults-leave", PortBase + 200);
-    startControl(fleet, {1});
-    fleet.startRunner(1, "engines", "m1", true);
-    BOOST_TEST(serves(fleet, {1}));
-    BOOST_TEST(eventually([&] {
-        const httplib::Result result = fleet.ask(1, "/s/events/1/", "probe", "m1");
-        return result && result->status == 200;
-    }));
+    BOOST_TEST(servesOnlyOneModel(fleet, ShortLeaseMs));
     BOOST_TEST(ordersRun(fleet));
     httplib::Client client("127.0.0.1", fleet.entryPort(1));
     client.set_read_timeout(std::chrono::milliseconds(400));
@@ -171,13 +177,7 @@
 BOOST_AUTO_TEST_CASE(waitEndsWithAnAnswerWhileTheCallerIsStillThere)
 {
     Fleet fleet("faults-wait", PortBase + 300);
-    startControl(fleet, {1});
-    fleet.startRunner(1, "engines", "m1", true);
-    BOOST_TEST(serves(fleet, {1}));
-    BOOST_TEST(eventually([&] {
-        const httplib::Result result = fleet.ask(1, "/s/events/1/", "probe", "m1");
-        return result && result->status == 200;
-    }));
+    BOOST_TEST(servesOnlyOneModel(fleet, ShortLeaseMs));
     BOOST_TEST(ordersRun(fleet));
     const std::chrono::steady_clock::time_point asked = std::chrono::steady_clock::now();
     const httplib::Result result = fleet.ask(1, "/s/events/1/", "waits", "m2");
@@ -192,13 +192,7 @@
 BOOST_AUTO_TEST_CASE(duringThePauseOfOrdersARequestIsToldWhenToComeBack)
 {
     Fleet fleet("faults-pause", PortBase + 400);
-    startControl(fleet, {1}, 30000);
-    fleet.startRunner(1, "engines", "m1", true);
-    BOOST_TEST(serves(fleet, {1}));
-    BOOST_TEST(eventually([&] {
-        const httplib::Result result = fleet.ask(1, "/s/events/1/", "probe", "m1");
-        return result && result->status == 200;
-    }));
+    BOOST_TEST(servesOnlyOneModel(fleet, EndlessLeaseMs));
     // The news of who leads takes a few round trips.
     BOOST_TEST(eventually([&] { return leader(fleet) != 0; }));
     std::this_thread::sleep_for(std::chrono::milliseconds(700));
