A request that crashes endpoints is refused everywhere after the third

Change: CrashWatch counts, over all routers, the lives of endpoints that ended while a request ran there; the reports travel with the routers' own state. A broken-off request makes its router ask whether the endpoint still listens (the connection is kept if it does). After the first loss the next send waits for that verdict.

--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -26,6 +26,8 @@
 constexpr size_t ChangeRecordsKept = 10000;
 constexpr Millis QuarantineTime = std::chrono::minutes(10);
 constexpr uint32_t CrashesBeforeQuarantine = 2;
+constexpr size_t CrashesBeforeRefusal = 3; // on general routes, where nothing confirms which request did it; the most that the users allow
+constexpr size_t CrashReportsKept = 32; // of one router; half of an engine's batch ran there when it crashed
 constexpr size_t DocumentBytes = 4u << 20;
 
 // Router sessions
--- a/src/transport/endpointpool.cpp
+++ b/src/transport/endpointpool.cpp
@@ -70,7 +70,7 @@
     return nullptr;
 }
 
-Task<EndpointConnectionPtr> EndpointPool::connect(const std::string &address, Millis timeout)
+Task<EndpointConnectionPtr> EndpointPool::connect(const std::string &address, Millis timeout, ErrorCode *why)
 {
     static Counter &connects = metrics().counter("roserail_endpoint_connects_total");
     const Result<tcp::endpoint> endpoint = parseEndpoint(address);
@@ -84,6 +84,8 @@
         const Deadline deadline(m_io, connection->socket, timeout);
         co_await connection->socket.async_connect(endpoint.value(), net::redirect_error(net::use_awaitable, ec));
     }
+    if (why != nullptr)
+        *why = ec;
     if (ec || !connection->socket.is_open())
         co_return nullptr;
     setUpConnection(connection->socket);
--- a/src/transport/endpointpool.h
+++ b/src/transport/endpointpool.h
@@ -31,7 +31,7 @@
     // A kept connection, or nothing.
     EndpointConnectionPtr takeIdle(const std::string &address, Time now);
     // A new connection; nothing if it can't be made in time.
-    Task<EndpointConnectionPtr> connect(const std::string &address, Millis timeout);
+    Task<EndpointConnectionPtr> connect(const std::string &address, Millis timeout, ErrorCode *why = nullptr);
     // Keeps a connection whose last answer is complete.
     void keep(EndpointConnectionPtr connection, Time now);
     // Closes connections that were idle for long.
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -39,7 +39,7 @@
     , m_registry(Lifetimes{EndpointSilence, RouterSilence}, monotonicNow())
     , m_balancer(settings.host.zone)
     , m_retries(settings.retryRatio, settings.retryWindow)
-    , m_forwarder(io, dialect, m_balancer, m_retries)
+    , m_forwarder(io, dialect, m_balancer, m_retries, m_crashes)
     , m_callers(io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
     , m_readiness(io, [this](CallerConnection &caller) { return answerReady(caller); })
     , m_directory(io, [this](CallerConnection &caller) { return answerResolve(caller); })
@@ -163,6 +163,8 @@
     state.set_accepting(ready());
     for (pb::ArtifactDemand &it : m_balancer.demands(monotonicNow()))
         *state.add_demands() = std::move(it);
+    for (pb::CrashReport &it : m_crashes.reports(monotonicNow()))
+        *state.add_crashes() = std::move(it);
     request.set_epoch(m_epoch);
     request.set_version(m_version);
     request.set_configuration(m_forwarder.table() ? m_forwarder.table()->version : 0);
@@ -208,6 +210,7 @@
     if (m_registry.version() == before)
         return;
     m_balancer.update(m_registry);
+    m_crashes.update(m_registry, m_settings.host.id);
     m_forwarder.endpointsChanged();
 }
 
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -38,6 +38,7 @@
     Registry m_registry; // as the control hosts tell it
     Balancer m_balancer;
     RetryWindow m_retries;
+    CrashWatch m_crashes;
     Forwarder m_forwarder;
     HttpServer m_callers;
     HttpServer m_readiness;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/string.hpp>
 
 #include <limits>
+#include <xxhash.h>
 
 namespace roserail
 {
@@ -51,6 +52,14 @@
     return route.services.back().service;
 }
 
+// What a request has in common with itself when its caller sends it again.
+Fingerprint fingerprintOf(const http::request<http::string_body> &request, const RequestFacts &facts)
+{
+    std::string text = fmt::format("{}\n{}\n{}\n", view(request.method_string()), view(request[http::field::host]), view(request.target()));
+    text += fmt::format("{}/{}\n{}", facts.model, facts.adapter, request.body());
+    return Fingerprint(XXH3_64bits(text.data(), text.size()));
+}
+
 std::string retryAfter(Millis time)
 {
     return fmt::format("{:.3f}", double(time.count()) / 1000);
@@ -89,6 +98,7 @@
     std::shared_ptr<const RouteTable> table;
     const Route *route = nullptr;
     RequestFacts facts;
+    Fingerprint fingerprint;
     Need need;
     Time deadline{};
     RouteProgress progress;
@@ -97,7 +107,8 @@
     std::string endpoint; // of the last attempt
     unsigned status = 0; // that the caller got
     Millis waited{0}; // for a model
-    std::optional<Millis> comeBackIn; // when the model can be there
+    ErrorKind refusal = ErrorKind::NotRun; // if no endpoint has run it
+    std::optional<Millis> comeBackIn; // when it can be served
     Time firstAt{}; // first bytes of the answer were passed on
     Time lastAt{}; // the latest were
     Millis longestPause{0}; // between two of them
@@ -120,11 +131,12 @@
     bool keepAlive = false;
 };
 
-Forwarder::Forwarder(net::io_context &io, const Dialect &dialect, Balancer &balancer, RetryWindow &retries)
+Forwarder::Forwarder(net::io_context &io, const Dialect &dialect, Balancer &balancer, RetryWindow &retries, CrashWatch &crashes)
     : m_io(io)
     , m_dialect(dialect)
     , m_balancer(balancer)
     , m_retries(retries)
+    , m_crashes(crashes)
     , m_pool(io)
 {
 }
@@ -199,6 +211,7 @@
     request.need.adapter = request.facts.adapter;
     request.need.prompt = request.facts.prompt;
     request.need.promptTokens = request.facts.promptTokens;
+    request.fingerprint = fingerprintOf(request.caller.request(), request.facts);
     request.progress.repeat = route.repeat;
     request.progress.maxRuns = route.attempts;
     m_retries.requestStarted(monotonicNow());
@@ -228,6 +241,12 @@
         request.cause = "this host stops; another one serves it";
         co_return std::nullopt;
     }
+    if (m_crashes.refuses(request.fingerprint, monotonicNow())) {
+        request.cause = "endpoints crashed while they ran this request";
+        request.refusal = ErrorKind::Quarantined;
+        request.comeBackIn = QuarantineTime;
+        co_return std::nullopt;
+    }
     std::optional<Choice> choice = m_balancer.choose(request.need, monotonicNow());
     if (choice || request.need.model.empty() || !m_balancer.serves(request.need.service))
         co_return choice;
@@ -314,6 +333,17 @@
     m_balancer.ended(request.need, choice, stay, monotonicNow());
     if (end == AttemptEnd::RefusedNotRun)
         --request.progress.runs;
+    if (end == AttemptEnd::Completed)
+        m_crashes.answered(request.fingerprint);
+    if (end == AttemptEnd::Interrupted && !request.interrupt->raised()) {
+        const bool suspect = m_crashes.crashes(request.fingerprint, monotonicNow()) > 0;
+        Task<> inspection = inspectLoss(request.facts.id, request.fingerprint, choice);
+        // The next endpoint waits for the verdict only if this would not be the first one lost.
+        if (suspect)
+            co_await std::move(inspection);
+        else
+            net::co_spawn(m_io, std::move(inspection), net::detached);
+    }
     if (end != AttemptEnd::Completed && stay != StayEnd::NotHeld)
         request.need.avoid.insert(choice.endpoint);
     if (reusable && connection->socket.is_open())
@@ -321,6 +351,26 @@
     co_return end;
 }
 
+// Finds out whether an endpoint that broke off a request still listens; if not, the request may have crashed it.
+Task<> Forwarder::inspectLoss(std::string id, Fingerprint fingerprint, Choice choice)
+{
+    ErrorCode ec;
+    EndpointConnectionPtr connection = co_await m_pool.connect(choice.address, EndpointConnectTimeout, &ec);
+    if (connection)
+        m_pool.keep(std::move(connection), monotonicNow());
+    if (ec != net::error::connection_refused && ec != net::error::connection_reset)
+        co_return;
+    const Time now = monotonicNow();
+    if (!m_crashes.crashed(fingerprint, choice.endpoint, choice.born, now))
+        co_return;
+    logEvent("endpoint_crashed",
+             {{"id", id},
+              {"endpoint", choice.endpoint},
+              {"born_ms", choice.born},
+              {"fingerprint", fmt::format("{:016x}", fingerprint.value())},
+              {"crashes", m_crashes.crashes(fingerprint, now)}});
+}
+
 std::string Forwarder::requestBytes(const Request &request, const Choice &choice, Time now) const
 {
     const http::request<http::string_body> &original = request.caller.request();
@@ -545,7 +595,7 @@
     if (step == RouteStep::AnswerNotRun) {
         const Millis busy = end == AttemptEnd::RefusedNotRun ? RetryAfterBusy / 2 : RetryAfterBusy;
         const Millis again = request.comeBackIn.value_or(busy);
-        const Error error{ErrorKind::NotRun, cause + "; not run, come back later", again.count()};
+        const Error error{request.refusal, cause + "; not run, come back later", again.count()};
         co_await refuse(request, error, 503);
     } else if (request.interrupt->timeUp) {
         const Error error{ErrorKind::Late, "no answer in time; it may have run", 0};
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/balancer.h"
+#include "coordination/crashwatch.h"
 #include "coordination/retry.h"
 #include "transport/endpointpool.h"
 
@@ -13,7 +14,7 @@
 class Forwarder
 {
 public:
-    Forwarder(net::io_context &io, const Dialect &dialect, Balancer &balancer, RetryWindow &retries);
+    Forwarder(net::io_context &io, const Dialect &dialect, Balancer &balancer, RetryWindow &retries, CrashWatch &crashes);
 
     // Takes a new configuration. Requests under way keep theirs.
     void setTable(std::shared_ptr<const RouteTable> table)
@@ -64,6 +65,7 @@
     Task<std::optional<Choice>> waitForModel(Request &request);
     Task<AttemptEnd> attempt(Request &request, const Choice &choice);
     Task<AttemptEnd> exchange(Request &request, const Choice &choice, EndpointConnection &connection, bool &reusable);
+    Task<> inspectLoss(std::string id, Fingerprint fingerprint, Choice choice);
     Task<bool> readHead(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
     Task<AttemptEnd> relay(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
     Task<AttemptEnd> relayStream(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
@@ -82,6 +84,7 @@
     const Dialect &m_dialect;
     Balancer &m_balancer;
     RetryWindow &m_retries;
+    CrashWatch &m_crashes;
     EndpointPool m_pool;
     std::shared_ptr<const RouteTable> m_table;
     std::function<void()> m_onWait;
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -17,6 +17,7 @@
 constexpr int PortBase = 28000;
 constexpr int OrderLeaseMs = 3000; // longer than an election, so that the wait is seen
 constexpr int ShortLeaseMs = 300;
+constexpr std::chrono::milliseconds ContactTime{3000}; // after which the users' rule holds at every router
 constexpr int EndlessLeaseMs = 30000; // no order is given while a test lasts
 
 void startControl(Fleet &fleet, const std::vector<int> &entries, int orderLeaseMs = ShortLeaseMs)
@@ -204,3 +205,37 @@
     BOOST_TEST(std::stod(result->get_header_value("Retry-After")) > 10);
     BOOST_TEST(fleet.seen(1, "paused").empty());
 }
+
+// Its caller sends it to two routers in turn, with twice as many attempts as there are endpoints.
+BOOST_AUTO_TEST_CASE(requestThatCrashesRunnersIsRefusedEverywhereAfterTheThird)
+{
+    Fleet fleet("faults-crash", PortBase + 900);
+    startControl(fleet, {1, 2});
+    const std::vector<int> runners{1, 2, 3, 4, 5};
+    for (const int n : runners)
+        fleet.startRunner(n, "plain", "");
+    BOOST_REQUIRE(serves(fleet, {1, 2}));
+    BOOST_REQUIRE(eventually([&] {
+        const httplib::Result result = fleet.ask(2, "/r/x", "probe");
+        return result && result->status == 200;
+    }));
+    const auto alive = [&] {
+        return std::count_if(runners.begin(), runners.end(), [&](int n) { return fleet.running("runner-" + std::to_string(n)); });
+    };
+    BOOST_TEST(fleet.ask(1, "/r/crash/", "crash-1")->status == 502);
+    BOOST_TEST(alive() == 3);
+    std::this_thread::sleep_for(ContactTime);
+    // The route allows two attempts; after the first of them three endpoints are lost.
+    BOOST_TEST(fleet.ask(2, "/r/crash/", "crash-2")->status == 502);
+    BOOST_TEST(alive() == 2);
+    std::this_thread::sleep_for(ContactTime);
+    for (const int entry : {1, 2}) {
+        const httplib::Result refused = fleet.ask(entry, "/r/crash/", "crash-3-" + std::to_string(entry));
+        BOOST_REQUIRE(refused);
+        BOOST_TEST(refused->status == 503);
+        BOOST_TEST(refused->body.find("quarantined_not_run") != std::string::npos);
+        BOOST_TEST(std::stod(refused->get_header_value("Retry-After")) > 0);
+        BOOST_TEST(fleet.ask(entry, "/r/x", "innocent-" + std::to_string(entry))->status == 200);
+    }
+    BOOST_TEST(alive() == 2);
+}
--- a/tests/standin/runner_main.cpp
+++ b/tests/standin/runner_main.cpp
@@ -194,6 +194,8 @@
             entry["path"] = request.path;
             entry["body"] = request.body;
         }
+        if (request.path.find("/crash/") != std::string::npos)
+            std::_Exit(1);
         response.set_header("X-Server-Seal", "seal-" + id);
         response.set_header("X-Server-Load", "1,0,8");
         const int pause = number(request.path, "pause", 0);
