An attempt that never left needs no place in the retry budget

Cause: with three dead runners still listed (silence counts after 9 s), an innocent request got 503 in the new process test: each refused connection used up a retry, and two routers' shares were gone after six. Nothing had been sent, so nothing weighed on a runner. Change: the first send is free, however many endpoints don't accept a connection. A dead end is still bounded: each is tried once for a request. The check 'without room in the budget nothing is sent again' now says for which end it isn't a second send.

--- a/src/coordination/retry.cpp
+++ b/src/coordination/retry.cpp
@@ -119,7 +119,9 @@
     const bool unrun = end == AttemptEnd::NotSent || end == AttemptEnd::RefusedNotRun;
     const bool room = progress.sends < SendsPerRequest;
     const bool allowed = unrun || (progress.repeat != Repeat::Never && progress.runs < progress.maxRuns);
-    if (end != AttemptEnd::Abandoned && allowed && room && mayRetry())
+    // What never left doesn't burden an endpoint: it needs no place in the budget.
+    const bool free = end == AttemptEnd::NotSent && progress.sends == 0;
+    if (end != AttemptEnd::Abandoned && allowed && room && (free || mayRetry()))
         return RouteStep::Retry;
     return stepWithoutEndpoint(progress);
 }
--- a/src/coordination/retry.h
+++ b/src/coordination/retry.h
@@ -79,7 +79,7 @@
 // What follows if no endpoint can be found for a request.
 RouteStep stepWithoutEndpoint(const RouteProgress &progress);
 
-// `mayRetry` is asked only if a retry is allowed by the route, and uses up a place in the budget.
+// `mayRetry` is asked only if a retry is allowed by the route and would be a second send, and uses up a place in the budget.
 RouteStep nextRouteStep(const RouteProgress &progress, AttemptEnd end, const std::function<bool()> &mayRetry);
 
 // Retries in a sliding window: a share of the requests, and this router's part of what the system may have besides.
