A copy on a busy engine comes before a load from the store

Change: a model for which only the store is left at once waits if an engine with a copy is expected to have it loaded sooner. Ruled out: too many adapter orders (none under way in any round), unknown contents (0.3 engines), the store's rate. Test: copyOnABusyEngineComesBeforeTheStore (fails without the change).

--- a/src/coordination/residency.h
+++ b/src/coordination/residency.h
@@ -110,6 +110,7 @@
     bool placeModel(const ServiceId &service, const EngineSpec &spec, const std::string &model, bool urgent, Plan &plan, Time now);
     bool placeAdapter(const ServiceId &service, const EngineSpec &spec, const ArtifactName &name, bool urgent, Plan &plan, Time now);
     std::optional<Option> optionOn(Engine &engine, const EngineSpec &spec, const ModelSpec &model, bool urgent, Time now) const;
+    Millis copyReadyIn(const ServiceId &service, const ModelSpec &model, Time now) const;
     std::optional<double> victimCost(const Engine &engine, const std::string &model, bool urgent, Time now) const;
     OrderInputs inputsOf(const Engine &engine, const ArtifactName &name, bool fromStore, Time now) const;
     void order(Engine &engine, OrderAction action, const ArtifactName &name, bool fromStore, Plan &plan, Time now);
--- a/src/coordination/residencyplan.cpp
+++ b/src/coordination/residencyplan.cpp
@@ -156,7 +156,8 @@
         if (!best || option->cost < best->cost)
             best = option;
     }
-    if (!best)
+    // An engine that has a copy and is busy for a while is waited for, rather than another one kept busy for longer.
+    if (!best || (best->fromStore && copyReadyIn(service, model, now) < model.storeLoad))
         return false;
     Engine &engine = *best->engine;
     engine.reservedFor = name;
@@ -201,6 +202,27 @@
     return option;
 }
 
+// The time until an engine that has a copy of the model, and is busy now, has probably loaded it.
+//
+// Load pattern: many rare models are asked for, each with copies on a few engines that are busy with other loads. A load
+// from the store on an idle engine lasts longer than their loads, and keeps that engine from serving its own copies.
+Millis Residency::copyReadyIn(const ServiceId &service, const ModelSpec &model, Time now) const
+{
+    Millis best = Millis::max();
+    for (const std::pair<const std::string, Engine> &it : m_engines) {
+        const Engine &engine = it.second;
+        const bool copy = engine.inMemory.count(model.name) != 0 || engine.onDisk.count(model.name) != 0;
+        if (engine.service != service || !engine.usable || !copy || engine.held.count(model.name) != 0)
+            continue;
+        // The runs of what would make room, or the order that is under way.
+        Millis wait = UnloadWait;
+        if (engine.current)
+            wait = std::max(Millis(0), engine.current->doneBy - now) + ColdRoundTime;
+        best = std::min(best, wait + std::max(model.diskLoad, model.memoryLoad));
+    }
+    return best;
+}
+
 // What it costs callers, in milliseconds, that an engine gives up a model; nothing: it must not.
 std::optional<double> Residency::victimCost(const Engine &engine, const std::string &model, bool urgent, Time now) const
 {
--- a/tests/residency_test.cpp
+++ b/tests/residency_test.cpp
@@ -445,6 +445,46 @@
     BOOST_TEST((rounds - 10) * 50 <= 1500);
 }
 
+// Load pattern: rare models with a copy on one engine are asked for together, and another engine is idle. The busy engine
+// is waited for while it loads from copies; not if a load from the store blocks it for longer than one would take.
+BOOST_AUTO_TEST_CASE(copyOnABusyEngineComesBeforeTheStore)
+{
+    for (const bool blocked : {false, true}) {
+        World world(2, 7);
+        const auto answered = [] {
+            return 0;
+        };
+        uint64_t sequence = 0;
+        const auto round = [&](const std::vector<std::string> &waiting) {
+            std::vector<std::pair<ModelDemand, Millis>> demands;
+            for (const std::string &it : waiting) {
+                if (!world.holds(it))
+                    demands.emplace_back(waits(it.c_str(), 1, 500), Millis(500));
+            }
+            world.want(demands, ++sequence);
+            world.plan(answered);
+            for (std::pair<const std::string, FakeEngine> &it : world.engines)
+                world.beat(it.second);
+        };
+        for (const char *copy : {"e0/m3", "e0/m4", "e1/m0", "e1/m1", "e1/m2", "e1/m6"})
+            world.copies.insert(copy);
+        // The only copy of this one, if there is any, is not asked for.
+        if (!blocked)
+            world.copies.insert("e1/m5");
+        for (std::pair<const std::string, FakeEngine> &it : world.engines)
+            world.beat(it.second);
+        const FakeEngine &keeper = world.engines.at("e0");
+        while (blocked && !keeper.underWay)
+            round({});
+        const size_t before = world.storeLoads.size();
+        for (int i = 0; i < 40; ++i)
+            round({"m3", "m4"});
+        BOOST_TEST((world.storeLoads.size() > before) == blocked);
+        BOOST_TEST(world.holds("m3") == !blocked);
+        BOOST_TEST(world.holds("m4") == !blocked);
+    }
+}
+
 // A leader that loses its lease and gets it back in the same term gives no fencing number twice, and no lower one.
 BOOST_AUTO_TEST_CASE(fencingNumbersRiseOverALeaseThatComesBack)
 {
