Requests wait a moment for the first configuration of their host

A caller that leaves meanwhile is noticed. A host that still knows none answers 503 as before. Tests: waitForTheConfigurationLeavesTimeForAnotherHost, requestWaitsForTheFirstConfiguration.

--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -9,6 +9,13 @@
 
 using namespace tunables;
 
+Millis configurationWait(std::optional<Millis> patience)
+{
+    if (!patience)
+        return ConfigurationWait;
+    return std::min(ConfigurationWait, Millis(int64_t(double(patience->count()) * ConfigurationWaitShare)));
+}
+
 Millis coldWait(const Route &route, Millis patience)
 {
     const bool leaves = route.stream && route.abandonedAfter > Millis(0);
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -12,6 +12,9 @@
 namespace roserail
 {
 
+// How long, counted from its arrival, a request may wait at a host that has just started and knows no configuration yet.
+Millis configurationWait(std::optional<Millis> patience);
+
 // `patience`: the time until the request's deadline, counted from its arrival, as is the result.
 Millis coldWait(const Route &route, Millis patience);
 
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -69,6 +69,8 @@
 constexpr Millis ColdRoundTime{300}; // an unload before a load, and the news of both
 constexpr Millis ColdSpread{500}; // over which callers that were refused come back; 6 loads of the users' sites
 constexpr double ColdWaitShare = 0.6; // of a short patience, for the load
+constexpr Millis ConfigurationWait{800}; // from a router's start to its configuration, while control hosts elect a leader too
+constexpr double ConfigurationWaitShare = 0.3; // of the caller's patience, so that it can still turn to another host
 constexpr Millis DrainWaitTime{1500}; // of a stopping host, for models that are being loaded from a copy
 constexpr Millis DrainStreamTime{1000}; // later streams, of 6 s when engines are busy, would not end in the users' 8 s of grace
 constexpr Millis RetryAfterBusy{1000}; // about the time of a load from a copy, after which the model may be there
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -157,6 +157,22 @@
 {
     Request request(caller, m_table);
     request.facts = m_dialect.requestFacts(caller.lookup());
+    net::co_spawn(m_io, watchCaller(caller, request.interrupt), net::detached);
+    ++m_active;
+    co_await serve(request);
+    --m_active;
+    request.interrupt->finished = true;
+    ErrorCode ec;
+    caller.socket().cancel(ec);
+    if (request.interrupt->callerLeft)
+        caller.abort();
+}
+
+Task<> Forwarder::serve(Request &request)
+{
+    CallerConnection &caller = request.caller;
+    if (!request.table)
+        co_await waitForConfiguration(request);
     if (!request.table) {
         const Error error{ErrorKind::Unavailable, "no configuration is known yet; come back later", RetryAfterBusy.count()};
         co_await refuse(request, error, 503);
@@ -169,24 +185,33 @@
         co_await refuse(request, error, 404);
         co_return;
     }
-    ++m_active;
-    const Time now = caller.arrivedAt();
-    request.deadline = now + request.route->timeout;
+    request.deadline = caller.arrivedAt() + request.route->timeout;
     if (request.facts.patience)
-        request.deadline = std::min(request.deadline, now + *request.facts.patience);
+        request.deadline = std::min(request.deadline, caller.arrivedAt() + *request.facts.patience);
     net::steady_timer timer(m_io, request.deadline - monotonicNow());
     timer.async_wait([interrupt = request.interrupt](const ErrorCode &ec) {
         if (!ec)
             interrupt->raise(interrupt->timeUp);
     });
-    net::co_spawn(m_io, watchCaller(caller, request.interrupt), net::detached);
     co_await forward(request);
-    request.interrupt->finished = true;
-    ErrorCode ec;
-    caller.socket().cancel(ec);
-    if (request.interrupt->callerLeft)
-        caller.abort();
-    --m_active;
+}
+
+// A host that has just started learns the configuration within a moment: requests that come before are held for it.
+Task<> Forwarder::waitForConfiguration(Request &request)
+{
+    const Time until = request.caller.arrivedAt() + configurationWait(request.facts.patience);
+    net::steady_timer timer(m_io, until - monotonicNow());
+    request.interrupt->stop = [&timer] {
+        timer.cancel();
+    };
+    m_waiters.insert(&timer);
+    while (!m_table && !request.interrupt->raised() && monotonicNow() < std::min(until, m_waitUntil)) {
+        ErrorCode ec;
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    }
+    m_waiters.erase(&timer);
+    request.interrupt->stop = nullptr;
+    request.table = m_table;
 }
 
 // Notices a caller that closes its connection while its request is under way.
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -20,12 +20,13 @@
     void setTable(std::shared_ptr<const RouteTable> table)
     {
         m_table = std::move(table);
+        endpointsChanged();
     }
     const std::shared_ptr<const RouteTable> &table() const
     {
         return m_table;
     }
-    // Endpoints, or what they hold, have changed: requests that wait look again.
+    // What is known has changed: requests that wait look again.
     void endpointsChanged();
     // Control was heard: what is known of endpoints is of this version, and as of now.
     void controlHeard(uint64_t version, Time now)
@@ -60,6 +61,8 @@
     struct Request;
     struct Interrupt;
 
+    Task<> serve(Request &request);
+    Task<> waitForConfiguration(Request &request);
     Task<> forward(Request &request);
     Task<std::optional<Choice>> findEndpoint(Request &request);
     Task<std::optional<Choice>> waitForModel(Request &request);
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -206,6 +206,32 @@
     BOOST_TEST(fleet.seen(1, "paused").empty());
 }
 
+// A request that comes to a host before the configuration does is held for a moment, not refused.
+BOOST_AUTO_TEST_CASE(requestWaitsForTheFirstConfiguration)
+{
+    Fleet fleet("faults-early", PortBase + 1000);
+    startControl(fleet, {1});
+    fleet.startRunner(3, "plain", "");
+    BOOST_REQUIRE(eventually([&] { return leader(fleet) > 0; }));
+    // The host is up, and says "not run" in the end if nothing comes.
+    BOOST_REQUIRE(eventually([&] {
+        const httplib::Result refused = fleet.ask(1, "/u/x", "refused");
+        return refused && refused->status == 503;
+    }));
+    std::atomic<int> status{0};
+    std::thread caller([&] {
+        const httplib::Result held = fleet.ask(1, "/u/x", "held");
+        status = held ? held->status : -1;
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    BOOST_TEST(status == 0);
+    const httplib::Result put = fleet.putConfiguration(leader(fleet), 5);
+    BOOST_REQUIRE(put);
+    BOOST_TEST(put->status == 200);
+    caller.join();
+    BOOST_TEST(status == 200);
+}
+
 // Its caller sends it to two routers in turn, with twice as many attempts as there are endpoints.
 BOOST_AUTO_TEST_CASE(requestThatCrashesRunnersIsRefusedEverywhereAfterTheThird)
 {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -202,6 +202,15 @@
 }
 
 // Load pattern: the holder of orders has changed, and nothing is loaded for some seconds.
+// Load pattern: all hosts have just started, and callers come before the configuration does.
+BOOST_AUTO_TEST_CASE(waitForTheConfigurationLeavesTimeForAnotherHost)
+{
+    BOOST_TEST((configurationWait(Millis(1000)) == Millis(300)));
+    BOOST_TEST((configurationWait(Millis(25000)) == tunables::ConfigurationWait));
+    BOOST_TEST((configurationWait(std::nullopt) == tunables::ConfigurationWait));
+    BOOST_TEST((configurationWait(Millis(0)) == Millis(0)));
+}
+
 BOOST_AUTO_TEST_CASE(whatCannotBeLoadedInTimeIsRefusedAtOnce)
 {
     Route chat;
