Each process of the general data path tells its state on request

GET /dump at the metrics address: the process's own state, and all endpoints, routers and control hosts that it has heard of with their age. Test: dumpTellsWhatAProcessBelieves. No functional change besides. A trap on the way: GCC 12 destroys a conditional temporary in a co_await expression twice; the text is named first.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -31,7 +31,10 @@
     const Result<void> listening = api.listen();
     if (listening.has_error())
         return reportFatal(listening.error());
-    HttpServer metricsServer(io, answerMetrics);
+    const std::function<std::string()> dump = [&api] {
+        return api.dump();
+    };
+    HttpServer metricsServer(io, [&dump](CallerConnection &caller) { return answerWatcher(caller, dump); });
     if (!settings.host.metrics.empty() && metricsServer.listen(settings.host.metrics).has_error())
         return reportFatal(Error{ErrorKind::BadSettings, "cannot listen on 'metrics'; free the port or correct the address", 0});
     std::thread worker([&io] { io.run(); });
--- a/src/keeper.cpp
+++ b/src/keeper.cpp
@@ -5,6 +5,7 @@
 #include "protocol/hostsettings.h"
 #include "protocol/log.h"
 #include "protocol/metrics.h"
+#include "protocol/statedump.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
 #include "transport/controlpeers.h"
@@ -38,6 +39,24 @@
     return std::make_unique<ReplicaNode>(std::move(storage), self, seeds, SnapshotEvery, randomNumber(), policy);
 }
 
+std::string dumpKeeper(const LiveTable &table, const ReplicaNode *node)
+{
+    const Time now = monotonicNow();
+    nlohmann::json process{{"configuration", table.configurationVersion()}, {"disk", node != nullptr}};
+    if (node != nullptr) {
+        const ReplicaStatus status = node->status();
+        process["term"] = status.term;
+        process["leads"] = status.leads(now);
+        process["committed"] = status.commitIndex;
+        process["applied"] = status.appliedIndex;
+        process["last"] = status.lastIndex;
+        process["snapshot"] = status.snapshotIndex;
+        process["disk_fault"] = status.diskFault;
+        process["log_bytes"] = status.logBytes;
+    }
+    return table.read([&](const Registry &registry) { return stateDump(std::move(process), registry, now); });
+}
+
 int serve(const KeeperSettings &settings, const std::string &file)
 {
     const std::string internal = internalAddress(settings);
@@ -65,7 +84,10 @@
     const Result<void> listening = http.listen(settings.listen);
     if (listening.has_error())
         return reportFatal(listening.error());
-    HttpServer metricsServer(io, answerMetrics);
+    const std::function<std::string()> dump = [&table, &node] {
+        return dumpKeeper(table, node.get());
+    };
+    HttpServer metricsServer(io, [&dump](CallerConnection &caller) { return answerWatcher(caller, dump); });
     if (!settings.host.metrics.empty() && metricsServer.listen(settings.host.metrics).has_error())
         return reportFatal(Error{ErrorKind::BadSettings, "cannot listen on 'metrics'; free the port or correct the address", 0});
     std::unique_ptr<OrderSender> orders;
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -1,6 +1,7 @@
 #include "transport/entryapi.h"
 
 #include "protocol/log.h"
+#include "protocol/statedump.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
 #include "transport/program.h"
@@ -93,6 +94,21 @@
     m_client->wake();
 }
 
+std::string EntryApi::dump()
+{
+    const Time now = monotonicNow();
+    const RetryWindow::Usage retries = m_retries.usage(now);
+    const nlohmann::json process{{"configuration", m_forwarder.table() ? m_forwarder.table()->version : 0},
+                                 {"ready", ready()},
+                                 {"draining", m_draining},
+                                 {"active", m_forwarder.active()},
+                                 {"retries", retries.used},
+                                 {"retries_allowed", retries.allowed},
+                                 {"crash_reports", m_crashes.reports(now).size()},
+                                 {"known", m_version}};
+    return stateDump(process, m_registry, now);
+}
+
 bool EntryApi::ready() const
 {
     return !m_draining && m_synced && m_forwarder.table() != nullptr;
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -18,6 +18,8 @@
     void applySettings(const EntrySettings &settings);
     // Leaves the list of addresses; requests are still served.
     void drain();
+    // What this process believes, as JSON. Call it on the thread of `io`.
+    std::string dump();
     size_t active() const
     {
         return m_forwarder.active();
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -116,10 +116,13 @@
     m_keepAlive = false;
 }
 
-Task<> answerMetrics(CallerConnection &caller)
+Task<> answerWatcher(CallerConnection &caller, const std::function<std::string()> &dump)
 {
-    std::vector<HeaderField> headers{{"Content-Type", "text/plain"}};
-    co_await caller.answer(200, std::move(headers), metrics().text());
+    const bool asksState = caller.request().target() == "/dump";
+    std::vector<HeaderField> headers{{"Content-Type", asksState ? "application/json" : "text/plain"}};
+    // GCC 12 destroys a conditional temporary of a co_await expression twice: the text is named first.
+    std::string text = asksState ? dump() : metrics().text();
+    co_await caller.answer(200, std::move(headers), std::move(text));
 }
 
 HttpServer::HttpServer(net::io_context &io, HttpHandler handler)
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -127,7 +127,7 @@
     std::list<std::shared_ptr<CallerConnection>> m_connections;
 };
 
-// Answers with the process's metrics as text.
-Task<> answerMetrics(CallerConnection &caller);
+// Answers with the process's metrics as text, or with what `dump` tells if the path is /dump.
+Task<> answerWatcher(CallerConnection &caller, const std::function<std::string()> &dump);
 
 } // namespace roserail
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -56,7 +56,7 @@
 void Fleet::startKeeper(int n, bool mayFound, int orderLeaseMs)
 {
     const std::string id = fmt::format("keeper-{}", n);
-    const std::string text = settings(id, keeperHost(n))
+    const std::string text = settings(id, keeperHost(n)) + fmt::format("metrics: \"{}:{}\"\n", keeperHost(n), m_base + 60)
         + fmt::format("listen: \"{}:{}\"\ndataFolder: \"{}\"\nmayFound: {}\norderLease: {}ms\n", keeperHost(n), m_base + 1,
                       (folder() / ("data-" + id)).string(), mayFound, orderLeaseMs);
     spawn(id, {ROSERAIL_BUILD "/roserail-keeper", writeFile(id + ".yaml", text)});
@@ -65,7 +65,7 @@
 void Fleet::startEntry(int n)
 {
     const std::string id = fmt::format("entry-{}", n);
-    const std::string text = settings(id, "127.0.0.1")
+    const std::string text = settings(id, "127.0.0.1") + fmt::format("metrics: \"127.0.0.1:{}\"\n", m_base + 60 + n)
         + fmt::format("listen: \"127.0.0.1:{}\"\nready: \"127.0.0.1:{}\"\ndirectory: \"127.0.0.1:{}\"\n", entryPort(n), m_base + 20 + n,
                       m_base + 30 + n);
     spawn(id, {ROSERAIL_BUILD "/roserail-entry", writeFile(id + ".yaml", text)});
@@ -183,6 +183,18 @@
     return result ? Json::parse(result->body).value(id, Json::object()) : Json::object();
 }
 
+Json Fleet::entryDump(int entry)
+{
+    const httplib::Result result = clientFor("127.0.0.1", m_base + 60 + entry).Get("/dump");
+    return result ? Json::parse(result->body) : Json();
+}
+
+Json Fleet::keeperDump(int keeper)
+{
+    const httplib::Result result = clientFor(keeperHost(keeper), m_base + 60).Get("/dump");
+    return result ? Json::parse(result->body) : Json();
+}
+
 Json Fleet::orders(int runner)
 {
     const httplib::Result result = clientFor("127.0.0.1", m_base + 40 + runner).Get("/orders");
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -34,6 +34,9 @@
                         httplib::Headers more = {});
     // What a runner has seen of a request.
     Json seen(int runner, const std::string &id);
+    // What a process believes, from its dump.
+    Json entryDump(int entry);
+    Json keeperDump(int keeper);
     // All orders that a runner got: holder, fence, ms.
     Json orders(int runner);
     int entryPort(int n) const
--- a/tests/fleet_system_test.cpp
+++ b/tests/fleet_system_test.cpp
@@ -122,6 +122,28 @@
         BOOST_TEST(line.find(field) != std::string::npos, field);
 }
 
+// Each process tells on request what it believes.
+BOOST_AUTO_TEST_CASE(dumpTellsWhatAProcessBelieves)
+{
+    Fleet fleet("fleet-dump", PortBase + 1200);
+    startAll(fleet);
+    BOOST_TEST(put(fleet, 5));
+    BOOST_TEST(fleet.ready({1, 2}));
+    BOOST_TEST(eventually([&] { return fleet.entryDump(1)["live"].value("endpoints", Json::array()).size() == 3; }));
+    const Json entry = fleet.entryDump(1);
+    BOOST_TEST(entry["process"]["configuration"] == 5);
+    BOOST_TEST(entry["process"]["ready"] == true);
+    BOOST_TEST(entry["live"]["endpoints"][0].contains("age_ms"));
+    int leaders = 0;
+    for (const int n : {1, 2, 3}) {
+        const Json keeper = fleet.keeperDump(n);
+        BOOST_TEST(keeper["process"]["configuration"] == 5);
+        BOOST_TEST(keeper["live"]["keepers"].size() == 3u);
+        leaders += keeper["process"]["leads"] == true ? 1 : 0;
+    }
+    BOOST_TEST(leaders == 1);
+}
+
 BOOST_AUTO_TEST_CASE(modelThatNobodyHoldsIsLoadedForTheRequestThatWaits)
 {
     Fleet fleet("fleet-load", PortBase + 100);
