--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -1,15 +1,11 @@
 #include "transport/forwarder.h"
 
 #include "coordination/admission.h"
-#include "protocol/eventrelay.h"
 #include "protocol/log.h"
-#include "protocol/metrics.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
+#include "transport/forwarderrequest.h"
 
-#include <boost/beast/core/string.hpp>
-
-#include <limits>
 #include <xxhash.h>
 
 namespace roserail
@@ -20,18 +16,6 @@
 namespace
 {
 
-constexpr const char *LastEventId = "Last-Event-Id"; // of the HTML standard's event streams
-constexpr size_t RelayBytes = 8192; // read from an endpoint at once
-constexpr size_t WholeAnswerBytes
-    = 8u << 20; // an answer that is no stream is held back until it is complete; twice the largest body of a request
-constexpr uint32_t AnswerHeaderBytes = 64u << 10;
-constexpr int ForeignAnswers = 2; // late answers to earlier requests that are skipped on one connection
-
-std::string_view view(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 std::string hostWithoutPort(std::string_view host)
 {
     return std::string(host.substr(0, host.find(':')));
@@ -67,70 +51,6 @@
 
 } // namespace
 
-// Ends what a request waits for: its caller has left, or its time is up.
-struct Forwarder::Interrupt {
-    bool callerLeft = false;
-    bool timeUp = false;
-    bool finished = false; // the request is done; nothing of it may be touched
-    std::function<void()> stop; // of what is being waited for
-    bool raised() const
-    {
-        return callerLeft || timeUp;
-    }
-    void raise(bool &why)
-    {
-        if (finished)
-            return;
-        why = true;
-        if (stop)
-            stop();
-    }
-};
-
-// One request, from its arrival to its final answer.
-struct Forwarder::Request {
-    Request(CallerConnection &connection, std::shared_ptr<const RouteTable> routes)
-        : caller(connection)
-        , table(std::move(routes))
-    {
-    }
-    CallerConnection &caller;
-    std::shared_ptr<const RouteTable> table;
-    const Route *route = nullptr;
-    RequestFacts facts;
-    Fingerprint fingerprint;
-    Need need;
-    Time deadline{};
-    RouteProgress progress;
-    EventRelay events; // of a stream that can go on at another endpoint
-    std::shared_ptr<Interrupt> interrupt = std::make_shared<Interrupt>();
-    std::string endpoint; // of the last attempt
-    unsigned status = 0; // that the caller got
-    Millis waited{0}; // for a model
-    ErrorKind refusal = ErrorKind::NotRun; // if no endpoint has run it
-    std::optional<Millis> comeBackIn; // when it can be served
-    Time firstAt{}; // first bytes of the answer were passed on
-    Time lastAt{}; // the latest were
-    Millis longestPause{0}; // between two of them
-    void passedOn(Time now)
-    {
-        if (firstAt == Time())
-            firstAt = now;
-        else
-            longestPause = std::max(longestPause, Millis(now - lastAt));
-        lastAt = now;
-    }
-    std::string cause; // of the last failure
-};
-
-// An endpoint's answer while it is read.
-struct EndpointAnswer {
-    std::unique_ptr<http::response_parser<http::buffer_body>> parser;
-    AnswerFacts facts;
-    unsigned status = 0;
-    bool keepAlive = false;
-};
-
 Forwarder::Forwarder(net::io_context &io, const Dialect &dialect, Balancer &balancer, RetryWindow &retries, CrashWatch &crashes)
     : m_io(io)
     , m_dialect(dialect)
@@ -396,197 +316,6 @@
               {"crashes", m_crashes.crashes(fingerprint, now)}});
 }
 
-std::string Forwarder::requestBytes(const Request &request, const Choice &choice, Time now) const
-{
-    const http::request<http::string_body> &original = request.caller.request();
-    const bool resumes = request.route->repeat == Repeat::Resume && !request.events.lastId().empty();
-    std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", view(original.method_string()), view(original.target()));
-    for (const http::fields::value_type &it : original) {
-        const std::string_view name = view(it.name_string());
-        const bool replaced = resumes && boost::beast::iequals(it.name_string(), LastEventId);
-        if (!isHopByHop(name) && !m_dialect.isReserved(name) && !replaced)
-            bytes += fmt::format("{}: {}\r\n", name, view(it.value()));
-    }
-    if (resumes)
-        bytes += fmt::format("{}: {}\r\n", LastEventId, request.events.lastId());
-    for (const HeaderField &it : m_dialect.forwardHeaders(choice.endpoint, request.deadline - now))
-        bytes += fmt::format("{}: {}\r\n", it.name, it.value);
-    const bool hasBody = !original.body().empty() || original.method() == http::verb::post || original.method() == http::verb::put;
-    if (hasBody)
-        bytes += fmt::format("Content-Length: {}\r\n", original.body().size());
-    return bytes + "\r\n" + original.body();
-}
-
-Task<AttemptEnd> Forwarder::exchange(Request &request, const Choice &choice, EndpointConnection &connection, bool &reusable)
-{
-    const std::string bytes = requestBytes(request, choice, monotonicNow());
-    ErrorCode ec;
-    co_await net::async_write(connection.socket, net::buffer(bytes), net::redirect_error(net::use_awaitable, ec));
-    if (ec) {
-        request.cause = "the connection broke while the request was sent: " + ec.message();
-        co_return AttemptEnd::Interrupted;
-    }
-    EndpointAnswer answer;
-    if (!co_await readHead(request, connection, answer))
-        co_return AttemptEnd::Interrupted;
-    if (answer.facts.load)
-        m_balancer.observeLoad(choice.endpoint, answer.facts.load->running, answer.facts.load->waiting, monotonicNow());
-    const AttemptEnd end = co_await relay(request, connection, answer);
-    reusable = answer.parser->is_done() && answer.keepAlive && connection.buffer.size() == 0;
-    co_return end;
-}
-
-// Reads the head of the answer to this request. Late answers to earlier ones on the connection are skipped.
-Task<bool> Forwarder::readHead(Request &request, EndpointConnection &connection, EndpointAnswer &answer)
-{
-    for (int skipped = 0; skipped <= ForeignAnswers; ++skipped) {
-        ErrorCode ec;
-        answer.parser = std::make_unique<http::response_parser<http::buffer_body>>();
-        answer.parser->eager(true);
-        answer.parser->header_limit(AnswerHeaderBytes);
-        answer.parser->body_limit(std::numeric_limits<uint64_t>::max());
-        answer.parser->skip(request.caller.request().method() == http::verb::head);
-        co_await http::async_read_header(connection.socket, connection.buffer, *answer.parser, net::redirect_error(net::use_awaitable, ec));
-        if (ec) {
-            request.cause = "no answer from the endpoint: " + ec.message();
-            co_return false;
-        }
-        const http::response<http::buffer_body> &head = answer.parser->get();
-        answer.status = head.result_int();
-        answer.facts = m_dialect.answerFacts(
-            int(answer.status), [&head](std::string_view name) { return view(head[boost::beast::string_view(name.data(), name.size())]); });
-        answer.keepAlive = answer.parser->keep_alive();
-        connection.keepAliveHeader = std::string(view(head[http::field::keep_alive]));
-        const bool success = answer.status / 100 == 2;
-        const bool foreign = answer.facts.requestId.empty() ? success : answer.facts.requestId != request.facts.id;
-        if (!foreign) {
-            if (success && answer.facts.seal.empty()) {
-                request.cause = "the answer has no signature";
-                co_return false;
-            }
-            co_return true;
-        }
-        logEvent("foreign_answer", {{"id", request.facts.id}, {"endpoint", request.endpoint}, {"answers", answer.facts.requestId}});
-        std::vector<char> rest(RelayBytes);
-        while (!answer.parser->is_done() && (!ec || ec == http::error::need_buffer)) {
-            answer.parser->get().body().data = rest.data();
-            answer.parser->get().body().size = rest.size();
-            co_await http::async_read_some(connection.socket, connection.buffer, *answer.parser,
-                                           net::redirect_error(net::use_awaitable, ec));
-        }
-        if (!answer.parser->is_done() || !answer.keepAlive)
-            break;
-    }
-    request.cause = "the endpoint answered another request";
-    co_return false;
-}
-
-std::string Forwarder::answerHead(const Request &request, const EndpointAnswer &answer) const
-{
-    std::string head = fmt::format("HTTP/1.1 {} {}\r\n", answer.status, view(http::obsolete_reason(http::status(answer.status))));
-    for (const http::fields::value_type &it : answer.parser->get()) {
-        if (!isHopByHop(view(it.name_string())))
-            head += fmt::format("{}: {}\r\n", view(it.name_string()), view(it.value()));
-    }
-    if (!request.caller.keepsAlive())
-        head += "Connection: close\r\n";
-    return head;
-}
-
-// Reads what has come of the body, at most the buffer's size. False: the answer broke off.
-Task<bool> Forwarder::readBody(Request &request, EndpointConnection &connection, EndpointAnswer &answer, std::vector<char> &buf, size_t &n)
-{
-    ErrorCode ec;
-    answer.parser->get().body().data = buf.data();
-    answer.parser->get().body().size = buf.size();
-    co_await http::async_read_some(connection.socket, connection.buffer, *answer.parser, net::redirect_error(net::use_awaitable, ec));
-    n = buf.size() - answer.parser->get().body().size;
-    if (!ec || ec == http::error::need_buffer)
-        co_return true;
-    request.cause = "the endpoint's answer broke off: " + ec.message();
-    co_return false;
-}
-
-// Passes the answer on: a stream as it comes, other answers whole.
-Task<AttemptEnd> Forwarder::relay(Request &request, EndpointConnection &connection, EndpointAnswer &answer)
-{
-    const bool retryable = request.route->repeat == Repeat::Always && answer.status >= 500;
-    const bool another = retryable && request.progress.runs < request.progress.maxRuns;
-    if (request.route->stream && answer.status / 100 == 2 && !answer.facts.notRun)
-        co_return co_await relayStream(request, connection, answer);
-    std::vector<char> buf(RelayBytes);
-    std::string body;
-    while (!answer.parser->is_done()) {
-        size_t n = 0;
-        if (!co_await readBody(request, connection, answer, buf, n))
-            co_return AttemptEnd::Interrupted;
-        body.append(buf.data(), n);
-        if (body.size() > WholeAnswerBytes) {
-            request.cause = "the endpoint's answer is too long to be held back";
-            co_return AttemptEnd::Interrupted;
-        }
-    }
-    if (answer.facts.notRun || another || request.progress.delivered) {
-        request.status = answer.status;
-        request.cause = fmt::format("the endpoint answered {}{}", answer.status, answer.facts.notRun ? ", not run" : "");
-        co_return answer.facts.notRun ? AttemptEnd::RefusedNotRun : AttemptEnd::Interrupted;
-    }
-    request.status = answer.status;
-    request.progress.delivered = true;
-    const bool bodyless = answer.status == 204 || answer.status == 304;
-    std::string head = answerHead(request, answer);
-    request.passedOn(monotonicNow());
-    head += bodyless ? "\r\n" : fmt::format("Content-Length: {}\r\n\r\n", body.size());
-    if (!co_await request.caller.write(head + body))
-        co_return AttemptEnd::Abandoned;
-    co_return AttemptEnd::Completed;
-}
-
-// Passes a stream's events on as they come. The head leaves with the first of them; a run that goes on for another one
-// adds its events only.
-Task<AttemptEnd> Forwarder::relayStream(Request &request, EndpointConnection &connection, EndpointAnswer &answer)
-{
-    const bool chunked = request.caller.request().version() >= 11;
-    const bool resumable = request.route->repeat == Repeat::Resume;
-    if (!chunked)
-        request.caller.closeAfterAnswer();
-    request.events.beginRun();
-    std::vector<char> buf(RelayBytes);
-    bool done = false;
-    while (!done) {
-        size_t n = 0;
-        if (!answer.parser->is_done() && !co_await readBody(request, connection, answer, buf, n))
-            co_return AttemptEnd::Interrupted;
-        done = answer.parser->is_done();
-        std::string piece(buf.data(), n);
-        if (resumable)
-            piece = request.events.take(piece);
-        if (resumable && done)
-            piece += request.events.takeRest();
-        if (!request.events.continuous()) {
-            request.cause = "the endpoint's run doesn't go on at the next event";
-            co_return AttemptEnd::Interrupted;
-        }
-        if (piece.empty() && !done)
-            continue;
-        std::string bytes;
-        if (!request.progress.delivered)
-            bytes = answerHead(request, answer) + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
-        if (!piece.empty())
-            bytes += chunked ? fmt::format("{:x}\r\n{}\r\n", piece.size(), piece) : piece;
-        if (done && chunked)
-            bytes += "0\r\n\r\n";
-        request.status = answer.status;
-        request.progress.delivered = true;
-        request.passedOn(monotonicNow());
-        if (!co_await request.caller.write(std::move(bytes))) {
-            request.interrupt->callerLeft = true;
-            co_return AttemptEnd::Abandoned;
-        }
-    }
-    co_return AttemptEnd::Completed;
-}
-
 Task<> Forwarder::refuse(Request &request, const Error &error, unsigned status)
 {
     request.status = status;
@@ -631,74 +360,4 @@
     }
 }
 
-void Forwarder::log(const Request &request, std::string_view outcome) const
-{
-    static Histogram &took = metrics().histogram("roserail_request_milliseconds");
-    const Time now = monotonicNow();
-    took.record(uint64_t((now - request.caller.arrivedAt()).count()));
-    metrics().counter(fmt::format("roserail_requests_total{{outcome=\"{}\"}}", outcome)).add();
-    logOutcome("request",
-               {{"id", request.facts.id},
-                {"route", request.route == nullptr ? "" : request.route->name},
-                {"config", request.table ? request.table->version : 0},
-                {"model", request.need.model},
-                {"adapter", request.need.adapter},
-                {"endpoint", request.endpoint},
-                {"sends", request.progress.sends},
-                {"status", request.status},
-                {"outcome", outcome},
-                {"waited_ms", request.waited.count()},
-                {"first_ms", request.firstAt == Time() ? -1 : (request.firstAt - request.caller.arrivedAt()).count()},
-                {"longest_pause_ms", request.longestPause.count()},
-                {"took_ms", (now - request.caller.arrivedAt()).count()},
-                {"cause", request.cause}});
-}
-
-void Forwarder::logSend(const Request &request, const Choice &choice, Time now) const
-{
-    if (logDetail() != LogDetail::Decisions)
-        return;
-    const ChoiceInputs &inputs = choice.inputs;
-    logDecision("send",
-                {{"id", request.facts.id},
-                 {"endpoint", choice.endpoint},
-                 {"send", request.progress.sends + 1},
-                 {"candidates", inputs.candidates},
-                 {"expected_ms", int64_t(inputs.expectedMs)},
-                 {"own", inputs.own},
-                 {"others", inputs.others},
-                 {"others_age_ms", inputs.othersAge.count()},
-                 {"prompt", request.need.promptTokens},
-                 {"cached", inputs.cachedTokens},
-                 {"left_ms", (request.deadline - now).count()},
-                 {"known", m_knownVersion},
-                 {"known_age_ms", (now - m_knownAt).count()}});
-}
-
-void Forwarder::logWait(const Request &request, Time now, Time until) const
-{
-    logDecision("wait",
-                {{"id", request.facts.id},
-                 {"model", request.need.model},
-                 {"adapter", request.need.adapter},
-                 {"at_most_ms", (until - now).count()},
-                 {"known", m_knownVersion},
-                 {"known_age_ms", (now - m_knownAt).count()}});
-}
-
-void Forwarder::logFailedAttempt(const Request &request, AttemptEnd end, RouteStep step, Time now) const
-{
-    const RetryWindow::Usage budget = m_retries.usage(now);
-    logDecision("attempt_failed",
-                {{"id", request.facts.id},
-                 {"endpoint", request.endpoint},
-                 {"end", toString(end)},
-                 {"next", toString(step)},
-                 {"sends", request.progress.sends},
-                 {"runs", request.progress.runs},
-                 {"retries", budget.used},
-                 {"retries_allowed", int64_t(budget.allowed)},
-                 {"cause", request.cause}});
-}
-
 } // namespace roserail
--- /dev/null
+++ b/src/transport/forwarderlog.cpp
@@ -0,0 +1,80 @@
+// Forwarder's log: a line for each decision about a request, with what decided it.
+#include "protocol/log.h"
+#include "protocol/metrics.h"
+#include "transport/clock.h"
+#include "transport/forwarderrequest.h"
+
+namespace roserail
+{
+
+void Forwarder::log(const Request &request, std::string_view outcome) const
+{
+    static Histogram &took = metrics().histogram("roserail_request_milliseconds");
+    const Time now = monotonicNow();
+    took.record(uint64_t((now - request.caller.arrivedAt()).count()));
+    metrics().counter(fmt::format("roserail_requests_total{{outcome=\"{}\"}}", outcome)).add();
+    logOutcome("request",
+               {{"id", request.facts.id},
+                {"route", request.route == nullptr ? "" : request.route->name},
+                {"config", request.table ? request.table->version : 0},
+                {"model", request.need.model},
+                {"adapter", request.need.adapter},
+                {"endpoint", request.endpoint},
+                {"sends", request.progress.sends},
+                {"status", request.status},
+                {"outcome", outcome},
+                {"waited_ms", request.waited.count()},
+                {"first_ms", request.firstAt == Time() ? -1 : (request.firstAt - request.caller.arrivedAt()).count()},
+                {"longest_pause_ms", request.longestPause.count()},
+                {"took_ms", (now - request.caller.arrivedAt()).count()},
+                {"cause", request.cause}});
+}
+
+void Forwarder::logSend(const Request &request, const Choice &choice, Time now) const
+{
+    if (logDetail() != LogDetail::Decisions)
+        return;
+    const ChoiceInputs &inputs = choice.inputs;
+    logDecision("send",
+                {{"id", request.facts.id},
+                 {"endpoint", choice.endpoint},
+                 {"send", request.progress.sends + 1},
+                 {"candidates", inputs.candidates},
+                 {"expected_ms", int64_t(inputs.expectedMs)},
+                 {"own", inputs.own},
+                 {"others", inputs.others},
+                 {"others_age_ms", inputs.othersAge.count()},
+                 {"prompt", request.need.promptTokens},
+                 {"cached", inputs.cachedTokens},
+                 {"left_ms", (request.deadline - now).count()},
+                 {"known", m_knownVersion},
+                 {"known_age_ms", (now - m_knownAt).count()}});
+}
+
+void Forwarder::logWait(const Request &request, Time now, Time until) const
+{
+    logDecision("wait",
+                {{"id", request.facts.id},
+                 {"model", request.need.model},
+                 {"adapter", request.need.adapter},
+                 {"at_most_ms", (until - now).count()},
+                 {"known", m_knownVersion},
+                 {"known_age_ms", (now - m_knownAt).count()}});
+}
+
+void Forwarder::logFailedAttempt(const Request &request, AttemptEnd end, RouteStep step, Time now) const
+{
+    const RetryWindow::Usage budget = m_retries.usage(now);
+    logDecision("attempt_failed",
+                {{"id", request.facts.id},
+                 {"endpoint", request.endpoint},
+                 {"end", toString(end)},
+                 {"next", toString(step)},
+                 {"sends", request.progress.sends},
+                 {"runs", request.progress.runs},
+                 {"retries", budget.used},
+                 {"retries_allowed", int64_t(budget.allowed)},
+                 {"cause", request.cause}});
+}
+
+} // namespace roserail
