--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -26,7 +26,7 @@
 constexpr size_t ChangeRecordsKept = 10000;
 constexpr Millis QuarantineTime = std::chrono::minutes(10);
 constexpr uint32_t CrashesBeforeQuarantine = 2;
-constexpr size_t CrashesBeforeRefusal = 3; // on general routes, where nothing confirms which request did it; the most that the users allow
+constexpr size_t CrashesBeforeRefusal = 3; // on general routes, where nothing confirms the blame; the most that the users allow
 constexpr size_t CrashReportsKept = 32; // of one router; half of an engine's batch ran there when it crashed
 constexpr size_t DocumentBytes = 4u << 20;
 
@@ -100,7 +100,7 @@
 constexpr Millis ReservationTime{4000}; // for a model for which room is being made: an unload and its last runs
 constexpr Millis UnloadWait{2000}; // an unload waits for its runs, which last 1.6 s on average
 constexpr Millis AdapterAheadTime{5000}; // adapters of models used in this time are loaded ahead of need
-constexpr double CrowdedShare = 0.35; // of all slots of a model's holders in use: it gets one more holder; from there on pauses of the largest models near the users' aim
+constexpr double CrowdedShare = 0.35; // of the slots of a model's holders in use: it gets one more; beyond it, pauses near the users' aim
 constexpr Millis CrowdedWait{1000}; // what a request beyond that share counts as; about what a full batch delays it
 constexpr double SpareShare = 0.25; // of the slots of the other holders: one holder may give the model up
 constexpr double UnloadTime = 50; // ms, of an idle model
