--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -6,7 +6,10 @@
 #include <atomic>
 #include <boost/test/included/unit_test.hpp>
 #include <csignal>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace roserail::test;
 
@@ -18,6 +21,7 @@
 constexpr int OrderLeaseMs = 3000; // longer than an election, so that the wait is seen
 constexpr int ShortLeaseMs = 300;
 constexpr std::chrono::milliseconds ContactTime{3000}; // after which the users' rule holds at every router
+constexpr std::chrono::milliseconds UnreadTime{10000}; // 4 s after the buffers of both connections are full
 constexpr int EndlessLeaseMs = 30000; // no order is given while a test lasts
 
 void startControl(Fleet &fleet, const std::vector<int> &entries, int orderLeaseMs = ShortLeaseMs)
@@ -174,6 +178,31 @@
     BOOST_TEST(fleet.seen(1, "leaves").empty());
 }
 
+// A caller that stops reading its stream is given up after a while: its run is cancelled, and nobody else waits for it.
+BOOST_AUTO_TEST_CASE(callerThatDoesNotReadIsGivenUp)
+{
+    Fleet fleet("faults-unread", PortBase + 1100);
+    BOOST_TEST(servesOnlyOneModel(fleet, ShortLeaseMs));
+    const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int window = 4096;
+    ::setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(uint16_t(fleet.entryPort(1)));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(::connect(caller, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
+    const std::string request = "POST /e/events/100000000/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: unread\r\n"
+                                "X-Deadline-Ms: 14000\r\nX-Model: m1\r\nContent-Length: 0\r\n\r\n";
+    BOOST_REQUIRE(::send(caller, request.data(), request.size(), 0) == ssize_t(request.size()));
+    BOOST_TEST(eventually([&] { return fleet.seen(1, "unread").value("events", 0) > 0; }));
+    const httplib::Result other = fleet.ask(1, "/s/events/2/", "other", "m1");
+    BOOST_REQUIRE(other);
+    BOOST_TEST(other->status == 200);
+    BOOST_TEST(eventually([&] { return fleet.seen(1, "unread").value("cancelled", false); }, UnreadTime));
+    BOOST_TEST(eventually([&] { return fleet.output("entry-1").find("event=request id=unread ") != std::string::npos; }));
+    ::close(caller);
+}
+
 // Who waits for a model that doesn't come is told so before the time after which callers leave.
 BOOST_AUTO_TEST_CASE(waitEndsWithAnAnswerWhileTheCallerIsStillThere)
 {
