Process tests of cold models begin once engines may be given orders

The answer is true: 'no model is loaded for 735 ms, after a change of control; not run, come back later'. Ruled out: unknown endpoints (the same engine had answered), the choice between copy and store (no order was decided). What they check is unchanged.

--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -1,6 +1,7 @@
 #include "fleet.h"
 
 #include <fmt/format.h>
+#include <thread>
 
 namespace roserail::test
 {
@@ -9,6 +10,7 @@
 {
 
 constexpr int Keepers = 3;
+constexpr std::chrono::milliseconds OrdersMargin{1000}; // the product's 500 ms, and the news of it
 
 httplib::Client clientFor(const std::string &host, int port)
 {
@@ -71,7 +73,7 @@
     spawn(id, {ROSERAIL_BUILD "/roserail-entry", writeFile(id + ".yaml", text)});
 }
 
-void Fleet::startRunner(int n, const std::string &service, const std::string &models, bool refuseOrders)
+void Fleet::startRunner(int n, const std::string &service, const std::string &models, bool refuseOrders, const std::string &copies)
 {
     std::vector<std::string> command{ROSERAIL_BUILD "/tests/standin-runner",
                                      "--id",
@@ -82,6 +84,8 @@
                                      service,
                                      "--models",
                                      models,
+                                     "--copies",
+                                     copies,
                                      "--control"};
     std::string control;
     for (int i = 1; i <= Keepers; ++i)
@@ -195,6 +199,32 @@
     return result ? Json::parse(result->body) : Json();
 }
 
+int Fleet::leader()
+{
+    const std::string begin = "event=orders_begin term=";
+    int last = 0;
+    size_t term = 0;
+    for (int n = 1; n <= Keepers; ++n) {
+        const std::string text = output("keeper-" + std::to_string(n));
+        const size_t at = text.rfind(begin);
+        if (at == std::string::npos)
+            continue;
+        const size_t its = std::stoul(text.substr(at + begin.size()));
+        if (its > term) {
+            term = its;
+            last = n;
+        }
+    }
+    return last;
+}
+
+bool Fleet::ordersRun(int orderLeaseMs)
+{
+    const bool begun = eventually([&] { return leader() != 0; });
+    std::this_thread::sleep_for(std::chrono::milliseconds(orderLeaseMs) + OrdersMargin);
+    return begun;
+}
+
 Json Fleet::orders(int runner)
 {
     const httplib::Result result = clientFor("127.0.0.1", m_base + 40 + runner).Get("/orders");
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -19,7 +19,9 @@
 
     void startKeeper(int n, bool mayFound, int orderLeaseMs = 300);
     void startEntry(int n);
-    void startRunner(int n, const std::string &service, const std::string &models, bool refuseOrders = false);
+    // `copies`: models that it doesn't hold, but has a copy of.
+    void startRunner(int n, const std::string &service, const std::string &models, bool refuseOrders = false,
+                     const std::string &copies = "");
     void wipe(int keeper);
 
     // Puts a configuration with one engine service and one plain service; follows redirects.
@@ -37,6 +39,10 @@
     // What a process believes, from its dump.
     Json entryDump(int entry);
     Json keeperDump(int keeper);
+    // The control host that ordered last, by the logs; 0: none has.
+    int leader();
+    // Waits until engines may be given orders: the wait for an earlier holder's lease is over.
+    bool ordersRun(int orderLeaseMs = 300);
     // All orders that a runner got: holder, fence, ms.
     Json orders(int runner);
     int entryPort(int n) const
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -41,33 +41,6 @@
     return configured && fleet.ready(entries);
 }
 
-// The control host that ordered last, by the logs.
-int leader(Fleet &fleet)
-{
-    int last = 0;
-    size_t term = 0;
-    for (const int n : {1, 2, 3}) {
-        const std::string text = fleet.output("keeper-" + std::to_string(n));
-        const size_t at = text.rfind("event=orders_begin term=");
-        if (at == std::string::npos)
-            continue;
-        const size_t its = std::stoul(text.substr(at + std::string("event=orders_begin term=").size()));
-        if (its > term) {
-            term = its;
-            last = n;
-        }
-    }
-    return last;
-}
-
-// Engines may be given orders from now on: the wait for an earlier holder's lease is over.
-bool ordersRun(Fleet &fleet)
-{
-    const bool begun = eventually([&] { return leader(fleet) != 0; });
-    std::this_thread::sleep_for(std::chrono::milliseconds(ShortLeaseMs + 1000));
-    return begun;
-}
-
 // A system whose only engine holds m1 and takes no orders: any other model is waited for in vain.
 bool servesOnlyOneModel(Fleet &fleet, int orderLeaseMs)
 {
@@ -104,9 +77,9 @@
     std::thread second(load, 2);
     for (int round = 0; round < 2; ++round) {
         BOOST_TEST(orderedMore());
-        const int frozen = leader(fleet);
+        const int frozen = fleet.leader();
         fleet.signal("keeper-" + std::to_string(frozen), SIGSTOP);
-        BOOST_TEST(eventually([&] { return leader(fleet) != frozen; }));
+        BOOST_TEST(eventually([&] { return fleet.leader() != frozen; }));
         BOOST_TEST(orderedMore());
         fleet.signal("keeper-" + std::to_string(frozen), SIGCONT);
         std::this_thread::sleep_for(std::chrono::seconds(1));
@@ -163,7 +136,7 @@
 {
     Fleet fleet("faults-leave", PortBase + 200);
     BOOST_TEST(servesOnlyOneModel(fleet, ShortLeaseMs));
-    BOOST_TEST(ordersRun(fleet));
+    BOOST_TEST(fleet.ordersRun(ShortLeaseMs));
     httplib::Client client("127.0.0.1", fleet.entryPort(1));
     client.set_read_timeout(std::chrono::milliseconds(400));
     const httplib::Headers headers{{"Host", "h.example"}, {"X-Request-Id", "leaves"}, {"X-Deadline-Ms", "10000"}, {"X-Model", "m2"}};
@@ -208,7 +181,7 @@
 {
     Fleet fleet("faults-wait", PortBase + 300);
     BOOST_TEST(servesOnlyOneModel(fleet, ShortLeaseMs));
-    BOOST_TEST(ordersRun(fleet));
+    BOOST_TEST(fleet.ordersRun(ShortLeaseMs));
     const std::chrono::steady_clock::time_point asked = std::chrono::steady_clock::now();
     const httplib::Result result = fleet.ask(1, "/s/events/1/", "waits", "m2");
     BOOST_REQUIRE(result);
@@ -224,7 +197,7 @@
     Fleet fleet("faults-pause", PortBase + 400);
     BOOST_TEST(servesOnlyOneModel(fleet, EndlessLeaseMs));
     // The news of who leads takes a few round trips.
-    BOOST_TEST(eventually([&] { return leader(fleet) != 0; }));
+    BOOST_TEST(eventually([&] { return fleet.leader() != 0; }));
     std::this_thread::sleep_for(std::chrono::milliseconds(700));
     const std::chrono::steady_clock::time_point asked = std::chrono::steady_clock::now();
     const httplib::Result result = fleet.ask(1, "/s/events/1/", "paused", "m2");
@@ -241,7 +214,7 @@
     Fleet fleet("faults-early", PortBase + 1000);
     startControl(fleet, {1});
     fleet.startRunner(3, "plain", "");
-    BOOST_REQUIRE(eventually([&] { return leader(fleet) > 0; }));
+    BOOST_REQUIRE(eventually([&] { return fleet.leader() > 0; }));
     // The host is up, and says "not run" in the end if nothing comes.
     BOOST_REQUIRE(eventually([&] {
         const httplib::Result refused = fleet.ask(1, "/u/x", "refused");
@@ -254,7 +227,7 @@
     });
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     BOOST_TEST(status == 0);
-    const httplib::Result put = fleet.putConfiguration(leader(fleet), 5);
+    const httplib::Result put = fleet.putConfiguration(fleet.leader(), 5);
     BOOST_REQUIRE(put);
     BOOST_TEST(put->status == 200);
     caller.join();
--- a/tests/fleet_system_test.cpp
+++ b/tests/fleet_system_test.cpp
@@ -15,13 +15,14 @@
 // Ports of the systems of this file; each test has its own.
 constexpr int PortBase = 26000;
 
-void startAll(Fleet &fleet)
+// `copies`: models that the first engine has copies of; what has none is loaded ahead of need.
+void startAll(Fleet &fleet, const std::string &copies = "")
 {
     for (const int n : {1, 2, 3})
         fleet.startKeeper(n, true);
     for (const int n : {1, 2})
         fleet.startEntry(n);
-    fleet.startRunner(1, "engines", "m1,m2");
+    fleet.startRunner(1, "engines", "m1,m2", false, copies);
     fleet.startRunner(2, "engines", "m3");
     fleet.startRunner(3, "plain", "");
 }
@@ -90,10 +91,11 @@
 BOOST_AUTO_TEST_CASE(everyDecisionOfARequestIsInTheLog)
 {
     Fleet fleet("fleet-log", PortBase + 1100);
-    startAll(fleet);
+    startAll(fleet, "m4,m5,m6");
     BOOST_TEST(put(fleet, 5));
     BOOST_TEST(fleet.ready({1, 2}));
     BOOST_TEST(answers(fleet, 1, "/s/events/1/", "m1"));
+    BOOST_TEST(fleet.ordersRun());
     BOOST_TEST(fleet.ask(1, "/s/events/2/pause/5/", "held", "m1")->status == 200);
     BOOST_TEST(fleet.ask(1, "/s/events/2/pause/5/", "cold", "m5")->status == 200);
     const auto lines = [&](const std::string &event, const std::string &id) {
@@ -150,6 +152,7 @@
     startAll(fleet);
     BOOST_TEST(put(fleet, 5));
     BOOST_TEST(fleet.ready({1, 2}));
+    BOOST_TEST(fleet.ordersRun());
     for (const char *model : {"m4", "m5", "m6", "m1", "m3"}) {
         const httplib::Result result = fleet.ask(1, "/s/events/2/pause/5/", std::string("load-") + model, model);
         BOOST_REQUIRE(result);
--- a/tests/standin/runner_main.cpp
+++ b/tests/standin/runner_main.cpp
@@ -30,6 +30,7 @@
     std::string service;
     std::vector<std::string> control;
     bool refuseOrders = false;
+    std::vector<std::string> copies; // models that it held in an earlier life
 };
 
 class Runner
@@ -40,6 +41,7 @@
     {
         for (const std::string &it : models)
             m_models[it];
+        m_copies.insert(m_options.copies.begin(), m_options.copies.end());
         m_server.new_task_queue = [] {
             return new httplib::ThreadPool(32);
         };
@@ -258,13 +260,16 @@
     cxxopts::Options options("standin-runner", "A stand-in for a runner of the users' platform.");
     options.add_options()("id", "", cxxopts::value<std::string>())("port", "", cxxopts::value<int>())(
         "service", "", cxxopts::value<std::string>())("control", "", cxxopts::value<std::vector<std::string>>())(
-        "models", "", cxxopts::value<std::vector<std::string>>()->default_value(""))("refuse-orders", "");
+        "models", "", cxxopts::value<std::vector<std::string>>()->default_value(""))("refuse-orders", "")(
+        "copies", "", cxxopts::value<std::vector<std::string>>()->default_value(""));
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
     std::vector<std::string> models = arguments["models"].as<std::vector<std::string>>();
     std::erase(models, "");
+    std::vector<std::string> copies = arguments["copies"].as<std::vector<std::string>>();
+    std::erase(copies, "");
     std::signal(SIGPIPE, SIG_IGN);
     Runner runner(Options{arguments["id"].as<std::string>(), arguments["port"].as<int>(), arguments["service"].as<std::string>(),
-                          arguments["control"].as<std::vector<std::string>>(), arguments.count("refuse-orders") != 0},
+                          arguments["control"].as<std::vector<std::string>>(), arguments.count("refuse-orders") != 0, copies},
                   models);
     runner.serve();
     return 0;
