One test for a copy, a fingerprint without a copy of the body, a name that fits. No functional change

Whether an engine has a copy of a model, and how long a load from one takes, stood twice in residencyplan. The fingerprint of a request, taken for each one, copied its whole body (up to 4 MB) into a text to hash it; the body is now hashed in place, with the hash of the rest as its seed. endpointsChanged also wakes requests that wait for the configuration: wakeWaiting. Run: residency, fleet, crashwatch and platform tests, both process tests of the data path, format, lint of the changed sources.

--- a/src/coordination/residency.h
+++ b/src/coordination/residency.h
@@ -114,6 +114,7 @@
     std::optional<double> victimCost(const Engine &engine, const std::string &model, bool urgent, Time now) const;
     OrderInputs inputsOf(const Engine &engine, const ArtifactName &name, bool fromStore, Time now) const;
     void order(Engine &engine, OrderAction action, const ArtifactName &name, bool fromStore, Plan &plan, Time now);
+    bool hasCopy(const Engine &engine, const std::string &model) const;
     bool free(const Engine &engine, const std::string &forModel, Time now) const;
     bool storeAllows(const EngineSpec &spec, size_t inFlight, const Engine *besides, Time now) const;
     size_t storeLoads(const ServiceId &service, const Engine *besides, Time now) const;
--- a/src/coordination/residencyplan.cpp
+++ b/src/coordination/residencyplan.cpp
@@ -11,6 +11,17 @@
 
 using namespace tunables;
 
+namespace
+{
+
+// A load from a copy, wherever on the engine's host it is.
+Millis longestCopyLoad(const ModelSpec &model)
+{
+    return std::max(model.diskLoad, model.memoryLoad);
+}
+
+} // namespace
+
 Residency::Plan Residency::decide(Time now)
 {
     Plan plan;
@@ -176,9 +187,8 @@
 {
     Option option;
     option.engine = &engine;
-    const bool inMemory = engine.inMemory.count(model.name) != 0;
     const bool onDisk = engine.onDisk.count(model.name) != 0;
-    option.fromStore = !inMemory && !onDisk;
+    option.fromStore = !hasCopy(engine, model.name);
     option.cost = double((option.fromStore ? model.storeLoad : onDisk ? model.diskLoad : model.memoryLoad).count());
     double room = spec.megabytes - used(engine, spec);
     std::vector<std::pair<double, std::string>> victims;
@@ -211,14 +221,13 @@
     Millis best = Millis::max();
     for (const std::pair<const std::string, Engine> &it : m_engines) {
         const Engine &engine = it.second;
-        const bool copy = engine.inMemory.count(model.name) != 0 || engine.onDisk.count(model.name) != 0;
-        if (engine.service != service || !engine.usable || !copy || engine.held.count(model.name) != 0)
+        if (engine.service != service || !engine.usable || !hasCopy(engine, model.name) || engine.held.count(model.name) != 0)
             continue;
         // The runs of what would make room, or the order that is under way.
         Millis wait = UnloadWait;
         if (engine.current)
             wait = std::max(Millis(0), engine.current->doneBy - now) + ColdRoundTime;
-        best = std::min(best, wait + std::max(model.diskLoad, model.memoryLoad));
+        best = std::min(best, wait + longestCopyLoad(model));
     }
     return best;
 }
@@ -329,7 +338,7 @@
         const auto model = limits.models.find(name.model);
         duration = action == OrderAction::Unload || model == limits.models.end() ? UnloadWait : model->second.storeLoad;
         if (action == OrderAction::Load && !fromStore)
-            duration = std::max(model->second.diskLoad, model->second.memoryLoad);
+            duration = longestCopyLoad(model->second);
     }
     current.doneBy = now + duration;
     if (fromStore)
@@ -339,6 +348,11 @@
     plan.orders.push_back(engine.current->order);
 }
 
+bool Residency::hasCopy(const Engine &engine, const std::string &model) const
+{
+    return engine.inMemory.count(model) != 0 || engine.onDisk.count(model) != 0;
+}
+
 bool Residency::free(const Engine &engine, const std::string &forModel, Time now) const
 {
     const bool reserved = !engine.reservedFor.empty() && engine.reservedFor != forModel && now < engine.reservedUntil;
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -227,7 +227,7 @@
         return;
     m_balancer.update(m_registry);
     m_crashes.update(m_registry, m_settings.host.id);
-    m_forwarder.endpointsChanged();
+    m_forwarder.wakeWaiting();
 }
 
 // Only a higher version is taken: a router never goes back within its life, whichever control host it asks.
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -39,9 +39,10 @@
 // What a request has in common with itself when its caller sends it again.
 Fingerprint fingerprintOf(const http::request<http::string_body> &request, const RequestFacts &facts)
 {
-    std::string text = fmt::format("{}\n{}\n{}\n", view(request.method_string()), view(request[http::field::host]), view(request.target()));
-    text += fmt::format("{}/{}\n{}", facts.model, facts.adapter, request.body());
-    return Fingerprint(XXH3_64bits(text.data(), text.size()));
+    const std::string head = fmt::format("{}\n{}\n{}\n{}/{}\n", view(request.method_string()), view(request[http::field::host]),
+                                         view(request.target()), facts.model, facts.adapter);
+    const uint64_t seed = XXH3_64bits(head.data(), head.size());
+    return Fingerprint(XXH3_64bits_withSeed(request.body().data(), request.body().size(), seed));
 }
 
 std::string retryAfter(Millis time)
@@ -61,7 +62,7 @@
 {
 }
 
-void Forwarder::endpointsChanged()
+void Forwarder::wakeWaiting()
 {
     for (net::steady_timer *it : m_waiters)
         it->cancel();
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -20,14 +20,14 @@
     void setTable(std::shared_ptr<const RouteTable> table)
     {
         m_table = std::move(table);
-        endpointsChanged();
+        wakeWaiting();
     }
     const std::shared_ptr<const RouteTable> &table() const
     {
         return m_table;
     }
     // What is known has changed: requests that wait look again.
-    void endpointsChanged();
+    void wakeWaiting();
     // Control was heard: what is known of endpoints is of this version, and as of now.
     void controlHeard(uint64_t version, Time now)
     {
