--- a/src/state/ledger.cpp
+++ b/src/state/ledger.cpp
@@ -322,9 +322,8 @@
     m_nextSlot = std::max<uint64_t>(1, in.next_slot());
     m_nextFence = std::max<uint64_t>(1, in.next_fence());
     for (const pb::EndpointRecord &it : in.endpoints()) {
-        const EndpointId id(it.endpoint());
-        m_endpoints[id]
-            = EndpointRecord{id, it.incarnation(), HostId(it.host()), it.host_bytes(), it.endpoint_bytes(), it.checks_fencing()};
+        addEndpoint(EndpointRecord{EndpointId(it.endpoint()), it.incarnation(), HostId(it.host()), it.host_bytes(), it.endpoint_bytes(),
+                                   it.checks_fencing()});
     }
     for (const pb::Slot &it : in.slots())
         add(fromProto(it));
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -186,6 +186,27 @@
     BOOST_TEST(ledger.reserve(EndpointId("e1"), 2, model("c", GiB, 1)).verdict == pb::VERDICT_STALE);
 }
 
+// A replica restored from a snapshot registers the next incarnation of a known endpoint, also on another host.
+BOOST_DATA_TEST_CASE(restoredLedgerRegistersANewIncarnation, bdata::make({"host", "other"}), host)
+{
+    Ledger ledger;
+    ledger.registerEndpoint(endpoint("e1", 1, true));
+    ledger.registerEndpoint(endpoint("e2", 1, true));
+    pb::MachineState saved;
+    ledger.save(saved);
+    Ledger restored;
+    restored.restore(saved);
+    EndpointRecord next = endpoint("e1", 2, true);
+    next.host = HostId(host);
+    BOOST_TEST(restored.registerEndpoint(next).verdict == pb::VERDICT_OK);
+    BOOST_TEST(restored.endpoint(EndpointId("e1"))->incarnation == 2u);
+    // The memory of the host is still limited by both of its endpoints' records.
+    BOOST_TEST(restored.reserve(EndpointId("e2"), 1, model("a", 20 * GiB, 1)).verdict == pb::VERDICT_OK);
+    const bool sameHost = std::string(host) == "host";
+    const LedgerResult second = restored.reserve(EndpointId("e1"), 2, model("b", 12 * GiB, 1));
+    BOOST_TEST(second.verdict == (sameHost ? pb::VERDICT_NO_CAPACITY : pb::VERDICT_OK));
+}
+
 BOOST_AUTO_TEST_CASE(staleReportDoesNotReleaseASlot)
 {
     Ledger ledger;
