Number published holdings on after a lease is regained; index a planning round

The numbers now continue, as fencing numbers do. The new case holdingsAreAcceptedAfterALeaseIsRegained covers the pattern.

A round now collects the places of every model once. No intended change of decisions but one: copies in memory are those of the latest heartbeat and the held models, not all ever seen.

--- a/src/coordination/residency.cpp
+++ b/src/coordination/residency.cpp
@@ -24,11 +24,12 @@
 
 } // namespace
 
-Residency::Residency(uint64_t term, uint64_t lastFence, std::string holder, Time ordersAllowedAt)
+Residency::Residency(uint64_t term, const Numbers &last, std::string holder, Time ordersAllowedAt)
     : m_term(term)
     , m_holder(std::move(holder))
     , m_ordersAllowedAt(ordersAllowedAt)
-    , m_fence(std::max(term * FencesPerTerm, lastFence))
+    , m_fence(std::max(term * FencesPerTerm, last.fence))
+    , m_counter(last.counter)
 {
 }
 
@@ -68,7 +69,13 @@
         engine.zone = live.announcement.zone();
     }
     engine.usable = live.usable();
-    engine.inMemory.insert(live.announcement.in_memory().begin(), live.announcement.in_memory().end());
+    if (engine.seenVersion == live.version)
+        return;
+    engine.seenVersion = live.version;
+    engine.inMemory = std::set<std::string>(live.announcement.in_memory().begin(), live.announcement.in_memory().end());
+    // A load leaves a copy, which a heartbeat that was sent before does not list yet.
+    for (const std::pair<const std::string, std::set<std::string>> &it : engine.held)
+        engine.inMemory.insert(it.first);
     engine.onDisk = std::set<std::string>(live.announcement.on_disk().begin(), live.announcement.on_disk().end());
     confirmFromHeartbeat(engine, live, now);
 }
@@ -224,16 +231,6 @@
     applyOrder(engine, order, now);
 }
 
-size_t Residency::holderCount(const ServiceId &service, const std::string &model) const
-{
-    return size_t(std::count_if(m_engines.begin(), m_engines.end(), [&](const std::pair<const std::string, Engine> &it) {
-        const Engine &engine = it.second;
-        const bool unloading = engine.current && engine.current->order.action == OrderAction::Unload
-            && engine.current->order.adapter.empty() && engine.current->order.model == model;
-        return engine.service == service && engine.usable && engine.held.count(model) != 0 && !unloading;
-    }));
-}
-
 double Residency::usedMegabytes(const Engine &engine, const EngineSpec &spec) const
 {
     double megabytes = 0;
--- a/src/coordination/residency.h
+++ b/src/coordination/residency.h
@@ -28,10 +28,15 @@
 class Residency
 {
 public:
+    // The highest numbers issued so far.
+    struct Numbers {
+        uint64_t fence = 0; // fencing number of orders
+        uint64_t counter = 0; // of published holdings
+    };
     // Created when this process becomes the leader, which may happen more than once in a term: a leader that regains its
-    // lease continues after `lastFence`, the highest fencing number it has issued. `holder` is the id of this control
-    // host, which orders carry. No order is issued before `ordersAllowedAt`.
-    Residency(uint64_t term, uint64_t lastFence, std::string holder, Time ordersAllowedAt);
+    // lease continues after `last`, or others would take its orders and holdings for old ones. `holder` is the id of this
+    // control host, which orders carry. No order is issued before `ordersAllowedAt`.
+    Residency(uint64_t term, const Numbers &last, std::string holder, Time ordersAllowedAt);
 
     // Updates the plan's inputs: the configuration, the live endpoints and the routers' demand.
     void observe(const RouteTable &table, const Registry &registry, Time now);
@@ -47,10 +52,9 @@
     };
     // Returns what to send now. The caller sends all of it, and reports every outcome with the functions above.
     Plan decide(Time now);
-    // Returns the highest fencing number issued so far.
-    uint64_t lastFence() const
+    Numbers lastNumbers() const
     {
-        return m_fence;
+        return Numbers{m_fence, m_counter};
     }
     // Returns the contents of the engines that have changed since the last call, for publication to routers.
     std::vector<pb::Holdings> takeHoldings();
@@ -74,6 +78,7 @@
         ServiceId service;
         uint64_t startedAtMs = 0;
         std::string zone;
+        uint64_t seenVersion = 0; // of the registry's entry when it was last processed
         bool usable = false;
         bool contentsKnown = false; // `held` and `sequence` match the engine
         bool reportPending = false;
@@ -89,6 +94,17 @@
         Time changedAt{}; // last change of `held`
         bool published = false; // returned by takeHoldings() since the last change
     };
+    // Where a model of one service is, or will be; kept up to date within a planning round.
+    struct ModelPlaces {
+        std::vector<Engine *> holders; // usable engines that hold it and are not unloading it
+        std::vector<Engine *> copies; // usable engines that have a copy in memory or on disk
+        bool planned = false; // an engine is loading it or is reserved for it
+    };
+    // The engines of one service at the beginning of a planning round, so that no decision searches all of them.
+    struct Round {
+        std::vector<Engine *> engines;
+        std::map<std::string, ModelPlaces> models;
+    };
     // The steps and the cost of loading a model on one engine.
     struct LoadOption {
         Engine *engine = nullptr;
@@ -101,28 +117,27 @@
     void observeEndpoint(const LiveEndpoint &live, Time now);
     void observeDemand(const Registry &registry, Time now);
     void confirmFromHeartbeat(Engine &engine, const LiveEndpoint &live, Time now);
+    void beginRound(const ServiceId &service, Time now);
     void completeCurrentOrder(Engine &engine, Time now);
     void applyOrder(Engine &engine, const ArtifactOrder &order, Time now);
     void requestReports(Plan &plan, Time now);
     void planService(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now);
     void continueReservations(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now);
     void planWaitingModels(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now);
-    void planPrefetch(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now);
+    void planPrefetch(const EngineSpec &spec, Plan &plan, Time now);
     void planAdapters(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now);
-    bool placeModel(const ServiceId &service, const EngineSpec &spec, const std::string &model, bool urgent, Plan &plan, Time now);
+    bool placeModel(const EngineSpec &spec, const std::string &model, bool urgent, Plan &plan, Time now);
     bool placeAdapter(const ServiceId &service, const EngineSpec &spec, const ArtifactName &name, bool urgent, Plan &plan, Time now);
     std::optional<LoadOption> loadOptionOn(Engine &engine, const EngineSpec &spec, const ModelSpec &model, bool urgent, Time now) const;
-    Millis timeUntilCopyLoaded(const ServiceId &service, const ModelSpec &model, Time now) const;
+    Millis timeUntilCopyLoaded(const ModelSpec &model, Time now) const;
     std::optional<double> evictionCost(const Engine &engine, const std::string &model, bool urgent, Time now) const;
     OrderInputs inputsOf(const Engine &engine, const ArtifactName &name, bool fromStore, Time now) const;
     void issueOrder(Engine &engine, OrderAction action, const ArtifactName &name, bool fromStore, Plan &plan, Time now);
     bool hasLocalCopy(const Engine &engine, const std::string &model) const;
     bool availableFor(const Engine &engine, const std::string &forModel, Time now) const;
     bool storeLoadAllowed(const EngineSpec &spec, size_t maxInFlight, const Engine *engine, Time now) const;
-    size_t storeLoadsInProgress(const ServiceId &service, const Engine *excluded, Time now) const;
-    bool reservedForStoreLoad(const Engine &engine, Time now) const;
-    size_t holderCount(const ServiceId &service, const std::string &model) const;
-    bool loadPlanned(const ServiceId &service, const std::string &model, Time now) const;
+    bool countsAsStoreLoad(const Engine &engine, Time now) const;
+    const ModelPlaces &places(const std::string &model) const;
     double usedMegabytes(const Engine &engine, const EngineSpec &spec) const;
     size_t adapterCount(const Engine &engine) const;
     const AggregateDemand *demandFor(const ServiceId &service, const ArtifactName &name) const;
@@ -138,6 +153,8 @@
     std::map<ServiceId, EngineSpec> m_specs;
     uint64_t m_specVersion = 0;
     std::map<std::string, Engine> m_engines;
+    Round m_round; // of the service that is being planned
+    size_t m_storeLoads = 0; // in progress or reserved, over all services
     std::map<ServiceArtifact, AggregateDemand> m_demand; // the entry of a model includes the demand for its adapters
     std::map<ServiceArtifact, Time> m_lastUse;
     std::deque<Time> m_storeLoadStarts; // within the last StoreRateWindow
--- a/src/coordination/residencyplan.cpp
+++ b/src/coordination/residencyplan.cpp
@@ -36,6 +36,9 @@
         return plan;
     while (!m_storeLoadStarts.empty() && m_storeLoadStarts.front() + StoreRateWindow < now)
         m_storeLoadStarts.pop_front();
+    m_storeLoads = size_t(std::count_if(m_engines.begin(), m_engines.end(), [&](const std::pair<const std::string, Engine> &it) {
+        return countsAsStoreLoad(it.second, now);
+    }));
     for (const std::pair<const ServiceId, EngineSpec> &it : m_specs)
         planService(it.first, it.second, plan, now);
     return plan;
@@ -57,27 +60,63 @@
     }
 }
 
+// Collects the engines of a service, and where its models are.
+void Residency::beginRound(const ServiceId &service, Time now)
+{
+    m_round = Round();
+    for (std::pair<const std::string, Engine> &it : m_engines) {
+        Engine &engine = it.second;
+        if (engine.service != service || !engine.usable)
+            continue;
+        m_round.engines.push_back(&engine);
+        const bool ofModel = engine.current && engine.current->order.adapter.empty();
+        const bool unloads = ofModel && engine.current->order.action == OrderAction::Unload;
+        for (const std::pair<const std::string, std::set<std::string>> &held : engine.held) {
+            if (!unloads || engine.current->order.model != held.first)
+                m_round.models[held.first].holders.push_back(&engine);
+        }
+        for (const std::string &copy : engine.inMemory)
+            m_round.models[copy].copies.push_back(&engine);
+        for (const std::string &copy : engine.onDisk) {
+            if (engine.inMemory.count(copy) == 0)
+                m_round.models[copy].copies.push_back(&engine);
+        }
+        if (ofModel && !unloads)
+            m_round.models[engine.current->order.model].planned = true;
+        if (!engine.reservedFor.empty() && now < engine.reservedUntil)
+            m_round.models[engine.reservedFor].planned = true;
+    }
+}
+
+const Residency::ModelPlaces &Residency::places(const std::string &model) const
+{
+    static const ModelPlaces none;
+    const auto it = m_round.models.find(model);
+    return it == m_round.models.end() ? none : it->second;
+}
+
 void Residency::planService(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now)
 {
+    beginRound(service, now);
     continueReservations(service, spec, plan, now);
     planWaitingModels(service, spec, plan, now);
     planAdapters(service, spec, plan, now);
-    planPrefetch(service, spec, plan, now);
+    planPrefetch(spec, plan, now);
 }
 
 // Continues reservations: unloads the next victim, or loads the model once there is room for it.
 void Residency::continueReservations(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now)
 {
-    for (std::pair<const std::string, Engine> &it : m_engines) {
-        Engine &engine = it.second;
+    for (Engine *it : m_round.engines) {
+        Engine &engine = *it;
         const std::string model = engine.reservedFor;
-        if (engine.service != service || model.empty() || engine.current)
+        if (model.empty() || engine.current)
             continue;
         if (now >= engine.reservedUntil || spec.models.count(model) == 0) {
             engine.reservedFor.clear();
             continue;
         }
-        if (!engine.contentsKnown || !engine.usable || engine.held.count(model) != 0)
+        if (!engine.contentsKnown || engine.held.count(model) != 0)
             continue;
         const AggregateDemand *demand = demandFor(service, ArtifactName{model, ""});
         const bool urgent = demand != nullptr && demand->waiting > 0;
@@ -95,40 +134,30 @@
 void Residency::planWaitingModels(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now)
 {
     std::vector<ModelDemand> demands;
-    for (const std::pair<const std::string, ModelSpec> &it : spec.models) {
-        const AggregateDemand *demand = demandFor(service, ArtifactName{it.first, ""});
-        if (demand == nullptr || loadPlanned(service, it.first, now))
+    for (auto it = m_demand.lower_bound(ServiceArtifact{service, {}}); it != m_demand.end() && it->first.first == service; ++it) {
+        const ArtifactName &name = it->first.second;
+        if (!name.adapter.empty() || spec.models.count(name.model) == 0 || places(name.model).planned)
             continue;
+        const AggregateDemand &demand = it->second;
         demands.push_back(
-            ModelDemand{it.first, demand->waiting, demand->running, demand->totalWait, uint32_t(holderCount(service, it.first))});
+            ModelDemand{name.model, demand.waiting, demand.running, demand.totalWait, uint32_t(places(name.model).holders.size())});
     }
     for (const std::string &it : modelsByLoadPriority(demands, spec.slots))
-        placeModel(service, spec, it, true, plan, now);
+        placeModel(spec, it, true, plan, now);
 }
 
 // Prefetches models from the weight store if no engine has a copy. A later load from a copy takes a tenth of the time.
-void Residency::planPrefetch(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now)
+void Residency::planPrefetch(const EngineSpec &spec, Plan &plan, Time now)
 {
-    if (storeLoadsInProgress(service, nullptr, now) >= MaxStoreLoadsForPrefetch)
+    if (m_storeLoads >= MaxStoreLoadsForPrefetch)
+        return;
+    // An engine with unknown contents may have a copy of any model.
+    if (std::any_of(m_round.engines.begin(), m_round.engines.end(), [](const Engine *it) { return !it->contentsKnown; }))
         return;
-    std::set<std::string> modelsWithCopy;
-    for (const std::pair<const std::string, Engine> &it : m_engines) {
-        const Engine &engine = it.second;
-        if (engine.service != service || !engine.usable)
-            continue;
-        modelsWithCopy.insert(engine.inMemory.begin(), engine.inMemory.end());
-        modelsWithCopy.insert(engine.onDisk.begin(), engine.onDisk.end());
-        for (const std::pair<const std::string, std::set<std::string>> &held : engine.held)
-            modelsWithCopy.insert(held.first);
-        if (engine.current)
-            modelsWithCopy.insert(engine.current->order.model);
-        modelsWithCopy.insert(engine.reservedFor);
-        // An engine with unknown contents may have a copy of any model.
-        if (!engine.contentsKnown)
-            return;
-    }
     for (const std::pair<const std::string, ModelSpec> &it : spec.models) {
-        if (modelsWithCopy.count(it.first) == 0 && placeModel(service, spec, it.first, false, plan, now))
+        const ModelPlaces &known = places(it.first);
+        const bool exists = known.planned || !known.copies.empty() || !known.holders.empty();
+        if (!exists && placeModel(spec, it.first, false, plan, now))
             return;
     }
 }
@@ -138,7 +167,7 @@
     std::vector<ArtifactName> waiting;
     std::vector<ArtifactName> toPrefetch;
     for (const std::pair<const std::string, ModelSpec> &it : spec.models) {
-        if (it.second.adapters == 0 || holderCount(service, it.first) == 0)
+        if (it.second.adapters == 0 || places(it.first).holders.empty())
             continue;
         for (uint32_t n = 1; n <= it.second.adapters; ++n) {
             const ArtifactName name{it.first, "a" + std::to_string(n)};
@@ -155,27 +184,35 @@
         placeAdapter(service, spec, it, false, plan, now);
 }
 
-bool Residency::placeModel(const ServiceId &service, const EngineSpec &spec, const std::string &name, bool urgent, Plan &plan, Time now)
+bool Residency::placeModel(const EngineSpec &spec, const std::string &name, bool urgent, Plan &plan, Time now)
 {
     const ModelSpec &model = spec.models.at(name);
+    const std::vector<Engine *> &copies = places(name).copies;
     std::optional<LoadOption> best;
-    for (std::pair<const std::string, Engine> &it : m_engines) {
-        if (it.second.service != service || !availableFor(it.second, name, now) || it.second.held.count(name) != 0)
-            continue;
-        const std::optional<LoadOption> option = loadOptionOn(it.second, spec, model, urgent, now);
-        if (!option
-            || (option->fromStore && !storeLoadAllowed(spec, urgent ? MaxStoreLoadsInFlight : MaxStoreLoadsForPrefetch, &it.second, now)))
-            continue;
-        if (!best || option->cost < best->cost)
+    const auto consider = [&](Engine &engine) {
+        if (!availableFor(engine, name, now) || engine.held.count(name) != 0)
+            return;
+        const std::optional<LoadOption> option = loadOptionOn(engine, spec, model, urgent, now);
+        const bool allowed = option
+            && (!option->fromStore || storeLoadAllowed(spec, urgent ? MaxStoreLoadsInFlight : MaxStoreLoadsForPrefetch, &engine, now));
+        if (allowed && (!best || option->cost < best->cost))
             best = option;
-    }
+    };
+    for (Engine *it : copies)
+        consider(*it);
     // Waiting for a busy engine with a copy is preferred if that is faster than a load from the store elsewhere.
-    if (!best || (best->fromStore && timeUntilCopyLoaded(service, model, now) < model.storeLoadTime))
+    if (!best && timeUntilCopyLoaded(model, now) >= model.storeLoadTime) {
+        for (Engine *it : m_round.engines)
+            consider(*it);
+    }
+    if (!best)
         return false;
     Engine &engine = *best->engine;
     engine.reservedFor = name;
     engine.reservedUntil = now + ReservationTtl;
     engine.reservedFromStore = best->fromStore;
+    m_round.models[name].planned = true;
+    m_storeLoads += best->fromStore ? 1 : 0;
     if (best->victims.empty())
         issueOrder(engine, OrderAction::Load, ArtifactName{name, ""}, best->fromStore, plan, now);
     else
@@ -220,17 +257,16 @@
 // Load pattern: many rarely used models are requested, each with copies on a few engines that are busy with other
 // loads. A load from the store on an idle engine takes longer than those loads, and keeps that engine from loading its
 // own copies.
-Millis Residency::timeUntilCopyLoaded(const ServiceId &service, const ModelSpec &model, Time now) const
+Millis Residency::timeUntilCopyLoaded(const ModelSpec &model, Time now) const
 {
     Millis best = Millis::max();
-    for (const std::pair<const std::string, Engine> &it : m_engines) {
-        const Engine &engine = it.second;
-        if (engine.service != service || !engine.usable || !hasLocalCopy(engine, model.name) || engine.held.count(model.name) != 0)
+    for (const Engine *it : places(model.name).copies) {
+        if (it->held.count(model.name) != 0)
             continue;
         // The engine waits for the requests that run on the model to be unloaded, or for its order in progress.
         Millis wait = UnloadTimeEstimate;
-        if (engine.current)
-            wait = std::max(Millis(0), engine.current->expectedDoneAt - now) + ColdLoadOverhead;
+        if (it->current)
+            wait = std::max(Millis(0), it->current->expectedDoneAt - now) + ColdLoadOverhead;
         best = std::min(best, wait + longestCopyLoad(model));
     }
     return best;
@@ -240,7 +276,7 @@
 std::optional<double> Residency::evictionCost(const Engine &engine, const std::string &model, bool urgent, Time now) const
 {
     const ArtifactName name{model, ""};
-    const size_t held = holderCount(engine.service, model);
+    const size_t held = places(model).holders.size();
     const AggregateDemand *demand = demandFor(engine.service, name);
     const uint32_t requests = demand == nullptr ? 0 : demand->running + demand->waiting;
     const EngineSpec *engineSpec = spec(engine.service);
@@ -260,12 +296,10 @@
 bool Residency::placeAdapter(const ServiceId &service, const EngineSpec &spec, const ArtifactName &name, bool urgent, Plan &plan, Time now)
 {
     Engine *best = nullptr;
-    for (std::pair<const std::string, Engine> &it : m_engines) {
-        Engine &engine = it.second;
+    for (Engine *it : places(name.model).holders) {
+        Engine &engine = *it;
         const auto held = engine.held.find(name.model);
-        if (engine.service != service || held == engine.held.end())
-            continue;
-        if (engine.contentsKnown && held->second.count(name.adapter) != 0 && engine.usable)
+        if (engine.contentsKnown && held->second.count(name.adapter) != 0)
             return false;
         const bool loading = engine.current && engine.current->order.model == name.model && engine.current->order.adapter == name.adapter;
         if (loading)
@@ -311,7 +345,7 @@
         inputs.running = demand->running;
         inputs.longestWait = demand->longestWait;
     }
-    inputs.holders = uint32_t(holderCount(engine.service, name.model));
+    inputs.holders = uint32_t(places(name.model).holders.size());
     inputs.usedMegabytes = usedMegabytes(engine, *spec(engine.service));
     inputs.contentsAge = now - engine.changedAt;
     inputs.fromStore = fromStore;
@@ -349,6 +383,8 @@
     current.expectedDoneAt = now + duration;
     if (fromStore)
         m_storeLoadStarts.push_back(now);
+    if (action == OrderAction::Unload && name.adapter.empty())
+        std::erase(m_round.models[name.model].holders, &engine);
     engine.current = current;
     engine.published = false;
     plan.orders.push_back(engine.current->order);
@@ -366,46 +402,25 @@
     return engine.usable && engine.contentsKnown && !engine.current && !reserved;
 }
 
-bool Residency::reservedForStoreLoad(const Engine &engine, Time now) const
+// Returns whether the engine is loading from the weight store, is reserved for such a load, or may be executing one that a
+// previous leader ordered, because its contents are unknown.
+bool Residency::countsAsStoreLoad(const Engine &engine, Time now) const
 {
-    return engine.reservedFromStore && !engine.reservedFor.empty() && now < engine.reservedUntil;
-}
-
-// Counts the loads from the weight store that are in progress or reserved, on all engines of the service but `excluded`.
-size_t Residency::storeLoadsInProgress(const ServiceId &service, const Engine *excluded, Time now) const
-{
-    return size_t(std::count_if(m_engines.begin(), m_engines.end(), [&](const std::pair<const std::string, Engine> &it) {
-        const Engine &engine = it.second;
-        // An engine with unknown contents may be executing a load order of a previous leader.
-        const bool mayBeLoading = !engine.contentsKnown && !engine.current && engine.usable;
-        const bool isLoading = engine.current && engine.current->fromStore;
-        return engine.service == service && &engine != excluded && (isLoading || mayBeLoading || reservedForStoreLoad(engine, now));
-    }));
+    const bool mayBeLoading = !engine.contentsKnown && !engine.current && engine.usable;
+    const bool isLoading = engine.current && engine.current->fromStore;
+    const bool reserved = engine.reservedFromStore && !engine.reservedFor.empty() && now < engine.reservedUntil;
+    return isLoading || mayBeLoading || reserved;
 }
 
 // Returns whether one more load from the weight store, on `engine`, stays within the rate over StoreRateWindow and below
 // `maxInFlight` concurrent loads.
 bool Residency::storeLoadAllowed(const EngineSpec &spec, size_t maxInFlight, const Engine *engine, Time now) const
 {
-    size_t storeLoadsRunning = 0;
-    for (const std::pair<const ServiceId, EngineSpec> &it : m_specs)
-        storeLoadsRunning += storeLoadsInProgress(it.first, engine, now);
+    const size_t storeLoadsRunning = m_storeLoads - (countsAsStoreLoad(*engine, now) ? 1 : 0);
     const double window = double(StoreRateWindow.count()) / 1000;
     const auto recent
         = std::count_if(m_storeLoadStarts.begin(), m_storeLoadStarts.end(), [&](Time t) { return t + StoreRateWindow > now; });
     return storeLoadsRunning < maxInFlight && double(recent) < spec.storeLoadsPerSecond * window;
 }
 
-// Returns whether an engine is loading the model or is reserved for it.
-bool Residency::loadPlanned(const ServiceId &service, const std::string &model, Time now) const
-{
-    return std::any_of(m_engines.begin(), m_engines.end(), [&](const std::pair<const std::string, Engine> &it) {
-        const Engine &engine = it.second;
-        const bool isLoading = engine.current && engine.current->order.action == OrderAction::Load && engine.current->order.adapter.empty()
-            && engine.current->order.model == model;
-        const bool isReserved = engine.reservedFor == model && now < engine.reservedUntil;
-        return engine.service == service && engine.usable && (isLoading || isReserved);
-    });
-}
-
 } // namespace roserail
--- a/src/transport/ordersender.cpp
+++ b/src/transport/ordersender.cpp
@@ -56,12 +56,12 @@
 void OrderSender::beginTerm(uint64_t term, Time now)
 {
     if (m_residency)
-        m_lastFence = m_residency->lastFence();
+        m_lastNumbers = m_residency->lastNumbers();
     // The previous leader sent its last order before its lease ended, which was before this term began.
     if (m_term != term)
         m_ordersAllowedAt = now + m_orderLease + OrderDeliveryMargin;
     m_term = term;
-    m_residency = std::make_unique<Residency>(m_term, m_lastFence, m_holder, m_ordersAllowedAt);
+    m_residency = std::make_unique<Residency>(m_term, m_lastNumbers, m_holder, m_ordersAllowedAt);
     m_table.setOrderPermission(LiveTable::OrderPermission{m_term, m_ordersAllowedAt});
     logEvent("orders_begin", {{"term", m_term}, {"from_ms", (m_ordersAllowedAt - now).count()}});
 }
@@ -71,8 +71,8 @@
     const ReplicaStatus status = m_node.status();
     if (!status.leads(now)) {
         if (m_residency) {
-            m_lastFence = m_residency->lastFence();
-            logEvent("orders_stopped", {{"term", m_term}, {"last_fence", m_lastFence}});
+            m_lastNumbers = m_residency->lastNumbers();
+            logEvent("orders_stopped", {{"term", m_term}, {"last_fence", m_lastNumbers.fence}});
         }
         m_residency.reset();
         return;
--- a/src/transport/ordersender.h
+++ b/src/transport/ordersender.h
@@ -35,7 +35,7 @@
     std::unique_ptr<Residency> m_residency; // null unless this process is the leader
     uint64_t m_term = 0;
     Time m_ordersAllowedAt{}; // no order is sent earlier in this term
-    uint64_t m_lastFence = 0; // the highest fencing token of earlier plans
+    Residency::Numbers m_lastNumbers; // of earlier plans
 };
 
 } // namespace roserail
--- a/tests/residency_test.cpp
+++ b/tests/residency_test.cpp
@@ -62,7 +62,7 @@
 
     void changeLeader()
     {
-        residency = std::make_unique<Residency>(term++, 0, "holder", now);
+        residency = std::make_unique<Residency>(term++, Residency::Numbers(), "holder", now);
     }
 
     double usedMegabytes(const FakeEngine &engine) const
@@ -500,7 +500,7 @@
         simulation.sendHeartbeat(it.second);
     }
     for (int lease = 0; lease < 3; ++lease) {
-        const uint64_t last = simulation.residency->lastFence();
+        const Residency::Numbers last = simulation.residency->lastNumbers();
         simulation.residency = std::make_unique<Residency>(7, last, "holder", simulation.now);
         for (int i = 0; i < 40; ++i) {
             simulation.setDemand({{waitingDemand(("m" + std::to_string(lease)).c_str(), 2, 2000), Millis(1000)}}, ++sequence);
@@ -512,3 +512,39 @@
     BOOST_TEST(fences.size() >= 3u);
     BOOST_TEST(std::is_sorted(fences.begin(), fences.end(), std::less_equal<uint64_t>()));
 }
+
+// A leader is frozen for less than an election and regains its lease in the same term. Routers must learn what it loads
+// afterwards: holdings that are numbered like earlier ones would be ignored as old.
+BOOST_AUTO_TEST_CASE(holdingsAreAcceptedAfterALeaseIsRegained)
+{
+    Simulation simulation;
+    for (std::pair<const std::string, FakeEngine> &it : simulation.engines) {
+        for (int i = 0; i < 7; ++i)
+            simulation.cachedModels.insert(it.first + "/m" + std::to_string(i));
+        simulation.sendHeartbeat(it.second);
+    }
+    uint64_t sequence = 0;
+    const auto loadedForRouters = [&](const std::string &model) {
+        const std::map<std::string, LiveEndpoint> &endpoints = simulation.registry.endpoints();
+        return std::any_of(endpoints.begin(), endpoints.end(), [&](const std::pair<const std::string, LiveEndpoint> &it) {
+            const auto &models = it.second.models();
+            return std::any_of(models.begin(), models.end(), [&](const pb::HeldModel &held) { return held.model() == model; });
+        });
+    };
+    for (int lease = 0; lease < 3; ++lease) {
+        const Residency::Numbers last = simulation.residency->lastNumbers();
+        simulation.residency = std::make_unique<Residency>(7, last, "holder", simulation.now);
+        // The first lease publishes many holdings, a later one few.
+        for (int i = 0; i < (lease == 0 ? 120 : 40); ++i) {
+            const std::string model = "m" + std::to_string(lease == 0 ? i / 20 : 5 + lease - 1);
+            simulation.setDemand({{waitingDemand(model.c_str(), 2, 2000), Millis(1000)}}, ++sequence);
+            simulation.runRound([] { return 0; });
+            for (std::pair<const std::string, FakeEngine> &it : simulation.engines)
+                simulation.sendHeartbeat(it.second);
+        }
+        for (const std::pair<const std::string, FakeEngine> &it : simulation.engines) {
+            for (const std::pair<const std::string, std::set<std::string>> &held : it.second.held)
+                BOOST_TEST(loadedForRouters(held.first), "lease " << lease << ", model " << held.first);
+        }
+    }
+}
