Share live state between the hosts with a disk only, and configurations as differences

Now hosts with a disk send their own changes to each other, and those of a host that is cut from one of them are forwarded by the others; a host without a disk sends what it receives to one host with a disk; all announce themselves to their seeds. Configurations reach control hosts by the log, and routers as the difference from the version they have. Routers receive changed contents of engines without the announcement.

--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -13,30 +13,41 @@
 namespace
 {
 
-// Clears the fields that change with every heartbeat and those that routers don't use.
-pb::Announcement visible(const pb::Announcement &announcement)
+constexpr size_t MaxEarlyHoldings = 4096; // above the number of engines; reached only by entries that are never announced
+
+bool sameModels(const google::protobuf::RepeatedPtrField<pb::HeldModel> &a, const google::protobuf::RepeatedPtrField<pb::HeldModel> &b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](const pb::HeldModel &x, const pb::HeldModel &y) {
+        return x.model() == y.model() && std::equal(x.adapters().begin(), x.adapters().end(), y.adapters().begin(), y.adapters().end());
+    });
+}
+
+// Returns whether routers need no update. `holdingsKnown`: they use the holdings instead of the announced models.
+bool sameForRouters(const pb::Announcement &a, const pb::Announcement &b, bool holdingsKnown)
 {
-    pb::Announcement result = announcement;
-    result.clear_sequence();
-    result.clear_age_ms();
-    result.clear_in_memory();
-    result.clear_on_disk();
-    return result;
+    return a.born_ms() == b.born_ms() && a.address() == b.address() && a.zone() == b.zone() && a.service() == b.service()
+        && a.slots() == b.slots() && a.leaving() == b.leaving() && a.gone() == b.gone() && a.lost() == b.lost()
+        && (holdingsKnown || sameModels(a.models(), b.models()));
+}
+
+bool sameForRouters(const pb::RouterState &a, const pb::RouterState &b)
+{
+    const auto sameReport = [](const pb::CrashReport &x, const pb::CrashReport &y) {
+        return x.fingerprint() == y.fingerprint() && x.endpoint() == y.endpoint() && x.born_ms() == y.born_ms();
+    };
+    return a.incarnation() == b.incarnation() && a.address() == b.address() && a.zone() == b.zone() && a.accepting() == b.accepting()
+        && std::equal(a.crashes().begin(), a.crashes().end(), b.crashes().begin(), b.crashes().end(), sameReport);
 }
 
-pb::RouterState visible(const pb::RouterState &state)
+bool holdingsKnown(const LiveEndpoint &endpoint)
 {
-    pb::RouterState result = state;
-    result.clear_sequence();
-    result.clear_age_ms();
-    result.clear_demands();
-    return result;
+    return !endpoint.holdings.endpoint().empty() && endpoint.holdings.born_ms() == endpoint.announcement.born_ms();
 }
 
-template <typename Message>
-bool sameForRouters(const Message &a, const Message &b)
+// Returns whether another control host needs a change of `version` that the host `from` sent to this one.
+bool selected(const ChangeFilter &filter, uint64_t version, const std::string &from)
 {
-    return visible(a).SerializeAsString() == visible(b).SerializeAsString();
+    return version > filter.version && (filter.version == 0 || from.empty() || filter.forwarded.count(from) != 0);
 }
 
 uint64_t ageMs(Time lastSeenAt, Time now)
@@ -48,8 +59,7 @@
 
 const google::protobuf::RepeatedPtrField<pb::HeldModel> &LiveEndpoint::models() const
 {
-    const bool ordered = !holdings.endpoint().empty() && holdings.born_ms() == announcement.born_ms();
-    return ordered ? holdings.models() : announcement.models();
+    return holdingsKnown(*this) ? holdings.models() : announcement.models();
 }
 
 std::string_view stateName(const pb::Announcement &announcement)
@@ -67,10 +77,10 @@
 {
 }
 
-template <typename Entry>
-void Registry::recordChange(Entry &entry, bool visible, Time now)
+void Registry::recordChange(EntryVersions &entry, bool visible, Time now, const std::string &from)
 {
     entry.version = ++m_version;
+    entry.from = from;
     if (visible)
         entry.visibleVersion = m_version;
     if (!visible && now < entry.sharedAt + LivenessRelayInterval)
@@ -79,7 +89,7 @@
     entry.sharedAt = now;
 }
 
-bool Registry::merge(const pb::Announcement &announcement, Time lastSeenAt)
+bool Registry::merge(const pb::Announcement &announcement, Time lastSeenAt, const std::string &from)
 {
     LiveEndpoint &known = m_endpoints[announcement.endpoint()];
     const bool first = known.version == 0;
@@ -91,11 +101,19 @@
         return false;
     const bool newlyLost = announcement.lost() && announcement.sequence() == known.announcement.sequence() && !known.announcement.lost();
     if (sameIncarnation && !announcement.gone() && !newlyLost && announcement.sequence() <= known.announcement.sequence())
-        return false;
-    const bool changed = first || !sameForRouters(known.announcement, announcement);
-    known.announcement = announcement;
+        return announcement.leaving() && markLeaving(known, lastSeenAt, from);
+    pb::Announcement next = announcement;
+    // That an incarnation is leaving is final, too. A router may have learned it before the endpoint's heartbeats say so.
+    next.set_leaving(announcement.leaving() || (sameIncarnation && known.announcement.leaving()));
+    const bool changed = first || !sameForRouters(known.announcement, next, holdingsKnown(known));
+    known.announcement = std::move(next);
     known.lastSeenAt = std::max(known.lastSeenAt, lastSeenAt);
-    recordChange(known, changed, lastSeenAt);
+    recordChange(known, changed, lastSeenAt, from);
+    const auto early = first ? m_earlyHoldings.find(announcement.endpoint()) : m_earlyHoldings.end();
+    if (early != m_earlyHoldings.end()) {
+        merge(pb::Holdings(early->second), lastSeenAt, from);
+        m_earlyHoldings.erase(announcement.endpoint());
+    }
     if (changed && !announcement.gone())
         resolveAddressConflict(known, lastSeenAt);
     return true;
@@ -118,23 +136,26 @@
     }
 }
 
-bool Registry::merge(const pb::Holdings &holdings, Time now)
+bool Registry::merge(const pb::Holdings &holdings, Time, const std::string &from)
 {
-    const auto it = m_endpoints.find(holdings.endpoint());
-    if (it == m_endpoints.end())
-        return false;
-    pb::Holdings &known = it->second.holdings;
     const auto versionOf = [](const pb::Holdings &h) {
         return std::pair(h.term(), h.counter());
     };
+    const auto it = m_endpoints.find(holdings.endpoint());
+    pb::Holdings &known = it == m_endpoints.end() ? m_earlyHoldings[holdings.endpoint()] : it->second.holdings;
     if (!known.endpoint().empty() && versionOf(holdings) <= versionOf(known))
         return false;
     known = holdings;
-    recordChange(it->second, true, now);
+    if (m_earlyHoldings.size() > MaxEarlyHoldings)
+        m_earlyHoldings.clear();
+    if (it == m_endpoints.end())
+        return false;
+    it->second.holdingsVersion = ++m_version;
+    it->second.holdingsFrom = from;
     return true;
 }
 
-bool Registry::merge(const pb::RouterState &state, Time lastSeenAt)
+bool Registry::merge(const pb::RouterState &state, Time lastSeenAt, const std::string &from)
 {
     LiveRouter &known = m_routers[state.router()];
     const auto versionOf = [](const pb::RouterState &s) {
@@ -148,7 +169,8 @@
     const bool changed = known.version == 0 || !sameForRouters(known.state, state);
     known.state = state;
     known.lastSeenAt = std::max(known.lastSeenAt, lastSeenAt);
-    recordChange(known, changed, lastSeenAt);
+    recordChange(known, changed, lastSeenAt, from);
+    applyLeavingReports(state, lastSeenAt);
     return true;
 }
 
@@ -166,6 +188,24 @@
     return true;
 }
 
+bool Registry::markLeaving(LiveEndpoint &endpoint, Time now, const std::string &from)
+{
+    if (endpoint.announcement.gone() || endpoint.announcement.leaving())
+        return false;
+    endpoint.announcement.set_leaving(true);
+    recordChange(endpoint, true, now, from);
+    return true;
+}
+
+void Registry::applyLeavingReports(const pb::RouterState &state, Time now)
+{
+    for (const pb::LeavingReport &it : state.leaving()) {
+        const auto known = m_endpoints.find(it.endpoint());
+        if (known != m_endpoints.end() && known->second.announcement.born_ms() == it.born_ms())
+            markLeaving(known->second, now, "");
+    }
+}
+
 void Registry::withdraw(const std::string &endpoint, Time now)
 {
     const auto it = m_endpoints.find(endpoint);
@@ -179,7 +219,7 @@
         return;
     endpoint.announcement.set_gone(true);
     endpoint.lastSeenAt = now;
-    recordChange(endpoint, true, now);
+    recordChange(endpoint, true, now, "");
 }
 
 bool Registry::markLost(LiveEndpoint &endpoint, Time now)
@@ -187,7 +227,7 @@
     if (endpoint.announcement.gone() || endpoint.announcement.lost())
         return false;
     endpoint.announcement.set_lost(true);
-    recordChange(endpoint, true, now);
+    recordChange(endpoint, true, now, "");
     return true;
 }
 
@@ -196,7 +236,7 @@
     if (!router.state.accepting())
         return false;
     router.state.set_accepting(false);
-    recordChange(router, true, now);
+    recordChange(router, true, now, "");
     return true;
 }
 
@@ -255,23 +295,24 @@
     }
 }
 
-void Registry::changesSince(uint64_t version, bool all, Time now, pb::ShareRequest &out) const
+void Registry::changesSince(const ChangeFilter &filter, Time now, pb::ShareRequest &out) const
 {
     for (const std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
-        if ((all ? it.second.version : it.second.sharedVersion) <= version)
-            continue;
-        pb::Announcement &announcement = *out.add_endpoints();
-        announcement = it.second.announcement;
-        announcement.set_age_ms(ageMs(it.second.lastSeenAt, now));
-        if (!it.second.holdings.endpoint().empty() && it.second.visibleVersion > version)
-            *out.add_holdings() = it.second.holdings;
+        const LiveEndpoint &endpoint = it.second;
+        if (selected(filter, filter.all ? endpoint.version : endpoint.sharedVersion, endpoint.from)) {
+            pb::Announcement &announcement = *out.add_endpoints();
+            announcement = endpoint.announcement;
+            announcement.set_age_ms(ageMs(endpoint.lastSeenAt, now));
+        }
+        if (selected(filter, endpoint.holdingsVersion, endpoint.holdingsFrom))
+            *out.add_holdings() = endpoint.holdings;
     }
     for (const std::pair<const std::string, LiveRouter> &it : m_routers) {
-        if ((all ? it.second.version : it.second.sharedVersion) <= version)
+        if (!selected(filter, filter.all ? it.second.version : it.second.sharedVersion, it.second.from))
             continue;
         pb::RouterState &state = *out.add_routers();
         state = it.second.state;
-        if (!all)
+        if (!filter.all)
             state.clear_demands();
         state.set_age_ms(ageMs(it.second.lastSeenAt, now));
     }
@@ -285,15 +326,17 @@
     out.set_full(since == 0 && now > m_startedAt + m_timeouts.endpoint);
     out.set_version(m_version);
     for (const std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
+        if (it.second.holdingsVersion > since)
+            *out.add_holdings() = it.second.holdings;
         if (it.second.visibleVersion <= since)
             continue;
         pb::Announcement &announcement = *out.add_endpoints();
         announcement = it.second.announcement;
         announcement.clear_in_memory();
         announcement.clear_on_disk();
+        if (holdingsKnown(it.second))
+            announcement.clear_models();
         announcement.set_age_ms(ageMs(it.second.lastSeenAt, now));
-        if (!it.second.holdings.endpoint().empty())
-            *out.add_holdings() = it.second.holdings;
     }
     for (const std::pair<const std::string, LiveRouter> &it : m_routers) {
         if (it.second.visibleVersion <= since)
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -6,6 +6,7 @@
 #include "state/types.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,14 +23,21 @@
 // Returns the state of an announced endpoint as the log writes it.
 std::string_view stateName(const pb::Announcement &announcement);
 
-struct LiveEndpoint {
+// Versions of the registry at which an entry last changed.
+struct EntryVersions {
+    uint64_t version = 0; // of the last change
+    uint64_t visibleVersion = 0; // of the last change that routers need, other than one of an endpoint's holdings
+    uint64_t sharedVersion = 0; // of the last change for all control hosts with a disk: a visible one, or a periodic heartbeat
+    Time sharedAt{};
+    std::string from; // control host with a disk that sent the last change to this one; empty: received by another way
+};
+
+struct LiveEndpoint : EntryVersions {
     pb::Announcement announcement; // the newest
     pb::Holdings holdings; // as the control host that sends orders lists them; empty endpoint: none
+    uint64_t holdingsVersion = 0; // of the last change of `holdings`
+    std::string holdingsFrom; // as `from`
     Time lastSeenAt{};
-    uint64_t version = 0; // of the last change
-    uint64_t visibleVersion = 0; // of the last change that routers need
-    uint64_t sharedVersion = 0; // of the last change sent to all control hosts: a visible one, or a periodic heartbeat
-    Time sharedAt{};
     bool usable() const
     {
         return !announcement.leaving() && !announcement.gone() && !announcement.lost();
@@ -38,13 +46,9 @@
     const google::protobuf::RepeatedPtrField<pb::HeldModel> &models() const;
 };
 
-struct LiveRouter {
+struct LiveRouter : EntryVersions {
     pb::RouterState state;
     Time lastSeenAt{};
-    uint64_t version = 0;
-    uint64_t visibleVersion = 0;
-    uint64_t sharedVersion = 0;
-    Time sharedAt{};
 };
 
 struct LiveKeeper {
@@ -53,15 +57,23 @@
     uint64_t version = 0;
 };
 
+// Selects the changes for another control host.
+struct ChangeFilter {
+    uint64_t version = 0; // the peer has the changes up to this version; 0: it needs everything
+    bool all = false; // all changes, not only those that routers need and periodic heartbeats
+    std::set<std::string> forwarded; // hosts whose changes are included; others send theirs to the peer themselves
+};
+
 class Registry
 {
 public:
     Registry(HeartbeatTimeouts timeouts, Time startedAt);
 
-    // Each stores a message if it is newer than the entry, and returns whether it was.
-    bool merge(const pb::Announcement &announcement, Time lastSeenAt);
-    bool merge(const pb::Holdings &holdings, Time now);
-    bool merge(const pb::RouterState &state, Time lastSeenAt);
+    // Each stores a message if it is newer than the entry, and returns whether it was. `from`: the control host with a disk
+    // that sent it, which sends it to the other ones as well; empty if the message was received by another way.
+    bool merge(const pb::Announcement &announcement, Time lastSeenAt, const std::string &from = "");
+    bool merge(const pb::Holdings &holdings, Time now, const std::string &from = "");
+    bool merge(const pb::RouterState &state, Time lastSeenAt, const std::string &from = "");
     bool merge(const pb::KeeperState &state, Time lastSeenAt);
     // Marks an endpoint as gone after it has announced that it stops.
     void withdraw(const std::string &endpoint, Time now);
@@ -76,9 +88,8 @@
     {
         return m_version;
     }
-    // Collects changes after a version for another control host: all of them for the one that sends orders to engines,
-    // else those that routers need and periodic heartbeats.
-    void changesSince(uint64_t version, bool all, Time now, pb::ShareRequest &out) const;
+    // Collects changes for another control host.
+    void changesSince(const ChangeFilter &filter, Time now, pb::ShareRequest &out) const;
     // Collects changes after a version that routers need.
     void routerChangesSince(uint64_t version, Time now, pb::SyncReply &out) const;
 
@@ -101,19 +112,21 @@
 
 private:
     void markGone(LiveEndpoint &endpoint, Time now);
-    // Both return whether the entry changed.
+    // Each returns whether the entry changed.
     bool markLost(LiveEndpoint &endpoint, Time now);
     bool markLost(LiveRouter &router, Time now);
+    bool markLeaving(LiveEndpoint &endpoint, Time now, const std::string &from);
+    void applyLeavingReports(const pb::RouterState &state, Time now);
     void resolveAddressConflict(const LiveEndpoint &updated, Time now);
     // Assigns new versions to a changed entry. A change that routers don't need reaches all control hosts at intervals only.
-    template <typename Entry>
-    void recordChange(Entry &entry, bool visible, Time now);
+    void recordChange(EntryVersions &entry, bool visible, Time now, const std::string &from);
 
     HeartbeatTimeouts m_timeouts;
     Time m_startedAt; // messages sent before did not reach this process
     uint64_t m_version = 0;
     uint64_t m_evictedVersion = 0; // highest version of an evicted entry
     std::map<std::string, LiveEndpoint> m_endpoints;
+    std::map<std::string, pb::Holdings> m_earlyHoldings; // of endpoints that are not known yet
     std::map<std::string, LiveRouter> m_routers;
     std::map<std::string, LiveKeeper> m_keepers;
 };
--- a/src/keeper.cpp
+++ b/src/keeper.cpp
@@ -11,6 +11,7 @@
 #include "transport/controlpeers.h"
 #include "transport/controlservice.h"
 #include "transport/keeperapi.h"
+#include "transport/mesh.h"
 #include "transport/ordersender.h"
 #include "transport/program.h"
 
@@ -73,7 +74,7 @@
         services.push_back(peerService.get());
     }
     LiveTable table(HeartbeatTimeouts{tunables::EndpointLivenessTimeout, tunables::RouterLivenessTimeout}, monotonicNow());
-    MeshService meshService(table, internalSeeds(settings.host), node != nullptr, randomNumber());
+    MeshService meshService(table, internal, internalSeeds(settings.host), node != nullptr, randomNumber());
     services.push_back(&meshService);
     const std::unique_ptr<grpc::Server> server = startGrpcServer(internal, services);
     if (!server)
--- a/src/protocol/statedump.cpp
+++ b/src/protocol/statedump.cpp
@@ -27,7 +27,7 @@
 std::string stateDump(nlohmann::json process, const Registry &registry, Time now)
 {
     pb::ShareRequest live;
-    registry.changesSince(0, true, now, live);
+    registry.changesSince(ChangeFilter{0, true, {}}, now, live);
     for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
         pb::KeeperState &state = *live.add_keepers();
         state = it.second.state;
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -50,7 +50,7 @@
     : m_io(io)
     , m_table(table)
     , m_node(node)
-    , m_sharer(table, internalAddress(settings))
+    , m_sharer(table, internalAddress(settings), node != nullptr)
 {
     m_bootstrapView.self = internalAddress(settings);
     m_bootstrapView.seeds = internalSeeds(settings.host);
@@ -85,17 +85,20 @@
 
 void ControlPeers::updatePeers(Time now)
 {
-    announceState(now);
-    std::vector<std::string> addresses = m_bootstrapView.seeds;
+    const std::set<std::string> unreachable = m_sharer.unreachable();
+    announceState(unreachable, now);
+    const ShareView view{m_bootstrapView.self, m_state.zone(), m_bootstrapView.disk, m_bootstrapView.seeds, unreachable};
+    std::map<std::string, ShareRole> roles;
     std::map<uint64_t, std::string> replicaAddresses;
+    m_table.expire(now);
     m_table.read([&](const Registry &registry) {
+        roles = shareRoles(view, registry);
         for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
-            addresses.push_back(it.first);
             if (it.second.state.disk() && it.first != m_bootstrapView.self)
                 replicaAddresses[replicaId(it.first)] = it.first;
         }
     });
-    m_sharer.setPeers(addresses);
+    m_sharer.setPeers(roles);
     if (m_node == nullptr)
         return;
     m_node->setSeedAddresses(std::move(replicaAddresses));
@@ -108,7 +111,7 @@
         bootstrapIfDue();
 }
 
-void ControlPeers::announceState(Time now)
+void ControlPeers::announceState(const std::set<std::string> &unreachable, Time now)
 {
     const ReplicaStatus status = m_node == nullptr ? ReplicaStatus() : m_node->status();
     // The host announces itself as the leader only after the time from which it may send orders has been set for the term.
@@ -120,8 +123,12 @@
     // This host's choice is final, so that no second host bootstraps the cluster.
     if (m_state.founder().empty())
         m_state.set_founder(founder);
-    if (now < m_nextAnnounceAt && term == m_state.term() && founder == m_state.founder())
+    // Other hosts forward this host's changes to those that it can't reach.
+    const std::vector<std::string> notReached(unreachable.begin(), unreachable.end());
+    const bool sameReach = std::equal(notReached.begin(), notReached.end(), m_state.unreachable().begin(), m_state.unreachable().end());
+    if (now < m_nextAnnounceAt && term == m_state.term() && founder == m_state.founder() && sameReach)
         return;
+    m_state.mutable_unreachable()->Assign(notReached.begin(), notReached.end());
     m_nextAnnounceAt = now + KeeperAnnounceInterval;
     m_state.set_term(term);
     m_state.set_orders_in_ms(permission.ordersAllowedAt > now ? uint64_t((permission.ordersAllowedAt - now).count()) : 0);
--- a/src/transport/controlpeers.h
+++ b/src/transport/controlpeers.h
@@ -5,7 +5,7 @@
 #include "coordination/bootstrap.h"
 #include "protocol/hostsettings.h"
 #include "transport/http.h"
-#include "transport/mesh.h"
+#include "transport/meshsharer.h"
 #include "transport/replicanode.h"
 
 namespace roserail
@@ -31,7 +31,7 @@
 
 private:
     void updatePeers(Time now);
-    void announceState(Time now);
+    void announceState(const std::set<std::string> &unreachable, Time now);
     void bootstrapIfDue();
 
     net::io_context &m_io;
--- a/src/transport/livetable.h
+++ b/src/transport/livetable.h
@@ -4,6 +4,7 @@
 
 #include "coordination/registry.h"
 #include "protocol/log.h"
+#include "state/configurationdelta.h"
 
 #include <condition_variable>
 #include <functional>
@@ -40,6 +41,9 @@
         std::vector<std::string> lost;
         {
             const std::lock_guard lock(m_mutex);
+            if (now < m_nextExpiryAt)
+                return;
+            m_nextExpiryAt = now + ExpiryInterval;
             lost = m_registry.expire(now);
         }
         // This runs on each poll of a router: threads are woken only if there is a change.
@@ -48,35 +52,39 @@
         for (const std::string &it : lost)
             logEvent("silent", {{"id", it}, {"state", "lost"}});
     }
-    // Waits until the registry is newer than `version`, the configuration changes, `stop` returns true after a
-    // notification, or the time-out expires.
-    void waitForChange(uint64_t version, Millis timeout, const std::function<bool()> &stop)
+    // Waits until `ready` returns true for the registry. It is called after each change and notification.
+    template <typename Ready>
+    void waitFor(Millis timeout, Ready ready)
     {
         std::unique_lock lock(m_mutex);
-        const uint64_t changes = m_configurationChanges;
-        m_changed.wait_for(lock, timeout, [&] { return m_registry.version() > version || m_configurationChanges != changes || stop(); });
+        m_changed.wait_for(lock, timeout, [&] { return ready(m_registry); });
     }
-    // Returns the newest committed configuration that this process knows.
-    pb::WholeConfiguration configuration() const
+    uint64_t configurationVersion() const
     {
         const std::lock_guard lock(m_mutex);
-        return m_configuration;
+        return m_configuration.latest().version();
     }
-    uint64_t configurationVersion() const
+    // Sets the configuration or its difference in a message to a process that has `version`, unless it is up to date.
+    template <typename Message>
+    void addConfigurationSince(uint64_t version, Message &out) const
     {
         const std::lock_guard lock(m_mutex);
-        return m_configuration.version();
+        addConfiguration(m_configuration, version, out);
     }
-    // Stores a configuration if it is newer than the known one.
+    // Stores a committed configuration if it is newer than the known one.
     void mergeConfiguration(const pb::WholeConfiguration &configuration)
     {
         const std::lock_guard lock(m_mutex);
-        if (configuration.version() <= m_configuration.version())
-            return;
-        m_configuration = configuration;
-        ++m_configurationChanges;
-        m_changed.notify_all();
-        logEvent("configuration", {{"version", configuration.version()}});
+        if (m_configuration.merge(configuration))
+            logEvent("configuration", {{"version", configuration.version()}});
+    }
+    // Applies a difference from the known configuration. Ignores one from another version.
+    void mergeConfiguration(const pb::ConfigurationDelta &delta)
+    {
+        const std::lock_guard lock(m_mutex);
+        const std::optional<pb::WholeConfiguration> configuration = applyDelta(m_configuration.latest(), delta);
+        if (configuration && m_configuration.merge(*configuration))
+            logEvent("configuration", {{"version", delta.version()}, {"base", delta.base()}});
     }
     // The latest term in which this process is or was the leader, and from when on it may send orders in that term.
     struct OrderPermission {
@@ -93,7 +101,7 @@
         const std::lock_guard lock(m_mutex);
         return m_orderPermission;
     }
-    // Wakes the threads in waitForChange(), which then check `stop`.
+    // Wakes the threads in waitFor(), which then check their condition.
     void notifyAll()
     {
         m_changed.notify_all();
@@ -103,9 +111,11 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     Registry m_registry;
-    pb::WholeConfiguration m_configuration;
-    uint64_t m_configurationChanges = 0;
+    Time m_nextExpiryAt{};
+    ConfigurationHistory m_configuration;
     OrderPermission m_orderPermission;
+
+    static constexpr Millis ExpiryInterval{100};
 };
 
 } // namespace roserail
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -13,8 +13,9 @@
 
 using namespace tunables;
 
-MeshService::MeshService(LiveTable &table, std::vector<std::string> seeds, bool disk, uint64_t epoch)
+MeshService::MeshService(LiveTable &table, std::string self, std::vector<std::string> seeds, bool disk, uint64_t epoch)
     : m_table(table)
+    , m_self(std::move(self))
     , m_seeds(std::move(seeds))
     , m_disk(disk)
     , m_epoch(epoch)
@@ -43,8 +44,7 @@
         }
     });
     reply->set_epoch(m_disk ? m_epoch : 0);
-    if (m_table.configurationVersion() > request->configuration())
-        *reply->mutable_configuration() = m_table.configuration();
+    m_table.addConfigurationSince(request->configuration(), *reply);
     for (const std::pair<bool, std::string> &it : control)
         reply->add_control(it.second);
     if (control.empty())
@@ -55,162 +55,46 @@
 grpc::Status MeshService::Share(grpc::ServerContext *, const pb::ShareRequest *request, pb::ShareReply *reply)
 {
     const Time now = monotonicNow();
+    const std::string from = request->replica() ? request->from() : "";
     m_table.change([&](Registry &registry) {
         for (const pb::Announcement &it : request->endpoints())
-            registry.merge(it, now - Millis(it.age_ms()));
+            registry.merge(it, now - Millis(it.age_ms()), from);
         for (const pb::Holdings &it : request->holdings())
-            registry.merge(it, now);
+            registry.merge(it, now, from);
         for (const pb::RouterState &it : request->routers())
-            registry.merge(it, now - Millis(it.age_ms()));
+            registry.merge(it, now - Millis(it.age_ms()), from);
         for (const pb::KeeperState &it : request->keepers())
             registry.merge(it, now - Millis(it.age_ms()));
-        if (request->keepers_size() > 0) {
-            for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers())
-                *reply->add_keepers() = it.second.state;
-        }
+        if (request->keepers_size() > 0)
+            addKeepers(registry, now, *reply);
     });
     if (request->has_configuration())
         m_table.mergeConfiguration(request->configuration());
+    if (request->has_configuration_delta())
+        m_table.mergeConfiguration(request->configuration_delta());
     reply->set_configuration(m_table.configurationVersion());
     reply->set_epoch(m_epoch);
     return grpc::Status::OK;
 }
 
-MeshSharer::MeshSharer(LiveTable &table, std::string self)
-    : m_table(table)
-    , m_self(std::move(self))
-{
-}
-
-MeshSharer::~MeshSharer()
-{
-    for (std::pair<const std::string, std::unique_ptr<Peer>> &it : m_peers)
-        stop(*it.second);
-}
-
-void MeshSharer::stop(Peer &peer)
-{
-    peer.stop = true;
-    m_table.notifyAll();
-    peer.thread.join();
-}
-
-void MeshSharer::setPeers(const std::vector<std::string> &addresses)
-{
-    const std::set<std::string> wanted(addresses.begin(), addresses.end());
-    for (const std::string &it : wanted) {
-        if (it == m_self || m_peers.count(it) != 0)
-            continue;
-        std::unique_ptr<Peer> &peer = m_peers[it];
-        peer = std::make_unique<Peer>(it);
-        peer->thread = std::thread([this, &peer = *peer] { run(peer); });
-    }
-    std::erase_if(m_peers, [&](const std::pair<const std::string, std::unique_ptr<Peer>> &it) {
-        const bool unwanted = wanted.count(it.first) == 0;
-        if (unwanted)
-            stop(*it.second);
-        return unwanted;
-    });
-}
-
-// Returns the kind of a peer, which determines the changes pushed to it.
-MeshSharer::PeerKind MeshSharer::kindOf(const std::string &address) const
-{
-    return m_table.read([&](const Registry &registry) {
-        const auto it = registry.keepers().find(address);
-        if (it == registry.keepers().end())
-            return PeerKind::Unknown;
-        if (!it->second.state.disk())
-            return PeerKind::Diskless;
-        return it->second.state.term() > 0 ? PeerKind::Leader : PeerKind::Follower;
-    });
-}
-
-void MeshSharer::run(Peer &peer)
+// Adds this host, through which the sender learns of its disk, and all known hosts with one.
+void MeshService::addKeepers(const Registry &registry, Time now, pb::ShareReply &reply) const
 {
-    uint64_t sharedVersion = 0; // registry version up to which the peer has the changes
-    uint64_t epoch = 0; // of the peer's process; 0: unknown
-    uint64_t sharedConfiguration = UINT64_MAX; // version that the peer has; not sent before its first reply
-    PeerKind previousKind = PeerKind::Unknown;
-    Time stateDueAt{}; // time to send this host's own state again
-    uint64_t sentTerm = 0; // in this host's own state when it was last sent
-    bool reachable = true;
-    while (!peer.stop) {
-        // Combines changes that are made within a short time into one message.
-        std::this_thread::sleep_for(ShareBatchDelay);
-        m_table.waitForChange(sharedVersion, MaxShareInterval, [&] { return peer.stop.load(); });
-        const PeerKind kind = kindOf(peer.channel.address());
-        // A new leader also needs the changes that are not pushed to followers.
-        if (kind == PeerKind::Leader && previousKind != kind)
-            sharedVersion = 0;
-        previousKind = kind;
-        const Time now = monotonicNow();
-        pb::ShareRequest request;
-        uint64_t version = 0;
-        m_table.read([&](const Registry &registry) {
-            version = registry.version();
-            if (kind == PeerKind::Follower || kind == PeerKind::Leader)
-                registry.changesSince(sharedVersion, kind == PeerKind::Leader, now, request);
-            const auto self = registry.keepers().find(m_self);
-            const bool known = self != registry.keepers().end();
-            // A change of leader is sent at once, together with the time from which it may send orders.
-            if (known && (now >= stateDueAt || self->second.state.term() != sentTerm))
-                *request.add_keepers() = self->second.state;
-        });
-        const bool empty = request.endpoints_size() + request.routers_size() + request.keepers_size() == 0;
-        if (empty && m_table.configurationVersion() <= sharedConfiguration) {
-            sharedVersion = version;
-            continue;
-        }
-        request.set_from(m_self);
-        if (m_table.configurationVersion() > sharedConfiguration)
-            *request.mutable_configuration() = m_table.configuration();
-        const std::shared_ptr<grpc::Channel> channel = peer.channel.get();
-        grpc::ClientContext context;
-        setDeadline(context, ShareTimeout);
-        pb::ShareReply reply;
-        const grpc::Status status = pb::Mesh::NewStub(channel)->Share(&context, request, &reply);
-        peer.channel.handleStatus(status, channel);
-        if (status.ok() != reachable)
-            logEvent(status.ok() ? "peer_regained" : "peer_lost", {{"peer", peer.channel.address()}, {"error", status.error_message()}});
-        reachable = status.ok();
-        if (request.keepers_size() > 0 && status.ok()) {
-            stateDueAt = now + KeeperAnnounceInterval;
-            sentTerm = request.keepers(0).term();
-        }
-        if (!status.ok()) {
-            std::this_thread::sleep_for(ShareRetryDelay);
+    for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
+        if ((!it.second.state.disk() && it.first != m_self) || now > it.second.lastSeenAt + KeeperLivenessTimeout)
             continue;
-        }
-        // A peer that has restarted has lost all state and receives everything again.
-        sharedVersion = epoch == 0 || epoch == reply.epoch() ? version : 0;
-        epoch = reply.epoch();
-        sharedConfiguration = reply.configuration();
-        mergeKeepers(reply);
+        pb::KeeperState &state = *reply.add_keepers();
+        state = it.second.state;
+        state.set_age_ms(uint64_t(std::max<int64_t>(0, (now - it.second.lastSeenAt).count())));
     }
 }
 
-// Merges the peer's list of control hosts if it contains one that is unknown here.
-void MeshSharer::mergeKeepers(const pb::ShareReply &reply)
-{
-    const Time now = monotonicNow();
-    const bool anyUnknown = m_table.read([&](const Registry &registry) {
-        return std::any_of(reply.keepers().begin(), reply.keepers().end(),
-                           [&](const pb::KeeperState &it) { return registry.keepers().count(it.address()) == 0; });
-    });
-    if (!anyUnknown)
-        return;
-    m_table.change([&](Registry &registry) {
-        for (const pb::KeeperState &it : reply.keepers())
-            registry.merge(it, now);
-    });
-}
-
 MeshClient::MeshClient(std::vector<std::string> seeds, BuildRequest buildRequest, HandleReply handleReply)
     : m_seeds(std::move(seeds))
     , m_buildRequest(std::move(buildRequest))
     , m_handleReply(std::move(handleReply))
     , m_seedOffset(randomNumber() % 1024)
+    , m_minInterval(SyncIntervalWhileWaiting)
     , m_thread([this] { run(); })
 {
 }
@@ -293,10 +177,11 @@
             logEvent(ok ? "control_regained" : "control_lost", {{"hosts", m_controlHosts.size()}});
         reachable = ok;
         // Limits the rate of polls, regardless of how often the thread is woken.
-        std::this_thread::sleep_for(SyncIntervalWhileWaiting);
+        const Millis interval = m_minInterval;
+        std::this_thread::sleep_for(interval);
         std::unique_lock lock(m_mutex);
-        if (ok && !m_waiting)
-            m_wake.wait_for(lock, SyncInterval - SyncIntervalWhileWaiting, [this] { return m_woken; });
+        if (ok && !m_waiting && interval < SyncInterval)
+            m_wake.wait_for(lock, SyncInterval - interval, [this] { return m_woken; });
         m_woken = false;
     }
 }
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -1,4 +1,4 @@
-// Propagates live state: control hosts push changes to each other, and routers poll them several times a second.
+// Sessions of the live state: control hosts receive changes from each other, and routers poll them several times a second.
 #pragma once
 
 #include "mesh.grpc.pb.h"
@@ -8,65 +8,30 @@
 #include <atomic>
 #include <condition_variable>
 #include <functional>
-#include <map>
 #include <thread>
 
 namespace roserail
 {
 
-// Answers the polls of routers and merges the changes pushed by other control hosts.
+// Answers the polls of routers and merges the changes that other control hosts send.
 class MeshService : public pb::Mesh::Service
 {
 public:
     // Without a disk, Sync only refers routers to other control hosts.
-    MeshService(LiveTable &table, std::vector<std::string> seeds, bool disk, uint64_t epoch);
+    MeshService(LiveTable &table, std::string self, std::vector<std::string> seeds, bool disk, uint64_t epoch);
     grpc::Status Sync(grpc::ServerContext *context, const pb::SyncRequest *request, pb::SyncReply *reply) override;
     grpc::Status Share(grpc::ServerContext *context, const pb::ShareRequest *request, pb::ShareReply *reply) override;
 
 private:
+    void addKeepers(const Registry &registry, Time now, pb::ShareReply &reply) const;
+
     LiveTable &m_table;
+    std::string m_self; // internal address
     std::vector<std::string> m_seeds; // internal addresses
     bool m_disk;
     uint64_t m_epoch; // identifies this process
 };
 
-// Pushes changes to the other control hosts, with one thread for each.
-class MeshSharer
-{
-public:
-    MeshSharer(LiveTable &table, std::string self);
-    ~MeshSharer();
-    MeshSharer(const MeshSharer &) = delete;
-    MeshSharer &operator=(const MeshSharer &) = delete;
-    // Replaces the set of hosts that changes are pushed to.
-    void setPeers(const std::vector<std::string> &addresses);
-
-private:
-    struct Peer {
-        explicit Peer(const std::string &address)
-            : channel(address)
-        {
-        }
-        Channel channel;
-        std::atomic<bool> stop{false};
-        std::thread thread;
-    };
-    enum class PeerKind {
-        Unknown, // no state of it has been received
-        Diskless, // needs no live state
-        Follower, // answers routers
-        Leader, // also sends orders to engines
-    };
-    PeerKind kindOf(const std::string &address) const;
-    void run(Peer &peer);
-    void mergeKeepers(const pb::ShareReply &reply);
-    void stop(Peer &peer);
-
-    LiveTable &m_table;
-    std::string m_self;
-    std::map<std::string, std::unique_ptr<Peer>> m_peers;
-};
-
 // A router's session with the control hosts: a thread that polls one of them at a time.
 class MeshClient
 {
@@ -80,13 +45,18 @@
     MeshClient &operator=(const MeshClient &) = delete;
     // Replaces the hosts to connect to while no others are known.
     void setSeeds(std::vector<std::string> seeds);
-    // Starts the next poll as soon as SyncIntervalWhileWaiting has passed since the last one.
+    // Starts the next poll as soon as the minimum interval has passed since the last one.
     void wake();
-    // While set, polls at SyncIntervalWhileWaiting instead of SyncInterval.
+    // While set, polls at the minimum interval instead of SyncInterval.
     void setWaiting(bool waiting)
     {
         m_waiting = waiting;
     }
+    // Sets the minimum interval of polls; SyncIntervalWhileWaiting at first.
+    void setMinInterval(Millis interval)
+    {
+        m_minInterval = interval;
+    }
 
 private:
     void run();
@@ -104,6 +74,7 @@
     std::unique_ptr<Channel> m_channel;
     std::atomic<bool> m_stop{false};
     std::atomic<bool> m_waiting{false};
+    std::atomic<Millis> m_minInterval;
     std::mutex m_mutex;
     std::condition_variable m_wake;
     bool m_woken = false;
--- /dev/null
+++ b/tests/sharing_test.cpp
@@ -0,0 +1,302 @@
+// Unit tests of what control hosts send to each other: the choice of peers, the changes selected for each, and differences
+// of configurations. They use no network and no real clock.
+#define BOOST_TEST_MODULE sharing
+#include "coordination/sharing.h"
+#include "livestate.h"
+#include "state/configurationdelta.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/included/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace roserail;
+using namespace roserail::test;
+
+namespace bdata = boost::unit_test::data;
+
+namespace
+{
+
+std::string address(int n)
+{
+    return "10.0.0." + std::to_string(n) + ":7380";
+}
+
+pb::KeeperState keeper(int n, bool disk, int zone = 0)
+{
+    pb::KeeperState state;
+    state.set_address(address(n));
+    state.set_incarnation(1);
+    state.set_sequence(1);
+    state.set_disk(disk);
+    state.set_zone("z" + std::to_string(zone));
+    return state;
+}
+
+// `zones` availability zones with five control hosts each, the first of which has a disk.
+Registry manyControlHosts(int zones)
+{
+    Registry registry(ExpiryTimes, Now);
+    for (int n = 0; n < zones * 5; ++n)
+        registry.merge(keeper(n, n % 5 == 0, n / 5), Now);
+    return registry;
+}
+
+ShareView viewOf(int n)
+{
+    return ShareView{address(n), "z" + std::to_string(n / 5), n % 5 == 0, {address(1), address(7), address(10)}, {}};
+}
+
+pb::ShareRequest changes(const Registry &registry, const ChangeFilter &filter)
+{
+    pb::ShareRequest request;
+    registry.changesSince(filter, Now, request);
+    return request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Peers)
+
+// Pattern: five control hosts in each of many availability zones. If all had sessions with all others, each change would
+// be sent some n^2 times, and the links of the small hosts would be full.
+BOOST_DATA_TEST_CASE(sessionsAreQuadraticOnlyInTheHostsWithADisk, bdata::make({3, 5, 10}), zones)
+{
+    const Registry registry = manyControlHosts(zones);
+    size_t withState = 0;
+    size_t sessions = 0;
+    for (int n = 0; n < zones * 5; ++n) {
+        const std::map<std::string, ShareRole> roles = shareRoles(viewOf(n), registry);
+        BOOST_TEST(roles.count(address(n)) == 0u);
+        sessions += roles.size();
+        const auto receives = std::count_if(roles.begin(), roles.end(),
+                                            [](const std::pair<const std::string, ShareRole> &it) { return receivesState(it.second); });
+        // A host without a disk sends what it receives to one host only.
+        BOOST_TEST(receives == (n % 5 == 0 ? zones - 1 : 1));
+        withState += size_t(receives);
+    }
+    BOOST_TEST(withState == size_t(zones * (zones - 1) + zones * 4));
+    BOOST_TEST(sessions <= withState + size_t(zones * 5) * 3);
+}
+
+BOOST_AUTO_TEST_CASE(hostWithoutADiskUsesTheNearestThatAnswers)
+{
+    const Registry registry = manyControlHosts(3);
+    ShareView view = viewOf(6); // zone 1, whose host with a disk is number 5
+    BOOST_TEST((shareRoles(view, registry).at(address(5)) == ShareRole::Relay));
+    view.unreachable = {address(5)};
+    const std::map<std::string, ShareRole> roles = shareRoles(view, registry);
+    const auto relays = std::count_if(roles.begin(), roles.end(),
+                                      [](const std::pair<const std::string, ShareRole> &it) { return it.second == ShareRole::Relay; });
+    BOOST_TEST(relays == 1);
+    BOOST_TEST(roles.count(address(5)) == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(seedsAreToldOfEveryHost)
+{
+    Registry registry(ExpiryTimes, Now);
+    // Nothing is known at the start: the host announces itself to its seeds.
+    std::map<std::string, ShareRole> roles = shareRoles(viewOf(0), registry);
+    for (const int seed : {1, 7, 10})
+        BOOST_TEST((roles.at(address(seed)) == ShareRole::Announce));
+    registry.merge(keeper(7, false), Now);
+    pb::KeeperState leader = keeper(10, true);
+    leader.set_term(3);
+    registry.merge(leader, Now);
+    roles = shareRoles(viewOf(0), registry);
+    BOOST_TEST((roles.at(address(7)) == ShareRole::Announce));
+    BOOST_TEST((roles.at(address(10)) == ShareRole::Leader));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Changes)
+
+// A change that a host with a disk received from another one is not sent on: that one sends it to all itself.
+BOOST_AUTO_TEST_CASE(onlyOwnChangesAreSent)
+{
+    Registry registry(ExpiryTimes, Now);
+    registry.merge(announcement("own", 10, 1, "10.0.0.1:1"), Now);
+    const uint64_t version = registry.version();
+    registry.merge(announcement("other", 10, 1, "10.0.0.1:2"), Now, address(5));
+    registry.merge(announcement("own", 10, 2, "10.0.0.1:1"), Now);
+    BOOST_TEST(changes(registry, ChangeFilter{version, true, {}}).endpoints_size() == 1);
+    // A peer that has just started needs everything, and one that the other host can't reach needs its changes.
+    BOOST_TEST(changes(registry, ChangeFilter{0, true, {}}).endpoints_size() == 2);
+    BOOST_TEST(changes(registry, ChangeFilter{version, true, {address(5)}}).endpoints_size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(changesOfAHostAreForwardedToThoseItDoesNotReach)
+{
+    Registry registry = manyControlHosts(3);
+    BOOST_TEST(forwardedHosts(address(5), address(10), registry).empty());
+    pb::KeeperState state = keeper(0, true);
+    state.set_sequence(2);
+    state.add_unreachable(address(10));
+    registry.merge(state, Now);
+    BOOST_TEST((forwardedHosts(address(5), address(10), registry) == std::set<std::string>{address(0)}));
+    BOOST_TEST(forwardedHosts(address(0), address(10), registry).empty());
+}
+
+// The contents of an endpoint may arrive before the endpoint's own announcement.
+BOOST_AUTO_TEST_CASE(holdingsOfAnUnknownEndpointAreKept)
+{
+    Registry registry(ExpiryTimes, Now);
+    pb::Holdings holdings;
+    holdings.set_endpoint("e");
+    holdings.set_born_ms(10);
+    holdings.set_term(1);
+    holdings.set_counter(1);
+    holdings.add_models()->set_model("m");
+    registry.merge(holdings, Now, address(5));
+    registry.merge(announcement("e", 10, 1), Now);
+    BOOST_REQUIRE(registry.endpoints().at("e").models().size() == 1);
+    pb::SyncReply reply;
+    registry.routerChangesSince(0, Now, reply);
+    BOOST_TEST(reply.holdings_size() == 1);
+}
+
+// A router receives the contents of an engine that change, without the announcement that didn't.
+BOOST_AUTO_TEST_CASE(changedHoldingsAreSentToRoutersAlone)
+{
+    Registry registry(ExpiryTimes, Now);
+    registry.merge(announcement("e", 10, 1), Now);
+    pb::Holdings holdings;
+    holdings.set_endpoint("e");
+    holdings.set_born_ms(10);
+    holdings.set_term(1);
+    for (int counter = 1; counter <= 3; ++counter) {
+        const uint64_t version = registry.version();
+        holdings.set_counter(uint64_t(counter));
+        registry.merge(holdings, Now);
+        // Heartbeats that list the new contents change nothing for routers.
+        pb::Announcement heartbeat = announcement("e", 10, 1 + uint64_t(counter));
+        heartbeat.add_models()->set_model("m" + std::to_string(counter));
+        registry.merge(heartbeat, Now);
+        pb::SyncReply reply;
+        registry.routerChangesSince(version, Now, reply);
+        BOOST_TEST(reply.endpoints_size() == 0);
+        BOOST_TEST(reply.holdings_size() == 1);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Leaving)
+
+bool usable(const Registry &registry)
+{
+    return registry.endpoints().at("e").usable();
+}
+
+pb::RouterState reportOf(uint64_t sequence, uint64_t startedAtMs)
+{
+    pb::RouterState state;
+    state.set_router("r");
+    state.set_incarnation(1);
+    state.set_sequence(sequence);
+    pb::LeavingReport &report = *state.add_leaving();
+    report.set_endpoint("e");
+    report.set_born_ms(startedAtMs);
+    return state;
+}
+
+// An endpoint says in an answer that it is leaving. Heartbeats that it sent before arrive later and list it as ready.
+BOOST_AUTO_TEST_CASE(lateHeartbeatsDoNotUndoAReport)
+{
+    Registry registry(ExpiryTimes, Now);
+    registry.merge(announcement("e", 10, 1), Now);
+    registry.merge(reportOf(1, 10), Now);
+    BOOST_TEST(!usable(registry));
+    registry.merge(announcement("e", 10, 2), Now);
+    BOOST_TEST(!usable(registry));
+    // Another host has the same heartbeat without the report.
+    Registry other(ExpiryTimes, Now);
+    other.merge(announcement("e", 10, 5), Now);
+    const pb::ShareRequest shared = changes(registry, ChangeFilter{0, false, {}});
+    for (const pb::Announcement &it : shared.endpoints())
+        other.merge(it, Now);
+    BOOST_TEST(!usable(other));
+    pb::SyncReply reply;
+    other.routerChangesSince(0, Now, reply);
+    BOOST_TEST(reply.endpoints(0).leaving());
+}
+
+BOOST_AUTO_TEST_CASE(reportEndsWithTheIncarnation)
+{
+    Registry registry(ExpiryTimes, Now);
+    registry.merge(announcement("e", 10, 1), Now);
+    registry.merge(reportOf(1, 10), Now);
+    registry.merge(announcement("e", 20, 1), Now);
+    BOOST_TEST(usable(registry));
+    // The router repeats its report of the earlier incarnation.
+    registry.merge(reportOf(2, 10), Now);
+    BOOST_TEST(usable(registry));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Configurations)
+
+pb::WholeConfiguration configuration(uint64_t version, const std::string &content)
+{
+    pb::WholeConfiguration result;
+    result.set_version(version);
+    result.set_content(content);
+    return result;
+}
+
+BOOST_AUTO_TEST_CASE(differenceLeadsToTheTargetFromItsBaseOnly)
+{
+    rc::check([](const std::string &before, const std::string &common, const std::string &from, const std::string &to,
+                 const std::string &after, const std::string &other) {
+        const pb::WholeConfiguration base = configuration(1, before + common + from + after);
+        const pb::WholeConfiguration target = configuration(2, before + common + to + after);
+        const pb::ConfigurationDelta delta = makeDelta(base, target);
+        const std::optional<pb::WholeConfiguration> result = applyDelta(base, delta);
+        RC_ASSERT(result.has_value());
+        RC_ASSERT(result->content() == target.content());
+        RC_ASSERT(result->version() == 2u);
+        RC_ASSERT(delta.middle().size() <= to.size());
+        RC_ASSERT(!applyDelta(target, delta).has_value());
+        const std::optional<pb::WholeConfiguration> wrong = applyDelta(configuration(1, other), delta);
+        const bool refused = !wrong.has_value();
+        const std::string content = refused ? target.content() : wrong->content();
+        RC_ASSERT(content == target.content());
+    });
+}
+
+// Load pattern: configurations of many models follow each other quickly, each with a few changed routes. A host that has
+// one of the previous versions receives the change, not the models.
+BOOST_AUTO_TEST_CASE(changeCostsLittleOfTheWhole)
+{
+    std::string models;
+    for (int i = 0; i < 737; ++i)
+        models += R"({"name":"model)" + std::to_string(i) + R"(","weights_mb":72700.0,"load_time_s":13.2,"adapters":0},)";
+    ConfigurationHistory history;
+    size_t whole = 0;
+    for (uint64_t version = 1; version <= 40; ++version) {
+        const std::string routes = R"({"name":"r)" + std::to_string(version) + R"(","host":"h","path_prefix":"/p/"})";
+        const pb::WholeConfiguration next
+            = configuration(version, R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],"services":[)" + models + "]}");
+        whole = next.ByteSizeLong();
+        BOOST_TEST(history.merge(next));
+        BOOST_TEST(!history.merge(next));
+    }
+    for (const uint64_t known : {39, 35}) {
+        pb::SyncReply reply;
+        addConfiguration(history, known, reply);
+        BOOST_REQUIRE(reply.has_configuration_delta());
+        BOOST_TEST(reply.ByteSizeLong() < whole / 100);
+    }
+    for (const uint64_t known : {0, 3}) {
+        pb::SyncReply reply;
+        addConfiguration(history, known, reply);
+        BOOST_TEST(reply.has_configuration());
+    }
+    pb::SyncReply current;
+    addConfiguration(history, 40, current);
+    BOOST_TEST(current.ByteSizeLong() == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
