Obey endpoints that are leaving or ask for a pause; limit retries by service

Contract: from an answer with leaving on, this router sends that incarnation nothing new, and reports it to the control hosts, which mark the endpoint for good; a pause is a deadline per incarnation, checked again right before each send. If all endpoints that can serve a request have asked for one, it is refused at once with the earliest end. A pause that is no positive number is ignored, one above 10 minutes is cut to that.

Now each service has its own, the window covers at least its length, and a router uses none of the slack in its first window; routers that have stopped count for a minute. The test of the old window allowed 0.5 s less than the window; it no longer does.

Routers poll less often while requests wait if they are many for the control hosts (300 polls a second each).

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -33,7 +33,11 @@
 
 void Balancer::update(const Registry &registry)
 {
+    const uint64_t seen = m_seenVersion;
+    m_seenVersion = registry.version();
     for (const std::pair<const std::string, LiveEndpoint> &it : registry.endpoints()) {
+        if (std::max(it.second.version, it.second.holdingsVersion) <= seen)
+            continue;
         Endpoint &endpoint = m_endpoints[it.first];
         if (endpoint.announcement.born_ms() != it.second.announcement.born_ms()) {
             endpoint.cachedParts.clear();
@@ -55,13 +59,42 @@
 bool Balancer::hasUsableEndpoint(const ServiceId &service) const
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const std::pair<const std::string, Endpoint> &it) {
-        return it.second.usable && it.second.announcement.service() == service.value();
+        return usable(it.second) && it.second.announcement.service() == service.value();
     });
 }
 
+bool Balancer::usable(const Endpoint &endpoint) const
+{
+    return endpoint.usable && !m_advice.leaving(endpoint.announcement.endpoint(), endpoint.announcement.born_ms());
+}
+
+bool Balancer::paused(const Endpoint &endpoint, Time now) const
+{
+    return now < m_advice.pausedUntil(endpoint.announcement.endpoint(), endpoint.announcement.born_ms());
+}
+
+bool Balancer::accepts(const EndpointChoice &choice, Time now) const
+{
+    return !m_advice.leaving(choice.endpoint, choice.startedAtMs) && now >= m_advice.pausedUntil(choice.endpoint, choice.startedAtMs);
+}
+
+std::optional<Time> Balancer::pausedUntil(const EndpointRequirements &requirements, Time now) const
+{
+    std::optional<Time> earliest;
+    for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
+        if (!canServe(it.second, requirements, now))
+            continue;
+        if (!paused(it.second, now))
+            return std::nullopt;
+        const Time until = m_advice.pausedUntil(it.second.announcement.endpoint(), it.second.announcement.born_ms());
+        earliest = earliest ? std::min(*earliest, until) : until;
+    }
+    return earliest;
+}
+
 bool Balancer::canServe(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const
 {
-    if (!endpoint.usable || endpoint.announcement.service() != requirements.service.value()
+    if (endpoint.announcement.service() != requirements.service.value() || !usable(endpoint)
         || requirements.avoid.count(endpoint.announcement.endpoint()) != 0)
         return false;
     if (requirements.model.empty())
@@ -109,7 +142,7 @@
     double bestCost = 0;
     uint32_t candidates = 0;
     for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
-        if (!canServe(it.second, requirements, now))
+        if (!canServe(it.second, requirements, now) || paused(it.second, now))
             continue;
         ++candidates;
         const double candidate = cost(it.second, requirements, now);
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -2,6 +2,7 @@
 // prompt that is in their cache, and their load.
 #pragma once
 
+#include "coordination/endpointadvice.h"
 #include "coordination/registry.h"
 #include "protocol/platformcodec.h"
 
@@ -58,6 +59,11 @@
     void update(const Registry &registry);
     // Returns the endpoint of lowest cost that can serve the request, if there is one.
     std::optional<EndpointChoice> choose(const EndpointRequirements &requirements, Time now) const;
+    // Returns whether a request may still be sent to a chosen endpoint, which may have said since that it is leaving or
+    // that it wants none.
+    bool accepts(const EndpointChoice &choice, Time now) const;
+    // Returns the earliest end of a pause if all endpoints that can serve the request have asked for one.
+    std::optional<Time> pausedUntil(const EndpointRequirements &requirements, Time now) const;
     // Returns whether the service has an endpoint that is neither leaving, gone nor lost.
     bool hasUsableEndpoint(const ServiceId &service) const;
 
@@ -66,6 +72,11 @@
     // Records the load that an endpoint reported with an answer.
     void observeLoad(const std::string &endpoint, uint32_t running, uint32_t waiting, Time now);
 
+    EndpointAdvice &advice()
+    {
+        return m_advice;
+    }
+
     // Adds a request to those that wait for its artifact, or removes it; `since` is the time at which it was added.
     void startWaiting(const EndpointRequirements &requirements, Time now);
     void stopWaiting(const EndpointRequirements &requirements, Time since);
@@ -92,6 +103,9 @@
     };
     using ArtifactKey = std::tuple<ServiceId, std::string, std::string>;
 
+    bool usable(const Endpoint &endpoint) const;
+    bool paused(const Endpoint &endpoint, Time now) const;
+    // Returns whether the endpoint can serve the request once its pause, if it asked for one, is over.
     bool canServe(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const;
     double cost(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const;
     uint32_t cachedTokens(const Endpoint &endpoint, const EndpointRequirements &requirements) const;
@@ -100,6 +114,8 @@
 
     std::string m_zone;
     std::map<std::string, Endpoint> m_endpoints;
+    uint64_t m_seenVersion = 0; // of the registry, at the last update
+    EndpointAdvice m_advice;
     std::map<ArtifactKey, Demand> m_demands;
 };
 
--- a/src/coordination/retry.cpp
+++ b/src/coordination/retry.cpp
@@ -60,48 +60,6 @@
     return true;
 }
 
-RetryWindow::RetryWindow(double ratio, Millis window)
-    : m_ratio(ratio)
-    , m_span(window / Buckets)
-{
-}
-
-RetryWindow::Bucket &RetryWindow::bucket(Time now)
-{
-    const int64_t number = now.time_since_epoch() / m_span;
-    Bucket &current = m_buckets[size_t(number % Buckets)];
-    if (current.number != number)
-        current = Bucket{number, 0, 0};
-    return current;
-}
-
-void RetryWindow::requestStarted(Time now)
-{
-    ++bucket(now).requests;
-}
-
-RetryWindow::Usage RetryWindow::usage(Time now)
-{
-    const int64_t current = bucket(now).number;
-    Usage usage{0, m_slack};
-    for (const Bucket &it : m_buckets) {
-        if (it.number <= current - Buckets)
-            continue;
-        usage.allowed += m_ratio * it.requests;
-        usage.used += it.retries;
-    }
-    return usage;
-}
-
-bool RetryWindow::tryRetry(Time now)
-{
-    const Usage window = usage(now);
-    if (window.used + 1 > window.allowed)
-        return false;
-    ++bucket(now).retries;
-    return true;
-}
-
 RouteStep stepWithoutEndpoint(const RouteProgress &progress)
 {
     if (progress.delivered)
--- a/src/coordination/retry.h
+++ b/src/coordination/retry.h
@@ -5,7 +5,6 @@
 #include "state/routes.h"
 #include "state/types.h"
 
-#include <array>
 #include <functional>
 #include <string_view>
 
@@ -85,44 +84,6 @@
 // retry and an endpoint was sent part of the request before.
 RouteStep nextRouteStep(const RouteProgress &progress, AttemptEnd end, const std::function<bool()> &mayRetry);
 
-// Limits retries in a sliding window to a share of this router's requests plus a fixed number, the slack, which is this
-// router's part of the slack of the whole system.
-class RetryWindow
-{
-public:
-    RetryWindow(double ratio, Millis window);
-    void setRatio(double ratio)
-    {
-        m_ratio = ratio;
-    }
-    void setSlack(double slack)
-    {
-        m_slack = slack;
-    }
-    void requestStarted(Time now);
-    bool tryRetry(Time now);
-    struct Usage {
-        double used = 0;
-        double allowed = 0;
-    };
-    // Returns the retries used and allowed in the window that ends at `now`.
-    Usage usage(Time now);
-
-private:
-    static constexpr int Buckets = 20;
-    struct Bucket {
-        int64_t number = -1; // index of its time span since the clock's epoch
-        uint32_t requests = 0;
-        uint32_t retries = 0;
-    };
-    Bucket &bucket(Time now);
-
-    double m_ratio;
-    Millis m_span;
-    double m_slack = 0;
-    std::array<Bucket, Buckets> m_buckets;
-};
-
 ExchangeStep nextExchangeStep(const ExchangeState &state, AttemptEnd end, Time now, RetryBudget &budget);
 
 } // namespace roserail
--- a/src/protocol/platformcodec.h
+++ b/src/protocol/platformcodec.h
@@ -67,6 +67,8 @@
     std::string requestId;
     bool notRun = false; // the endpoint states that it did not run the request
     std::string signature; // of the endpoint; empty if the response has none
+    bool leaving = false; // the endpoint states that it is about to stop
+    std::optional<Millis> pause; // for which the endpoint wants no request from this host
 };
 
 enum class OrderAction { Load, Unload };
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -59,12 +59,14 @@
 constexpr Millis BootstrapDiscoveryTime{1000}; // to discover control hosts with a data folder, if no seed has one
 constexpr Millis SyncInterval{250}; // a change reaches every router well within 1 s, the permitted delay
 constexpr Millis SyncIntervalWhileWaiting{40}; // while requests wait for a model to be loaded
+constexpr double MaxPollsPerControlHost = 300; // a second; in a large system routers poll less often while requests wait
 constexpr Millis NearestHostRetryInterval{10000}; // a router connected to a distant control host tries the nearest one again
 constexpr Millis SyncTimeout{600}; // a round trip takes 3 ms; after a time-out another control host is asked
 constexpr Millis ShareTimeout{600};
 constexpr Millis MaxShareInterval{1000}; // without changes, to detect that the peer has restarted
 constexpr Millis ShareBatchDelay{15}; // combines changes into one message; less than half of SyncIntervalWhileWaiting
 constexpr Millis ShareRetryDelay{200};
+constexpr Millis ConfigurationLagLimit{300}; // the log delivers a configuration within two heartbeats of the leader
 
 // Requests on general routes
 constexpr uint32_t MaxSendsPerRequest = 3; // endpoints tried, including those that refused the request
@@ -89,6 +91,9 @@
 constexpr double QueuedRequestCostMs = 30; // of each request that waits for a slot
 constexpr double FailedEndpointCostMs = 5000; // more than the cost of any endpoint without a failure
 constexpr Millis EndpointFailureCooldown{1000}; // after a failure an endpoint is chosen only if there is no other
+constexpr Millis MaxEndpointPause = std::chrono::minutes(10); // asked for in an answer; a longer one is taken for a mistake
+constexpr Millis LeavingRetention = std::chrono::hours(1); // exceeds the time for which a leaving endpoint goes on serving
+constexpr Millis LeavingReportTime{30000}; // then the endpoint's own heartbeats say so
 constexpr Millis ModelNotHeldCooldown{300}; // until the contents of the endpoint are reported again
 constexpr size_t MaxPromptPartsPerEndpoint = 20000; // 40 bytes each; above it, expired parts are removed
 constexpr Millis PromptPartTtl{20000}; // about the time in which an engine's cache is replaced
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -20,6 +20,13 @@
 constexpr size_t MinZoneAddresses = 2; // if an availability zone has fewer routers, its callers get those of all zones
 constexpr Millis ExpiryCheckInterval{1000};
 
+// Returns the time between polls that limits their number at each control host.
+Millis minSyncInterval(size_t routers, size_t controlHosts)
+{
+    const double pollsPerSecond = MaxPollsPerControlHost * double(std::max<size_t>(1, controlHosts));
+    return std::max(SyncIntervalWhileWaiting, Millis(int64_t(double(routers) / pollsPerSecond * 1000)));
+}
+
 std::string formatModels(const pb::Holdings &holdings)
 {
     std::string names;
@@ -39,7 +46,7 @@
     , m_codec(codec)
     , m_registry(HeartbeatTimeouts{EndpointLivenessTimeout, RouterLivenessTimeout}, monotonicNow())
     , m_balancer(settings.host.zone)
-    , m_retries(settings.retryRatio, settings.retryWindow)
+    , m_retries(settings.retryRatio, settings.retryWindow, monotonicNow())
     , m_forwarder(io, codec, m_balancer, m_retries, m_crashes)
     , m_callerServer(io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
     , m_readinessServer(io, [this](CallerConnection &caller) { return answerReady(caller); })
@@ -50,6 +57,7 @@
         m_meshClient->setWaiting(true);
         m_meshClient->wake();
     });
+    m_forwarder.onReport([this] { m_meshClient->wake(); });
 }
 
 Result<void> EntryApi::listen()
@@ -97,7 +105,7 @@
 std::string EntryApi::dump()
 {
     const Time now = monotonicNow();
-    const RetryWindow::Usage retries = m_retries.usage(now);
+    const RetryLimits::Usage retries = m_retries.totalUsage(now);
     const nlohmann::json process{{"configuration", m_forwarder.table() ? m_forwarder.table()->version : 0},
                                  {"ready", ready()},
                                  {"draining", m_draining},
@@ -181,9 +189,11 @@
         *state.add_demands() = std::move(it);
     for (pb::CrashReport &it : m_crashes.reports(monotonicNow()))
         *state.add_crashes() = std::move(it);
+    for (pb::LeavingReport &it : m_balancer.advice().leavingReports(monotonicNow()))
+        *state.add_leaving() = std::move(it);
     request.set_epoch(m_epoch);
     request.set_version(m_version);
-    request.set_configuration(m_forwarder.table() ? m_forwarder.table()->version : 0);
+    request.set_configuration(m_configuration.version());
     m_meshClient->setWaiting(m_balancer.hasWaitingRequests() || !m_forwarder.table());
     return request;
 }
@@ -216,10 +226,11 @@
         m_registry.markUnlistedLost(reply, now);
     if (reply.has_configuration())
         applyConfiguration(reply.configuration());
-    size_t accepting = 1;
-    for (const std::pair<const std::string, LiveRouter> &it : m_registry.routers())
-        accepting += it.second.state.accepting() ? 1 : 0;
-    m_retries.setSlack(m_settings.retrySlack / double(accepting + 1));
+    if (reply.has_configuration_delta())
+        applyConfigurationDelta(reply.configuration_delta());
+    // Routers that have stopped may have spent retries within the window, and are listed for longer than that.
+    m_retries.setShare(m_settings.retrySlack, std::max<size_t>(1, m_registry.routers().size()));
+    m_meshClient->setMinInterval(minSyncInterval(m_registry.routers().size(), size_t(reply.control_size())));
     m_synced = true;
     m_forwarder.recordSync(reply.version(), now);
     m_forwarder.setOrdersAllowedAt(now + Millis(reply.orders_in_ms()));
@@ -230,10 +241,24 @@
     m_forwarder.wakeWaitingRequests();
 }
 
+void EntryApi::applyConfigurationDelta(const pb::ConfigurationDelta &delta)
+{
+    const std::optional<pb::WholeConfiguration> configuration = applyDelta(m_configuration, delta);
+    if (configuration)
+        return applyConfiguration(*configuration);
+    // A reply to an earlier poll has the same base. Otherwise the next poll requests the whole configuration.
+    if (delta.version() <= m_configuration.version())
+        return;
+    logEvent("configuration_delta_refused", {{"base", delta.base()}, {"version", delta.version()}, {"known", m_configuration.version()}});
+    m_configuration.Clear();
+}
+
 // Applies only a higher version: a running router never returns to an earlier configuration, whichever control host it
 // syncs with.
 void EntryApi::applyConfiguration(const pb::WholeConfiguration &configuration)
 {
+    if (configuration.version() > m_configuration.version())
+        m_configuration = configuration;
     if (m_forwarder.table() && configuration.version() <= m_forwarder.table()->version)
         return;
     Result<RouteTable> table = m_codec.decodeConfiguration(configuration.content());
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "protocol/hostsettings.h"
+#include "state/configurationdelta.h"
 #include "transport/forwarder.h"
 #include "transport/mesh.h"
 
@@ -32,6 +33,7 @@
     pb::SyncRequest buildSyncRequest();
     void applySync(const pb::SyncReply &reply);
     void applyConfiguration(const pb::WholeConfiguration &configuration);
+    void applyConfigurationDelta(const pb::ConfigurationDelta &delta);
     bool ready() const;
 
     net::io_context &m_io;
@@ -39,7 +41,7 @@
     const PlatformCodec &m_codec;
     Registry m_registry; // as received from control hosts
     Balancer m_balancer;
-    RetryWindow m_retries;
+    RetryLimits m_retries;
     CrashWatch m_crashes;
     Forwarder m_forwarder;
     HttpServer m_callerServer;
@@ -49,6 +51,7 @@
     uint64_t m_sequence = 0;
     uint64_t m_epoch = 0; // of the control process that assigned `m_version`
     uint64_t m_version = 0; // of the last sync
+    pb::WholeConfiguration m_configuration; // base of differences; empty: the whole is requested
     bool m_synced = false; // at least one sync has succeeded
     bool m_draining = false;
     std::unique_ptr<MeshClient> m_meshClient;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -52,7 +52,7 @@
 
 } // namespace
 
-Forwarder::Forwarder(net::io_context &io, const PlatformCodec &codec, Balancer &balancer, RetryWindow &retries, CrashWatch &crashes)
+Forwarder::Forwarder(net::io_context &io, const PlatformCodec &codec, Balancer &balancer, RetryLimits &retries, CrashWatch &crashes)
     : m_io(io)
     , m_codec(codec)
     , m_balancer(balancer)
@@ -160,7 +160,7 @@
     request.fingerprint = fingerprintOf(request.caller.request(), request.metadata);
     request.progress.retryPolicy = route.retryPolicy;
     request.progress.maxRuns = route.attempts;
-    m_retries.requestStarted(monotonicNow());
+    m_retries.requestStarted(request.requirements.service, monotonicNow());
     while (true) {
         const std::optional<EndpointChoice> choice = co_await findEndpoint(request);
         AttemptEnd end = AttemptEnd::NotSent;
@@ -170,8 +170,10 @@
             request.cause = request.cause.empty() ? "no endpoint is available" : request.cause;
         if (request.cancellation->cancelled())
             end = end == AttemptEnd::Completed ? end : AttemptEnd::Abandoned;
-        const RouteStep step = choice ? nextRouteStep(request.progress, end, [&] { return m_retries.tryRetry(monotonicNow()); })
-                                      : stepWithoutEndpoint(request.progress);
+        const auto mayRetry = [&] {
+            return m_retries.tryRetry(request.requirements.service, monotonicNow());
+        };
+        const RouteStep step = choice ? nextRouteStep(request.progress, end, mayRetry) : stepWithoutEndpoint(request.progress);
         if (choice && end != AttemptEnd::Completed)
             logFailedAttempt(request, end, step, monotonicNow());
         if (step != RouteStep::Retry) {
@@ -194,6 +196,8 @@
         co_return std::nullopt;
     }
     std::optional<EndpointChoice> choice = m_balancer.choose(request.requirements, monotonicNow());
+    if (!choice && refuseIfPaused(request))
+        co_return std::nullopt;
     if (choice || request.requirements.model.empty() || !m_balancer.hasUsableEndpoint(request.requirements.service))
         co_return choice;
     const ServiceSpec *service = request.table->service(request.requirements.service);
@@ -204,6 +208,18 @@
     co_return co_await waitForModel(request);
 }
 
+// If all endpoints that can serve the request have asked for a pause, sets the refusal and returns true.
+bool Forwarder::refuseIfPaused(Request &request)
+{
+    const Time now = monotonicNow();
+    const std::optional<Time> until = m_balancer.pausedUntil(request.requirements, now);
+    if (!until)
+        return false;
+    request.cause = "all endpoints that can serve the request have asked for a pause";
+    request.retryDelay = *until - now;
+    return true;
+}
+
 // Waits until an endpoint holds the model, but no longer than leaves time to answer the caller.
 Task<std::optional<EndpointChoice>> Forwarder::waitForModel(Request &request)
 {
@@ -234,12 +250,14 @@
         timer.expires_after(std::min(until - monotonicNow(), ModelNotHeldCooldown));
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
         choice = m_balancer.choose(request.requirements, monotonicNow());
+        if (!choice && refuseIfPaused(request))
+            break;
     }
     request.cancellation->cancelPending = nullptr;
     m_waitTimers.erase(&timer);
     m_balancer.stopWaiting(request.requirements, since);
     request.waitTime += monotonicNow() - since;
-    if (!choice)
+    if (!choice && !request.retryDelay)
         request.cause = "the model was not loaded in time";
     co_return request.cancellation->cancelled() ? std::nullopt : choice;
 }
@@ -259,6 +277,12 @@
         m_balancer.attemptEnded(request.requirements, choice, AttemptOutcome::Failed, monotonicNow());
         co_return AttemptEnd::NotSent;
     }
+    // The endpoint may have asked for a pause, or said that it is leaving, while the connection was opened.
+    if (!m_balancer.accepts(choice, monotonicNow())) {
+        request.cause = "the endpoint does not accept requests any longer";
+        m_pool.putIdle(std::move(connection), monotonicNow());
+        co_return AttemptEnd::NotSent;
+    }
     logSend(request, choice, monotonicNow());
     m_balancer.attemptStarted(request.requirements, choice, monotonicNow());
     ++request.progress.sends;
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -4,6 +4,7 @@
 #include "coordination/balancer.h"
 #include "coordination/crashwatch.h"
 #include "coordination/retry.h"
+#include "coordination/retrywindow.h"
 #include "transport/endpointpool.h"
 
 #include <memory>
@@ -14,7 +15,7 @@
 class Forwarder
 {
 public:
-    Forwarder(net::io_context &io, const PlatformCodec &codec, Balancer &balancer, RetryWindow &retries, CrashWatch &crashes);
+    Forwarder(net::io_context &io, const PlatformCodec &codec, Balancer &balancer, RetryLimits &retries, CrashWatch &crashes);
 
     // Sets a new configuration. Requests in progress keep theirs.
     void setTable(std::shared_ptr<const RouteTable> table)
@@ -39,6 +40,11 @@
     {
         m_onWait = std::move(callback);
     }
+    // Called when an endpoint has said that it is leaving, which the control hosts are to learn soon.
+    void onReport(std::function<void()> callback)
+    {
+        m_onReport = std::move(callback);
+    }
     // Sets the time before which the control leader sends no orders, so that no model is loaded.
     void setOrdersAllowedAt(Time from)
     {
@@ -69,6 +75,8 @@
     Task<AttemptEnd> attempt(Request &request, const EndpointChoice &choice);
     Task<AttemptEnd> exchange(Request &request, const EndpointChoice &choice, EndpointConnection &connection, bool &reusable);
     Task<> checkForCrash(std::string id, Fingerprint fingerprint, EndpointChoice choice);
+    void recordAdvice(const Request &request, const EndpointChoice &choice, const struct EndpointAnswer &answer);
+    bool refuseIfPaused(Request &request);
     Task<bool> readHead(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
     Task<AttemptEnd> relay(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
     Task<AttemptEnd> relayStream(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
@@ -86,11 +94,12 @@
     net::io_context &m_io;
     const PlatformCodec &m_codec;
     Balancer &m_balancer;
-    RetryWindow &m_retries;
+    RetryLimits &m_retries;
     CrashWatch &m_crashes;
     EndpointPool m_pool;
     std::shared_ptr<const RouteTable> m_table;
     std::function<void()> m_onWait;
+    std::function<void()> m_onReport;
     std::set<net::steady_timer *> m_waitTimers;
     size_t m_active = 0;
     uint64_t m_registryVersion = 0; // of the control host, at the last sync
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -54,6 +54,7 @@
     EndpointAnswer answer;
     if (!co_await readHead(request, connection, answer))
         co_return AttemptEnd::Interrupted;
+    recordAdvice(request, choice, answer);
     if (answer.metadata.load)
         m_balancer.observeLoad(choice.endpoint, answer.metadata.load->running, answer.metadata.load->waiting, monotonicNow());
     const AttemptEnd end = co_await relay(request, connection, answer);
@@ -61,6 +62,26 @@
     co_return end;
 }
 
+// Records what the endpoint says about itself: that it is leaving, or that it wants no request for a while.
+void Forwarder::recordAdvice(const Request &request, const EndpointChoice &choice, const EndpointAnswer &answer)
+{
+    const Time now = monotonicNow();
+    EndpointAdvice &advice = m_balancer.advice();
+    if (answer.metadata.leaving && advice.recordLeaving(choice.endpoint, choice.startedAtMs, now)) {
+        logEvent("endpoint_leaving", {{"id", request.metadata.id}, {"endpoint", choice.endpoint}, {"born_ms", choice.startedAtMs}});
+        if (m_onReport)
+            m_onReport();
+    }
+    if (!answer.metadata.pause)
+        return;
+    const Time until = advice.recordPause(choice.endpoint, choice.startedAtMs, *answer.metadata.pause, now);
+    logDecision("endpoint_paused",
+                {{"id", request.metadata.id},
+                 {"endpoint", choice.endpoint},
+                 {"asked_ms", answer.metadata.pause->count()},
+                 {"paused_ms", (until - now).count()}});
+}
+
 // Reads the head of the answer to this request, and skips late answers to earlier requests on the connection. Returns
 // whether it was received.
 Task<bool> Forwarder::readHead(Request &request, EndpointConnection &connection, EndpointAnswer &answer)
--- a/src/transport/forwarderlog.cpp
+++ b/src/transport/forwarderlog.cpp
@@ -64,7 +64,7 @@
 
 void Forwarder::logFailedAttempt(const Request &request, AttemptEnd end, RouteStep step, Time now) const
 {
-    const RetryWindow::Usage budget = m_retries.usage(now);
+    const RetryLimits::Usage budget = m_retries.usage(request.requirements.service, now);
     logDecision("attempt_failed",
                 {{"id", request.metadata.id},
                  {"endpoint", request.endpoint},
--- a/tests/fleet_system_test.cpp
+++ b/tests/fleet_system_test.cpp
@@ -303,3 +303,91 @@
     BOOST_TEST(waitForAnswer(fleet, 1, "/u/x"));
     BOOST_TEST(fleet.running("keeper-1"));
 }
+
+namespace
+{
+
+// Starts two plain runners and two entry hosts that use both.
+void startPlainRunners(Fleet &fleet)
+{
+    for (const int n : {1, 2, 3})
+        fleet.startKeeper(n, true);
+    for (const int n : {1, 2})
+        fleet.startEntry(n);
+    for (const int n : {1, 2})
+        fleet.startRunner(n, "plain", "");
+    BOOST_REQUIRE(putVersion(fleet, 5));
+    BOOST_REQUIRE(fleet.waitUntilReady({1, 2}));
+    for (const int entry : {1, 2})
+        BOOST_REQUIRE(eventually([&] { return fleet.entryDump(entry)["live"]["endpoints"].size() == 2; }));
+    BOOST_REQUIRE(waitForAnswer(fleet, 1, "/r/x"));
+}
+
+// Returns how many of the next requests each runner has executed.
+std::pair<int, int> countRuns(Fleet &fleet, int entry, const std::string &prefix, int requests)
+{
+    std::pair<int, int> runs;
+    for (int n = 0; n < requests; ++n) {
+        const std::string id = prefix + std::to_string(n);
+        const httplib::Result result = fleet.sendRequest(entry, "/r/x", id);
+        BOOST_REQUIRE(result);
+        BOOST_TEST(result->status == 200);
+        runs.first += fleet.requestRecord(1, id).value("runs", 0);
+        runs.second += fleet.requestRecord(2, id).value("runs", 0);
+    }
+    return runs;
+}
+
+} // namespace
+
+// A runner states in an answer that it is leaving, while its heartbeats still list it as ready: the router that received
+// the answer sends it nothing more, and the other router stops within the time of a drain.
+BOOST_AUTO_TEST_CASE(runnerThatIsLeavingReceivesNothingNew)
+{
+    Fleet fleet("fleet-leaving", FirstPort + 1300);
+    startPlainRunners(fleet);
+    BOOST_REQUIRE(eventually([&] {
+        static int n = 0;
+        const std::string id = "leave-" + std::to_string(++n);
+        fleet.sendRequest(1, "/r/leaving/1/", id);
+        return fleet.requestRecord(1, id).value("runs", 0) == 1;
+    }));
+    const std::pair<int, int> same = countRuns(fleet, 1, "same-", 10);
+    BOOST_TEST(same.first == 0);
+    BOOST_TEST(same.second == 10);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    const std::pair<int, int> other = countRuns(fleet, 2, "other-", 10);
+    BOOST_TEST(other.first == 0);
+    BOOST_TEST(fleet.output("entry-1").find("event=endpoint_leaving id=leave-") != std::string::npos);
+}
+
+// Both runners ask for a pause: requests are refused at once with its end, and served after it.
+BOOST_AUTO_TEST_CASE(pauseOfAllRunnersIsToldToCallers)
+{
+    Fleet fleet("fleet-pause", FirstPort + 1400);
+    startPlainRunners(fleet);
+    const auto refused = [&](int runner) {
+        static int n = 0;
+        return fleet.sendRequest(1, "/r/full/" + std::to_string(runner) + "/3000/", "full-" + std::to_string(++n));
+    };
+    // Each of the two refuses one request; the other one serves it, unless it has asked for a pause as well.
+    BOOST_REQUIRE(eventually([&] {
+        refused(1);
+        const httplib::Result last = refused(2);
+        return last && last->status == 503;
+    }));
+    const std::chrono::steady_clock::time_point sentAt = std::chrono::steady_clock::now();
+    const httplib::Result result = fleet.sendRequest(1, "/r/x", "paused");
+    BOOST_REQUIRE(result);
+    BOOST_TEST(result->status == 503);
+    BOOST_TEST((std::chrono::steady_clock::now() - sentAt < std::chrono::milliseconds(500)));
+    const double after = std::stod(result->get_header_value("Retry-After"));
+    BOOST_TEST(after > 0);
+    BOOST_TEST(after <= 3);
+    for (const int runner : {1, 2})
+        BOOST_TEST(fleet.requestRecord(runner, "paused").empty());
+    // The other router was not asked to pause.
+    BOOST_TEST(fleet.sendRequest(2, "/r/x", "elsewhere")->status == 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(int(after * 1000) + 50));
+    BOOST_TEST(fleet.sendRequest(1, "/r/x", "later")->status == 200);
+}
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -5,6 +5,7 @@
 #include "coordination/balancer.h"
 #include "coordination/bootstrap.h"
 #include "coordination/retry.h"
+#include "coordination/retrywindow.h"
 #include "livestate.h"
 #include "protocol/eventrelay.h"
 #include "raftcluster.h"
@@ -237,28 +238,122 @@
 {
     rc::check([](const std::vector<std::pair<uint8_t, bool>> &events) {
         const Millis window(10000);
-        RetryWindow budget(0.2, window);
-        budget.setSlack(3);
+        RetryLimits limits(0.2, window, Now - window);
+        limits.setShare(6, 1);
         std::vector<std::pair<Time, bool>> admitted; // true: a retry
         Time now = Now;
         for (const std::pair<uint8_t, bool> &it : events) {
             now += Millis(it.first * 8);
             if (!it.second)
-                budget.requestStarted(now);
-            if (!it.second || budget.tryRetry(now))
+                limits.requestStarted(ServiceId("s"), now);
+            if (!it.second || limits.tryRetry(ServiceId("s"), now))
                 admitted.emplace_back(now, it.second);
             // The limit counts the requests of the previous window, too, so the requests are taken from two windows.
             double requests = 0;
             double retries = 0;
             for (const std::pair<Time, bool> &entry : admitted) {
                 requests += !entry.second && entry.first > now - window * 2 ? 1 : 0;
-                retries += entry.second && entry.first > now - window + Millis(500) ? 1 : 0;
+                retries += entry.second && entry.first > now - window ? 1 : 0;
             }
             RC_ASSERT(retries <= 0.2 * requests + 3);
         }
     });
 }
 
+// Requests for one service don't pay for retries of another.
+BOOST_AUTO_TEST_CASE(eachServiceHasRetryLimitsOfItsOwn)
+{
+    RetryLimits limits(0.2, Millis(10000), Now - Millis(10000));
+    for (int i = 0; i < 100; ++i)
+        limits.requestStarted(ServiceId("plain"), Now);
+    for (int i = 0; i < 10; ++i)
+        limits.requestStarted(ServiceId("engines"), Now);
+    int granted = 0;
+    while (limits.tryRetry(ServiceId("engines"), Now))
+        ++granted;
+    BOOST_TEST(granted == 2);
+    BOOST_TEST(limits.tryRetry(ServiceId("plain"), Now));
+}
+
+// Load pattern: endpoints reject everything while routers restart, stop and join, and each uses all the retries it may.
+// Whatever each router believes about the others, as long as it knows those that ran within the last window, the sum
+// stays within the bound: a share of the requests plus the slack, in every window.
+BOOST_AUTO_TEST_CASE(sumOfAllRoutersStaysWithinTheBound)
+{
+    rc::check([](const std::vector<std::tuple<uint8_t, uint8_t>> &changes) {
+        const Millis window(10000);
+        const Millis tick(250);
+        const double slack = 60;
+        struct Router {
+            std::optional<RetryLimits> limits; // none: it is stopped
+            Time lastSeenAt{};
+        };
+        std::vector<Router> routers(4);
+        for (Router &it : routers)
+            it.limits.emplace(0.2, window, Now - window);
+        std::vector<std::pair<uint32_t, uint32_t>> ticks; // requests and retries
+        Time now = Now;
+        const auto runTick = [&] {
+            now += tick;
+            size_t known = 0;
+            for (Router &it : routers) {
+                it.lastSeenAt = it.limits ? now : it.lastSeenAt;
+                known += now < it.lastSeenAt + window * 2 ? 1 : 0;
+            }
+            std::pair<uint32_t, uint32_t> &counts = ticks.emplace_back(0, 0);
+            for (size_t i = 0; i < routers.size(); ++i) {
+                if (!routers[i].limits)
+                    continue;
+                // Beliefs differ: some routers still list more.
+                routers[i].limits->setShare(slack, known + i % 2);
+                // The same load on all routers together, whichever run.
+                for (size_t n = i; n < 24; n += routers.size()) {
+                    routers[i].limits->requestStarted(ServiceId("s"), now);
+                    ++counts.first;
+                }
+                while (routers[i].limits->tryRetry(ServiceId("s"), now))
+                    ++counts.second;
+            }
+        };
+        for (int i = 0; i < 120; ++i)
+            runTick();
+        for (const std::tuple<uint8_t, uint8_t> &it : changes) {
+            Router &router = routers[std::get<0>(it) % routers.size()];
+            switch (std::get<0>(it) / 64) {
+            case 0:
+                router.limits.reset();
+                break;
+            case 1: // a restart, or a start
+                router.limits.emplace(0.2, window, now);
+                break;
+            case 2: // one more joins
+                if (routers.size() < 8) {
+                    routers.emplace_back();
+                    routers.back().limits.emplace(0.2, window, now);
+                }
+                break;
+            default:
+                break;
+            }
+            for (int i = 0; i < std::get<1>(it) % 40; ++i)
+                runTick();
+        }
+        const size_t width = size_t(window / tick);
+        const auto sum = [&](size_t from, uint32_t std::pair<uint32_t, uint32_t>::*count) {
+            double total = 0;
+            for (size_t i = from; i < std::min(from + width, ticks.size()); ++i)
+                total += ticks[i].*count;
+            return total;
+        };
+        for (size_t from = width; from + width <= ticks.size(); ++from) {
+            const double requests = std::max({sum(from, &std::pair<uint32_t, uint32_t>::first),
+                                              sum(from - width, &std::pair<uint32_t, uint32_t>::first),
+                                              sum(from - width / 2, &std::pair<uint32_t, uint32_t>::first)});
+            RC_ASSERT(sum(from, &std::pair<uint32_t, uint32_t>::second) <= 0.2 * requests + slack);
+        }
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Streams)
@@ -421,7 +516,7 @@
                 break;
             case 3: {
                 pb::ShareRequest request;
-                host.changesSince(std::get<2>(it), std::get<2>(it) % 2 == 0, Now, request);
+                host.changesSince(ChangeFilter{std::get<2>(it), std::get<2>(it) % 2 == 0, {}}, Now, request);
                 network.push_back(request);
                 break;
             }
@@ -436,7 +531,7 @@
         for (int round = 0; round < 2; ++round) {
             for (Registry &from : hosts) {
                 pb::ShareRequest request;
-                from.changesSince(0, false, Now, request);
+                from.changesSince(ChangeFilter{0, false, {}}, Now, request);
                 for (Registry &to : hosts)
                     share(to, request);
             }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -158,6 +158,43 @@
     });
 }
 
+struct AdviceRow {
+    int status;
+    const char *retryAfter;
+    const char *leaving;
+    int pauseMs; // -1: none
+    bool isLeaving;
+};
+std::ostream &operator<<(std::ostream &os, const AdviceRow &row)
+{
+    return os << row.status << " '" << row.retryAfter << "' '" << row.leaving << "'";
+}
+const AdviceRow AdviceRows[] = {
+    {503, "2", "", 2000, false},
+    {503, "0.25", "1", 250, true},
+    {200, "2", "1", -1, true}, // only a refusal asks for a pause
+    {429, "2", "0", -1, false},
+    {503, "", "yes", -1, false},
+    {503, "0", "", -1, false},
+    {503, "-3", "", -1, false},
+    {503, "soon", "", -1, false},
+    {503, "Fri, 04 Dec 2026 08:00:00 GMT", "", -1, false},
+    {503, "nan", "", -1, false},
+    {503, "inf", "", -1, false},
+    {503, "31536000", "", 1000000000, false}, // a year; the decision what to make of it is not the adapter's
+    {503, "1e300", "", 1000000000, false},
+};
+BOOST_DATA_TEST_CASE(adviceOfEndpointsIsDecoded, bdata::make(AdviceRows), row)
+{
+    const ResponseMetadata metadata = Codec.responseMetadata(row.status, [&](std::string_view name) -> std::string_view {
+        return name == "Retry-After" ? row.retryAfter : name == "Server-Leaving" ? row.leaving : "";
+    });
+    BOOST_TEST(metadata.leaving == row.isLeaving);
+    BOOST_TEST(metadata.pause.has_value() == (row.pauseMs >= 0));
+    if (metadata.pause)
+        BOOST_TEST(std::min<int64_t>(metadata.pause->count(), 1000000000) == row.pauseMs);
+}
+
 struct CallRow {
     const char *method;
     const char *target;
--- a/tests/standin/runner_main.cpp
+++ b/tests/standin/runner_main.cpp
@@ -1,7 +1,8 @@
 // Simulated runner of the platform for tests: implements the platform's HTTP API, holds models, executes orders and sends
 // heartbeats with its address. The path of a request selects the behaviour: /events/N/ streams N events, /pause/MS/ pauses
 // between them or before a plain answer, /cut/N/ cuts a plain answer off in the middle if this is runner N, /crash/ ends
-// the process.
+// the process. From a request with /leaving/N/ on, runner N states in all its answers that it is leaving, and to one with
+// /full/N/MS/ it answers that it wants no request for that time.
 
 #include <atomic>
 #include <chrono>
@@ -176,6 +177,17 @@
     {
         const std::string id = request.get_header_value("X-Request-Id");
         response.set_header("X-Request-Id", id);
+        if (m_options.id == fmt::format("i-{}", pathNumber(request.path, "leaving", 0)))
+            m_leaving = true;
+        if (m_leaving)
+            response.set_header("Server-Leaving", "1");
+        if (m_options.id == fmt::format("i-{}", pathNumber(request.path, "full", 0))) {
+            const std::string after = request.path.substr(request.path.find("/full/") + 6);
+            response.status = 503;
+            response.set_header("X-Not-Executed", "1");
+            response.set_header("Retry-After", fmt::format("{:.3f}", std::atof(after.c_str() + after.find('/') + 1) / 1000));
+            return;
+        }
         const std::string artifact = request.get_header_value("X-Model");
         const std::string model = artifact.substr(0, artifact.find('/'));
         {
@@ -252,6 +264,7 @@
     uint64_t m_startedAtMs
         = uint64_t(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
     std::atomic<bool> m_stop{false};
+    std::atomic<bool> m_leaving{false};
 };
 
 } // namespace
