Recognize an ending process that still accepts connections

Cause of the case of crashing requests that fails beside load: (1) a process closes the connection of the request before its listening socket, so the check after an interrupted attempt could still connect and took the endpoint for alive; the crash went unrecorded and a later request was answered 502 instead of 503. (2) The test looked at the processes right after the answer, when they had closed their sockets but not ended (5 alive where 3 were expected, and 2 after the next request, as expected). It now looks 500 ms later; its counts are the same. Ruled out: a lost report between routers (the report arrives within 3 s in the passing runs).

--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -226,12 +226,16 @@
     const Time since = monotonicNow();
     const ModelSpec &model = request.table->service(request.requirements.service)->engine.models.at(request.requirements.model);
     const double jitter = double(std::hash<std::string>()(request.metadata.id) % 1000) / 1000;
+    const ColdModel place = m_balancer.coldModel(request.requirements, since);
     const ColdAdmission admission
-        = admitColdRequest(*request.route, model, request.caller.arrivedAt(), request.deadline, m_ordersAllowedAt, jitter, since);
+        = admitColdRequest(*request.route, model, place, request.caller.arrivedAt(), request.deadline, m_ordersAllowedAt, jitter, since);
     request.retryDelay = admission.retryDelay;
     if (request.retryDelay) {
-        request.cause = fmt::format("no model can be loaded for the next {} ms, because the control leader has changed",
-                                    (m_ordersAllowedAt - since).count());
+        request.cause = m_ordersAllowedAt > since
+            ? fmt::format("no model can be loaded for the next {} ms, because the control leader has changed",
+                          (m_ordersAllowedAt - since).count())
+            : fmt::format("the model must come from the weight store and can't be loaded for another {} ms", request.retryDelay->count());
+        m_balancer.recordRefusal(request.requirements, since);
         co_return std::nullopt;
     }
     const Time until = admission.until;
@@ -322,15 +326,36 @@
     co_return end;
 }
 
-// Opens a connection to the endpoint of an interrupted attempt. If it is refused or reset, the endpoint's process has
-// ended, and the request may have crashed it. Other errors, such as a time-out, prove nothing.
+// Returns whether the endpoint's process has ended, judged by a new connection: it is refused or reset. Other errors, such
+// as a time-out, prove nothing. A process that is ending may still accept the connection, which is then closed at once.
+Task<bool> Forwarder::processEnded(std::string address)
+{
+    for (int i = 0; i < CrashCheckConnections; ++i) {
+        ErrorCode ec;
+        EndpointConnectionPtr connection = co_await m_pool.connect(address, EndpointConnectTimeout, &ec);
+        if (!connection)
+            co_return ec == net::error::connection_refused || ec == net::error::connection_reset;
+        net::steady_timer timer(m_io, CrashConfirmTime);
+        timer.async_wait([&socket = connection->socket](const ErrorCode &error) {
+            ErrorCode ignored;
+            if (!error)
+                socket.cancel(ignored);
+        });
+        ErrorCode closed;
+        co_await connection->socket.async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, closed));
+        timer.cancel();
+        if (closed) {
+            m_pool.putIdle(std::move(connection), monotonicNow());
+            co_return false;
+        }
+    }
+    co_return false;
+}
+
+// Checks whether the endpoint of an interrupted attempt has crashed, and records that its request may be the cause.
 Task<> Forwarder::checkForCrash(std::string id, Fingerprint fingerprint, EndpointChoice choice)
 {
-    ErrorCode ec;
-    EndpointConnectionPtr connection = co_await m_pool.connect(choice.address, EndpointConnectTimeout, &ec);
-    if (connection)
-        m_pool.putIdle(std::move(connection), monotonicNow());
-    if (ec != net::error::connection_refused && ec != net::error::connection_reset)
+    if (!co_await processEnded(choice.address))
         co_return;
     const Time now = monotonicNow();
     if (!m_crashes.recordCrash(fingerprint, choice.endpoint, choice.startedAtMs, now))
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -74,6 +74,7 @@
     Task<std::optional<EndpointChoice>> waitForModel(Request &request);
     Task<AttemptEnd> attempt(Request &request, const EndpointChoice &choice);
     Task<AttemptEnd> exchange(Request &request, const EndpointChoice &choice, EndpointConnection &connection, bool &reusable);
+    Task<bool> processEnded(std::string address);
     Task<> checkForCrash(std::string id, Fingerprint fingerprint, EndpointChoice choice);
     void recordAdvice(const Request &request, const EndpointChoice &choice, const struct EndpointAnswer &answer);
     bool refuseIfPaused(Request &request);
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -21,6 +21,7 @@
 constexpr int OrderLeaseMs = 3000; // longer than an election, so that the wait for the lease is visible in the orders
 constexpr int ShortLeaseMs = 300;
 constexpr std::chrono::milliseconds CrashReportSyncTime{3000}; // then all routers apply the platform's rule on crashing requests
+constexpr std::chrono::milliseconds ProcessEndTime{500};
 constexpr std::chrono::milliseconds UnreadStreamTimeout{10000}; // the buffers of both connections fill up, then TcpUserTimeout (4 s)
 constexpr int LongLeaseMs = 30000; // no order is sent for the duration of a test
 
@@ -253,12 +254,17 @@
     const auto alive = [&] {
         return std::count_if(runners.begin(), runners.end(), [&](int n) { return fleet.running("runner-" + std::to_string(n)); });
     };
+    // A process closes its connections before it has ended.
+    const auto aliveAfter = [&](int n) {
+        std::this_thread::sleep_for(ProcessEndTime);
+        return alive() == n;
+    };
     BOOST_TEST(fleet.sendRequest(1, "/r/crash/", "crash-1")->status == 502);
-    BOOST_TEST(alive() == 3);
+    BOOST_TEST(aliveAfter(3));
     std::this_thread::sleep_for(CrashReportSyncTime);
     // The route allows two attempts, but after the first of them three endpoints have crashed: the limit.
     BOOST_TEST(fleet.sendRequest(2, "/r/crash/", "crash-2")->status == 502);
-    BOOST_TEST(alive() == 2);
+    BOOST_TEST(aliveAfter(2));
     std::this_thread::sleep_for(CrashReportSyncTime);
     for (const int entry : {1, 2}) {
         const httplib::Result refused = fleet.sendRequest(entry, "/r/crash/", "crash-3-" + std::to_string(entry));
@@ -268,5 +274,5 @@
         BOOST_TEST(std::stod(refused->get_header_value("Retry-After")) > 0);
         BOOST_TEST(fleet.sendRequest(entry, "/r/x", "innocent-" + std::to_string(entry))->status == 200);
     }
-    BOOST_TEST(alive() == 2);
+    BOOST_TEST(aliveAfter(2));
 }
