Refuse at once what only the weight store can deliver too late; learn how many loads it serves

At the start 442 of the 737 models are on an engine; the other 295 have no copy. That binds, whatever the leader does.

Routers now know of which models engines' hosts have copies, and which loads from the store end when. A request for a model without a copy is refused at once, with the time of the load as Retry-After, unless a load ends before its caller leaves. Refusals of the last 10 s are reported, and the most refused models are loaded first. The leader learns the store's number from the duration of its loads (4 before).

No more requests are served by this: callers learn at once instead of late.

--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -24,13 +24,17 @@
     return std::max(shareOfWait, longestWait - ColdFirstEventTime);
 }
 
-ColdAdmission admitColdRequest(const Route &route, const ModelSpec &model, Time arrived, Time deadline, Time ordersAllowedAt, double jitter,
-                               Time now)
+ColdAdmission admitColdRequest(const Route &route, const ModelSpec &model, const ColdModel &place, Time arrived, Time deadline,
+                               Time ordersAllowedAt, double jitter, Time now)
 {
     ColdAdmission result;
     result.until = arrived + coldWait(route, deadline - arrived);
-    const Time loadedAt = ordersAllowedAt + std::min(model.memoryLoadTime, model.diskLoadTime) + ColdLoadOverhead;
-    if (ordersAllowedAt > now && loadedAt > result.until)
+    const Time begin = std::max(now, ordersAllowedAt);
+    Time loadedAt = begin + std::min(model.memoryLoadTime, model.diskLoadTime) + ColdLoadOverhead;
+    if (!place.copyExists)
+        loadedAt = place.loadedAt ? std::max(*place.loadedAt, now) : begin + model.storeLoadTime + ColdLoadOverhead;
+    const bool hopeless = !place.copyExists || ordersAllowedAt > now;
+    if (hopeless && loadedAt > result.until)
         result.retryDelay = loadedAt - now + Millis(int64_t(jitter * double(ColdRetryJitter.count())));
     return result;
 }
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -1,7 +1,8 @@
 // Decides whether and how long a request may wait for its model to be loaded.
 //
 // Load pattern: models are requested faster than engines can load them, or nothing is loaded for some seconds after a
-// change of the leader that issues orders. Callers of streams don't wait until their deadline but disconnect if nothing
+// change of the leader that issues orders, or many models have no copy on any engine's host, and the weight store can
+// deliver only few of them within a caller's patience. Callers of streams don't wait until their deadline but disconnect if nothing
 // arrives for a while, and an abandoned request can't be given a retry delay. The wait therefore ends while the
 // answer can still be delivered.
 #pragma once
@@ -26,9 +27,16 @@
     std::optional<Millis> retryDelay; // set if the request is refused at once: when to retry
 };
 
-// Refuses a request at once if nothing may be loaded before `ordersAllowedAt` and the model would be loaded too late for
-// its caller. `jitter`, from 0 to 1, spreads the retries of refused requests over time.
-ColdAdmission admitColdRequest(const Route &route, const ModelSpec &model, Time arrived, Time deadline, Time ordersAllowedAt, double jitter,
-                               Time now);
+// Where a model that no engine holds can be loaded from.
+struct ColdModel {
+    bool copyExists = false; // on an engine's host, in memory or on disk
+    std::optional<Time> loadedAt; // expected end of a load from the weight store that is in progress
+};
+
+// Refuses a request at once if its model would be loaded too late for its caller: nothing may be loaded before
+// `ordersAllowedAt`, or the model must come from the weight store. `jitter`, from 0 to 1, spreads the retries of refused
+// requests over time.
+ColdAdmission admitColdRequest(const Route &route, const ModelSpec &model, const ColdModel &place, Time arrived, Time deadline,
+                               Time ordersAllowedAt, double jitter, Time now);
 
 } // namespace roserail
--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -45,6 +45,10 @@
         }
         endpoint.announcement = it.second.announcement;
         endpoint.usable = it.second.usable();
+        endpoint.copies = std::set<std::string>(it.second.announcement.on_disk().begin(), it.second.announcement.on_disk().end());
+        endpoint.loading.clear();
+        for (const pb::LoadingModel &model : it.second.holdings.loading())
+            endpoint.loading[model.model()] = it.second.holdingsAt + Millis(model.ready_in_ms());
         endpoint.held.clear();
         for (const pb::HeldModel &model : it.second.models())
             endpoint.held[model.model()].insert(model.adapters().begin(), model.adapters().end());
@@ -63,6 +67,22 @@
     });
 }
 
+ColdModel Balancer::coldModel(const EndpointRequirements &requirements, Time now) const
+{
+    ColdModel result;
+    for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
+        const Endpoint &endpoint = it.second;
+        if (endpoint.announcement.service() != requirements.service.value() || !usable(endpoint))
+            continue;
+        // The engine may be about to load the model again, or lack only the adapter.
+        result.copyExists |= endpoint.copies.count(requirements.model) != 0 || endpoint.held.count(requirements.model) != 0;
+        const auto loading = endpoint.loading.find(requirements.model);
+        if (loading != endpoint.loading.end() && now < loading->second + OverdueLoadTolerance)
+            result.loadedAt = result.loadedAt ? std::min(*result.loadedAt, loading->second) : loading->second;
+    }
+    return result;
+}
+
 bool Balancer::usable(const Endpoint &endpoint) const
 {
     return endpoint.usable && !m_advice.leaving(endpoint.announcement.endpoint(), endpoint.announcement.born_ms());
@@ -221,6 +241,14 @@
         waiting.erase(it);
 }
 
+void Balancer::recordRefusal(const EndpointRequirements &requirements, Time now)
+{
+    std::deque<Time> &refused = demandFor(requirements).refused;
+    refused.push_back(now);
+    if (refused.size() > MaxRefusalsPerArtifact)
+        refused.pop_front();
+}
+
 bool Balancer::hasWaitingRequests() const
 {
     return std::any_of(m_demands.begin(), m_demands.end(),
@@ -232,7 +260,9 @@
     std::vector<pb::ArtifactDemand> result;
     for (std::pair<const ArtifactKey, Demand> &it : m_demands) {
         Demand &demand = it.second;
-        if (demand.running == 0 && demand.waiting.empty())
+        while (!demand.refused.empty() && demand.refused.front() + RefusalMemory < now)
+            demand.refused.pop_front();
+        if (demand.running == 0 && demand.waiting.empty() && demand.refused.empty())
             continue;
         pb::ArtifactDemand out;
         out.set_service(std::get<0>(it.first).value());
@@ -240,6 +270,7 @@
         out.set_adapter(std::get<2>(it.first));
         out.set_running(demand.running);
         out.set_waiting(uint32_t(demand.waiting.size()));
+        out.set_refused(uint32_t(demand.refused.size()));
         Millis total{0};
         for (const Time since : demand.waiting)
             total += now - since;
@@ -248,8 +279,9 @@
             out.set_longest_wait_ms(uint32_t((now - *demand.waiting.begin()).count()));
         result.push_back(std::move(out));
     }
-    std::erase_if(m_demands,
-                  [](const std::pair<const ArtifactKey, Demand> &it) { return it.second.running == 0 && it.second.waiting.empty(); });
+    std::erase_if(m_demands, [](const std::pair<const ArtifactKey, Demand> &it) {
+        return it.second.running == 0 && it.second.waiting.empty() && it.second.refused.empty();
+    });
     return result;
 }
 
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -2,10 +2,12 @@
 // prompt that is in their cache, and their load.
 #pragma once
 
+#include "coordination/admission.h"
 #include "coordination/endpointadvice.h"
 #include "coordination/registry.h"
 #include "protocol/platformcodec.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -64,6 +66,8 @@
     bool accepts(const EndpointChoice &choice, Time now) const;
     // Returns the earliest end of a pause if all endpoints that can serve the request have asked for one.
     std::optional<Time> pausedUntil(const EndpointRequirements &requirements, Time now) const;
+    // Returns where the model of a request can be loaded from, if no engine holds it.
+    ColdModel coldModel(const EndpointRequirements &requirements, Time now) const;
     // Returns whether the service has an endpoint that is neither leaving, gone nor lost.
     bool hasUsableEndpoint(const ServiceId &service) const;
 
@@ -81,6 +85,8 @@
     void startWaiting(const EndpointRequirements &requirements, Time now);
     void stopWaiting(const EndpointRequirements &requirements, Time since);
     bool hasWaitingRequests() const;
+    // Records a request that was refused because its model can't be loaded in time.
+    void recordRefusal(const EndpointRequirements &requirements, Time now);
     // Returns this router's waiting and running requests per artifact, for the control host that orders loads and
     // unloads.
     std::vector<pb::ArtifactDemand> demands(Time now);
@@ -90,6 +96,8 @@
         pb::Announcement announcement;
         bool usable = false;
         std::map<std::string, std::set<std::string>> held; // adapters by model
+        std::set<std::string> copies; // models in the memory or on the disk of its host
+        std::map<std::string, Time> loading; // from the weight store, with the expected end
         uint32_t ownRequests = 0; // of this router, running on it
         uint32_t otherRequests = 0; // of other routers, by its latest load report
         Time loadReportedAt{};
@@ -100,6 +108,7 @@
     struct Demand {
         uint32_t running = 0;
         std::multiset<Time> waiting; // start times of the waiting requests
+        std::deque<Time> refused; // times of the latest refusals
     };
     using ArtifactKey = std::tuple<ServiceId, std::string, std::string>;
 
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -22,12 +22,20 @@
     });
 }
 
+// Returns the models of which the endpoint's host has a copy, in memory or on disk.
+std::set<std::string> copies(const pb::Announcement &announcement)
+{
+    std::set<std::string> result(announcement.on_disk().begin(), announcement.on_disk().end());
+    result.insert(announcement.in_memory().begin(), announcement.in_memory().end());
+    return result;
+}
+
 // Returns whether routers need no update. `holdingsKnown`: they use the holdings instead of the announced models.
 bool sameForRouters(const pb::Announcement &a, const pb::Announcement &b, bool holdingsKnown)
 {
     return a.born_ms() == b.born_ms() && a.address() == b.address() && a.zone() == b.zone() && a.service() == b.service()
         && a.slots() == b.slots() && a.leaving() == b.leaving() && a.gone() == b.gone() && a.lost() == b.lost()
-        && (holdingsKnown || sameModels(a.models(), b.models()));
+        && (holdingsKnown || sameModels(a.models(), b.models())) && copies(a) == copies(b);
 }
 
 bool sameForRouters(const pb::RouterState &a, const pb::RouterState &b)
@@ -62,6 +70,15 @@
     return holdingsKnown(*this) ? holdings.models() : announcement.models();
 }
 
+pb::Holdings LiveEndpoint::holdingsNow(Time now) const
+{
+    pb::Holdings result = holdings;
+    const uint64_t age = ageMs(holdingsAt, now);
+    for (pb::LoadingModel &it : *result.mutable_loading())
+        it.set_ready_in_ms(it.ready_in_ms() > age ? it.ready_in_ms() - age : 0);
+    return result;
+}
+
 std::string_view stateName(const pb::Announcement &announcement)
 {
     if (announcement.gone())
@@ -136,7 +153,7 @@
     }
 }
 
-bool Registry::merge(const pb::Holdings &holdings, Time, const std::string &from)
+bool Registry::merge(const pb::Holdings &holdings, Time now, const std::string &from)
 {
     const auto versionOf = [](const pb::Holdings &h) {
         return std::pair(h.term(), h.counter());
@@ -152,6 +169,7 @@
         return false;
     it->second.holdingsVersion = ++m_version;
     it->second.holdingsFrom = from;
+    it->second.holdingsAt = now;
     return true;
 }
 
@@ -305,7 +323,7 @@
             announcement.set_age_ms(ageMs(endpoint.lastSeenAt, now));
         }
         if (selected(filter, endpoint.holdingsVersion, endpoint.holdingsFrom))
-            *out.add_holdings() = endpoint.holdings;
+            *out.add_holdings() = endpoint.holdingsNow(now);
     }
     for (const std::pair<const std::string, LiveRouter> &it : m_routers) {
         if (!selected(filter, filter.all ? it.second.version : it.second.sharedVersion, it.second.from))
@@ -327,13 +345,15 @@
     out.set_version(m_version);
     for (const std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
         if (it.second.holdingsVersion > since)
-            *out.add_holdings() = it.second.holdings;
+            *out.add_holdings() = it.second.holdingsNow(now);
         if (it.second.visibleVersion <= since)
             continue;
         pb::Announcement &announcement = *out.add_endpoints();
         announcement = it.second.announcement;
+        // Routers need not know where on the host the copies are.
+        const std::set<std::string> all = copies(announcement);
         announcement.clear_in_memory();
-        announcement.clear_on_disk();
+        announcement.mutable_on_disk()->Assign(all.begin(), all.end());
         if (holdingsKnown(it.second))
             announcement.clear_models();
         announcement.set_age_ms(ageMs(it.second.lastSeenAt, now));
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -37,11 +37,14 @@
     pb::Holdings holdings; // as the control host that sends orders lists them; empty endpoint: none
     uint64_t holdingsVersion = 0; // of the last change of `holdings`
     std::string holdingsFrom; // as `from`
+    Time holdingsAt{}; // when they were received
     Time lastSeenAt{};
     bool usable() const
     {
         return !announcement.leaving() && !announcement.gone() && !announcement.lost();
     }
+    // Returns the holdings, with the times until loads complete as of `now`.
+    pb::Holdings holdingsNow(Time now) const;
     // Returns the models that the endpoint holds: from `holdings` if they are of this incarnation, else as announced.
     const google::protobuf::RepeatedPtrField<pb::HeldModel> &models() const;
 };
--- a/src/coordination/residency.cpp
+++ b/src/coordination/residency.cpp
@@ -3,6 +3,7 @@
 #include "state/tunables.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace roserail
 {
@@ -30,6 +31,7 @@
     , m_ordersAllowedAt(ordersAllowedAt)
     , m_fence(std::max(term * FencesPerTerm, last.fence))
     , m_counter(last.counter)
+    , m_maxStoreLoads(MaxStoreLoadsInFlight)
 {
 }
 
@@ -123,6 +125,7 @@
                 if (demand.waiting() > 0)
                     total.longestWait = std::max(total.longestWait, Millis(demand.longest_wait_ms()) + age);
                 total.totalWait += Millis(int64_t(demand.total_wait_ms())) + age * demand.waiting();
+                total.refused += demand.refused();
                 if (demand.waiting() + demand.running() > 0)
                     m_lastUse[key] = now;
             };
@@ -226,9 +229,26 @@
 
 void Residency::completeCurrentOrder(Engine &engine, Time now)
 {
-    const ArtifactOrder order = engine.current->order;
+    const CurrentOrder current = *engine.current;
     engine.current.reset();
-    applyOrder(engine, order, now);
+    applyOrder(engine, current.order, now);
+    if (current.fromStore)
+        learnStoreSpeed(current, now);
+}
+
+// Learns from the duration of a load how many loads the weight store serves at once at full speed. Beyond that number,
+// each takes longer in proportion.
+void Residency::learnStoreSpeed(const CurrentOrder &order, Time now)
+{
+    const EngineSpec *limits = spec(m_engines.at(order.order.endpoint).service);
+    const auto model = limits->models.find(order.order.model);
+    if (model == limits->models.end() || model->second.storeLoadTime <= Millis(0))
+        return;
+    const double ratio = double((now - order.changedAt).count()) / double(model->second.storeLoadTime.count());
+    if (ratio > SlowStoreLoadRatio)
+        m_maxStoreLoads = std::clamp<size_t>(size_t(std::lround(double(order.storeLoads) / ratio)), 1, m_maxStoreLoads);
+    else if (order.storeLoads >= m_maxStoreLoads)
+        m_maxStoreLoads = std::min(MaxLearnedStoreLoads, m_maxStoreLoads + 1);
 }
 
 double Residency::usedMegabytes(const Engine &engine, const EngineSpec &spec) const
@@ -264,7 +284,7 @@
     return it == m_lastUse.end() ? Time(Millis(0)) : it->second;
 }
 
-std::vector<pb::Holdings> Residency::takeHoldings()
+std::vector<pb::Holdings> Residency::takeHoldings(Time now)
 {
     std::vector<pb::Holdings> result;
     for (std::pair<const std::string, Engine> &it : m_engines) {
@@ -289,6 +309,11 @@
                     model.add_adapters(adapter);
             }
         }
+        if (engine.current && engine.current->fromStore) {
+            pb::LoadingModel &loading = *holdings.add_loading();
+            loading.set_model(engine.current->order.model);
+            loading.set_ready_in_ms(uint64_t(std::max<int64_t>(0, (engine.current->expectedDoneAt - now).count())));
+        }
         result.push_back(std::move(holdings));
     }
     return result;
--- a/src/coordination/residency.h
+++ b/src/coordination/residency.h
@@ -23,6 +23,7 @@
     uint32_t running = 0;
     Millis longestWait{0};
     Millis totalWait{0}; // sum over the waiting requests
+    uint32_t refused = 0; // lately, because no engine has a copy
 };
 
 class Residency
@@ -57,7 +58,7 @@
         return Numbers{m_fence, m_counter};
     }
     // Returns the contents of the engines that have changed since the last call, for publication to routers.
-    std::vector<pb::Holdings> takeHoldings();
+    std::vector<pb::Holdings> takeHoldings(Time now);
 
 private:
     struct ArtifactName {
@@ -70,6 +71,7 @@
         ArtifactOrder order;
         Phase phase = Phase::Sent;
         bool fromStore = false;
+        size_t storeLoads = 0; // from the weight store in progress when it was issued, this one included
         Time changedAt{}; // last change of `phase`
         Time expectedDoneAt{}; // a report should show the result by then
     };
@@ -124,6 +126,8 @@
     void planService(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now);
     void continueReservations(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now);
     void planWaitingModels(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now);
+    void planRefusedModels(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now);
+    void learnStoreSpeed(const CurrentOrder &order, Time now);
     void planPrefetch(const EngineSpec &spec, Plan &plan, Time now);
     void planAdapters(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now);
     bool placeModel(const EngineSpec &spec, const std::string &model, bool urgent, Plan &plan, Time now);
@@ -136,6 +140,11 @@
     bool hasLocalCopy(const Engine &engine, const std::string &model) const;
     bool availableFor(const Engine &engine, const std::string &forModel, Time now) const;
     bool storeLoadAllowed(const EngineSpec &spec, size_t maxInFlight, const Engine *engine, Time now) const;
+    // Returns the number of loads from the weight store in progress up to which models are prefetched.
+    size_t maxPrefetches() const
+    {
+        return m_maxStoreLoads - 1;
+    }
     bool countsAsStoreLoad(const Engine &engine, Time now) const;
     const ModelPlaces &places(const std::string &model) const;
     double usedMegabytes(const Engine &engine, const EngineSpec &spec) const;
@@ -155,6 +164,7 @@
     std::map<std::string, Engine> m_engines;
     Round m_round; // of the service that is being planned
     size_t m_storeLoads = 0; // in progress or reserved, over all services
+    size_t m_maxStoreLoads; // that the weight store serves at full speed, as far as known
     std::map<ServiceArtifact, AggregateDemand> m_demand; // the entry of a model includes the demand for its adapters
     std::map<ServiceArtifact, Time> m_lastUse;
     std::deque<Time> m_storeLoadStarts; // within the last StoreRateWindow
--- a/src/coordination/residencyplan.cpp
+++ b/src/coordination/residencyplan.cpp
@@ -36,9 +36,8 @@
         return plan;
     while (!m_storeLoadStarts.empty() && m_storeLoadStarts.front() + StoreRateWindow < now)
         m_storeLoadStarts.pop_front();
-    m_storeLoads = size_t(std::count_if(m_engines.begin(), m_engines.end(), [&](const std::pair<const std::string, Engine> &it) {
-        return countsAsStoreLoad(it.second, now);
-    }));
+    m_storeLoads = size_t(std::count_if(m_engines.begin(), m_engines.end(),
+                                        [&](const std::pair<const std::string, Engine> &it) { return countsAsStoreLoad(it.second, now); }));
     for (const std::pair<const ServiceId, EngineSpec> &it : m_specs)
         planService(it.first, it.second, plan, now);
     return plan;
@@ -100,6 +99,7 @@
     beginRound(service, now);
     continueReservations(service, spec, plan, now);
     planWaitingModels(service, spec, plan, now);
+    planRefusedModels(service, spec, plan, now);
     planAdapters(service, spec, plan, now);
     planPrefetch(spec, plan, now);
 }
@@ -121,7 +121,7 @@
         const AggregateDemand *demand = demandFor(service, ArtifactName{model, ""});
         const bool urgent = demand != nullptr && demand->waiting > 0;
         const std::optional<LoadOption> option = loadOptionOn(engine, spec, spec.models.at(model), urgent, now);
-        if (!option || (option->fromStore && !storeLoadAllowed(spec, MaxStoreLoadsInFlight, &engine, now)))
+        if (!option || (option->fromStore && !storeLoadAllowed(spec, m_maxStoreLoads, &engine, now)))
             continue;
         if (option->victims.empty())
             issueOrder(engine, OrderAction::Load, ArtifactName{model, ""}, option->fromStore, plan, now);
@@ -146,10 +146,33 @@
         placeModel(spec, it, true, plan, now);
 }
 
+// Loads the models from the weight store for which most requests were refused lately.
+//
+// Load pattern: many models have no copy on any engine's host, and the store delivers few within a caller's patience, so
+// no request waits for them.
+void Residency::planRefusedModels(const ServiceId &service, const EngineSpec &spec, Plan &plan, Time now)
+{
+    if (m_storeLoads >= m_maxStoreLoads)
+        return;
+    std::vector<std::pair<uint32_t, std::string>> refused;
+    for (auto it = m_demand.lower_bound(ServiceArtifact{service, {}}); it != m_demand.end() && it->first.first == service; ++it) {
+        const ArtifactName &name = it->first.second;
+        const ModelPlaces &known = places(name.model);
+        const bool exists = known.planned || !known.copies.empty() || !known.holders.empty();
+        if (it->second.refused > 0 && name.adapter.empty() && !exists && spec.models.count(name.model) != 0)
+            refused.emplace_back(it->second.refused, name.model);
+    }
+    std::sort(refused.begin(), refused.end(), std::greater<>());
+    for (const std::pair<uint32_t, std::string> &it : refused) {
+        if (m_storeLoads >= m_maxStoreLoads || !placeModel(spec, it.second, true, plan, now))
+            return;
+    }
+}
+
 // Prefetches models from the weight store if no engine has a copy. A later load from a copy takes a tenth of the time.
 void Residency::planPrefetch(const EngineSpec &spec, Plan &plan, Time now)
 {
-    if (m_storeLoads >= MaxStoreLoadsForPrefetch)
+    if (m_storeLoads >= maxPrefetches())
         return;
     // An engine with unknown contents may have a copy of any model.
     if (std::any_of(m_round.engines.begin(), m_round.engines.end(), [](const Engine *it) { return !it->contentsKnown; }))
@@ -193,8 +216,8 @@
         if (!availableFor(engine, name, now) || engine.held.count(name) != 0)
             return;
         const std::optional<LoadOption> option = loadOptionOn(engine, spec, model, urgent, now);
-        const bool allowed = option
-            && (!option->fromStore || storeLoadAllowed(spec, urgent ? MaxStoreLoadsInFlight : MaxStoreLoadsForPrefetch, &engine, now));
+        const bool allowed
+            = option && (!option->fromStore || storeLoadAllowed(spec, urgent ? m_maxStoreLoads : maxPrefetches(), &engine, now));
         if (allowed && (!best || option->cost < best->cost))
             best = option;
     };
@@ -373,12 +396,15 @@
     current.order.inputs = inputsOf(engine, name, fromStore, now);
     current.fromStore = fromStore;
     current.changedAt = now;
+    current.storeLoads = fromStore ? std::max<size_t>(1, m_storeLoads) : 0;
     Millis duration = AdapterLoadTime * 2;
     if (name.adapter.empty()) {
         const auto model = limits.models.find(name.model);
         duration = action == OrderAction::Unload || model == limits.models.end() ? UnloadTimeEstimate : model->second.storeLoadTime;
         if (action == OrderAction::Load && !fromStore)
             duration = longestCopyLoad(model->second);
+        if (fromStore)
+            duration = Millis(int64_t(double(duration.count()) * std::max(1.0, double(current.storeLoads) / double(m_maxStoreLoads))));
     }
     current.expectedDoneAt = now + duration;
     if (fromStore)
--- a/src/state/configurationdelta.cpp
+++ b/src/state/configurationdelta.cpp
@@ -70,7 +70,8 @@
 
 const pb::ConfigurationDelta *ConfigurationHistory::deltaFrom(uint64_t version) const
 {
-    const auto it = std::find_if(m_deltas.begin(), m_deltas.end(), [&](const pb::ConfigurationDelta &delta) { return delta.base() == version; });
+    const auto it
+        = std::find_if(m_deltas.begin(), m_deltas.end(), [&](const pb::ConfigurationDelta &delta) { return delta.base() == version; });
     return it == m_deltas.end() ? nullptr : &*it;
 }
 
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -72,6 +72,9 @@
 constexpr uint32_t MaxSendsPerRequest = 3; // endpoints tried, including those that refused the request
 constexpr Millis ColdFirstEventTime{
     1000}; // from a model's load to the first event in a full batch; kept free before the caller's time limit
+constexpr Millis RefusalMemory{10000}; // refusals within this time count as demand for a model; about a load from the weight store
+constexpr size_t MaxRefusalsPerArtifact = 64; // at one router
+constexpr Millis OverdueLoadTolerance{5000}; // a load that ends later than expected is still assumed to end
 constexpr Millis ColdLoadOverhead{300}; // an unload before a load, and the propagation of both to the router
 constexpr Millis ColdRetryJitter{500}; // refused callers retry spread over this time, in which the engines together load about 6 models
 constexpr double ColdWaitShare = 0.6; // of a caller's time limit; a longer limit leaves all but ColdFirstEventTime for the load
@@ -81,6 +84,8 @@
 constexpr Millis DrainStreamCutoff{1000}; // streams that begin later last 6 s on busy engines and would not end in a grace period of 8 s
 constexpr Millis RetryAfterBusy{1000}; // about the time of a load from a copy, after which the model may be available
 constexpr Millis EndpointConnectTimeout{500}; // a handshake takes 4 ms; a lost packet is retransmitted within this time
+constexpr Millis CrashConfirmTime{100}; // in which a process that is ending closes a connection it still accepted
+constexpr int CrashCheckConnections = 3; // opened to find out whether a process has ended
 constexpr Millis ResolveTtl{1500}; // some callers cache an answer for three times as long; a drain waits for them
 
 // Load balancing; costs are in milliseconds of time to first token
@@ -105,7 +110,6 @@
 constexpr Millis OrderDeliveryMargin{500}; // an order sent at the end of a lease arrives within this time
 constexpr Millis ConfigurationCommitTimeout{3000}; // operators retry on another control host after 1 s
 constexpr Millis StoreRateWindow{5000}; // the weight store's rate limit holds in every window of this length
-constexpr size_t MaxStoreLoadsForPrefetch = 3; // without a waiting request; leaves one of MaxStoreLoadsInFlight to requests
 constexpr Millis ReservationTtl{4000}; // of an engine for a model; covers an unload, which waits for the last requests on the engine
 constexpr Millis UnloadTimeEstimate{2000}; // an unload waits for the requests that run, which last 1.6 s on average
 constexpr Millis AdapterPrefetchWindow{5000}; // adapters of models used within this time are prefetched
@@ -122,7 +126,9 @@
 
 // Placement of replicas, and how long idle ones are kept
 constexpr Millis PlacementInterval{50};
-constexpr size_t MaxStoreLoadsInFlight = 4;
+constexpr size_t MaxStoreLoadsInFlight = 4; // at first; the leader learns how many the weight store serves at full speed
+constexpr size_t MaxLearnedStoreLoads = 8;
+constexpr double SlowStoreLoadRatio = 1.15; // of the time of a load to its nominal time, above which the store was shared by too many
 constexpr size_t MaxAdapterLoadsInFlight = 32;
 constexpr Millis AdapterLoadTime{10};
 constexpr double MemoryTierLoadFactor = 0.05; // of the time of a load from the weight store
--- a/src/transport/ordersender.cpp
+++ b/src/transport/ordersender.cpp
@@ -94,7 +94,7 @@
             targets[it.first] = Target{it.second.announcement.address(), it.second.announcement.born_ms()};
     });
     Residency::Plan plan = m_residency->decide(now);
-    const std::vector<pb::Holdings> holdings = m_residency->takeHoldings();
+    const std::vector<pb::Holdings> holdings = m_residency->takeHoldings(now);
     if (!holdings.empty()) {
         m_table.change([&](Registry &registry) {
             for (const pb::Holdings &it : holdings)
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -224,14 +224,42 @@
     model.memoryLoadTime = Millis(600);
     model.diskLoadTime = Millis(800);
     const Time deadline = Now + Millis(25000);
-    const ColdAdmission refused = admitColdRequest(shortTimeout, model, Now, deadline, Now + Millis(3000), 0, Now);
+    const ColdModel withCopy{true, std::nullopt};
+    const ColdAdmission refused = admitColdRequest(shortTimeout, model, withCopy, Now, deadline, Now + Millis(3000), 0, Now);
     BOOST_REQUIRE(refused.retryDelay.has_value());
     BOOST_TEST(refused.retryDelay->count() == 3900);
-    BOOST_TEST((*admitColdRequest(shortTimeout, model, Now, deadline, Now + Millis(3000), 1, Now).retryDelay > *refused.retryDelay));
+    BOOST_TEST(
+        (*admitColdRequest(shortTimeout, model, withCopy, Now, deadline, Now + Millis(3000), 1, Now).retryDelay > *refused.retryDelay));
     // The request waits if its caller waits long enough, or if orders can be sent again soon.
-    BOOST_TEST(!admitColdRequest(longTimeout, model, Now, deadline, Now + Millis(3000), 0, Now).retryDelay.has_value());
-    BOOST_TEST(!admitColdRequest(shortTimeout, model, Now, deadline, Now + Millis(200), 0, Now).retryDelay.has_value());
-    BOOST_TEST(!admitColdRequest(shortTimeout, model, Now, deadline, Now - Millis(1), 0, Now).retryDelay.has_value());
+    BOOST_TEST(!admitColdRequest(longTimeout, model, withCopy, Now, deadline, Now + Millis(3000), 0, Now).retryDelay.has_value());
+    BOOST_TEST(!admitColdRequest(shortTimeout, model, withCopy, Now, deadline, Now + Millis(200), 0, Now).retryDelay.has_value());
+    BOOST_TEST(!admitColdRequest(shortTimeout, model, withCopy, Now, deadline, Now - Millis(1), 0, Now).retryDelay.has_value());
+}
+
+// Load pattern: many models have no copy on any engine's host, and a load from the weight store takes longer than callers
+// wait. A request for one is refused at once, unless a load in progress ends in time.
+BOOST_AUTO_TEST_CASE(modelWithoutACopyIsRefusedIfTheStoreIsTooSlow)
+{
+    Route slow = route("/a/");
+    slow.stream = true;
+    slow.abandonTimeout = Millis(10000);
+    ModelSpec model;
+    model.storeLoadTime = Millis(13200);
+    model.memoryLoadTime = Millis(600);
+    model.diskLoadTime = Millis(800);
+    const Time deadline = Now + Millis(20000);
+    const auto decide = [&](const ColdModel &place) {
+        return admitColdRequest(slow, model, place, Now, deadline, Now - Millis(1), 0, Now).retryDelay;
+    };
+    BOOST_TEST(!decide(ColdModel{true, std::nullopt}).has_value());
+    BOOST_REQUIRE(decide(ColdModel{false, std::nullopt}).has_value());
+    BOOST_TEST(decide(ColdModel{false, std::nullopt})->count() >= 13200);
+    BOOST_TEST(!decide(ColdModel{false, Now + Millis(3000)}).has_value());
+    BOOST_REQUIRE(decide(ColdModel{false, Now + Millis(11000)}).has_value());
+    BOOST_TEST(decide(ColdModel{false, Now + Millis(11000)})->count() == 11000);
+    // A faster store serves the request in time.
+    model.storeLoadTime = Millis(6000);
+    BOOST_TEST(!decide(ColdModel{false, std::nullopt}).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(retriesStayUnderTheRatioInEveryWindow)
@@ -346,9 +374,9 @@
             return total;
         };
         for (size_t from = width; from + width <= ticks.size(); ++from) {
-            const double requests = std::max({sum(from, &std::pair<uint32_t, uint32_t>::first),
-                                              sum(from - width, &std::pair<uint32_t, uint32_t>::first),
-                                              sum(from - width / 2, &std::pair<uint32_t, uint32_t>::first)});
+            const double requests
+                = std::max({sum(from, &std::pair<uint32_t, uint32_t>::first), sum(from - width, &std::pair<uint32_t, uint32_t>::first),
+                            sum(from - width / 2, &std::pair<uint32_t, uint32_t>::first)});
             RC_ASSERT(sum(from, &std::pair<uint32_t, uint32_t>::second) <= 0.2 * requests + slack);
         }
     });
--- a/tests/residency_test.cpp
+++ b/tests/residency_test.cpp
@@ -234,7 +234,7 @@
                 answer.reset();
             residency->orderAnswered(it, answer, now);
         }
-        for (const pb::Holdings &it : residency->takeHoldings())
+        for (const pb::Holdings &it : residency->takeHoldings(now))
             registry.merge(it, now);
         while (!storeLoads.empty() && storeLoads.front() + Millis(5000) < now)
             storeLoads.pop_front();
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -277,8 +277,8 @@
     size_t whole = 0;
     for (uint64_t version = 1; version <= 40; ++version) {
         const std::string routes = R"({"name":"r)" + std::to_string(version) + R"(","host":"h","path_prefix":"/p/"})";
-        const pb::WholeConfiguration next
-            = configuration(version, R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],"services":[)" + models + "]}");
+        const pb::WholeConfiguration next = configuration(
+            version, R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],"services":[)" + models + "]}");
         whole = next.ByteSizeLong();
         BOOST_TEST(history.merge(next));
         BOOST_TEST(!history.merge(next));
