--- a/src/coordination/retrywindow.cpp
+++ b/src/coordination/retrywindow.cpp
@@ -45,10 +45,10 @@
     return n;
 }
 
-RetryLimits::RetryLimits(double ratio, Millis window, Time startedAt)
+RetryLimits::RetryLimits(double ratio, Millis window, std::optional<Time> restartedAt)
     : m_ratio(ratio)
     , m_window(window)
-    , m_slackFrom(startedAt + window)
+    , m_slackFrom(restartedAt ? *restartedAt + window : Time())
 {
 }
 
--- a/src/coordination/retrywindow.h
+++ b/src/coordination/retrywindow.h
@@ -3,13 +3,14 @@
 //
 // Load pattern: endpoints reject or interrupt many requests at once while routers restart, join and leave. A router knows
 // neither what the others spend nor what it spent itself before a restart: each spends its share of the slack at most, and
-// none of it in the first window after its start.
+// none of it in the first window after a restart.
 #pragma once
 
 #include "state/routes.h"
 
 #include <array>
 #include <map>
+#include <optional>
 
 namespace roserail
 {
@@ -45,7 +46,8 @@
 class RetryLimits
 {
 public:
-    RetryLimits(double ratio, Millis window, Time startedAt);
+    // `restartedAt`: start of this process, unless no earlier one on its host can have spent from the slack.
+    RetryLimits(double ratio, Millis window, std::optional<Time> restartedAt);
     void setRatio(double ratio)
     {
         m_ratio = ratio;
--- a/src/protocol/hostsettings.cpp
+++ b/src/protocol/hostsettings.cpp
@@ -60,7 +60,7 @@
 {
     checkKeys(root, "the settings",
               {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "log", "listen", "ready", "directory", "retryRatio",
-               "retrySlack", "retryWindow"});
+               "retrySlack", "retryWindow", "firstStart"});
     EntrySettings settings;
     settings.host = readHost(root);
     settings.listen = readAddress(root, "listen", "the settings");
@@ -68,6 +68,7 @@
     settings.directory = readAddress(root, "directory", "the settings");
     settings.retryRatio = readValue<double>(root, "retryRatio", 0.2, "a share of requests");
     settings.retrySlack = readValue<double>(root, "retrySlack", 20, "a number of requests");
+    settings.firstStart = readValue<bool>(root, "firstStart", false, "true or false");
     settings.retryWindow = readDuration(root, "retryWindow", Millis(10000));
     return settings;
 }
@@ -109,9 +110,10 @@
 std::string toYaml(const EntrySettings &settings)
 {
     return hostToYaml(settings.host)
-        + fmt::format("listen: \"{}\"\nready: \"{}\"\ndirectory: \"{}\"\nretryRatio: {}\nretrySlack: {}\nretryWindow: {}ms\n",
-                      settings.listen, settings.ready, settings.directory, settings.retryRatio, settings.retrySlack,
-                      settings.retryWindow.count());
+        + fmt::format(
+               "listen: \"{}\"\nready: \"{}\"\ndirectory: \"{}\"\nretryRatio: {}\nretrySlack: {}\nretryWindow: {}ms\nfirstStart: {}\n",
+               settings.listen, settings.ready, settings.directory, settings.retryRatio, settings.retrySlack, settings.retryWindow.count(),
+               settings.firstStart);
 }
 
 std::string toYaml(const KeeperSettings &settings)
--- a/src/protocol/hostsettings.h
+++ b/src/protocol/hostsettings.h
@@ -33,6 +33,7 @@
     double retryRatio = 0; // retries allowed in a window, as a share of requests
     double retrySlack = 0; // additional retries allowed, over all routers
     Millis retryWindow{0};
+    bool firstStart = false; // of the whole system: no earlier process of this host can have spent retries
 };
 
 struct KeeperSettings {
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -46,7 +46,7 @@
     , m_codec(codec)
     , m_registry(HeartbeatTimeouts{EndpointLivenessTimeout, RouterLivenessTimeout}, monotonicNow())
     , m_balancer(settings.host.zone)
-    , m_retries(settings.retryRatio, settings.retryWindow, monotonicNow())
+    , m_retries(settings.retryRatio, settings.retryWindow, settings.firstStart ? std::nullopt : std::optional(monotonicNow()))
     , m_forwarder(io, codec, m_balancer, m_retries, m_crashes)
     , m_callerServer(io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
     , m_readinessServer(io, [this](CallerConnection &caller) { return answerReady(caller); })
