Wait until both routers know all runners in the case of crashing requests

Cause of its failures beside load, found with entry dumps and logs: only entry 2 was probed before the first request, so entry 1 could know one runner or none: 503 instead of 502 (seen at a load of 10 on 6 cores), or one crash instead of two. The test waits for both now; its counts and statuses are the same.

--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -247,10 +247,13 @@
     for (const int n : runners)
         fleet.startRunner(n, "plain", "");
     BOOST_REQUIRE(configure(fleet, {1, 2}));
-    BOOST_REQUIRE(eventually([&] {
-        const httplib::Result result = fleet.sendRequest(2, "/r/x", "probe");
-        return result && result->status == 200;
-    }));
+    // Both routers must know all runners, or their first attempts have fewer to crash.
+    for (const int entry : {1, 2}) {
+        BOOST_REQUIRE(eventually([&] { return fleet.entryDump(entry)["live"]["endpoints"].size() == runners.size(); }));
+        const httplib::Result result = fleet.sendRequest(entry, "/r/x", "probe-" + std::to_string(entry));
+        BOOST_REQUIRE(result);
+        BOOST_TEST(result->status == 200);
+    }
     const auto alive = [&] {
         return std::count_if(runners.begin(), runners.end(), [&](int n) { return fleet.running("runner-" + std::to_string(n)); });
     };
