--- a/src/coordination/sharing.cpp
+++ b/src/coordination/sharing.cpp
@@ -9,17 +9,17 @@
 namespace
 {
 
-// Returns the host with a disk that a host without one sends its changes to: the nearest one that answers. Hosts of one
-// availability zone that has several choose different ones. Empty: none is known.
+// Returns the host with a disk that a host without one sends its changes to: of those that answer and reach most others, the
+// nearest. Hosts of one availability zone that has several choose different ones. Empty: none is known.
 std::string relayTarget(const ShareView &view, const Registry &registry)
 {
-    std::tuple<bool, bool, size_t> bestRank;
+    std::tuple<bool, int, bool, size_t> bestRank;
     std::string best;
     for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
         if (!it.second.state.disk())
             continue;
-        const std::tuple<bool, bool, size_t> rank{view.unreachable.count(it.first) != 0, it.second.state.zone() != view.zone,
-                                                  std::hash<std::string>()(view.self + it.first)};
+        const std::tuple<bool, int, bool, size_t> rank{view.unreachable.count(it.first) != 0, it.second.state.unreachable_size(),
+                                                       it.second.state.zone() != view.zone, std::hash<std::string>()(view.self + it.first)};
         if (best.empty() || rank < bestRank) {
             best = it.first;
             bestRank = rank;
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -14,6 +14,7 @@
 namespace
 {
 
+constexpr Millis LeaderlessTolerance{1500}; // an election takes less than a second
 constexpr Millis PeerUpdateInterval{100}; // bounds the delay until a change of leader or configuration is propagated
 
 // Creates the cluster with these hosts as its first members. Each of them does so independently, in any order.
@@ -102,6 +103,9 @@
     if (m_node == nullptr)
         return;
     m_node->setSeedAddresses(std::move(replicaAddresses));
+    if (m_node->status().leader)
+        m_leaderKnownAt = now;
+    m_table.setIsolated(now > m_leaderKnownAt + LeaderlessTolerance);
     const uint64_t known = m_table.configurationVersion();
     m_node->withMachine([&](const StateMachine &machine) {
         if (machine.configuration().version() > known)
--- a/src/transport/livetable.h
+++ b/src/transport/livetable.h
@@ -6,6 +6,7 @@
 #include "protocol/log.h"
 #include "state/configurationdelta.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <mutex>
@@ -101,6 +102,16 @@
         const std::lock_guard lock(m_mutex);
         return m_orderPermission;
     }
+    // While set, this host has known no leader for some time: it may be cut from a majority that accepts configurations, and
+    // refers routers to other control hosts.
+    void setIsolated(bool isolated)
+    {
+        m_isolated = isolated;
+    }
+    bool isolated() const
+    {
+        return m_isolated;
+    }
     // Wakes the threads in waitFor(), which then check their condition.
     void notifyAll()
     {
@@ -114,6 +125,7 @@
     Time m_nextExpiryAt{};
     ConfigurationHistory m_configuration;
     OrderPermission m_orderPermission;
+    std::atomic<bool> m_isolated{false};
 
     static constexpr Millis ExpiryInterval{100};
 };
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -27,6 +27,8 @@
     const Time now = monotonicNow();
     if (request->router().router().empty())
         return grpc::Status(grpc::StatusCode::INVALID_ARGUMENT, "'router' is empty; set 'id' in the router's settings");
+    // A router without a configuration takes an old one rather than none.
+    const bool serves = m_disk && !(m_table.isolated() && request->configuration() > 0);
     // Hosts of the router's own availability zone come first.
     std::set<std::pair<bool, std::string>> control;
     if (m_disk)
@@ -39,11 +41,11 @@
         if (registry.ordersAllowedAt() > now)
             reply->set_orders_in_ms(uint64_t((registry.ordersAllowedAt() - now).count()));
         for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
-            if (it.second.state.disk() && now < it.second.lastSeenAt + KeeperStateMaxAge)
+            if (it.second.state.disk() && (serves || it.first != m_self) && now < it.second.lastSeenAt + KeeperStateMaxAge)
                 control.emplace(it.second.state.zone() != request->router().zone(), it.first);
         }
     });
-    reply->set_epoch(m_disk ? m_epoch : 0);
+    reply->set_epoch(serves ? m_epoch : 0);
     m_table.addConfigurationSince(request->configuration(), *reply);
     for (const std::pair<bool, std::string> &it : control)
         reply->add_control(it.second);
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -92,6 +92,25 @@
     BOOST_TEST(roles.count(address(5)) == 0u);
 }
 
+// The nearest host with a disk is cut from the others: what it is told would reach nobody else.
+BOOST_AUTO_TEST_CASE(hostThatIsCutFromTheOthersIsNoRelay)
+{
+    Registry registry = manyControlHosts(3);
+    pb::KeeperState cut = keeper(5, true, 1);
+    cut.set_sequence(2);
+    cut.add_unreachable(address(0));
+    cut.add_unreachable(address(10));
+    registry.merge(cut, Now);
+    for (const int other : {0, 10}) {
+        pb::KeeperState state = keeper(other, true, other / 5);
+        state.set_sequence(2);
+        state.add_unreachable(address(5));
+        registry.merge(state, Now);
+    }
+    const std::map<std::string, ShareRole> roles = shareRoles(viewOf(6), registry);
+    BOOST_TEST(roles.count(address(5)) == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(seedsAreToldOfEveryHost)
 {
     Registry registry(ExpiryTimes, Now);
