Remove repetitions in the changes of sharing, planning and retries

No change of decisions, checks or bounds.

- ModelPlaces::anywhere replaces the same condition in planRefusedModels and planPrefetch.
- RetryWindow sums its counts in one function (the two loops differed in the count and the number of buckets).
- Early holdings are taken out of the map by one lookup, without a copy.
- A control host that is cut from the leader no longer collects changes that the router drops.
- A control host reads the replica's status once for the leader and the cluster id, and its start time once.
- Fleet::waitForEndpoints replaces three loops of the process tests; what they wait for and assert is the same.

--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -2,9 +2,9 @@
 //
 // Load pattern: models are requested faster than engines can load them, or nothing is loaded for some seconds after a
 // change of the leader that issues orders, or many models have no copy on any engine's host, and the weight store can
-// deliver only few of them within a caller's patience. Callers of streams don't wait until their deadline but disconnect if nothing
-// arrives for a while, and an abandoned request can't be given a retry delay. The wait therefore ends while the
-// answer can still be delivered.
+// deliver only few of them before their callers disconnect. Callers of streams don't wait until their deadline but
+// disconnect if nothing arrives for a while, and an abandoned request can't be given a retry delay. The wait therefore
+// ends while the answer can still be delivered.
 #pragma once
 
 #include "state/routes.h"
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -126,10 +126,10 @@
     known.announcement = std::move(next);
     known.lastSeenAt = std::max(known.lastSeenAt, lastSeenAt);
     recordChange(known, changed, lastSeenAt, from);
-    const auto early = first ? m_earlyHoldings.find(announcement.endpoint()) : m_earlyHoldings.end();
-    if (early != m_earlyHoldings.end()) {
-        merge(pb::Holdings(early->second), lastSeenAt, from);
-        m_earlyHoldings.erase(announcement.endpoint());
+    if (first) {
+        const auto early = m_earlyHoldings.extract(announcement.endpoint());
+        if (!early.empty())
+            merge(early.mapped(), lastSeenAt, from);
     }
     if (changed && !announcement.gone())
         resolveAddressConflict(known, lastSeenAt);
--- a/src/coordination/residency.h
+++ b/src/coordination/residency.h
@@ -101,6 +101,10 @@
         std::vector<Engine *> holders; // usable engines that hold it and are not unloading it
         std::vector<Engine *> copies; // usable engines that have a copy in memory or on disk
         bool planned = false; // an engine is loading it or is reserved for it
+        bool anywhere() const
+        {
+            return planned || !copies.empty() || !holders.empty();
+        }
     };
     // The engines of one service at the beginning of a planning round, so that no decision searches all of them.
     struct Round {
--- a/src/coordination/residencyplan.cpp
+++ b/src/coordination/residencyplan.cpp
@@ -157,9 +157,7 @@
     std::vector<std::pair<uint32_t, std::string>> refused;
     for (auto it = m_demand.lower_bound(ServiceArtifact{service, {}}); it != m_demand.end() && it->first.first == service; ++it) {
         const ArtifactName &name = it->first.second;
-        const ModelPlaces &known = places(name.model);
-        const bool exists = known.planned || !known.copies.empty() || !known.holders.empty();
-        if (it->second.refused > 0 && name.adapter.empty() && !exists && spec.models.count(name.model) != 0)
+        if (it->second.refused > 0 && name.adapter.empty() && !places(name.model).anywhere() && spec.models.count(name.model) != 0)
             refused.emplace_back(it->second.refused, name.model);
     }
     std::sort(refused.begin(), refused.end(), std::greater<>());
@@ -178,9 +176,7 @@
     if (std::any_of(m_round.engines.begin(), m_round.engines.end(), [](const Engine *it) { return !it->contentsKnown; }))
         return;
     for (const std::pair<const std::string, ModelSpec> &it : spec.models) {
-        const ModelPlaces &known = places(it.first);
-        const bool exists = known.planned || !known.copies.empty() || !known.holders.empty();
-        if (!exists && placeModel(spec, it.first, false, plan, now))
+        if (!places(it.first).anywhere() && placeModel(spec, it.first, false, plan, now))
             return;
     }
 }
--- a/src/coordination/retrywindow.cpp
+++ b/src/coordination/retrywindow.cpp
@@ -27,22 +27,23 @@
     ++bucket(now).retries;
 }
 
-uint32_t RetryWindow::requests(Time now) const
+uint32_t RetryWindow::sum(Time now, int64_t buckets, uint32_t Bucket::*count) const
 {
     const int64_t current = now.time_since_epoch() / m_span;
     uint32_t n = 0;
     for (const Bucket &it : m_buckets)
-        n += it.number > current - BucketsPerWindow ? it.requests : 0;
+        n += it.number > current - buckets ? it.*count : 0;
     return n;
 }
 
+uint32_t RetryWindow::requests(Time now) const
+{
+    return sum(now, BucketsPerWindow, &Bucket::requests);
+}
+
 uint32_t RetryWindow::retries(Time now) const
 {
-    const int64_t current = now.time_since_epoch() / m_span;
-    uint32_t n = 0;
-    for (const Bucket &it : m_buckets)
-        n += it.number > current - Buckets ? it.retries : 0;
-    return n;
+    return sum(now, Buckets, &Bucket::retries);
 }
 
 RetryLimits::RetryLimits(double ratio, Millis window, std::optional<Time> restartedAt)
--- a/src/coordination/retrywindow.h
+++ b/src/coordination/retrywindow.h
@@ -37,6 +37,8 @@
         uint32_t retries = 0;
     };
     Bucket &bucket(Time now);
+    // Returns the sum of a count over the latest `buckets`.
+    uint32_t sum(Time now, int64_t buckets, uint32_t Bucket::*count) const;
 
     Millis m_span;
     std::array<Bucket, size_t(Buckets)> m_buckets;
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -58,6 +58,7 @@
     m_bootstrapView.disk = node != nullptr;
     m_bootstrapView.mayFound = settings.mayFound;
     m_bootstrapView.startedAt = monotonicNow();
+    m_leaderKnownAt = m_bootstrapView.startedAt;
     m_state.set_address(m_bootstrapView.self);
     m_state.set_operator_address(settings.listen);
     m_state.set_incarnation(wallMillis());
@@ -103,7 +104,8 @@
     if (m_node == nullptr)
         return;
     m_node->setSeedAddresses(std::move(replicaAddresses));
-    if (m_node->status().leader)
+    const ReplicaStatus status = m_node->status();
+    if (status.leader)
         m_leaderKnownAt = now;
     m_table.setIsolated(now > m_leaderKnownAt + LeaderlessTolerance);
     const uint64_t known = m_table.configurationVersion();
@@ -111,7 +113,7 @@
         if (machine.configuration().version() > known)
             m_table.mergeConfiguration(machine.configuration());
     });
-    if (m_bootstrapView.mayFound && m_node->status().clusterId == 0)
+    if (m_bootstrapView.mayFound && status.clusterId == 0)
         bootstrapIfDue();
 }
 
--- a/src/transport/controlpeers.h
+++ b/src/transport/controlpeers.h
@@ -4,7 +4,6 @@
 
 #include "coordination/bootstrap.h"
 #include "protocol/hostsettings.h"
-#include "transport/clock.h"
 #include "transport/http.h"
 #include "transport/meshsharer.h"
 #include "transport/replicanode.h"
@@ -41,7 +40,7 @@
     BootstrapView m_bootstrapView;
     pb::KeeperState m_state;
     Time m_nextAnnounceAt{};
-    Time m_leaderKnownAt = monotonicNow(); // latest time at which this host knew the leader
+    Time m_leaderKnownAt{}; // latest time at which this host knew the leader
     MeshSharer m_sharer;
 };
 
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -36,7 +36,8 @@
     m_table.change([&](Registry &registry) {
         if (m_disk) {
             registry.merge(request->router(), now);
-            registry.routerChangesSince(request->epoch() == m_epoch ? request->version() : 0, now, *reply);
+            if (serves)
+                registry.routerChangesSince(request->epoch() == m_epoch ? request->version() : 0, now, *reply);
         }
         if (registry.ordersAllowedAt() > now)
             reply->set_orders_in_ms(uint64_t((registry.ordersAllowedAt() - now).count()));
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -165,6 +165,13 @@
     });
 }
 
+bool Fleet::waitForEndpoints(const std::vector<int> &entries, size_t count)
+{
+    return eventually([&] {
+        return std::all_of(entries.begin(), entries.end(), [&](int n) { return entryDump(n)["live"]["endpoints"].size() == count; });
+    });
+}
+
 Json Fleet::resolve(int entry)
 {
     const httplib::Result result = clientFor("127.0.0.1", m_firstPort + 30 + entry).Get("/api/resolve?name=h.example&region=r&zone=z1");
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -32,6 +32,8 @@
     httplib::Result getConfiguration(int keeper);
     // Waits until each of the given entry hosts reports that it is ready.
     bool waitUntilReady(const std::vector<int> &entries);
+    // Waits until each of the given entry hosts lists this number of runners.
+    bool waitForEndpoints(const std::vector<int> &entries, size_t count);
     Json resolve(int entry);
     // Sends a request to an entry host, with the header X-Model unless `model` is empty, as for the plain service.
     httplib::Result sendRequest(int entry, const std::string &path, const std::string &id, const std::string &model = "",
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -248,8 +248,8 @@
         fleet.startRunner(n, "plain", "");
     BOOST_REQUIRE(configure(fleet, {1, 2}));
     // Both routers must know all runners, or their first attempts have fewer to crash.
+    BOOST_REQUIRE(fleet.waitForEndpoints({1, 2}, runners.size()));
     for (const int entry : {1, 2}) {
-        BOOST_REQUIRE(eventually([&] { return fleet.entryDump(entry)["live"]["endpoints"].size() == runners.size(); }));
         const httplib::Result result = fleet.sendRequest(entry, "/r/x", "probe-" + std::to_string(entry));
         BOOST_REQUIRE(result);
         BOOST_TEST(result->status == 200);
--- a/tests/fleet_system_test.cpp
+++ b/tests/fleet_system_test.cpp
@@ -211,8 +211,7 @@
     BOOST_TEST(fleet.waitUntilReady({1, 2}));
     BOOST_TEST(waitForAnswer(fleet, 1, "/u/x"));
     // An entry host serves what it knew when the control hosts ended.
-    for (const int entry : {1, 2})
-        BOOST_REQUIRE(eventually([&] { return fleet.entryDump(entry)["live"]["endpoints"].size() == 3; }));
+    BOOST_REQUIRE(fleet.waitForEndpoints({1, 2}, 3));
     for (const int n : {1, 2, 3})
         fleet.kill("keeper-" + std::to_string(n));
     std::this_thread::sleep_for(std::chrono::seconds(4));
@@ -321,8 +320,7 @@
         fleet.startRunner(n, "plain", "");
     BOOST_REQUIRE(putVersion(fleet, 5));
     BOOST_REQUIRE(fleet.waitUntilReady({1, 2}));
-    for (const int entry : {1, 2})
-        BOOST_REQUIRE(eventually([&] { return fleet.entryDump(entry)["live"]["endpoints"].size() == 2; }));
+    BOOST_REQUIRE(fleet.waitForEndpoints({1, 2}, 2));
     BOOST_REQUIRE(waitForAnswer(fleet, 1, "/r/x"));
 }
 
