Log the framing of an endpoint's answer and its unfinished event

'request' lines now carry framing, bytes, events and unfinished_bytes. No change of what callers receive.

--- a/src/protocol/eventrelay.cpp
+++ b/src/protocol/eventrelay.cpp
@@ -75,6 +75,7 @@
             break;
         trackEventId(rest.substr(0, end));
         completeBytes += end;
+        ++m_events;
     }
     std::string result = m_unfinished.substr(0, completeBytes);
     m_unfinished.erase(0, completeBytes);
--- a/src/protocol/eventrelay.h
+++ b/src/protocol/eventrelay.h
@@ -23,6 +23,16 @@
     {
         return m_lastId;
     }
+    // Number of complete events, over all runs.
+    uint64_t events() const
+    {
+        return m_events;
+    }
+    // Bytes of the current run that belong to an incomplete event.
+    size_t unfinishedBytes() const
+    {
+        return m_unfinished.size();
+    }
     // Returns false once the first id of a run is not the successor of the last id before it: events are missing or
     // repeated where the two runs meet.
     bool continuous() const
@@ -35,6 +45,7 @@
 
     std::string m_unfinished;
     std::string m_lastId;
+    uint64_t m_events = 0;
     bool m_continuous = true;
     bool m_resumed = false; // the next event is the first of a run that continues the stream
 };
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -19,6 +19,15 @@
 constexpr uint32_t MaxAnswerHeaderBytes = 64u << 10;
 constexpr int MaxSkippedAnswers = 2; // late answers to earlier requests, skipped on one connection
 
+AnswerFraming framingOf(const http::response_parser<http::buffer_body> &parser)
+{
+    if (parser.chunked())
+        return AnswerFraming::Chunked;
+    if (parser.need_eof())
+        return AnswerFraming::Close;
+    return parser.content_length() ? AnswerFraming::Length : AnswerFraming::None;
+}
+
 } // namespace
 
 std::string Forwarder::buildRequest(const Request &request, const EndpointChoice &choice, Time now) const
@@ -103,6 +112,7 @@
         answer.metadata = m_codec.responseMetadata(
             int(answer.status), [&head](std::string_view name) { return view(head[boost::beast::string_view(name.data(), name.size())]); });
         answer.keepAlive = answer.parser->keep_alive();
+        request.framing = framingOf(*answer.parser);
         connection.keepAliveHeader = std::string(view(head[http::field::keep_alive]));
         const bool success = answer.status / 100 == 2;
         const bool foreign = answer.metadata.requestId.empty() ? success : answer.metadata.requestId != request.metadata.id;
@@ -148,6 +158,7 @@
     answer.parser->get().body().size = buf.size();
     co_await http::async_read_some(connection.socket, connection.buffer, *answer.parser, net::redirect_error(net::use_awaitable, ec));
     n = buf.size() - answer.parser->get().body().size;
+    request.answerBytes += n;
     if (!ec || ec == http::error::need_buffer)
         co_return true;
     request.cause = "the endpoint's answer was interrupted: " + ec.message();
@@ -206,8 +217,9 @@
             co_return AttemptEnd::Interrupted;
         done = answer.parser->is_done();
         std::string piece(buf.data(), n);
+        std::string events = request.eventRelay.feed(piece);
         if (resumable)
-            piece = request.eventRelay.feed(piece);
+            piece = std::move(events);
         if (resumable && done)
             piece += request.eventRelay.takeRemainder();
         if (!request.eventRelay.continuous()) {
--- a/src/transport/forwarderlog.cpp
+++ b/src/transport/forwarderlog.cpp
@@ -7,6 +7,13 @@
 namespace roserail
 {
 
+namespace
+{
+
+constexpr std::string_view FramingNames[] = {"none", "length", "chunked", "close"};
+
+} // namespace
+
 void Forwarder::logRequest(const Request &request, std::string_view outcome) const
 {
     static Histogram &took = metrics().histogram("roserail_request_milliseconds");
@@ -27,6 +34,10 @@
                 {"first_ms", request.firstForwardedAt == Time() ? -1 : (request.firstForwardedAt - request.caller.arrivedAt()).count()},
                 {"longest_pause_ms", request.longestPause.count()},
                 {"took_ms", (now - request.caller.arrivedAt()).count()},
+                {"framing", FramingNames[size_t(request.framing)]},
+                {"bytes", request.answerBytes},
+                {"events", request.eventRelay.events()},
+                {"unfinished_bytes", request.eventRelay.unfinishedBytes()},
                 {"cause", request.cause}});
 }
 
--- a/src/transport/forwarderrequest.h
+++ b/src/transport/forwarderrequest.h
@@ -32,6 +32,14 @@
     }
 };
 
+// How the end of an endpoint's answer is recognized.
+enum class AnswerFraming {
+    None, // no answer was received, or it has no body
+    Length,
+    Chunked,
+    Close, // the answer ends with its connection
+};
+
 // A request from its arrival to its final answer.
 struct Forwarder::Request {
     Request(CallerConnection &connection, std::shared_ptr<const RouteTable> routes)
@@ -47,10 +55,12 @@
     EndpointRequirements requirements;
     Time deadline{};
     RouteProgress progress;
-    EventRelay eventRelay; // of a stream that another endpoint can resume
+    EventRelay eventRelay; // of a stream
     std::shared_ptr<Cancellation> cancellation = std::make_shared<Cancellation>();
     std::string endpoint; // of the last attempt
     unsigned status = 0; // of the latest answer
+    AnswerFraming framing = AnswerFraming::None; // of the latest answer
+    uint64_t answerBytes = 0; // of the bodies received from endpoints
     Millis waitTime{0}; // total time spent waiting for a model
     ErrorKind refusalKind = ErrorKind::NotRun; // of the answer if no endpoint has run the request
     std::optional<Millis> retryDelay; // for Retry-After, if it is known when the request can be served
