Reset the connection of a caller without chunks whose answer is broken off

Callers of HTTP/1.0 saw: every stream that the router broke off ended as if it were complete, because for them the end of the connection is the end of the answer, and the router closed it in the ordinary way. The class is the same, one hop further: an end of a connection that is taken for an end of an answer.

While such an answer is on its way its socket is set to be reset when it closes, which also holds if the process is killed or exits at the end of its grace period; the setting is taken back once the whole answer has been written.

--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -205,9 +205,6 @@
 // of another adds only events. An answer of another type is relayed as it is.
 Task<AttemptEnd> Forwarder::relayStream(Request &request, EndpointConnection &connection, EndpointAnswer &answer)
 {
-    const bool chunked = request.caller.request().version() >= 11;
-    if (!chunked)
-        request.caller.closeAfterAnswer();
     request.eventRelay.beginRun();
     const std::string_view contentType = view(answer.parser->get()[http::field::content_type]);
     const bool isEventStream = contentType.empty() || contentType.substr(0, EventStreamType.size()) == EventStreamType;
@@ -225,7 +222,7 @@
         const bool ended = answer.parser->is_done();
         const bool brokenOff = isEventStream && request.eventRelay.brokenOff(request.framing != AnswerFraming::Close);
         const bool complete = ended && !brokenOff;
-        if ((!piece.empty() || complete) && !co_await forwardPiece(request, answer, piece, complete && chunked)) {
+        if ((!piece.empty() || complete) && !co_await forwardPiece(request, answer, piece, complete)) {
             request.cancellation->callerDisconnected = true;
             co_return AttemptEnd::Abandoned;
         }
@@ -238,22 +235,28 @@
     }
 }
 
-// Sends a piece of a stream to the caller, after the head if it is the first, and the last chunk if `last`. Returns false
-// if the caller has disconnected.
+// Sends a piece of a stream to the caller, after the head if it is the first, and ends the answer if it is the last. Returns
+// false if the caller has disconnected.
 Task<bool> Forwarder::forwardPiece(Request &request, const EndpointAnswer &answer, const std::string &piece, bool last)
 {
     const bool chunked = request.caller.request().version() >= 11;
+    if (!request.progress.delivered && !chunked)
+        request.caller.beginUnframed();
     std::string bytes;
     if (!request.progress.delivered)
         bytes = buildAnswerHead(request, answer) + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
     if (!piece.empty())
         bytes += chunked ? fmt::format("{:x}\r\n{}\r\n", piece.size(), piece) : piece;
-    if (last)
+    if (last && chunked)
         bytes += "0\r\n\r\n";
     request.status = answer.status;
     request.progress.delivered = true;
     request.recordForwarding(monotonicNow());
-    co_return co_await request.caller.write(std::move(bytes));
+    if (!co_await request.caller.write(std::move(bytes)))
+        co_return false;
+    if (last && !chunked)
+        request.caller.endUnframed();
+    co_return true;
 }
 
 } // namespace roserail
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -26,6 +26,13 @@
     ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
 }
 
+// Sets whether closing the socket resets the connection and discards what has not been sent yet.
+void resetOnClose(tcp::socket &socket, bool reset)
+{
+    const linger value{reset ? 1 : 0, 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &value, sizeof value);
+}
+
 std::string_view view(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -110,6 +117,17 @@
     co_return co_await write(std::move(bytes));
 }
 
+void CallerConnection::beginUnframed()
+{
+    m_keepAlive = false;
+    resetOnClose(m_socket, true);
+}
+
+void CallerConnection::endUnframed()
+{
+    resetOnClose(m_socket, false);
+}
+
 void CallerConnection::abort()
 {
     m_aborted = true;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -65,11 +65,10 @@
     Task<bool> answer(unsigned status);
     // Sends bytes of an answer whose head and framing the handler writes itself.
     Task<bool> write(std::string bytes);
-    // Closes the connection after this answer.
-    void closeAfterAnswer()
-    {
-        m_keepAlive = false;
-    }
+    // Begins an answer that ends with its connection. Until endUnframed() the connection is reset if it closes for any reason,
+    // the end of this process included, so that the caller recognizes the answer as incomplete.
+    void beginUnframed();
+    void endUnframed();
     bool keepAlive() const
     {
         return m_keepAlive;
