Let property tests fail their test case

rc::check returns whether the property holds; nine test cases of fleet_test, platform_test, residency_test and sharing_test ignored it and passed whatever it found. They assert it now.

--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -102,7 +102,7 @@
 
 BOOST_AUTO_TEST_CASE(highestVersionWinsInAnyOrderAndThroughSnapshots)
 {
-    rc::check([](const std::vector<uint8_t> &versions) {
+    BOOST_TEST(rc::check([](const std::vector<uint8_t> &versions) {
         StateMachine machine;
         std::map<uint64_t, std::string> first;
         uint64_t highest = 0;
@@ -118,7 +118,7 @@
                 machine.restore(machine.save());
         }
         RC_ASSERT(highest == 0 || machine.configuration().content() == first[highest]);
-    });
+    }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -264,7 +264,7 @@
 
 BOOST_AUTO_TEST_CASE(retriesStayUnderTheRatioInEveryWindow)
 {
-    rc::check([](const std::vector<std::pair<uint8_t, bool>> &events) {
+    BOOST_TEST(rc::check([](const std::vector<std::pair<uint8_t, bool>> &events) {
         const Millis window(10000);
         RetryLimits limits(0.2, window, Now - window);
         limits.setShare(6, 1);
@@ -285,7 +285,7 @@
             }
             RC_ASSERT(retries <= 0.2 * requests + 3);
         }
-    });
+    }));
 }
 
 // Requests for one service don't pay for retries of another.
@@ -308,7 +308,7 @@
 // stays within the bound: a share of the requests plus the slack, in every window.
 BOOST_AUTO_TEST_CASE(sumOfAllRoutersStaysWithinTheBound)
 {
-    rc::check([](const std::vector<std::tuple<uint8_t, uint8_t>> &changes) {
+    BOOST_TEST(rc::check([](const std::vector<std::tuple<uint8_t, uint8_t>> &changes) {
         const Millis window(10000);
         const Millis tick(250);
         const double slack = 60;
@@ -379,7 +379,7 @@
                             sum(from - width / 2, &std::pair<uint32_t, uint32_t>::first)});
             RC_ASSERT(sum(from, &std::pair<uint32_t, uint32_t>::second) <= 0.2 * requests + slack);
         }
-    });
+    }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -389,7 +389,7 @@
 // The caller receives every event once and in order, wherever the stream is split into reads or interrupted.
 BOOST_AUTO_TEST_CASE(streamResumesWithoutGapOrRepeat)
 {
-    rc::check([](uint8_t events, uint16_t breakAt, const std::vector<uint8_t> &cuts) {
+    BOOST_TEST(rc::check([](uint8_t events, uint16_t breakAt, const std::vector<uint8_t> &cuts) {
         std::string whole;
         std::vector<size_t> ends;
         for (int i = 1; i <= events % 20 + 1; ++i) {
@@ -413,7 +413,7 @@
         RC_ASSERT(received == whole);
         RC_ASSERT(!relay.brokenOff(false));
         RC_ASSERT(relay.continuous());
-    });
+    }));
 }
 
 // A stream that ends between two events may be complete; one that ends anywhere else was broken off, whatever ends its
@@ -536,7 +536,7 @@
 // endpoint never returns on a router that queries them in turn.
 BOOST_AUTO_TEST_CASE(hostsConvergeOverAnUnreliableNetwork)
 {
-    rc::check([](const std::vector<std::tuple<uint8_t, uint8_t, uint8_t>> &events) {
+    BOOST_TEST(rc::check([](const std::vector<std::tuple<uint8_t, uint8_t, uint8_t>> &events) {
         std::vector<Registry> hosts(3, Registry(ExpiryTimes, Now));
         Registry router(ExpiryTimes, Now);
         std::map<std::string, uint64_t> sequences;
@@ -604,7 +604,7 @@
             RC_ASSERT(usable(router, id) == usable(hosts[0], id));
             RC_ASSERT(withdrawn.count(id) == 0 || !usable(router, id));
         }
-    });
+    }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -785,7 +785,7 @@
 // A host is replaced while messages are lost, delayed and duplicated and another host crashes.
 BOOST_AUTO_TEST_CASE(replacementWorksOverAnUnreliableNetwork)
 {
-    rc::check([](uint64_t seed, uint8_t loss, uint8_t crash) {
+    BOOST_TEST(rc::check([](uint64_t seed, uint8_t loss, uint8_t crash) {
         Cluster cluster(3, seed, ThreeVoters);
         cluster.loss = loss % 30;
         cluster.duplicates = 10;
@@ -806,7 +806,7 @@
         cluster.run(Millis(500));
         RC_ASSERT(cluster.voters().count(9) == 1u);
         RC_ASSERT(cluster.voters().size() == 3u);
-    });
+    }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -143,7 +143,7 @@
 
 BOOST_AUTO_TEST_CASE(arbitraryBytesAreDecodedOrRefused)
 {
-    rc::check([](const std::string &bytes, size_t cut) {
+    BOOST_TEST(rc::check([](const std::string &bytes, size_t cut) {
         (void)Codec.decodeConfiguration(bytes).has_error();
         (void)Codec.decodeAnnouncement("i", bytes).has_error();
         (void)Codec.decodeReport(bytes).has_error();
@@ -155,7 +155,7 @@
         };
         (void)Codec.requestMetadata(lookup);
         (void)Codec.responseMetadata(200, lookup);
-    });
+    }));
 }
 
 struct AdviceRow {
--- a/tests/residency_test.cpp
+++ b/tests/residency_test.cpp
@@ -253,7 +253,7 @@
 // Lost, delayed or unanswered orders, restarts of engines and changes of leader never overcommit an engine's memory.
 BOOST_AUTO_TEST_CASE(engineMemoryIsNeverOvercommitted)
 {
-    rc::check([](const std::vector<std::tuple<uint8_t, uint8_t>> &events, uint64_t seed) {
+    BOOST_TEST(rc::check([](const std::vector<std::tuple<uint8_t, uint8_t>> &events, uint64_t seed) {
         Simulation simulation;
         std::mt19937_64 random(seed);
         uint64_t sequence = 0;
@@ -286,7 +286,7 @@
             for (int i = 0; i < 10; ++i)
                 simulation.runRound(nextOutcome);
         }
-    });
+    }));
 }
 
 // Load pattern: requests wait for a rarely used model while the engines' memory is full of idle ones.
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -267,8 +267,8 @@
 
 BOOST_AUTO_TEST_CASE(differenceLeadsToTheTargetFromItsBaseOnly)
 {
-    rc::check([](const std::string &before, const std::string &common, const std::string &from, const std::string &to,
-                 const std::string &after, const std::string &other) {
+    BOOST_TEST(rc::check([](const std::string &before, const std::string &common, const std::string &from, const std::string &to,
+                            const std::string &after, const std::string &other) {
         const pb::WholeConfiguration base = configuration(1, before + common + from + after);
         const pb::WholeConfiguration target = configuration(2, before + common + to + after);
         const pb::ConfigurationDelta delta = makeDelta(base, target);
@@ -282,7 +282,7 @@
         const bool refused = !wrong.has_value();
         const std::string content = refused ? target.content() : wrong->content();
         RC_ASSERT(content == target.content());
-    });
+    }));
 }
 
 // Load pattern: configurations of many models follow each other quickly, each with a few changed routes. A host that has
