--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -210,6 +210,7 @@
 Task<bool> HttpServer::readRequest(CallerConnection &connection)
 {
     ErrorCode ec;
+    connection.m_buffer.max_size(m_limits.maxHeaderBytes + MaxUnparsedBytes);
     if (connection.m_buffer.size() == 0) {
         connection.m_expiresAt = monotonicNow() + m_limits.idleTimeout;
         co_await connection.m_socket.async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
@@ -256,16 +257,17 @@
     co_await connection.answer(status);
 }
 
-// Discards input until the caller has closed the connection or LingeringCloseTimeout has passed: closing a socket with
-// unread input resets the connection, and the caller may lose the last answer.
+// Discards input until the caller has closed the connection, LingeringCloseTimeout has passed or MaxLingeringBytes have
+// arrived: closing a socket with unread input resets the connection, and the caller may lose the last answer.
 Task<> HttpServer::lingeringClose(CallerConnection &connection)
 {
     ErrorCode ec;
     connection.m_socket.shutdown(tcp::socket::shutdown_send, ec);
     connection.m_expiresAt = monotonicNow() + LingeringCloseTimeout;
-    std::array<char, 1024> rest;
-    while (!ec)
-        co_await connection.m_socket.async_read_some(net::buffer(rest), net::redirect_error(net::use_awaitable, ec));
+    std::array<char, 8192> rest;
+    size_t discardedBytes = 0;
+    while (!ec && discardedBytes < MaxLingeringBytes)
+        discardedBytes += co_await connection.m_socket.async_read_some(net::buffer(rest), net::redirect_error(net::use_awaitable, ec));
 }
 
 // Periodically closes connections whose idle or header time-out has passed.
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -281,4 +281,30 @@
     BOOST_TEST(endpoint.bytesSent() < MaxAcceptedBytes);
 }
 
+struct EndlessRequest {
+    std::string name;
+    std::string begin;
+    std::string repeated;
+};
+
+std::ostream &operator<<(std::ostream &out, const EndlessRequest &it)
+{
+    return out << it.name;
+}
+
+const std::vector<EndlessRequest> EndlessRequests{
+    {"bytes that are no request", "", Filler},
+    {"header line", "POST /plain/x HTTP/1.1\r\nX-A: ", Filler},
+    {"body", "POST /plain/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(Filler)},
+    {"size of a chunk", "POST /plain/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n5;", Filler},
+};
+
+// Guards against a caller whose request never ends and fills the router's memory.
+BOOST_DATA_TEST_CASE(requestWithoutEndIsBrokenOff, bdata::make(EndlessRequests), endless)
+{
+    const RawEndpoint endpoint([&](const std::string &) { return RawAnswer{}; });
+    const Router router({&endpoint});
+    BOOST_TEST(sendWithoutEnd(Port, endless.begin, endless.repeated, 2 * MaxAcceptedBytes) < MaxAcceptedBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
