Bound the answer that a router for models and services of the document reads

The same class as in the general routes: runAttempt let the HTTP client buffer an answer without end or limit, past the request's deadline. attempt_test before: std::bad_alloc after 100 s. Now an answer is interrupted above 64 MiB, the limit that streams' error bodies had already, or once the deadline has passed. The number of header lines is still unlimited here, within the client library.

--- a/src/transport/attempt.cpp
+++ b/src/transport/attempt.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-constexpr size_t MaxAnswerBytes = 64u << 20;
+constexpr size_t MaxAnswerBytes = 64u << 20; // of an answer that is not streamed
 constexpr Millis ProbeTimeout{500};
 constexpr int ProbeAttempts = 2;
 const char *const EndMarker = "[DONE]";
@@ -137,7 +137,16 @@
     std::optional<httplib::Client> client = makeClient(request, request.deadline - monotonicNow());
     if (!client)
         return AttemptResult{AttemptEnd::NotSent, {}, "the endpoint's address is not host:port"};
-    return toAttemptResult(client->send(toHttp(request)), request);
+    httplib::Request http = toHttp(request);
+    std::string body;
+    http.content_receiver = [&](const char *data, size_t n, uint64_t, uint64_t) {
+        body.append(data, n);
+        return body.size() <= MaxAnswerBytes && monotonicNow() < request.deadline;
+    };
+    httplib::Result result = client->send(http);
+    if (result)
+        result->body = std::move(body);
+    return toAttemptResult(result, request);
 }
 
 AttemptResult fetchResult(const AttemptRequest &request)
