--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -2,10 +2,14 @@
 // that disconnect, requests that crash runners.
 #define BOOST_TEST_MODULE fleet_faults
 #include "fleet.h"
+#include "rawendpoint.h"
 
 #include <atomic>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
 #include <csignal>
+#include <fmt/format.h>
+#include <future>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
@@ -13,6 +17,8 @@
 
 using namespace roserail::test;
 
+namespace bdata = boost::unit_test::data;
+
 namespace
 {
 
@@ -153,6 +159,23 @@
     BOOST_TEST(fleet.requestRecord(1, "leaves").empty());
 }
 
+// A router is killed while it relays a stream: the answer must not look complete, also to a caller of HTTP/1.0, for which
+// the end of the connection is the end of the answer.
+BOOST_DATA_TEST_CASE(streamOfAKilledRouterNeverLooksComplete, bdata::make({"1.1", "1.0"}), version)
+{
+    Fleet fleet("faults-kill-entry", FirstPort + 1200);
+    BOOST_REQUIRE(startWithSingleModel(fleet, ShortLeaseMs));
+    const std::string request = fmt::format("POST /s/events/200/pause/50/ HTTP/{}\r\nHost: h.example\r\nX-Request-Id: cut\r\n"
+                                            "X-Deadline-Ms: 14000\r\nX-Model: m1\r\nContent-Length: 0\r\n\r\n",
+                                            version);
+    std::future<ReceivedAnswer> call = std::async(std::launch::async, [&] { return callRaw(fleet.entryPort(1), request); });
+    BOOST_TEST(eventually([&] { return fleet.requestRecord(1, "cut").value("events", 0) > 3; }));
+    fleet.kill("entry-1");
+    const ReceivedAnswer answer = call.get();
+    BOOST_TEST(answer.status == 200u);
+    BOOST_TEST(!answer.complete);
+}
+
 // A caller stops reading its stream: its request is cancelled after a time-out, and other requests are not delayed.
 BOOST_AUTO_TEST_CASE(streamOfACallerThatDoesNotReadIsCancelled)
 {
