--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -70,8 +70,8 @@
     std::optional<Time> pausedUntil(const EndpointRequirements &requirements, Time now) const;
     // Returns where the model of a request can be loaded from, if no engine holds it.
     ColdModel coldModel(const EndpointRequirements &requirements, Time now) const;
-    // Returns whether the service has an endpoint of the required software version, if there is one, that is neither leaving,
-    // gone nor lost.
+    // Returns whether the service has an endpoint that is neither leaving, gone nor lost. If the request requires a software
+    // version, the endpoint must have it and not have been tried.
     bool hasUsableEndpoint(const EndpointRequirements &requirements) const;
     // Returns whether endpoints of several software versions are known for the service.
     bool hasSeveralSoftwareVersions(const ServiceId &service) const;
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -163,8 +163,6 @@
 
 // HTTP
 constexpr size_t MaxBodyBytes = 8u << 20;
-constexpr Millis StreamVersionRetention = std::chrono::minutes(1); // exceeds the longest stream and its caller's retries
-constexpr size_t MaxStreamVersions = 8192; // some 100 bytes each
 constexpr size_t MaxEventBytes = 1u << 20; // of one event of a stream
 constexpr size_t RouterHttpThreads = 512;
 constexpr size_t ControlHttpThreads = 32;
@@ -188,6 +186,8 @@
 constexpr size_t MaxBufferedAnswerBytes = 8u << 20;
 constexpr size_t MaxBufferedBytes = 32u << 20; // of all answers of one router: a fifth of the memory of the smallest hosts
 constexpr size_t MaxReportBytes = 1u << 20; // of an endpoint's answer to the control host; some 100 bytes for each model
+constexpr Millis StreamVersionRetention = std::chrono::minutes(1); // exceeds the longest stream and its caller's retries
+constexpr size_t MaxStreamVersions = 8192; // some 100 bytes each
 constexpr int MaxSkippedAnswers = 2; // late answers to earlier requests, on one connection
 constexpr int MaxInterimAnswers = 8; // to one request
 constexpr size_t MaxIdleConnectionsPerEndpoint = 64; // the batch size of one engine
--- a/src/transport/endpointpool.h
+++ b/src/transport/endpointpool.h
@@ -37,10 +37,6 @@
     void putIdle(EndpointConnectionPtr connection, Time now);
     // Closes connections whose idle time-out has passed.
     void closeExpired(Time now);
-    net::io_context &io()
-    {
-        return m_io;
-    }
 
 private:
     net::io_context &m_io;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -383,7 +383,8 @@
     logDecision(
         "incarnation_checked",
         {{"id", request.metadata.id}, {"endpoint", choice.endpoint}, {"expected_ms", choice.startedAtMs}, {"born_ms", startedAtMs}});
-    co_return startedAtMs == choice.startedAtMs &&startedAtMs != 0;
+    const bool confirmed = startedAtMs != 0 && startedAtMs == choice.startedAtMs;
+    co_return confirmed;
 }
 
 // Returns whether the endpoint's process has ended, judged by a new connection: it is refused or reset. Other errors, such
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -239,10 +239,6 @@
             request.cause = "the endpoint did not resume the stream at the next event";
             co_return AttemptEnd::Interrupted;
         }
-        if (!request.buffered.resize(request.eventRelay.unfinishedBytes(), MaxEventBytes)) {
-            request.cause = "an event of the endpoint's stream is too large to buffer";
-            co_return AttemptEnd::Interrupted;
-        }
         const bool ended = answer.parser->is_done();
         const bool brokenOff = isEventStream && request.eventRelay.brokenOff(request.framing != AnswerFraming::Close);
         const bool complete = ended && !brokenOff;
@@ -252,6 +248,10 @@
         }
         if (complete)
             co_return AttemptEnd::Completed;
+        if (!request.buffered.resize(request.eventRelay.unfinishedBytes(), MaxEventBytes)) {
+            request.cause = "an event of the endpoint's stream is too large to buffer";
+            co_return AttemptEnd::Interrupted;
+        }
         if (ended) {
             request.cause = "the endpoint broke off the stream inside an event or before the first";
             co_return AttemptEnd::Interrupted;
@@ -264,7 +264,7 @@
 Task<bool> Forwarder::forwardPiece(Request &request, const EndpointAnswer &answer, const std::string &piece, bool last)
 {
     const bool chunked = request.caller.request().version() >= 11;
-    if (!request.progress.delivered)
+    if (!request.progress.delivered && request.route->retryPolicy == RetryPolicy::Resume)
         m_streamVersions.record(request.metadata.id, request.software, monotonicNow());
     if (!request.progress.delivered && !chunked)
         request.caller.beginUnframed();
