--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -330,17 +330,23 @@
     return RawAnswer{Chunked + chunk(versionedEvents(first, 5, endpoint.software)) + LastChunk};
 }
 
-// Guards against a stream that holds events of two software versions: it goes on at the version that began it, or is broken
-// off at once.
-BOOST_DATA_TEST_CASE(streamContinuesAtTheVersionThatBeganIt, bdata::make(Continuations), continuation)
+// Starts the endpoints, which refer to `versions`, and returns what a router knows of them.
+std::vector<Known> startEndpoints(std::deque<RawEndpoint> &endpoints, const std::vector<VersionedEndpoint> &versions)
 {
-    std::deque<RawEndpoint> endpoints;
     std::vector<Known> known;
-    for (const VersionedEndpoint &it : continuation.endpoints) {
+    for (const VersionedEndpoint &it : versions) {
         endpoints.emplace_back([&it](const std::string &request) { return answerOf(it, request); });
         known.push_back({&endpoints.back(), it.announced});
     }
-    const Router router(known);
+    return known;
+}
+
+// Guards against a stream that holds events of two software versions: it goes on at the version that began it, or is broken
+// off at once.
+BOOST_DATA_TEST_CASE(streamContinuesAtTheVersionThatBeganIt, bdata::make(Continuations), continuation)
+{
+    std::deque<RawEndpoint> endpoints;
+    const Router router(startEndpoints(endpoints, continuation.endpoints));
     const Time start = monotonicNow();
     const ReceivedAnswer answer = call("/resume/x");
     const VersionedEndpoint &first = continuation.endpoints.front();
@@ -373,12 +379,7 @@
 BOOST_DATA_TEST_CASE(callerContinuesAtTheVersionThatBeganItsStream, bdata::make(CallerContinuations), continuation)
 {
     std::deque<RawEndpoint> endpoints;
-    std::vector<Known> known;
-    for (const VersionedEndpoint &it : continuation.endpoints) {
-        endpoints.emplace_back([&it](const std::string &request) { return answerOf(it, request); });
-        known.push_back({&endpoints.back(), it.announced});
-    }
-    const Router router(known);
+    const Router router(startEndpoints(endpoints, continuation.endpoints));
     const std::string software = continuation.endpoints.front().software;
     BOOST_TEST(call("/resume/x").body == versionedEvents(1, 2, software));
     const std::string resumes = continuation.resumes.empty() ? "" : "Resumes: " + continuation.resumes + "\r\n";
