Log which control host a router polls, and how old the configuration is that it applies

A router's 'control_host' line names the host it polls, 'request' has the age of the configuration, control hosts log when they consider themselves isolated and why, and 'role' whether the replica votes. The age is the time since the replica had committed all that a leader had named.

No decision changes.

--- a/src/coordination/raft.cpp
+++ b/src/coordination/raft.cpp
@@ -59,6 +59,7 @@
     , m_snapMembership(disk.snapshot.membership())
     , m_snapshot(disk.snapshot)
     , m_commit(disk.snapshot.index())
+    , m_currentAt(DistantPast)
     , m_random(seed)
 {
     if (!m_log.empty())
@@ -137,6 +138,13 @@
     return std::min(now, quorumAckTime()) + LeaderLease;
 }
 
+Time Raft::currentAt(Time now) const
+{
+    if (m_role != Role::Leader || m_commit < m_termStart)
+        return m_currentAt;
+    return std::max(m_currentAt, std::min(now, quorumAckTime()));
+}
+
 bool Raft::holdsLease(Time now) const
 {
     return now < leaseEnd(now);
@@ -526,6 +534,8 @@
         m_log.push_back(it);
     }
     commitTo(std::min(msg.commit(), last), out);
+    if (m_commit >= msg.commit())
+        m_currentAt = now;
     reply.set_granted(true);
     reply.set_log_index(last);
     out.messages.push_back(std::move(reply));
--- a/src/coordination/raft.h
+++ b/src/coordination/raft.h
@@ -103,6 +103,14 @@
     bool unresponsiveSince(const Replica &replica, Time since) const;
     // Returns until when this replica may act as leader if it receives no further reply.
     Time leaseEnd(Time now) const;
+    // Returns the latest time at which this replica had committed all that the leader had: for a leader, while a majority
+    // answered it; for others, when the last message of a leader arrived that named nothing they lack. The leader sent it up
+    // to two message time-outs earlier.
+    Time currentAt(Time now) const;
+    bool votes() const
+    {
+        return isVoter(m_self);
+    }
     uint64_t clusterId() const
     {
         return m_clusterId;
@@ -184,6 +192,7 @@
     Role m_role = Role::Follower;
     std::optional<Replica> m_leader;
     Time m_leaderContact{}; // last message from the leader, or the start of this replica
+    Time m_currentAt; // as a follower; see currentAt()
     Time m_electionDeadline{};
     Time m_heartbeatDue{};
     uint64_t m_termStart = 0; // index of the first entry of the leader's term
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -107,7 +107,17 @@
     const ReplicaStatus status = m_node->status();
     if (status.leader)
         m_leaderKnownAt = now;
-    m_table.setIsolated(now > m_leaderKnownAt + LeaderlessTolerance);
+    const bool isolated = now > m_leaderKnownAt + LeaderlessTolerance;
+    m_table.setCurrentAt(status.currentAt);
+    if (isolated != m_table.isolated())
+        logEvent(isolated ? "isolated" : "isolation_ended",
+                 {{"term", status.term},
+                  {"role", toString(status.role)},
+                  {"votes", status.votes},
+                  {"leader_known_ms", (now - m_leaderKnownAt).count()},
+                  {"state_age_ms", m_table.stateAge(now).count()},
+                  {"configuration", m_table.configurationVersion()}});
+    m_table.setIsolated(isolated);
     const uint64_t known = m_table.configurationVersion();
     m_node->withMachine([&](const StateMachine &machine) {
         if (machine.configuration().version() > known)
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -233,7 +233,7 @@
     m_retries.setShare(m_settings.retrySlack, std::max<size_t>(1, m_registry.routers().size()));
     m_meshClient->setMinInterval(minSyncInterval(m_registry.routers().size(), size_t(reply.control_size())));
     m_synced = true;
-    m_forwarder.recordSync(reply.version(), now);
+    m_forwarder.recordSync(reply.version(), now, now - Millis(reply.state_age_ms()));
     m_forwarder.setOrdersAllowedAt(now + Millis(reply.orders_in_ms()));
     if (m_registry.version() == previousVersion)
         return;
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -31,11 +31,13 @@
     }
     // Wakes the requests that wait for a configuration or a model, after a change of the configuration or the registry.
     void wakeWaitingRequests();
-    // Records a sync with a control host for the log: its version of the registry, and the time.
-    void recordSync(uint64_t version, Time now)
+    // Records a sync with a control host for the log: its version of the registry, the time, and when the configuration was
+    // known to be the newest.
+    void recordSync(uint64_t version, Time now, Time currentAt)
     {
         m_registryVersion = version;
         m_syncedAt = now;
+        m_currentAt = currentAt;
     }
     // Called when a request begins to wait for a model.
     void onWait(std::function<void()> callback)
@@ -114,6 +116,7 @@
     size_t m_active = 0;
     uint64_t m_registryVersion = 0; // of the control host, at the last sync
     Time m_syncedAt{};
+    Time m_currentAt{}; // of the configuration
     Time m_ordersAllowedAt{}; // no order is sent earlier, and thus no model loaded
     Time m_waitDeadline = Time::max(); // no request waits for a configuration or a model after it
     Time m_streamStartDeadline = Time::max(); // no stream begins after it
--- a/src/transport/forwarderlog.cpp
+++ b/src/transport/forwarderlog.cpp
@@ -24,6 +24,7 @@
                {{"id", request.metadata.id},
                 {"route", request.route == nullptr ? "" : request.route->name},
                 {"config", request.table ? request.table->version : 0},
+                {"config_age_ms", (now - m_currentAt).count()},
                 {"model", request.requirements.model},
                 {"adapter", request.requirements.adapter},
                 {"endpoint", request.endpoint},
--- a/src/transport/livetable.h
+++ b/src/transport/livetable.h
@@ -108,6 +108,17 @@
     {
         m_isolated = isolated;
     }
+    // The latest time at which this host's configuration was known to be the newest.
+    void setCurrentAt(Time at)
+    {
+        m_currentAt = at;
+    }
+    // Returns the time since then, at most MaxStateAge.
+    Millis stateAge(Time now) const
+    {
+        const Time at = m_currentAt;
+        return at < now - MaxStateAge ? MaxStateAge : std::max(Millis(0), Millis(now - at));
+    }
     bool isolated() const
     {
         return m_isolated;
@@ -126,8 +137,10 @@
     ConfigurationHistory m_configuration;
     OrderPermission m_orderPermission;
     std::atomic<bool> m_isolated{false};
+    std::atomic<Time> m_currentAt{Time()};
 
     static constexpr Millis ExpiryInterval{100};
+    static constexpr Millis MaxStateAge = std::chrono::hours(1); // an older or unknown state is as useless
 };
 
 } // namespace roserail
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -47,6 +47,7 @@
         }
     });
     reply->set_epoch(serves ? m_epoch : 0);
+    reply->set_state_age_ms(uint64_t(m_table.stateAge(now).count()));
     m_table.addConfigurationSince(request->configuration(), *reply);
     for (const std::pair<bool, std::string> &it : control)
         reply->add_control(it.second);
@@ -154,6 +155,10 @@
         m_channel.reset();
         return false;
     }
+    if (m_servedBy != m_channel->address()) {
+        m_servedBy = m_channel->address();
+        logEvent("control_host", {{"host", m_servedBy}, {"state_age_ms", reply.state_age_ms()}});
+    }
     m_handleReply(reply);
     retryNearestHost();
     return true;
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -72,6 +72,7 @@
     size_t m_attempt = 0; // addresses chosen since the nearest host was last due
     Time m_nearestRetryAt{};
     std::unique_ptr<Channel> m_channel;
+    std::string m_servedBy; // control host of the latest reply
     std::atomic<bool> m_stop{false};
     std::atomic<bool> m_waiting{false};
     std::atomic<Millis> m_minInterval;
--- a/src/transport/replicanode.cpp
+++ b/src/transport/replicanode.cpp
@@ -416,6 +416,8 @@
     status.leader = m_raft->leader();
     status.membership = m_raft->membership();
     status.leaseUntil = m_raft->leaseEnd(now);
+    status.currentAt = m_raft->currentAt(now);
+    status.votes = m_raft->votes();
     status.termCommitted = m_raft->isLeader() && m_applied >= m_raft->termStart();
     status.syncs = m_storage->syncs();
     status.logBytes = m_storage->logBytes();
@@ -430,7 +432,8 @@
                   {"term", status.term},
                   {"leader", status.leader ? addressOf(*status.leader) : ""},
                   {"committed", status.commitIndex},
-                  {"members", status.membership.members_size()}});
+                  {"members", status.membership.members_size()},
+                  {"votes", status.votes}});
     status.diskFault = m_status.diskFault;
     m_status = std::move(status);
 }
--- a/src/transport/replicanode.h
+++ b/src/transport/replicanode.h
@@ -32,6 +32,8 @@
     pb::Membership membership;
     std::map<Replica, uint64_t> matchIndexes; // leader only
     Time leaseUntil{}; // leader only
+    Time currentAt{}; // latest time at which its committed entries were known to be all
+    bool votes = false;
     bool termCommitted = false; // an entry of the leader's own term is applied
     std::string diskFault; // empty: none
     uint64_t syncs = 0;
