Tests that fail: a spare that is cut off believes in its leader for good

On three voters and a spare: after a cut of any one of them it must know no leader, and a spare that was removed during the cut must join again. The spare does neither; leader and voter do.

--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -17,6 +17,7 @@
 
 using namespace roserail;
 using namespace roserail::test;
+using namespace roserail::tunables;
 
 namespace bdata = boost::unit_test::data;
 
@@ -782,6 +783,52 @@
     BOOST_TEST(cluster.nodes().at(offline).appliedIndex == cluster.leader()->lastIndex());
 }
 
+// Returns a cluster of three voters and the spare 4.
+Cluster clusterWithSpare(uint64_t seed)
+{
+    Cluster cluster(3, seed, ThreeVoters);
+    cluster.run(Millis(2000));
+    cluster.add(4);
+    cluster.run(Millis(4000));
+    return cluster;
+}
+
+enum class CutReplica { Leader, Voter, Spare };
+std::ostream &operator<<(std::ostream &os, CutReplica replica)
+{
+    constexpr const char *Names[] = {"leader", "voter", "spare"};
+    return os << Names[size_t(replica)];
+}
+
+// Guards against the incident CONFIG: a spare that was cut off believed in its leader for good, so that its host never
+// referred its routers to others, and these applied an old configuration.
+BOOST_DATA_TEST_CASE(replicaThatIsCutOffKnowsNoLeader, bdata::make({CutReplica::Leader, CutReplica::Voter, CutReplica::Spare}), which)
+{
+    Cluster cluster = clusterWithSpare(4);
+    const uint64_t leader = cluster.leader()->self().id;
+    const uint64_t voter = leader == 1 ? 2 : 1;
+    const uint64_t cut = which == CutReplica::Spare ? 4 : which == CutReplica::Leader ? leader : voter;
+    BOOST_TEST(cluster.nodes().at(cut).raft->leader().has_value());
+    cluster.cutOff(cut);
+    cluster.run(ElectionTimeoutMax + HeartbeatInterval + Millis(100));
+    BOOST_TEST(!cluster.nodes().at(cut).raft->leader().has_value());
+}
+
+// Guards against a spare that is lost for good after a cut: the leader has removed it, and it never asks to join again.
+BOOST_AUTO_TEST_CASE(spareRejoinsAfterALongCut)
+{
+    Cluster cluster = clusterWithSpare(5);
+    cluster.cutOff(4);
+    cluster.run(Millis(13000)); // until after the leader has removed it
+    BOOST_TEST(cluster.leader()->membership().members_size() == 3);
+    cluster.heal();
+    cluster.run(Millis(8000));
+    cluster.propose();
+    cluster.run(Millis(500));
+    BOOST_TEST(cluster.leader()->membership().members_size() == 4);
+    BOOST_TEST(cluster.nodes().at(4).appliedIndex == cluster.leader()->lastIndex());
+}
+
 // A host is replaced while messages are lost, delayed and duplicated and another host crashes.
 BOOST_AUTO_TEST_CASE(replacementWorksOverAnUnreliableNetwork)
 {
--- a/tests/raftcluster.h
+++ b/tests/raftcluster.h
@@ -179,6 +179,17 @@
         m_droppedLinks.insert({from, to});
     }
 
+    // Drops all messages between a replica and the others.
+    void cutOff(uint64_t id)
+    {
+        for (const std::pair<const uint64_t, Node> &it : m_nodes) {
+            if (it.first == id)
+                continue;
+            dropLink(id, it.first);
+            dropLink(it.first, id);
+        }
+    }
+
     void heal()
     {
         m_droppedLinks.clear();
