A replica that does not vote knows no leader after an election timeout without one

Cause: a control host refers routers to others once it knows no leader. A voter that hears nothing starts an election and gives its leader up; a spare starts none and kept its leader for good. Sites with more disks than voters have one. A spare that the leader had removed during a cut of over 10 s also never joined again, because it asks to join only without a leader.

--- a/src/coordination/raft.cpp
+++ b/src/coordination/raft.cpp
@@ -215,10 +215,13 @@
     }
     if (now < m_electionDeadline)
         return;
-    if (isVoter(m_self))
+    if (isVoter(m_self)) {
         campaign(true, false, now, out);
-    else
-        resetElectionDeadline(now);
+        return;
+    }
+    // A learner can't replace the leader, but it must not rely on one that it no longer hears from.
+    m_leader.reset();
+    resetElectionDeadline(now);
 }
 
 // Requests votes. A pre-vote changes no term: it finds out whether a real election could be won.
