Decide in a module without I/O whether a control host serves routers; a test of it fails

No functional change. A replica whose disk hangs publishes no new state and so reports its leader for good; one that lacks entries hears its leader and is behind.

--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr Millis LeaderlessTolerance{1500}; // an election takes less than a second
 constexpr Millis PeerUpdateInterval{100}; // bounds the delay until a change of leader or configuration is propagated
 
 // Creates the cluster with these hosts as its first members. Each of them does so independently, in any order.
@@ -58,7 +57,6 @@
     m_bootstrapView.disk = node != nullptr;
     m_bootstrapView.mayFound = settings.mayFound;
     m_bootstrapView.startedAt = monotonicNow();
-    m_leaderKnownAt = m_bootstrapView.startedAt;
     m_state.set_address(m_bootstrapView.self);
     m_state.set_operator_address(settings.listen);
     m_state.set_incarnation(wallMillis());
@@ -105,19 +103,8 @@
         return;
     m_node->setSeedAddresses(std::move(replicaAddresses));
     const ReplicaStatus status = m_node->status();
-    if (status.leader)
-        m_leaderKnownAt = now;
-    const bool isolated = now > m_leaderKnownAt + LeaderlessTolerance;
-    m_table.setCurrentAt(status.currentAt);
-    if (isolated != m_table.isolated())
-        logEvent(isolated ? "isolated" : "isolation_ended",
-                 {{"term", status.term},
-                  {"role", toString(status.role)},
-                  {"votes", status.votes},
-                  {"leader_known_ms", (now - m_leaderKnownAt).count()},
-                  {"state_age_ms", m_table.stateAge(now).count()},
-                  {"configuration", m_table.configurationVersion()}});
-    m_table.setIsolated(isolated);
+    m_table.observeReplica(ReplicaObservation{status.leader.has_value(), status.currentAt}, now);
+    logIsolation(status, now);
     const uint64_t known = m_table.configurationVersion();
     m_node->withMachine([&](const StateMachine &machine) {
         if (machine.configuration().version() > known)
@@ -127,6 +114,21 @@
         bootstrapIfDue();
 }
 
+void ControlPeers::logIsolation(const ReplicaStatus &status, Time now)
+{
+    const bool isolated = m_table.isolated(now);
+    if (isolated == m_isolated)
+        return;
+    m_isolated = isolated;
+    logEvent(isolated ? "isolated" : "isolation_ended",
+             {{"term", status.term},
+              {"role", toString(status.role)},
+              {"votes", status.votes},
+              {"leader_known", status.leader.has_value()},
+              {"state_age_ms", m_table.stateAge(now).count()},
+              {"configuration", m_table.configurationVersion()}});
+}
+
 void ControlPeers::announceState(const std::set<std::string> &unreachable, Time now)
 {
     const ReplicaStatus status = m_node == nullptr ? ReplicaStatus() : m_node->status();
--- a/src/transport/controlpeers.h
+++ b/src/transport/controlpeers.h
@@ -32,6 +32,7 @@
 private:
     void updatePeers(Time now);
     void announceState(const std::set<std::string> &unreachable, Time now);
+    void logIsolation(const ReplicaStatus &status, Time now);
     void bootstrapIfDue();
 
     net::io_context &m_io;
@@ -40,7 +41,7 @@
     BootstrapView m_bootstrapView;
     pb::KeeperState m_state;
     Time m_nextAnnounceAt{};
-    Time m_leaderKnownAt{}; // latest time at which this host knew the leader
+    bool m_isolated = false; // as logged last
     MeshSharer m_sharer;
 };
 
--- a/src/transport/livetable.h
+++ b/src/transport/livetable.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include "coordination/registry.h"
+#include "coordination/staleness.h"
 #include "protocol/log.h"
 #include "state/configurationdelta.h"
 
-#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <mutex>
@@ -19,6 +19,7 @@
 public:
     LiveTable(HeartbeatTimeouts timeouts, Time startedAt)
         : m_registry(timeouts, startedAt)
+        , m_staleness(startedAt)
     {
     }
     // Runs `read` under the lock.
@@ -102,26 +103,22 @@
         const std::lock_guard lock(m_mutex);
         return m_orderPermission;
     }
-    // While set, this host has known no leader for some time: it may be cut from a majority that accepts configurations, and
-    // refers routers to other control hosts.
-    void setIsolated(bool isolated)
+    void observeReplica(const ReplicaObservation &observation, Time now)
     {
-        m_isolated = isolated;
+        const std::lock_guard lock(m_mutex);
+        m_staleness.observeReplica(observation, now);
     }
-    // The latest time at which this host's configuration was known to be the newest.
-    void setCurrentAt(Time at)
+    // Returns whether this host must refer routers to other control hosts, as it may be cut off from the leader.
+    bool isolated(Time now) const
     {
-        m_currentAt = at;
+        const std::lock_guard lock(m_mutex);
+        return m_staleness.isolated(now);
     }
-    // Returns the time since then, at most MaxStateAge.
+    // Returns the time since this host's configuration was known to be the newest.
     Millis stateAge(Time now) const
     {
-        const Time at = m_currentAt;
-        return at < now - MaxStateAge ? MaxStateAge : std::max(Millis(0), Millis(now - at));
-    }
-    bool isolated() const
-    {
-        return m_isolated;
+        const std::lock_guard lock(m_mutex);
+        return m_staleness.age(now);
     }
     // Wakes the threads in waitFor(), which then check their condition.
     void notifyAll()
@@ -136,11 +133,9 @@
     Time m_nextExpiryAt{};
     ConfigurationHistory m_configuration;
     OrderPermission m_orderPermission;
-    std::atomic<bool> m_isolated{false};
-    std::atomic<Time> m_currentAt{Time()};
+    StalenessWatch m_staleness;
 
     static constexpr Millis ExpiryInterval{100};
-    static constexpr Millis MaxStateAge = std::chrono::hours(1); // an older or unknown state is as useless
 };
 
 } // namespace roserail
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -28,7 +28,7 @@
     if (request->router().router().empty())
         return grpc::Status(grpc::StatusCode::INVALID_ARGUMENT, "'router' is empty; set 'id' in the router's settings");
     // A router without a configuration takes an old one rather than none.
-    const bool serves = m_disk && !(m_table.isolated() && request->configuration() > 0);
+    const bool serves = m_disk && !(m_table.isolated(now) && request->configuration() > 0);
     // Hosts of the router's own availability zone come first.
     std::set<std::pair<bool, std::string>> control;
     if (m_disk)
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -264,6 +264,41 @@
     BOOST_TEST(raft.lastIndex() == leader->lastIndex() + 2);
 }
 
+// Guards against a host that takes its state for the newest because a new leader, which has committed nothing yet in its term,
+// names an old commit index: the earlier leader may have committed entries that this replica lacks.
+BOOST_AUTO_TEST_CASE(newLeaderConfirmsTheStateOnlyOnceItHasCommitted)
+{
+    Cluster cluster(3, 8);
+    const Replica self{3, 300};
+    Raft follower(self, cluster.nodes().at(3).disk, 1, cluster.now());
+    const auto receiveAppend = [&](uint64_t entryTerm, uint64_t commit, Time at) {
+        pb::RaftMessage msg;
+        msg.set_kind(pb::RaftMessage::APPEND);
+        msg.set_cluster_id(7);
+        *msg.mutable_from() = toProto(Replica{1, 100});
+        *msg.mutable_to() = toProto(self);
+        msg.set_term(2);
+        msg.set_log_index(follower.lastIndex());
+        msg.set_log_term(follower.lastIndex() == 1 ? 1 : 2);
+        msg.set_commit(commit);
+        if (entryTerm != 0) {
+            pb::Entry &entry = *msg.add_entries();
+            entry.set_index(follower.lastIndex() + 1);
+            entry.set_term(entryTerm);
+        }
+        Actions actions;
+        follower.receive(msg, at, actions);
+    };
+    const Time start = cluster.now();
+    receiveAppend(2, 1, start + Millis(10));
+    BOOST_TEST((follower.currentAt(start + Millis(10)) < start));
+    receiveAppend(0, 2, start + Millis(20));
+    BOOST_TEST((follower.currentAt(start + Millis(20)) == start + Millis(20)));
+    // It lacks the entry that the leader names as committed.
+    receiveAppend(0, 3, start + Millis(30));
+    BOOST_TEST((follower.currentAt(start + Millis(30)) == start + Millis(20)));
+}
+
 BOOST_AUTO_TEST_CASE(twoVotersAreNeverChangedAtOnce)
 {
     Cluster cluster(3, 4);
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -2,6 +2,7 @@
 // of configurations. They use no network and no real clock.
 #define BOOST_TEST_MODULE sharing
 #include "coordination/sharing.h"
+#include "coordination/staleness.h"
 #include "livestate.h"
 #include "state/configurationdelta.h"
 
@@ -255,6 +256,47 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Whether a control host may serve routers, which would otherwise go on with an old configuration.
+BOOST_AUTO_TEST_SUITE(Isolation)
+
+// A replica observed every 100 ms from Now to Now + 4 s.
+struct ReplicaRow {
+    const char *what;
+    Millis leaderUntil; // it knows a leader until then
+    Millis currentUntil; // its committed entries are known to be all until then
+    Millis servesUntil; // it must serve until then at least
+    Millis isolatedFrom; // it must not serve from then on
+};
+std::ostream &operator<<(std::ostream &os, const ReplicaRow &row)
+{
+    return os << row.what;
+}
+const Millis Always{4000};
+const Millis Never{5000};
+const Millis Election{1500}; // a host without a leader for as long goes on serving
+// A configuration must be in force 2 s after its acknowledgement at a router that had contact with the other control hosts
+// for 3 s: that leaves 0.5 s to find another host.
+const Millis Bound{2500};
+const ReplicaRow ReplicaRows[] = {
+    {"follows the leader", Always, Always, Always, Never},
+    {"the leader ends", Millis(1000), Millis(1000), Millis(1000) + Election, Millis(1000) + Bound},
+    // Guards against the incident CONFIG: the replica reports a leader, but nothing confirms its state any longer. It may be
+    // cut off without knowing it, lack entries, or be stuck because its disk hangs.
+    {"reports a leader that confirms nothing", Always, Millis(1000), Millis(1000) + Election, Millis(1000) + Bound},
+    {"never had a leader", Millis(0), Millis(0), Election, Bound},
+};
+BOOST_DATA_TEST_CASE(hostServesOnlyWhileItsStateIsKnownToBeCurrent, bdata::make(ReplicaRows), row)
+{
+    StalenessWatch watch(Now);
+    for (Millis at{0}; at < Always; at += Millis(100)) {
+        watch.observeReplica(ReplicaObservation{at < row.leaderUntil, Now + std::min(at, row.currentUntil)}, Now + at);
+        BOOST_TEST((at >= row.servesUntil || !watch.isolated(Now + at)), "isolated at " << at.count());
+        BOOST_TEST((at < row.isolatedFrom || watch.isolated(Now + at)), "serves at " << at.count());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Configurations)
 
 pb::WholeConfiguration configuration(uint64_t version, const std::string &content)
