A control host serves routers only while its configuration is confirmed to be the newest

A host referred its routers to others once it knew no leader, so it took what it had heard last for true until it heard otherwise. A replica whose disk hangs while its host is cut off reports its leader for good, and one that lacks entries hears a leader and is behind: their routers apply an old configuration.

Now each confirmation expires after 2 s. A replica is confirmed while it has committed all that its leader names, and that leader has committed in its term; a host whose replica is stuck is confirmed by the leader's messages, through which it gets the configuration.

--- a/src/coordination/raft.cpp
+++ b/src/coordination/raft.cpp
@@ -537,7 +537,8 @@
         m_log.push_back(it);
     }
     commitTo(std::min(msg.commit(), last), out);
-    if (m_commit >= msg.commit())
+    // A new leader does not know yet what is committed until it has committed an entry of its own term.
+    if (m_commit >= msg.commit() && termAt(m_commit) == msg.term())
         m_currentAt = now;
     reply.set_granted(true);
     reply.set_log_index(last);
--- a/src/coordination/staleness.cpp
+++ b/src/coordination/staleness.cpp
@@ -1,5 +1,7 @@
 #include "coordination/staleness.h"
 
+#include "state/tunables.h"
+
 #include <algorithm>
 
 namespace roserail
@@ -8,21 +10,24 @@
 namespace
 {
 
-constexpr Millis LeaderlessTolerance{1500}; // an election takes less than a second
 constexpr Millis MaxAge = std::chrono::hours(1); // an older or unknown state is as useless
 
 } // namespace
 
-void StalenessWatch::observeReplica(const ReplicaObservation &observation, Time now)
+void StalenessWatch::confirmByLog(Time currentAt)
+{
+    m_currentAt = std::max(m_currentAt, currentAt);
+}
+
+void StalenessWatch::confirmByLeader(uint64_t newest, uint64_t own, Time now)
 {
-    if (observation.leaderKnown)
-        m_leaderKnownAt = now;
-    m_currentAt = std::max(m_currentAt, observation.currentAt);
+    if (newest > 0 && own >= newest)
+        m_currentAt = std::max(m_currentAt, now);
 }
 
 bool StalenessWatch::isolated(Time now) const
 {
-    return now > m_leaderKnownAt + LeaderlessTolerance;
+    return now > std::max(m_startedAt, m_currentAt) + tunables::MaxControlStateAge;
 }
 
 Millis StalenessWatch::age(Time now) const
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -55,6 +55,9 @@
 constexpr Millis LivenessRelayInterval{2000}; // for unchanged entries, to control hosts that do not issue orders
 constexpr Millis KeeperLivenessTimeout{15000}; // without a newer state, a control host is no longer a peer to share with
 constexpr Millis KeeperStateMaxAge{4000}; // four announcements; routers are referred only to control hosts with a newer state
+// Control hosts whose configuration was last known to be the newest longer ago serve no routers. Covers an election; leaves a
+// router 0.5 s to find another host before it must apply a new configuration.
+constexpr Millis MaxControlStateAge{2000};
 constexpr Millis KeeperAnnounceInterval{1000}; // of the state of a control host to its peers
 constexpr Millis BootstrapDiscoveryTime{1000}; // to discover control hosts with a data folder, if no seed has one
 constexpr Millis SyncInterval{250}; // a change reaches every router well within 1 s, the permitted delay
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -103,13 +103,13 @@
         return;
     m_node->setSeedAddresses(std::move(replicaAddresses));
     const ReplicaStatus status = m_node->status();
-    m_table.observeReplica(ReplicaObservation{status.leader.has_value(), status.currentAt}, now);
-    logIsolation(status, now);
     const uint64_t known = m_table.configurationVersion();
     m_node->withMachine([&](const StateMachine &machine) {
         if (machine.configuration().version() > known)
             m_table.mergeConfiguration(machine.configuration());
     });
+    m_table.confirmByLog(status.currentAt);
+    logIsolation(status, now);
     if (m_bootstrapView.mayFound && status.clusterId == 0)
         bootstrapIfDue();
 }
--- a/src/transport/livetable.h
+++ b/src/transport/livetable.h
@@ -103,12 +103,17 @@
         const std::lock_guard lock(m_mutex);
         return m_orderPermission;
     }
-    void observeReplica(const ReplicaObservation &observation, Time now)
+    void confirmByLog(Time currentAt)
     {
         const std::lock_guard lock(m_mutex);
-        m_staleness.observeReplica(observation, now);
+        m_staleness.confirmByLog(currentAt);
     }
-    // Returns whether this host must refer routers to other control hosts, as it may be cut off from the leader.
+    void confirmByLeader(uint64_t newest, Time now)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_staleness.confirmByLeader(newest, m_configuration.latest().version(), now);
+    }
+    // Returns whether this host must refer routers to other control hosts, as its configuration may be an old one.
     bool isolated(Time now) const
     {
         const std::lock_guard lock(m_mutex);
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -76,6 +76,7 @@
         m_table.mergeConfiguration(request->configuration());
     if (request->has_configuration_delta())
         m_table.mergeConfiguration(request->configuration_delta());
+    m_table.confirmByLeader(request->newest_configuration(), now);
     reply->set_configuration(m_table.configurationVersion());
     reply->set_epoch(m_epoch);
     return grpc::Status::OK;
--- a/src/transport/meshsharer.cpp
+++ b/src/transport/meshsharer.cpp
@@ -138,18 +138,24 @@
     });
     if (state && m_disk)
         addConfigurationIfLagging(progress, now, request);
+    if (leads())
+        request.set_newest_configuration(m_table.configurationVersion());
     return request;
 }
 
-// The other hosts with a disk get the configuration from the log. The leader sends it to one that did not, for
-// example because its disk is slow.
-void MeshSharer::addConfigurationIfLagging(Progress &progress, Time now, pb::ShareRequest &request) const
+bool MeshSharer::leads() const
 {
-    const bool leads = m_table.read([&](const Registry &registry) {
+    return m_table.read([&](const Registry &registry) {
         const auto self = registry.keepers().find(m_self);
         return self != registry.keepers().end() && self->second.state.term() > 0;
     });
-    if (!leads || m_table.configurationVersion() <= progress.configuration) {
+}
+
+// The other hosts with a disk get the configuration from the log. The leader sends it to one that did not, for
+// example because its disk is slow.
+void MeshSharer::addConfigurationIfLagging(Progress &progress, Time now, pb::ShareRequest &request) const
+{
+    if (!leads() || m_table.configurationVersion() <= progress.configuration) {
         progress.configurationLagsSince = Time();
         return;
     }
--- a/src/transport/meshsharer.h
+++ b/src/transport/meshsharer.h
@@ -58,6 +58,7 @@
     void waitForWork(const Peer &peer, const Progress &progress) const;
     void updateProgress(const Peer &peer, Progress &progress) const;
     pb::ShareRequest buildRequest(const Peer &peer, Progress &progress, Time now, uint64_t &version) const;
+    bool leads() const;
     void addConfigurationIfLagging(Progress &progress, Time now, pb::ShareRequest &request) const;
     void send(Peer &peer, Progress &progress, const pb::ShareRequest &request, uint64_t version);
     void handleReply(const pb::ShareReply &reply, Progress &progress, uint64_t version);
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -259,11 +259,12 @@
 // Whether a control host may serve routers, which would otherwise go on with an old configuration.
 BOOST_AUTO_TEST_SUITE(Isolation)
 
-// A replica observed every 100 ms from Now to Now + 4 s.
+// A replica observed every 100 ms from Now to Now + 4 s, which follows its leader or not.
 struct ReplicaRow {
     const char *what;
-    Millis leaderUntil; // it knows a leader until then
-    Millis currentUntil; // its committed entries are known to be all until then
+    Millis logUntil; // until then its committed entries are known to be all
+    Millis sharesUntil; // until then the leader names its configuration as the newest, once a second
+    uint64_t sharedVersion; // which the leader names; this host has version 5
     Millis servesUntil; // it must serve until then at least
     Millis isolatedFrom; // it must not serve from then on
 };
@@ -273,23 +274,29 @@
 }
 const Millis Always{4000};
 const Millis Never{5000};
+const Millis None{0};
 const Millis Election{1500}; // a host without a leader for as long goes on serving
 // A configuration must be in force 2 s after its acknowledgement at a router that had contact with the other control hosts
 // for 3 s: that leaves 0.5 s to find another host.
 const Millis Bound{2500};
 const ReplicaRow ReplicaRows[] = {
-    {"follows the leader", Always, Always, Always, Never},
-    {"the leader ends", Millis(1000), Millis(1000), Millis(1000) + Election, Millis(1000) + Bound},
+    {"follows the leader", Always, None, 0, Always, Never},
     // Guards against the incident CONFIG: the replica reports a leader, but nothing confirms its state any longer. It may be
     // cut off without knowing it, lack entries, or be stuck because its disk hangs.
-    {"reports a leader that confirms nothing", Always, Millis(1000), Millis(1000) + Election, Millis(1000) + Bound},
-    {"never had a leader", Millis(0), Millis(0), Election, Bound},
+    {"reports a leader that confirms nothing", Millis(1000), None, 0, Millis(1000) + Election, Millis(1000) + Bound},
+    {"gets the configuration from the leader while its disk hangs", Millis(1000), Always, 5, Always, Never},
+    {"has heard from the leader of a newer configuration", Millis(1000), Always, 6, Millis(1000) + Election, Millis(1000) + Bound},
+    {"is cut off while its disk hangs", Millis(500), Millis(1000), 5, Millis(1000) + Election, Millis(1000) + Bound},
+    {"never had a leader", None, None, 0, Election, Bound},
 };
 BOOST_DATA_TEST_CASE(hostServesOnlyWhileItsStateIsKnownToBeCurrent, bdata::make(ReplicaRows), row)
 {
     StalenessWatch watch(Now);
     for (Millis at{0}; at < Always; at += Millis(100)) {
-        watch.observeReplica(ReplicaObservation{at < row.leaderUntil, Now + std::min(at, row.currentUntil)}, Now + at);
+        if (row.logUntil > None)
+            watch.confirmByLog(Now + std::min(at, row.logUntil));
+        if (at <= row.sharesUntil && at.count() % 1000 == 0)
+            watch.confirmByLeader(row.sharedVersion, 5, Now + at);
         BOOST_TEST((at >= row.servesUntil || !watch.isolated(Now + at)), "isolated at " << at.count());
         BOOST_TEST((at < row.isolatedFrom || watch.isolated(Now + at)), "serves at " << at.count());
     }
