--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -5,6 +5,7 @@
 #include "coordination/staleness.h"
 #include "livestate.h"
 #include "state/configurationdelta.h"
+#include "state/tunables.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
@@ -12,6 +13,7 @@
 
 using namespace roserail;
 using namespace roserail::test;
+using namespace roserail::tunables;
 
 namespace bdata = boost::unit_test::data;
 
@@ -306,6 +308,17 @@
 
 BOOST_AUTO_TEST_SUITE(Configurations)
 
+// Of a configuration with many routes, as large as on the users' sites.
+std::string manyRoutes(int n, const std::string &timeout)
+{
+    std::string routes;
+    for (int i = 0; i < n; ++i)
+        routes += R"({"name":"r-)" + std::to_string(i * 7919) + R"(","host":"h)" + std::to_string(i % 20) + R"(.example","path_prefix":"/p)"
+            + std::to_string(i * 104729) + R"(/","type":"streaming","timeout_ms":)" + timeout
+            + R"(,"target_latency_ms":2500,"priority":0,"service":"s","max_attempts":2,"resumable":true,"gap_target_ms":250},)";
+    return routes;
+}
+
 pb::WholeConfiguration configuration(uint64_t version, const std::string &content)
 {
     pb::WholeConfiguration result;
@@ -334,6 +347,21 @@
     }));
 }
 
+// Load pattern: 1,400 routes are added, and 60 routers fetch them at the same time over their control host's link of 100 Mbit/s.
+// Guards against the incident CONFIG: the reply took longer than the time limit of a poll, and was then requested again whole.
+BOOST_AUTO_TEST_CASE(replyOfALargeChangeArrivesWithinHalfOfThePollsTimeLimit)
+{
+    constexpr double BytesPerMs = 100e6 / 8 / 1000 / 60; // for each of the routers
+    ConfigurationHistory history;
+    history.merge(configuration(1, manyRoutes(20, "25000")));
+    history.merge(configuration(2, manyRoutes(1420, "25000")));
+    for (const uint64_t known : {0, 1}) {
+        pb::SyncReply reply;
+        addConfiguration(history, known, reply);
+        BOOST_TEST(double(reply.ByteSizeLong()) / BytesPerMs < double(SyncTimeout.count()) / 2);
+    }
+}
+
 // Load pattern: configurations of many models follow each other quickly, each with a few changed routes. A host that has
 // one of the previous versions receives the change, not the models.
 BOOST_AUTO_TEST_CASE(changeCostsLittleOfTheWhole)
