Send configurations to routers compressed and in pieces

Cause: a poll's reply held the whole change. With 1,400 routes (0.3 MB) and all routers of a zone fetching it over one link it took longer than the poll's limit of 600 ms; then it was requested again from another host, and that one's link was full, too. The time limit of a message did not bound its size.

Now an update is compressed once on each control host and sent in pieces of at most 48 KB, one a poll. What has arrived is kept when a poll fails, and the next piece may come from another host. The same between control hosts, where the leader updates one whose replica lags. Processes of the release before get the whole, as they send no progress.

--- a/src/state/configurationdelta.cpp
+++ b/src/state/configurationdelta.cpp
@@ -1,6 +1,10 @@
 #include "state/configurationdelta.h"
 
+#include "state/invariant.h"
+
 #include <algorithm>
+#include <google/protobuf/io/gzip_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 #include <xxhash.h>
 
 namespace roserail
@@ -11,13 +15,22 @@
 
 constexpr size_t MaxPreviousVersions = 8; // a host that lags further behind receives the whole configuration
 
-uint64_t checksumOf(const std::string &content)
+std::string encode(const pb::ConfigurationUpdate &update)
 {
-    return XXH3_64bits(content.data(), content.size());
+    std::string bytes;
+    google::protobuf::io::StringOutputStream output(&bytes);
+    google::protobuf::io::GzipOutputStream zipped(&output);
+    invariant(update.SerializeToZeroCopyStream(&zipped) && zipped.Close(), "an update can be encoded");
+    return bytes;
 }
 
 } // namespace
 
+uint64_t contentChecksum(const std::string &content)
+{
+    return XXH3_64bits(content.data(), content.size());
+}
+
 pb::ConfigurationDelta makeDelta(const pb::WholeConfiguration &base, const pb::WholeConfiguration &target)
 {
     const std::string &from = base.content();
@@ -32,7 +45,7 @@
     delta.set_prefix(prefix);
     delta.set_suffix(suffix);
     delta.set_middle(to.substr(prefix, to.size() - prefix - suffix));
-    delta.set_checksum(checksumOf(to));
+    delta.set_checksum(contentChecksum(to));
     return delta;
 }
 
@@ -48,7 +61,7 @@
     content.append(from, 0, delta.prefix());
     content.append(delta.middle());
     content.append(from, from.size() - delta.suffix(), delta.suffix());
-    if (checksumOf(content) != delta.checksum())
+    if (contentChecksum(content) != delta.checksum())
         return std::nullopt;
     return result;
 }
@@ -63,11 +76,29 @@
         m_previous.pop_front();
     m_latest = configuration;
     m_deltas.clear();
+    m_encoded.clear();
     for (const pb::WholeConfiguration &it : m_previous)
         m_deltas.push_back(makeDelta(it, m_latest));
     return true;
 }
 
+const EncodedUpdate &ConfigurationHistory::encodedUpdate(uint64_t known)
+{
+    const pb::ConfigurationDelta *delta = deltaFrom(known);
+    EncodedUpdate &result = m_encoded[delta == nullptr ? 0 : known];
+    if (!result.bytes.empty())
+        return result;
+    pb::ConfigurationUpdate update;
+    if (delta == nullptr)
+        *update.mutable_whole() = m_latest;
+    else
+        *update.mutable_delta() = *delta;
+    result.base = delta == nullptr ? 0 : known;
+    result.bytes = encode(update);
+    result.checksum = contentChecksum(result.bytes);
+    return result;
+}
+
 const pb::ConfigurationDelta *ConfigurationHistory::deltaFrom(uint64_t version) const
 {
     const auto it
--- a/src/state/configurationdelta.h
+++ b/src/state/configurationdelta.h
@@ -4,7 +4,9 @@
 #include "mesh.pb.h"
 
 #include <deque>
+#include <map>
 #include <optional>
+#include <string>
 
 namespace roserail
 {
@@ -16,10 +18,22 @@
 // configuration must be requested then.
 std::optional<pb::WholeConfiguration> applyDelta(const pb::WholeConfiguration &base, const pb::ConfigurationDelta &delta);
 
+// An update of the configuration as it is transferred.
+struct EncodedUpdate {
+    uint64_t base = 0; // version that it is applied to; 0: the whole configuration
+    uint64_t checksum = 0;
+    std::string bytes;
+};
+
+// Returns the checksum by which a receiver recognizes damaged content.
+uint64_t contentChecksum(const std::string &content);
+
 // The latest configuration and the differences that lead to it from the versions before it.
 class ConfigurationHistory
 {
 public:
+    // Returns the update from `known` to the latest configuration: the difference if that version is known, else the whole.
+    const EncodedUpdate &encodedUpdate(uint64_t known);
     // Stores a configuration if its version is higher than the latest one's, and returns whether it was.
     bool merge(const pb::WholeConfiguration &configuration);
     const pb::WholeConfiguration &latest() const
@@ -33,19 +47,7 @@
     pb::WholeConfiguration m_latest;
     std::deque<pb::WholeConfiguration> m_previous; // oldest first
     std::deque<pb::ConfigurationDelta> m_deltas; // from each of m_previous to m_latest
+    std::map<uint64_t, EncodedUpdate> m_encoded; // to m_latest, by base; encoded when first needed
 };
 
-// Sets the field that updates a peer from `version` to the latest configuration: the difference if it is known, else the
-// whole. Sets nothing if the peer is up to date. `Message` has the fields configuration and configuration_delta.
-template <typename Message>
-void addConfiguration(const ConfigurationHistory &history, uint64_t version, Message &out)
-{
-    if (history.latest().version() <= version)
-        return;
-    if (const pb::ConfigurationDelta *delta = history.deltaFrom(version))
-        *out.mutable_configuration_delta() = *delta;
-    else
-        *out.mutable_configuration() = history.latest();
-}
-
 } // namespace roserail
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -64,6 +64,8 @@
 constexpr Millis SyncIntervalWhileWaiting{40}; // while requests wait for a model to be loaded
 constexpr double MaxPollsPerControlHost = 300; // a second; in a large system routers poll less often while requests wait
 constexpr Millis NearestHostRetryInterval{10000}; // a router connected to a distant control host tries the nearest one again
+// Of an update of the configuration in one message. 60 routers that fetch it over one link of 100 Mbit/s receive it in 240 ms.
+constexpr size_t MaxConfigurationPieceBytes = 48u << 10;
 constexpr Millis SyncTimeout{600}; // a round trip takes 3 ms; after a time-out another control host is asked
 constexpr Millis ShareTimeout{600};
 constexpr Millis MaxShareInterval{1000}; // without changes, to detect that the peer has restarted
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -194,7 +194,8 @@
     request.set_epoch(m_epoch);
     request.set_version(m_version);
     request.set_configuration(m_configuration.version());
-    m_meshClient->setWaiting(m_balancer.hasWaitingRequests() || !m_forwarder.table());
+    *request.mutable_progress() = m_configurationReceiver.progress();
+    m_meshClient->setWaiting(m_balancer.hasWaitingRequests() || !m_forwarder.table() || m_configurationReceiver.receiving());
     return request;
 }
 
@@ -229,6 +230,8 @@
         applyConfiguration(reply.configuration());
     if (reply.has_configuration_delta())
         applyConfigurationDelta(reply.configuration_delta());
+    if (reply.has_configuration_piece())
+        addConfigurationPiece(reply.configuration_piece());
     // Routers that have stopped may have spent retries within the window, and are listed for longer than that.
     m_retries.setShare(m_settings.retrySlack, std::max<size_t>(1, m_registry.routers().size()));
     m_meshClient->setMinInterval(minSyncInterval(m_registry.routers().size(), size_t(reply.control_size())));
@@ -242,6 +245,17 @@
     m_forwarder.wakeWaitingRequests();
 }
 
+void EntryApi::addConfigurationPiece(const pb::ConfigurationPiece &piece)
+{
+    const std::optional<pb::ConfigurationUpdate> update = m_configurationReceiver.add(piece);
+    if (update && update->has_whole())
+        applyConfiguration(update->whole());
+    else if (update)
+        applyConfigurationDelta(update->delta());
+    else
+        m_meshClient->wake(); // requests the next piece at once
+}
+
 void EntryApi::applyConfigurationDelta(const pb::ConfigurationDelta &delta)
 {
     const std::optional<pb::WholeConfiguration> configuration = applyDelta(m_configuration, delta);
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -33,6 +33,7 @@
     pb::SyncRequest buildSyncRequest();
     void applySync(const pb::SyncReply &reply);
     void applyConfiguration(const pb::WholeConfiguration &configuration);
+    void addConfigurationPiece(const pb::ConfigurationPiece &piece);
     void applyConfigurationDelta(const pb::ConfigurationDelta &delta);
     bool ready() const;
 
@@ -52,6 +53,7 @@
     uint64_t m_epoch = 0; // of the control process that assigned `m_version`
     uint64_t m_version = 0; // of the last sync
     pb::WholeConfiguration m_configuration; // base of differences; empty: the whole is requested
+    ConfigurationReceiver m_configurationReceiver;
     bool m_synced = false; // at least one sync has succeeded
     bool m_draining = false;
     std::unique_ptr<MeshClient> m_meshClient;
--- a/src/transport/livetable.h
+++ b/src/transport/livetable.h
@@ -5,7 +5,7 @@
 #include "coordination/registry.h"
 #include "coordination/staleness.h"
 #include "protocol/log.h"
-#include "state/configurationdelta.h"
+#include "state/configurationtransfer.h"
 
 #include <condition_variable>
 #include <functional>
@@ -66,12 +66,12 @@
         const std::lock_guard lock(m_mutex);
         return m_configuration.latest().version();
     }
-    // Sets the configuration or its difference in a message to a process that has `version`, unless it is up to date.
+    // Sets the next part of the configuration in a message to a process that has `version`; see addConfiguration().
     template <typename Message>
-    void addConfigurationSince(uint64_t version, Message &out) const
+    void addConfigurationSince(uint64_t version, const pb::ConfigurationProgress *progress, Message &out)
     {
         const std::lock_guard lock(m_mutex);
-        addConfiguration(m_configuration, version, out);
+        addConfiguration(m_configuration, version, progress, out);
     }
     // Stores a committed configuration if it is newer than the known one.
     void mergeConfiguration(const pb::WholeConfiguration &configuration)
@@ -80,6 +80,24 @@
         if (m_configuration.merge(configuration))
             logEvent("configuration", {{"version", configuration.version()}});
     }
+    // Adds a piece of an update, and applies the update once it is complete.
+    void mergeConfiguration(const pb::ConfigurationPiece &piece)
+    {
+        std::optional<pb::ConfigurationUpdate> update;
+        {
+            const std::lock_guard lock(m_mutex);
+            update = m_receiver.add(piece);
+        }
+        if (update && update->has_whole())
+            mergeConfiguration(update->whole());
+        else if (update)
+            mergeConfiguration(update->delta());
+    }
+    pb::ConfigurationProgress configurationProgress() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_receiver.progress();
+    }
     // Applies a difference from the known configuration. Ignores one from another version.
     void mergeConfiguration(const pb::ConfigurationDelta &delta)
     {
@@ -137,6 +155,7 @@
     Registry m_registry;
     Time m_nextExpiryAt{};
     ConfigurationHistory m_configuration;
+    ConfigurationReceiver m_receiver;
     OrderPermission m_orderPermission;
     StalenessWatch m_staleness;
 
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -48,7 +48,7 @@
     });
     reply->set_epoch(serves ? m_epoch : 0);
     reply->set_state_age_ms(uint64_t(m_table.stateAge(now).count()));
-    m_table.addConfigurationSince(request->configuration(), *reply);
+    m_table.addConfigurationSince(request->configuration(), request->has_progress() ? &request->progress() : nullptr, *reply);
     for (const std::pair<bool, std::string> &it : control)
         reply->add_control(it.second);
     if (control.empty())
@@ -76,8 +76,11 @@
         m_table.mergeConfiguration(request->configuration());
     if (request->has_configuration_delta())
         m_table.mergeConfiguration(request->configuration_delta());
+    if (request->has_configuration_piece())
+        m_table.mergeConfiguration(request->configuration_piece());
     m_table.confirmByLeader(request->newest_configuration(), now);
     reply->set_configuration(m_table.configurationVersion());
+    *reply->mutable_progress() = m_table.configurationProgress();
     reply->set_epoch(m_epoch);
     return grpc::Status::OK;
 }
--- a/src/transport/meshsharer.cpp
+++ b/src/transport/meshsharer.cpp
@@ -78,7 +78,7 @@
         uint64_t version = 0;
         const pb::ShareRequest request = buildRequest(peer, progress, monotonicNow(), version);
         const bool empty = request.endpoints_size() + request.holdings_size() + request.routers_size() + request.keepers_size() == 0
-            && !request.has_configuration() && !request.has_configuration_delta();
+            && !request.has_configuration() && !request.has_configuration_delta() && !request.has_configuration_piece();
         if (empty)
             progress.version = version;
         else
@@ -90,7 +90,7 @@
 // Waits for a change that the peer needs.
 void MeshSharer::waitForWork(const Peer &peer, const Progress &progress) const
 {
-    if (!peer.reachable)
+    if (!peer.reachable || progress.transferring())
         return;
     const bool state = receivesState(peer.role);
     m_table.waitFor(MaxShareInterval, [&](const Registry &registry) {
@@ -162,7 +162,7 @@
     if (progress.configurationLagsSince == Time())
         progress.configurationLagsSince = now;
     if (now >= progress.configurationLagsSince + ConfigurationLagLimit)
-        m_table.addConfigurationSince(progress.configuration, request);
+        m_table.addConfigurationSince(progress.configuration, progress.transfer ? &*progress.transfer : nullptr, request);
 }
 
 void MeshSharer::send(Peer &peer, Progress &progress, const pb::ShareRequest &request, uint64_t version)
@@ -191,6 +191,8 @@
     progress.version = restarted ? 0 : version;
     progress.epoch = reply.epoch();
     progress.configuration = reply.configuration();
+    if (reply.has_progress())
+        progress.transfer = reply.progress();
     const Time now = monotonicNow();
     if (reply.keepers().empty())
         return;
--- a/src/transport/meshsharer.h
+++ b/src/transport/meshsharer.h
@@ -49,6 +49,11 @@
         uint64_t epoch = 0; // of the peer's process; 0: unknown
         uint64_t configuration = UINT64_MAX; // not sent before the peer's first reply
         Time configurationLagsSince{}; // when the peer's version was found to be older
+        std::optional<pb::ConfigurationProgress> transfer; // what the peer has received of an update; none: it accepts no pieces
+        bool transferring() const
+        {
+            return transfer && transfer->received() > 0;
+        }
         ShareRole role = ShareRole::None;
         std::set<std::string> forwarded; // hosts whose changes this host forwards to the peer
         uint64_t restarts = 0; // value of m_restarts
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -4,11 +4,12 @@
 #include "coordination/sharing.h"
 #include "coordination/staleness.h"
 #include "livestate.h"
-#include "state/configurationdelta.h"
+#include "state/configurationtransfer.h"
 #include "state/tunables.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
+#include <random>
 #include <rapidcheck.h>
 
 using namespace roserail;
@@ -357,11 +358,81 @@
     history.merge(configuration(2, manyRoutes(1420, "25000")));
     for (const uint64_t known : {0, 1}) {
         pb::SyncReply reply;
-        addConfiguration(history, known, reply);
+        const pb::ConfigurationProgress progress;
+        addConfiguration(history, known, &progress, reply);
         BOOST_TEST(double(reply.ByteSizeLong()) / BytesPerMs < double(SyncTimeout.count()) / 2);
     }
 }
 
+// A text that compression hardly shortens.
+std::string randomText(size_t n, uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::string text(n, ' ');
+    std::generate(text.begin(), text.end(), [&] { return char('!' + random() % 90); });
+    return text;
+}
+
+// A router fetches an update of many pieces. Replies are lost or arrive twice, polls go to another control host, and a newer
+// version is stored meanwhile: the result is always a configuration as it was stored, and the latest one in the end.
+BOOST_AUTO_TEST_CASE(transferSurvivesLostRepliesAndChangesOfHostAndVersion)
+{
+    BOOST_TEST(rc::check([](const std::vector<uint8_t> &steps, uint64_t seed) {
+        std::vector<pb::WholeConfiguration> stored{configuration(1, randomText(300000, seed))};
+        ConfigurationHistory hosts[2];
+        for (ConfigurationHistory &it : hosts)
+            it.merge(stored[0]);
+        pb::WholeConfiguration own;
+        ConfigurationReceiver receiver;
+        const auto poll = [&](ConfigurationHistory &host, bool lost, bool twice) {
+            pb::SyncReply reply;
+            addConfiguration(host, own.version(), &receiver.progress(), reply);
+            RC_ASSERT(reply.ByteSizeLong() < MaxConfigurationPieceBytes + 100);
+            if (!reply.has_configuration_piece())
+                return;
+            for (int n = lost ? 0 : twice ? 2 : 1; n > 0; --n) {
+                const std::optional<pb::ConfigurationUpdate> update = receiver.add(reply.configuration_piece());
+                if (!update)
+                    continue;
+                const std::optional<pb::WholeConfiguration> next = update->has_whole() ? update->whole() : applyDelta(own, update->delta());
+                RC_ASSERT(next.has_value());
+                RC_ASSERT(next->content() == stored[next->version() - 1].content());
+                own = *next;
+            }
+        };
+        for (const uint8_t it : steps) {
+            poll(hosts[it % 2], it % 8 < 3, it % 16 == 15);
+            if (it % 32 == 7 && stored.size() < 6) {
+                const size_t n = stored.size();
+                stored.push_back(configuration(n + 1, randomText(200000, seed + n) + stored.back().content().substr(0, 100000)));
+                for (ConfigurationHistory &host : hosts)
+                    host.merge(stored.back());
+            }
+        }
+        for (int n = 0; n < 20; ++n)
+            poll(hosts[0], false, false);
+        RC_ASSERT(own.version() == stored.size());
+        RC_ASSERT(!receiver.receiving());
+    }));
+}
+
+// Bytes that were damaged on the way are not applied; the update is requested again.
+BOOST_AUTO_TEST_CASE(damagedUpdateIsRequestedAgain)
+{
+    ConfigurationHistory history;
+    history.merge(configuration(1, manyRoutes(10, "25000")));
+    ConfigurationReceiver receiver;
+    pb::ConfigurationPiece piece;
+    addNextPiece(history, 0, receiver.progress(), piece);
+    pb::ConfigurationPiece damaged = piece;
+    damaged.mutable_content()->back() ^= 1;
+    BOOST_TEST(!receiver.add(damaged).has_value());
+    BOOST_TEST(!receiver.receiving());
+    const std::optional<pb::ConfigurationUpdate> update = receiver.add(piece);
+    BOOST_REQUIRE(update.has_value());
+    BOOST_TEST(update->whole().content() == history.latest().content());
+}
+
 // Load pattern: configurations of many models follow each other quickly, each with a few changed routes. A host that has
 // one of the previous versions receives the change, not the models.
 BOOST_AUTO_TEST_CASE(changeCostsLittleOfTheWhole)
@@ -381,17 +452,17 @@
     }
     for (const uint64_t known : {39, 35}) {
         pb::SyncReply reply;
-        addConfiguration(history, known, reply);
+        addConfiguration(history, known, nullptr, reply);
         BOOST_REQUIRE(reply.has_configuration_delta());
         BOOST_TEST(reply.ByteSizeLong() < whole / 100);
     }
     for (const uint64_t known : {0, 3}) {
         pb::SyncReply reply;
-        addConfiguration(history, known, reply);
+        addConfiguration(history, known, nullptr, reply);
         BOOST_TEST(reply.has_configuration());
     }
     pb::SyncReply current;
-    addConfiguration(history, 40, current);
+    addConfiguration(history, 40, nullptr, current);
     BOOST_TEST(current.ByteSizeLong() == 0u);
 }
 
