--- a/src/state/types.h
+++ b/src/state/types.h
@@ -39,6 +39,7 @@
 using SlotId = Id<struct SlotTag, uint64_t>;
 using Fence = Id<struct FenceTag, uint64_t>;
 using Fingerprint = Id<struct FingerprintTag, uint64_t>;
+using PromptPartId = Id<struct PromptPartTag, uint64_t>;
 using SoftwareVersion = Id<struct SoftwareVersionTag>; // of an endpoint's software, not of model weights; empty: not stated
 using Revision = Id<struct RevisionTag, uint64_t>;
 
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -46,6 +46,23 @@
     return Fingerprint(XXH3_64bits_withSeed(request.body().data(), request.body().size(), seed));
 }
 
+// Returns the parts of the prompt that other requests may have as well: all but the last one.
+std::vector<PromptPartId> sharedParts(const RequestMetadata &metadata)
+{
+    std::vector<PromptPartId> parts;
+    for (size_t i = 0; i + 1 < metadata.prompt.size(); ++i)
+        parts.emplace_back(metadata.prompt[i].id);
+    return parts;
+}
+
+std::string formatParts(const std::vector<PromptPartId> &parts)
+{
+    std::string text;
+    for (const PromptPartId it : parts)
+        text += fmt::format("{}{:x}", text.empty() ? "" : ",", it.value());
+    return text;
+}
+
 std::string retryAfterHeader(Millis time)
 {
     return fmt::format("{:.3f}", double(time.count()) / 1000);
@@ -348,7 +365,7 @@
         m_crashes.recordAnswer(request.fingerprint);
     if (end == AttemptEnd::Interrupted && !request.cancellation->cancelled()) {
         const bool crashedBefore = m_crashes.crashCount(request.fingerprint, monotonicNow()) > 0;
-        Task<> crashCheck = checkForCrash(request.metadata.id, request.fingerprint, choice);
+        Task<> crashCheck = checkForCrash(interruptedRequest(request), choice);
         // The next attempt waits for the result only if an endpoint has crashed with this request before.
         if (crashedBefore)
             co_await std::move(crashCheck);
@@ -413,20 +430,27 @@
     co_return false;
 }
 
+Forwarder::InterruptedRequest Forwarder::interruptedRequest(const Request &request)
+{
+    return InterruptedRequest{request.metadata.id, request.fingerprint, sharedParts(request.metadata), request.eventRelay.events()};
+}
+
 // Checks whether the endpoint of an interrupted attempt has crashed, and records that its request may be the cause.
-Task<> Forwarder::checkForCrash(std::string id, Fingerprint fingerprint, EndpointChoice choice)
+Task<> Forwarder::checkForCrash(InterruptedRequest request, EndpointChoice choice)
 {
     if (!co_await processEnded(choice.address))
         co_return;
     const Time now = monotonicNow();
-    if (!m_crashes.recordCrash(fingerprint, choice.endpoint, choice.startedAtMs, now))
+    if (!m_crashes.recordCrash(request.fingerprint, choice.endpoint, choice.startedAtMs, now))
         co_return;
     logEvent("endpoint_crashed",
-             {{"id", id},
+             {{"id", request.id},
               {"endpoint", choice.endpoint},
               {"born_ms", choice.startedAtMs},
-              {"fingerprint", fmt::format("{:016x}", fingerprint.value())},
-              {"crashes", m_crashes.crashCount(fingerprint, now)}});
+              {"fingerprint", fmt::format("{:016x}", request.fingerprint.value())},
+              {"parts", formatParts(request.sharedParts)},
+              {"events", request.events},
+              {"crashes", m_crashes.crashCount(request.fingerprint, now)}});
 }
 
 Task<> Forwarder::refuse(Request &request, const Error &error, unsigned status)
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -70,6 +70,13 @@
 private:
     struct Request;
     struct Cancellation;
+    // What may identify the cause if the endpoint has crashed. The request itself may have ended when that is known.
+    struct InterruptedRequest {
+        std::string id;
+        Fingerprint fingerprint;
+        std::vector<PromptPartId> sharedParts; // of its prompt, which other requests may have as well
+        uint64_t events = 0; // of its stream that were received
+    };
 
     Task<> serve(Request &request);
     Task<> waitForConfiguration(Request &request);
@@ -81,7 +88,8 @@
     Task<bool> confirmIncarnation(Request &request, const EndpointChoice &choice, EndpointConnection &connection);
     Task<AttemptEnd> exchange(Request &request, const EndpointChoice &choice, EndpointConnection &connection, bool &reusable);
     Task<bool> processEnded(std::string address);
-    Task<> checkForCrash(std::string id, Fingerprint fingerprint, EndpointChoice choice);
+    static InterruptedRequest interruptedRequest(const Request &request);
+    Task<> checkForCrash(InterruptedRequest request, EndpointChoice choice);
     void recordAdvice(const Request &request, const EndpointChoice &choice, const struct EndpointAnswer &answer);
     bool refuseIfPaused(Request &request);
     Task<bool> readNextHead(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
