--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -260,6 +260,43 @@
     BOOST_TEST(status == 200);
 }
 
+// Guards against the incident BUDGET: a part of the prompt crashes every runner, and no two requests with it are alike. Sound
+// requests have the same first part.
+BOOST_AUTO_TEST_CASE(promptPartThatCrashesRunnersIsRefusedByAllRoutersAfterTheThird)
+{
+    Fleet fleet("faults-part", FirstPort + 1300);
+    startHosts(fleet, {1, 2});
+    const std::vector<int> runners{1, 2, 3, 4, 5, 6};
+    for (const int n : runners)
+        fleet.startRunner(n, "plain", "");
+    BOOST_REQUIRE(configure(fleet, {1, 2}));
+    BOOST_REQUIRE(fleet.waitForEndpoints({1, 2}, runners.size()));
+    const auto alive = [&] {
+        return std::count_if(runners.begin(), runners.end(), [&](int n) { return fleet.running("runner-" + std::to_string(n)); });
+    };
+    const auto send = [&](int entry, const std::string &id, const std::string &part) {
+        const httplib::Headers headers{{"X-Prefix-Hash", fmt::format("aa:800,{}:400,{:x}:20", part, std::hash<std::string>()(id))}};
+        const httplib::Result result = fleet.sendRequest(entry, "/u/" + id, id, "", headers);
+        BOOST_REQUIRE(result);
+        return result->status;
+    };
+    for (const int entry : {1, 2})
+        BOOST_TEST(send(entry, fmt::format("before-{}", entry), "bb") == 200);
+    for (int n = 0; n < 3; ++n) {
+        BOOST_TEST(send(1 + n % 2, fmt::format("crash-{}", n), "dead") == 502);
+        std::this_thread::sleep_for(ProcessEndTime);
+    }
+    BOOST_TEST(alive() == 3);
+    std::this_thread::sleep_for(CrashReportSyncTime);
+    for (int n = 3; n < 7; ++n)
+        BOOST_TEST(send(1 + n % 2, fmt::format("crash-{}", n), "dead") == 503);
+    for (const int entry : {1, 2}) {
+        BOOST_TEST(send(entry, fmt::format("after-{}", entry), "bb") == 200);
+        BOOST_TEST(send(entry, fmt::format("other-{}", entry), "cc") == 200);
+    }
+    BOOST_TEST(alive() == 3);
+}
+
 // A request crashes every runner that executes it. Its caller sends it to two routers in turn, with more attempts in total
 // than there are endpoints.
 BOOST_AUTO_TEST_CASE(requestThatCrashesRunnersIsRefusedByAllRoutersAfterTheThird)
--- a/tests/standin/runner_main.cpp
+++ b/tests/standin/runner_main.cpp
@@ -1,8 +1,8 @@
 // Simulated runner of the platform for tests: implements the platform's HTTP API, holds models, executes orders and sends
 // heartbeats with its address. The path of a request selects the behaviour: /events/N/ streams N events, /pause/MS/ pauses
 // between them or before a plain answer, /cut/N/ cuts a plain answer off in the middle if this is runner N, /crash/ ends
-// the process. From a request with /leaving/N/ on, runner N states in all its answers that it is leaving, and to one with
-// /full/N/MS/ it answers that it wants no request for that time.
+// the process, and so does a part of the prompt with the id dead. From a request with /leaving/N/ on, runner N states in all its answers
+// that it is leaving, and to one with /full/N/MS/ it answers that it wants no request for that time.
 
 #include <atomic>
 #include <chrono>
@@ -25,6 +25,7 @@
 constexpr std::chrono::milliseconds LoadTime{200};
 constexpr double ModelMegabytes = 60;
 constexpr double CapacityMegabytes = 200;
+constexpr const char *CrashingPart = "dead:"; // id of a part of a prompt
 
 struct Options {
     std::string id;
@@ -213,7 +214,8 @@
             entry["path"] = request.path;
             entry["body"] = request.body;
         }
-        if (request.path.find("/crash/") != std::string::npos)
+        const bool crashingPart = request.get_header_value("X-Prefix-Hash").find(CrashingPart) != std::string::npos;
+        if (crashingPart || request.path.find("/crash/") != std::string::npos)
             std::_Exit(1);
         response.set_header("X-Server-Seal", "seal-" + id);
         response.set_header("X-Server-Load", "1,0,8");
