Refuse requests with a part of the prompt that crashes endpoints

Requests with one part in their prompts caused it, no two of them alike.

Now routers also share which parts of prompts the interrupted requests had that other requests may have as well. The part that most crashes have in common is refused from the third crash on, at all routers; the others only for crashes which it does not explain. A part with which a request was answered anywhere is not the cause, which protects those that sound requests use.

--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -43,8 +43,14 @@
     const auto sameReport = [](const pb::CrashReport &x, const pb::CrashReport &y) {
         return x.fingerprint() == y.fingerprint() && x.endpoint() == y.endpoint() && x.born_ms() == y.born_ms();
     };
+    const auto samePartCrash = [](const pb::PartCrash &x, const pb::PartCrash &y) {
+        return x.endpoint() == y.endpoint() && x.born_ms() == y.born_ms()
+            && std::equal(x.parts().begin(), x.parts().end(), y.parts().begin(), y.parts().end());
+    };
     return a.incarnation() == b.incarnation() && a.address() == b.address() && a.zone() == b.zone() && a.accepting() == b.accepting()
-        && std::equal(a.crashes().begin(), a.crashes().end(), b.crashes().begin(), b.crashes().end(), sameReport);
+        && std::equal(a.crashes().begin(), a.crashes().end(), b.crashes().begin(), b.crashes().end(), sameReport)
+        && std::equal(a.part_crashes().begin(), a.part_crashes().end(), b.part_crashes().begin(), b.part_crashes().end(), samePartCrash)
+        && std::equal(a.sound_parts().begin(), a.sound_parts().end(), b.sound_parts().begin(), b.sound_parts().end());
 }
 
 bool holdingsKnown(const LiveEndpoint &endpoint)
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -47,7 +47,7 @@
     , m_registry(HeartbeatTimeouts{EndpointLivenessTimeout, RouterLivenessTimeout}, monotonicNow())
     , m_balancer(settings.host.zone)
     , m_retries(settings.retryRatio, settings.retryWindow, settings.firstStart ? std::nullopt : std::optional(monotonicNow()))
-    , m_forwarder(io, codec, m_balancer, m_retries, m_crashes)
+    , m_forwarder(io, codec, m_balancer, m_retries, m_crashes, m_crashingParts)
     , m_callerServer(io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
     , m_readinessServer(io, [this](CallerConnection &caller) { return answerReady(caller); })
     , m_directoryServer(io, [this](CallerConnection &caller) { return answerResolve(caller); })
@@ -113,6 +113,7 @@
                                  {"retries", retries.used},
                                  {"retries_allowed", retries.allowed},
                                  {"crash_reports", m_crashes.reports(now).size()},
+                                 {"refused_prompt_parts", m_crashingParts.refused().size()},
                                  {"known", m_version}};
     return stateDump(process, m_registry, now);
 }
@@ -189,6 +190,7 @@
         *state.add_demands() = std::move(it);
     for (pb::CrashReport &it : m_crashes.reports(monotonicNow()))
         *state.add_crashes() = std::move(it);
+    m_crashingParts.addReports(state, monotonicNow());
     for (pb::LeavingReport &it : m_balancer.advice().leavingReports(monotonicNow()))
         *state.add_leaving() = std::move(it);
     request.set_epoch(m_epoch);
@@ -242,9 +244,24 @@
         return;
     m_balancer.update(m_registry);
     m_crashes.update(m_registry, m_settings.host.id);
+    updateCrashingParts(now);
     m_forwarder.wakeWaitingRequests();
 }
 
+void EntryApi::updateCrashingParts(Time now)
+{
+    const std::set<PromptPartId> before = m_crashingParts.refused();
+    m_crashingParts.update(m_registry, m_settings.host.id, now);
+    for (const PromptPartId it : m_crashingParts.refused()) {
+        if (before.count(it) == 0)
+            logEvent("prompt_part_refused", {{"part", fmt::format("{:x}", it.value())}, {"crashes", m_crashingParts.crashCount(it)}});
+    }
+    for (const PromptPartId it : before) {
+        if (m_crashingParts.refused().count(it) == 0)
+            logEvent("prompt_part_accepted", {{"part", fmt::format("{:x}", it.value())}, {"crashes", m_crashingParts.crashCount(it)}});
+    }
+}
+
 void EntryApi::addConfigurationPiece(const pb::ConfigurationPiece &piece)
 {
     const std::optional<pb::ConfigurationUpdate> update = m_configurationReceiver.add(piece);
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -33,6 +33,7 @@
     pb::SyncRequest buildSyncRequest();
     void applySync(const pb::SyncReply &reply);
     void applyConfiguration(const pb::WholeConfiguration &configuration);
+    void updateCrashingParts(Time now);
     void addConfigurationPiece(const pb::ConfigurationPiece &piece);
     void applyConfigurationDelta(const pb::ConfigurationDelta &delta);
     bool ready() const;
@@ -44,6 +45,7 @@
     Balancer m_balancer;
     RetryLimits m_retries;
     CrashWatch m_crashes;
+    CrashingParts m_crashingParts;
     Forwarder m_forwarder;
     HttpServer m_callerServer;
     HttpServer m_readinessServer;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -70,12 +70,14 @@
 
 } // namespace
 
-Forwarder::Forwarder(net::io_context &io, const PlatformCodec &codec, Balancer &balancer, RetryLimits &retries, CrashWatch &crashes)
+Forwarder::Forwarder(net::io_context &io, const PlatformCodec &codec, Balancer &balancer, RetryLimits &retries, CrashWatch &crashes,
+                     CrashingParts &crashingParts)
     : m_io(io)
     , m_codec(codec)
     , m_balancer(balancer)
     , m_retries(retries)
     , m_crashes(crashes)
+    , m_crashingParts(crashingParts)
     , m_pool(io)
     , m_bufferQuota(MaxBufferedBytes)
     , m_streamVersions(StreamVersionRetention, MaxStreamVersions)
@@ -178,6 +180,7 @@
     request.requirements.prompt = request.metadata.prompt;
     request.requirements.promptTokens = request.metadata.promptTokens;
     request.fingerprint = fingerprintOf(request.caller.request(), request.metadata);
+    request.sharedParts = sharedParts(request.metadata);
     request.progress.retryPolicy = route.retryPolicy;
     request.progress.maxRuns = route.attempts;
     m_retries.requestStarted(request.requirements.service, monotonicNow());
@@ -228,8 +231,10 @@
         request.cause = "this host is stopping; another host can serve the request";
         co_return std::nullopt;
     }
-    if (m_crashes.shouldRefuse(request.fingerprint, monotonicNow())) {
-        request.cause = "endpoints crashed while they ran this request";
+    const bool crashingPart = m_crashingParts.shouldRefuse(request.sharedParts);
+    if (crashingPart || m_crashes.shouldRefuse(request.fingerprint, monotonicNow())) {
+        request.cause = crashingPart ? "endpoints crashed while they ran requests with a part of this prompt"
+                                     : "endpoints crashed while they ran this request";
         request.refusalKind = ErrorKind::Quarantined;
         request.retryDelay = QuarantineDuration;
         co_return std::nullopt;
@@ -363,6 +368,8 @@
         --request.progress.runs;
     if (end == AttemptEnd::Completed)
         m_crashes.recordAnswer(request.fingerprint);
+    if (end == AttemptEnd::Completed && request.status / 100 == 2)
+        m_crashingParts.recordAnswer(request.sharedParts, monotonicNow());
     if (end == AttemptEnd::Interrupted && !request.cancellation->cancelled()) {
         const bool crashedBefore = m_crashes.crashCount(request.fingerprint, monotonicNow()) > 0;
         Task<> crashCheck = checkForCrash(interruptedRequest(request), choice);
@@ -432,7 +439,7 @@
 
 Forwarder::InterruptedRequest Forwarder::interruptedRequest(const Request &request)
 {
-    return InterruptedRequest{request.metadata.id, request.fingerprint, sharedParts(request.metadata), request.eventRelay.events()};
+    return InterruptedRequest{request.metadata.id, request.fingerprint, request.sharedParts, request.eventRelay.events()};
 }
 
 // Checks whether the endpoint of an interrupted attempt has crashed, and records that its request may be the cause.
@@ -441,6 +448,7 @@
     if (!co_await processEnded(choice.address))
         co_return;
     const Time now = monotonicNow();
+    m_crashingParts.recordCrash(request.sharedParts, request.events, choice.endpoint, choice.startedAtMs, now);
     if (!m_crashes.recordCrash(request.fingerprint, choice.endpoint, choice.startedAtMs, now))
         co_return;
     logEvent("endpoint_crashed",
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -3,6 +3,7 @@
 
 #include "coordination/balancer.h"
 #include "coordination/bufferquota.h"
+#include "coordination/crashingparts.h"
 #include "coordination/crashwatch.h"
 #include "coordination/retry.h"
 #include "coordination/retrywindow.h"
@@ -17,7 +18,8 @@
 class Forwarder
 {
 public:
-    Forwarder(net::io_context &io, const PlatformCodec &codec, Balancer &balancer, RetryLimits &retries, CrashWatch &crashes);
+    Forwarder(net::io_context &io, const PlatformCodec &codec, Balancer &balancer, RetryLimits &retries, CrashWatch &crashes,
+              CrashingParts &crashingParts);
 
     // Sets a new configuration. Requests in progress keep theirs.
     void setTable(std::shared_ptr<const RouteTable> table)
@@ -114,6 +116,7 @@
     Balancer &m_balancer;
     RetryLimits &m_retries;
     CrashWatch &m_crashes;
+    CrashingParts &m_crashingParts;
     EndpointPool m_pool;
     std::shared_ptr<const RouteTable> m_table;
     std::function<void()> m_onWait;
--- a/src/transport/forwarderrequest.h
+++ b/src/transport/forwarderrequest.h
@@ -55,6 +55,7 @@
     const Route *route = nullptr;
     RequestMetadata metadata;
     Fingerprint fingerprint;
+    std::vector<PromptPartId> sharedParts; // of the prompt, which other requests may have as well
     EndpointRequirements requirements;
     SoftwareVersion software; // of the endpoint that began the answer
     Time deadline{};
--- /dev/null
+++ b/tests/crashingparts_test.cpp
@@ -0,0 +1,200 @@
+// Tests of how routers find the part of prompts that crashes endpoints: it is refused after few crashes, and parts of sound
+// requests are not, although these are interrupted by the same crashes. The tests use no network and no clock.
+#define BOOST_TEST_MODULE crashingparts
+#include "coordination/crashingparts.h"
+#include "state/tunables.h"
+
+#include <boost/test/included/unit_test.hpp>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace roserail;
+using namespace roserail::tunables;
+
+namespace
+{
+
+const Time Start(Millis(1000000));
+const PromptPartId Common(1); // first part of all prompts
+const PromptPartId Crashing(2);
+const PromptPartId Rare(3); // of sound requests that no router has answered yet
+
+using Parts = std::vector<PromptPartId>;
+
+// Routers that exchange their states.
+struct Routers {
+    explicit Routers(size_t n)
+        : watches(n)
+        , registries(n, Registry(HeartbeatTimeouts{EndpointLivenessTimeout, RouterLivenessTimeout}, Start))
+    {
+    }
+    void exchange(Time now)
+    {
+        for (size_t from = 0; from < watches.size(); ++from) {
+            pb::RouterState state;
+            state.set_router(std::to_string(from));
+            state.set_incarnation(1);
+            state.set_sequence(++sequence);
+            watches[from].addReports(state, now);
+            for (Registry &it : registries)
+                it.merge(state, now);
+        }
+        for (size_t n = 0; n < watches.size(); ++n)
+            watches[n].update(registries[n], std::to_string(n), now);
+    }
+    size_t refusing(const Parts &parts) const
+    {
+        return size_t(std::count_if(watches.begin(), watches.end(), [&](const CrashingParts &it) { return it.shouldRefuse(parts); }));
+    }
+    void restart(size_t n)
+    {
+        watches[n] = CrashingParts();
+    }
+    std::vector<CrashingParts> watches;
+    std::vector<Registry> registries;
+    uint64_t sequence = 0;
+};
+
+} // namespace
+
+// Guards against the incident BUDGET.
+BOOST_AUTO_TEST_CASE(partThatCrashesThreeEndpointsIsRefusedByAllRouters)
+{
+    Routers routers(3);
+    for (CrashingParts &it : routers.watches)
+        it.recordAnswer({Common}, Start);
+    for (size_t n = 0; n < 3; ++n) {
+        BOOST_TEST(routers.refusing({Crashing}) == 0u);
+        routers.watches[n].recordCrash({Common, Crashing}, 0, "e" + std::to_string(n), 1, Start);
+        routers.exchange(Start);
+    }
+    BOOST_TEST(routers.refusing({Common, Crashing}) == 3u);
+    BOOST_TEST(routers.refusing({Common, Rare}) == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(sameEndpointProcessCountsOnce)
+{
+    Routers routers(2);
+    for (int n = 0; n < 4; ++n)
+        routers.watches[size_t(n) % 2].recordCrash({Crashing}, 0, "e", 1, Start);
+    routers.watches[0].recordCrash({Crashing}, 0, "e", 2, Start); // restarted
+    routers.exchange(Start);
+    BOOST_TEST(routers.refusing({Crashing}) == 0u);
+    routers.watches[1].recordCrash({Crashing}, 0, "e", 3, Start);
+    routers.exchange(Start);
+    BOOST_TEST(routers.refusing({Crashing}) == 2u);
+}
+
+// All routers but one have restarted and know of no sound part: the first part is in every crash.
+BOOST_AUTO_TEST_CASE(partThatOneRouterHasAnsweredIsNotRefused)
+{
+    Routers routers(3);
+    routers.watches[2].recordAnswer({Common}, Start);
+    for (size_t n = 0; n < 4; ++n)
+        routers.watches[n % 2].recordCrash({Common, Crashing}, 0, "e" + std::to_string(n), 1, Start);
+    routers.exchange(Start);
+    routers.exchange(Start);
+    BOOST_TEST(routers.refusing({Crashing}) == 3u);
+    BOOST_TEST(routers.refusing({Common}) == 0u);
+    // A router that restarts learns it again.
+    routers.restart(0);
+    routers.exchange(Start);
+    BOOST_TEST(routers.refusing({Common}) == 0u);
+}
+
+// No router knows the first part. A sound request that was running is answered: the part is accepted from then on.
+BOOST_AUTO_TEST_CASE(answerEndsTheRefusalOfASoundPart)
+{
+    Routers routers(2);
+    for (size_t n = 0; n < 3; ++n)
+        routers.watches[n % 2].recordCrash({Common, Crashing}, 0, "e" + std::to_string(n), 1, Start);
+    routers.exchange(Start);
+    BOOST_TEST(routers.refusing({Common}) == 2u);
+    routers.watches[1].recordAnswer({Common, Rare}, Start);
+    BOOST_TEST(!routers.watches[1].shouldRefuse({Common}));
+    routers.exchange(Start);
+    BOOST_TEST(routers.refusing({Common}) == 0u);
+    BOOST_TEST(routers.refusing({Crashing}) == 2u);
+}
+
+// A part of sound requests is interrupted in three crashes, which another part explains: five crashes have that in common.
+BOOST_AUTO_TEST_CASE(partInFewerCrashesThanTheCauseIsNotRefused)
+{
+    Routers routers(2);
+    for (size_t n = 0; n < 5; ++n) {
+        const std::string endpoint = "e" + std::to_string(n);
+        routers.watches[0].recordCrash({Crashing}, 0, endpoint, 1, Start);
+        if (n < 3)
+            routers.watches[1].recordCrash({Rare}, 0, endpoint, 1, Start);
+    }
+    routers.exchange(Start);
+    BOOST_TEST(routers.refusing({Crashing}) == 2u);
+    BOOST_TEST(routers.refusing({Rare}) == 0u);
+}
+
+// An endpoint that crashes does so when it begins to answer the request.
+BOOST_AUTO_TEST_CASE(requestThatHasBroughtManyEventsIsNoSuspect)
+{
+    CrashingParts watch;
+    for (int n = 0; n < 5; ++n)
+        watch.recordCrash({Rare}, 20, "e" + std::to_string(n), 1, Start);
+    BOOST_TEST(!watch.shouldRefuse({Rare}));
+}
+
+BOOST_AUTO_TEST_CASE(refusalEndsWithTheReports)
+{
+    Routers routers(2);
+    for (int n = 0; n < 3; ++n)
+        routers.watches[0].recordCrash({Crashing}, 0, "e" + std::to_string(n), 1, Start);
+    routers.exchange(Start + QuarantineDuration - Millis(1));
+    BOOST_TEST(routers.refusing({Crashing}) == 2u);
+    routers.exchange(Start + QuarantineDuration);
+    BOOST_TEST(routers.refusing({Crashing}) == 0u);
+}
+
+// Guards against messages that grow without bound when many endpoints crash with many requests.
+BOOST_AUTO_TEST_CASE(reportsAreBounded)
+{
+    BOOST_TEST(rc::check([](const std::vector<uint16_t> &parts, uint8_t endpoints) {
+        CrashingParts watch;
+        for (const uint16_t it : parts) {
+            for (int n = 0; n < endpoints; ++n)
+                watch.recordCrash({PromptPartId(it)}, 0, "e" + std::to_string(n), 1, Start);
+        }
+        pb::RouterState state;
+        watch.addReports(state, Start);
+        RC_ASSERT(state.ByteSizeLong() < 8000u);
+    }));
+}
+
+// Load pattern: ten routers, twelve engines with a batch of requests each. One request in ten has the part that crashes, and is
+// sent to any router; the others share the first part, and some have a part of their own that later requests repeat.
+BOOST_AUTO_TEST_CASE(causeIsFoundAmongTheRequestsOfWholeBatches)
+{
+    BOOST_TEST(rc::check([](uint64_t seed) {
+        std::mt19937_64 random(seed);
+        Routers routers(10);
+        routers.watches[random() % 10].recordAnswer({Common}, Start);
+        size_t crashesOfTheCause = 0;
+        uint64_t nextSession = 100;
+        for (uint64_t crash = 0; crash < 12; ++crash) {
+            const Time now = Start + Millis(int64_t(crash) * 700);
+            if (routers.refusing({Crashing}) == routers.watches.size())
+                break;
+            ++crashesOfTheCause;
+            // Sound requests that end between the crashes.
+            for (int n = 0; n < 10; ++n)
+                routers.watches[random() % 10].recordAnswer({Common, PromptPartId(100 + random() % 60)}, now);
+            const std::string endpoint = "e" + std::to_string(crash % 12);
+            routers.watches[random() % 10].recordCrash({Common, Crashing}, 0, endpoint, 1 + crash / 12, now);
+            for (int n = 0; n < 30; ++n) {
+                nextSession += random() % 4 == 0 ? 1 : 0;
+                const PromptPartId session(100 + (nextSession + random() % 60) % 160);
+                routers.watches[random() % 10].recordCrash({Common, session}, random() % 12, endpoint, 1 + crash / 12, now);
+            }
+            routers.exchange(now);
+        }
+        RC_ASSERT(crashesOfTheCause <= 4u);
+        RC_ASSERT(routers.refusing({Common}) == 0u);
+    }));
+}
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -84,7 +84,8 @@
     Balancer m_balancer{"z"};
     RetryLimits m_retries{0.2, Millis(10000), std::nullopt};
     CrashWatch m_crashes;
-    Forwarder m_forwarder{m_io, platform::codec(), m_balancer, m_retries, m_crashes};
+    CrashingParts m_crashingParts;
+    Forwarder m_forwarder{m_io, platform::codec(), m_balancer, m_retries, m_crashes, m_crashingParts};
     HttpServer m_server;
     std::thread m_thread;
 };
