--- a/src/coordination/crashingparts.cpp
+++ b/src/coordination/crashingparts.cpp
@@ -21,9 +21,14 @@
 
 } // namespace
 
+bool CrashingParts::answeredHere(PromptPartId part) const
+{
+    return m_sound.count(part.value()) != 0 || m_soundBefore.count(part.value()) != 0;
+}
+
 bool CrashingParts::isSound(PromptPartId part) const
 {
-    return m_sound.count(part.value()) != 0 || m_soundBefore.count(part.value()) != 0 || m_soundElsewhere.count(part) != 0;
+    return answeredHere(part) || m_soundElsewhere.count(part) != 0;
 }
 
 void CrashingParts::rememberSound(PromptPartId part)
@@ -104,8 +109,7 @@
                            [part](const std::pair<PromptPartId, Time> &it) { return it.first == part; });
     };
     for (const std::pair<const PromptPartId, std::set<EndpointIncarnation>> &it : m_otherReports) {
-        const bool answeredHere = m_sound.count(it.first.value()) != 0 || m_soundBefore.count(it.first.value()) != 0;
-        if (answeredHere && !reported(it.first))
+        if (answeredHere(it.first) && !reported(it.first))
             reportSound(it.first, now);
     }
     expire(now);
--- a/src/coordination/crashingparts.h
+++ b/src/coordination/crashingparts.h
@@ -50,6 +50,7 @@
         Time until{};
     };
 
+    bool answeredHere(PromptPartId part) const;
     bool isSound(PromptPartId part) const;
     void rememberSound(PromptPartId part);
     void reportSound(PromptPartId part, Time now);
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -108,6 +108,7 @@
         if (machine.configuration().version() > known)
             m_table.mergeConfiguration(machine.configuration());
     });
+    // The status was read first: the configuration is at least as new.
     m_table.confirmByLog(status.currentAt);
     logIsolation(status, now);
     if (m_bootstrapView.mayFound && status.clusterId == 0)
