--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -796,8 +796,8 @@
 enum class CutReplica { Leader, Voter, Spare };
 std::ostream &operator<<(std::ostream &os, CutReplica replica)
 {
-    constexpr const char *Names[] = {"leader", "voter", "spare"};
-    return os << Names[size_t(replica)];
+    constexpr const char *names[] = {"leader", "voter", "spare"};
+    return os << names[size_t(replica)];
 }
 
 // Guards against the incident CONFIG: a spare that was cut off believed in its leader for good, so that its host never
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -352,7 +352,7 @@
 // Guards against the incident CONFIG: the reply took longer than the time limit of a poll, and was then requested again whole.
 BOOST_AUTO_TEST_CASE(replyOfALargeChangeArrivesWithinHalfOfThePollsTimeLimit)
 {
-    constexpr double BytesPerMs = 100e6 / 8 / 1000 / 60; // for each of the routers
+    constexpr double bytesPerMs = 100e6 / 8 / 1000 / 60; // for each of the routers
     ConfigurationHistory history;
     history.merge(configuration(1, manyRoutes(20, "25000")));
     history.merge(configuration(2, manyRoutes(1420, "25000")));
@@ -360,7 +360,7 @@
         pb::SyncReply reply;
         const pb::ConfigurationProgress progress;
         addConfiguration(history, known, &progress, reply);
-        BOOST_TEST(double(reply.ByteSizeLong()) / BytesPerMs < double(SyncTimeout.count()) / 2);
+        BOOST_TEST(double(reply.ByteSizeLong()) / bytesPerMs < double(SyncTimeout.count()) / 2);
     }
 }
 
