Routers repeat each other's reports of refused prompt parts

When all hosts were stopped and started in turn, a part of prompts that crashes endpoints was accepted again: the reports of its crashes are part of a router's state, and ended with the process that had seen the crash.

Now a router that refuses a part repeats the reports on it, with the time of each crash, so that they expire when they did before.

--- a/src/coordination/crashingparts.cpp
+++ b/src/coordination/crashingparts.cpp
@@ -21,14 +21,9 @@
 
 } // namespace
 
-bool CrashingParts::answeredHere(PromptPartId part) const
-{
-    return m_sound.count(part.value()) != 0 || m_soundBefore.count(part.value()) != 0;
-}
-
 bool CrashingParts::isSound(PromptPartId part) const
 {
-    return answeredHere(part) || m_soundElsewhere.count(part) != 0;
+    return m_sound.count(part.value()) != 0 || m_soundBefore.count(part.value()) != 0;
 }
 
 void CrashingParts::rememberSound(PromptPartId part)
@@ -42,7 +37,10 @@
 
 void CrashingParts::reportSound(PromptPartId part, Time now)
 {
-    std::erase_if(m_soundReports, [part](const std::pair<PromptPartId, Time> &it) { return it.first == part; });
+    const auto reported = std::find_if(m_soundReports.begin(), m_soundReports.end(),
+                                       [part](const std::pair<PromptPartId, Time> &it) { return it.first == part; });
+    if (reported != m_soundReports.end())
+        return;
     m_soundReports.emplace_back(part, now + QuarantineDuration);
     if (m_soundReports.size() > MaxSoundReports)
         m_soundReports.pop_front();
@@ -56,80 +54,117 @@
         std::copy_if(parts.begin(), parts.end(), std::inserter(suspects, suspects.end()), [this](PromptPartId it) { return !isSound(it); });
     if (suspects.empty())
         return;
-    const EndpointIncarnation incarnation(endpoint, startedAtMs);
-    auto report
-        = std::find_if(m_ownReports.begin(), m_ownReports.end(), [&](const OwnReport &it) { return it.incarnation == incarnation; });
+    addOwn(EndpointIncarnation(endpoint, startedAtMs), suspects, now);
+    evaluate();
+}
+
+void CrashingParts::addOwn(const EndpointIncarnation &incarnation, const std::set<PromptPartId> &parts, Time at)
+{
+    auto report = std::find_if(m_ownReports.begin(), m_ownReports.end(), [&](const Crash &it) { return it.incarnation == incarnation; });
     if (report == m_ownReports.end()) {
-        m_ownReports.push_back(OwnReport{incarnation, {}, now + QuarantineDuration});
+        m_ownReports.push_back(Crash{incarnation, {}, at});
         if (m_ownReports.size() > MaxCrashes)
             m_ownReports.pop_front();
         report = std::prev(m_ownReports.end());
     }
-    for (const PromptPartId it : suspects) {
+    for (const PromptPartId it : parts) {
         if (report->parts.size() < MaxPartsPerCrash)
             report->parts.insert(it);
     }
-    evaluate();
 }
 
 void CrashingParts::recordAnswer(const std::vector<PromptPartId> &parts, Time now)
 {
-    bool suspected = false;
+    const Evidence suspected = evidence();
+    bool changed = false;
     for (const PromptPartId part : parts) {
         if (m_sound.count(part.value()) != 0)
             continue;
         rememberSound(part);
-        if (m_otherReports.count(part) != 0)
-            reportSound(part, now);
-        for (OwnReport &it : m_ownReports)
-            suspected = it.parts.erase(part) != 0 || suspected;
-        suspected = suspected || m_otherReports.count(part) != 0;
+        if (suspected.count(part) == 0)
+            continue;
+        reportSound(part, now);
+        changed = true;
     }
-    std::erase_if(m_ownReports, [](const OwnReport &it) { return it.parts.empty(); });
-    if (suspected)
-        evaluate();
+    if (!changed)
+        return;
+    dropSoundParts();
+    evaluate();
+}
+
+void CrashingParts::dropSoundParts()
+{
+    for (Crash &it : m_ownReports)
+        std::erase_if(it.parts, [this](PromptPartId part) { return isSound(part); });
+    std::erase_if(m_ownReports, [](const Crash &it) { return it.parts.empty(); });
 }
 
 void CrashingParts::update(const Registry &registry, const std::string &self, Time now)
 {
     m_otherReports.clear();
-    m_soundElsewhere.clear();
     for (const std::pair<const std::string, LiveRouter> &it : registry.routers()) {
         if (it.first == self)
             continue;
-        for (const pb::PartCrash &crash : it.second.state.part_crashes()) {
-            for (const uint64_t part : crash.parts())
-                m_otherReports[PromptPartId(part)].emplace(crash.endpoint(), crash.born_ms());
+        for (const pb::PartCrash &crash : it.second.state.part_crashes())
+            addOther(crash, it.second.lastSeenAt);
+        for (const uint64_t part : it.second.state.sound_parts()) {
+            if (!isSound(PromptPartId(part)))
+                rememberSound(PromptPartId(part));
         }
-        for (const uint64_t part : it.second.state.sound_parts())
-            m_soundElsewhere.emplace(part);
     }
-    const auto reported = [this](PromptPartId part) {
-        return std::any_of(m_soundReports.begin(), m_soundReports.end(),
-                           [part](const std::pair<PromptPartId, Time> &it) { return it.first == part; });
-    };
-    for (const std::pair<const PromptPartId, std::set<EndpointIncarnation>> &it : m_otherReports) {
-        if (answeredHere(it.first) && !reported(it.first))
-            reportSound(it.first, now);
+    for (const std::pair<const EndpointIncarnation, Crash> &crash : m_otherReports) {
+        for (const PromptPartId part : crash.second.parts) {
+            if (isSound(part))
+                reportSound(part, now);
+        }
     }
+    dropSoundParts();
     expire(now);
     evaluate();
+    adoptReports();
+}
+
+void CrashingParts::addOther(const pb::PartCrash &report, Time sentAt)
+{
+    const EndpointIncarnation incarnation(report.endpoint(), report.born_ms());
+    Crash &crash = m_otherReports.emplace(incarnation, Crash{incarnation, {}, sentAt - Millis(report.age_ms())}).first->second;
+    for (const uint64_t part : report.parts())
+        crash.parts.emplace(part);
+}
+
+void CrashingParts::adoptReports()
+{
+    for (const std::pair<const EndpointIncarnation, Crash> &it : m_otherReports) {
+        std::set<PromptPartId> parts;
+        std::set_intersection(it.second.parts.begin(), it.second.parts.end(), m_refused.begin(), m_refused.end(),
+                              std::inserter(parts, parts.end()));
+        if (!parts.empty())
+            addOwn(it.first, parts, it.second.at);
+    }
 }
 
 void CrashingParts::expire(Time now)
 {
-    std::erase_if(m_ownReports, [now](const OwnReport &it) { return now >= it.until; });
+    const auto expired = [now](Time at) {
+        return now >= at + QuarantineDuration;
+    };
+    std::erase_if(m_ownReports, [&](const Crash &it) { return expired(it.at); });
+    std::erase_if(m_otherReports, [&](const std::pair<const EndpointIncarnation, Crash> &it) { return expired(it.second.at); });
     std::erase_if(m_soundReports, [now](const std::pair<PromptPartId, Time> &it) { return now >= it.second; });
 }
 
 CrashingParts::Evidence CrashingParts::evidence() const
 {
-    Evidence result = m_otherReports;
-    for (const OwnReport &report : m_ownReports) {
-        for (const PromptPartId part : report.parts)
-            result[part].insert(report.incarnation);
-    }
-    std::erase_if(result, [this](const Evidence::value_type &it) { return isSound(it.first); });
+    Evidence result;
+    const auto add = [&](const Crash &crash) {
+        for (const PromptPartId part : crash.parts) {
+            if (!isSound(part))
+                result[part].insert(crash.incarnation);
+        }
+    };
+    for (const std::pair<const EndpointIncarnation, Crash> &it : m_otherReports)
+        add(it.second);
+    std::for_each(m_ownReports.begin(), m_ownReports.end(), add);
     return result;
 }
 
@@ -173,10 +208,11 @@
 void CrashingParts::addReports(pb::RouterState &state, Time now)
 {
     expire(now);
-    for (const OwnReport &it : m_ownReports) {
+    for (const Crash &it : m_ownReports) {
         pb::PartCrash &crash = *state.add_part_crashes();
         crash.set_endpoint(it.incarnation.first);
         crash.set_born_ms(it.incarnation.second);
+        crash.set_age_ms(uint64_t(std::max<int64_t>(0, (now - it.at).count())));
         for (const PromptPartId part : it.parts)
             crash.add_parts(part.value());
     }
--- a/src/coordination/crashingparts.h
+++ b/src/coordination/crashingparts.h
@@ -3,7 +3,8 @@
 // Load pattern: a part of the prompt crashes every endpoint that begins to answer a request with it. No two of these requests
 // are alike, they reach any router, and they share their other parts with sound requests, of which an endpoint that crashes
 // interrupts dozens. A part is refused after RefusalCrashThreshold crashes of different endpoint processes that no other part
-// explains better. A part with which a request was answered is not the cause, and routers tell each other of such parts.
+// explains better. A part with which a request was answered is not the cause, and routers tell each other of such parts. They
+// also repeat each other's reports of refused parts, so that these outlive the router that saw the crash.
 #pragma once
 
 #include "coordination/registry.h"
@@ -44,13 +45,18 @@
 private:
     using EndpointIncarnation = std::pair<std::string, uint64_t>; // endpoint id and start time of its process
     using Evidence = std::map<PromptPartId, std::set<EndpointIncarnation>>;
-    struct OwnReport {
+    struct Crash {
         EndpointIncarnation incarnation;
         std::set<PromptPartId> parts;
-        Time until{};
+        Time at{};
     };
 
-    bool answeredHere(PromptPartId part) const;
+    void addOwn(const EndpointIncarnation &incarnation, const std::set<PromptPartId> &parts, Time at);
+    void addOther(const pb::PartCrash &report, Time sentAt);
+    // Repeats the reports of refused parts that other routers have sent.
+    void adoptReports();
+    // Drops reports of parts that are sound.
+    void dropSoundParts();
     bool isSound(PromptPartId part) const;
     void rememberSound(PromptPartId part);
     void reportSound(PromptPartId part, Time now);
@@ -59,11 +65,10 @@
     // Determines the refused parts from all reports.
     void evaluate();
 
-    std::deque<OwnReport> m_ownReports; // oldest first
-    Evidence m_otherReports;
-    std::set<PromptPartId> m_soundElsewhere; // reported by other routers
+    std::deque<Crash> m_ownReports; // oldest first
+    std::map<EndpointIncarnation, Crash> m_otherReports;
     std::deque<std::pair<PromptPartId, Time>> m_soundReports; // suspected elsewhere and answered here, until when; oldest first
-    // Parts of requests that were answered here. When the newer set is full, the older one is dropped.
+    // Parts of requests that were answered, here or as other routers have reported. When the newer set is full, the older one is dropped.
     std::unordered_set<uint64_t> m_sound;
     std::unordered_set<uint64_t> m_soundBefore;
     std::set<PromptPartId> m_refused;
--- a/tests/crashingparts_test.cpp
+++ b/tests/crashingparts_test.cpp
@@ -102,6 +102,26 @@
     BOOST_TEST(routers.refusing({Common}) == 0u);
 }
 
+// All hosts are stopped and started in turn: each router that has reported a crash, or answered a request, ends.
+BOOST_AUTO_TEST_CASE(refusalSurvivesRestartsOfAllRoutersInTurn)
+{
+    Routers routers(4);
+    routers.watches[3].recordAnswer({Common}, Start);
+    for (size_t n = 0; n < 3; ++n)
+        routers.watches[n].recordCrash({Common, Crashing}, 0, "e" + std::to_string(n), 1, Start);
+    routers.exchange(Start);
+    routers.exchange(Start);
+    for (int round = 0; round < 2; ++round) {
+        for (size_t n = 0; n < routers.watches.size(); ++n) {
+            routers.restart(n);
+            routers.exchange(Start);
+            routers.exchange(Start);
+            BOOST_TEST(routers.refusing({Crashing}) == 4u);
+            BOOST_TEST(routers.refusing({Common}) == 0u);
+        }
+    }
+}
+
 // No router knows the first part. A sound request that was running is answered: the part is accepted from then on.
 BOOST_AUTO_TEST_CASE(answerEndsTheRefusalOfASoundPart)
 {
@@ -146,10 +166,15 @@
     Routers routers(2);
     for (int n = 0; n < 3; ++n)
         routers.watches[0].recordCrash({Crashing}, 0, "e" + std::to_string(n), 1, Start);
-    routers.exchange(Start + QuarantineDuration - Millis(1));
-    BOOST_TEST(routers.refusing({Crashing}) == 2u);
-    routers.exchange(Start + QuarantineDuration);
-    BOOST_TEST(routers.refusing({Crashing}) == 0u);
+    for (Time now = Start; now < Start + QuarantineDuration; now += Millis(10000)) {
+        routers.exchange(now);
+        BOOST_TEST(routers.refusing({Crashing}) == 2u);
+    }
+    // What a router has heard from another one does not prolong it.
+    for (Time now = Start + QuarantineDuration; now < Start + 3 * QuarantineDuration; now += Millis(10000)) {
+        routers.exchange(now);
+        BOOST_TEST(routers.refusing({Crashing}) == 0u);
+    }
 }
 
 // Guards against messages that grow without bound when many endpoints crash with many requests.
