Log every refused prompt part and every damaged update of the configuration

A refusal that the router's own third report caused had no log line, since only changes by reports of others were compared, and an update whose checksum differs was requested again without one. No decision changes.

--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -240,26 +240,29 @@
     m_synced = true;
     m_forwarder.recordSync(reply.version(), now, now - Millis(reply.state_age_ms()));
     m_forwarder.setOrdersAllowedAt(now + Millis(reply.orders_in_ms()));
+    logRefusedParts();
     if (m_registry.version() == previousVersion)
         return;
     m_balancer.update(m_registry);
     m_crashes.update(m_registry, m_settings.host.id);
-    updateCrashingParts(now);
+    m_crashingParts.update(m_registry, m_settings.host.id, now);
     m_forwarder.wakeWaitingRequests();
 }
 
-void EntryApi::updateCrashingParts(Time now)
+void EntryApi::logRefusedParts()
 {
-    const std::set<PromptPartId> before = m_crashingParts.refused();
-    m_crashingParts.update(m_registry, m_settings.host.id, now);
+    const auto log = [this](std::string_view event, PromptPartId part) {
+        logEvent(event, {{"part", fmt::format("{:x}", part.value())}, {"crashes", m_crashingParts.crashCount(part)}});
+    };
     for (const PromptPartId it : m_crashingParts.refused()) {
-        if (before.count(it) == 0)
-            logEvent("prompt_part_refused", {{"part", fmt::format("{:x}", it.value())}, {"crashes", m_crashingParts.crashCount(it)}});
+        if (m_loggedRefusedParts.count(it) == 0)
+            log("prompt_part_refused", it);
     }
-    for (const PromptPartId it : before) {
+    for (const PromptPartId it : m_loggedRefusedParts) {
         if (m_crashingParts.refused().count(it) == 0)
-            logEvent("prompt_part_accepted", {{"part", fmt::format("{:x}", it.value())}, {"crashes", m_crashingParts.crashCount(it)}});
+            log("prompt_part_accepted", it);
     }
+    m_loggedRefusedParts = m_crashingParts.refused();
 }
 
 void EntryApi::addConfigurationPiece(const pb::ConfigurationPiece &piece)
@@ -271,6 +274,8 @@
         applyConfigurationDelta(update->delta());
     else
         m_meshClient->wake(); // requests the next piece at once
+    if (!update && !m_configurationReceiver.receiving())
+        logEvent("configuration_update_damaged", {{"base", piece.base()}, {"version", piece.version()}, {"bytes", piece.size()}});
 }
 
 void EntryApi::applyConfigurationDelta(const pb::ConfigurationDelta &delta)
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -33,7 +33,7 @@
     pb::SyncRequest buildSyncRequest();
     void applySync(const pb::SyncReply &reply);
     void applyConfiguration(const pb::WholeConfiguration &configuration);
-    void updateCrashingParts(Time now);
+    void logRefusedParts();
     void addConfigurationPiece(const pb::ConfigurationPiece &piece);
     void applyConfigurationDelta(const pb::ConfigurationDelta &delta);
     bool ready() const;
@@ -46,6 +46,7 @@
     RetryLimits m_retries;
     CrashWatch m_crashes;
     CrashingParts m_crashingParts;
+    std::set<PromptPartId> m_loggedRefusedParts;
     Forwarder m_forwarder;
     HttpServer m_callerServer;
     HttpServer m_readinessServer;
