--- a/src/protocol/platformcodec.h
+++ b/src/protocol/platformcodec.h
@@ -70,6 +70,8 @@
     std::string signature; // of the endpoint; empty if the response has none
     bool leaving = false; // the endpoint states that it is about to stop
     std::optional<Millis> pause; // for which the endpoint wants no request from this host
+    std::optional<double> requestsPerSecond; // that the endpoint takes at most, from all routers together
+    std::optional<uint32_t> maxRefusals; // in a second, above which the endpoint ends; set: it is brittle
 };
 
 enum class OrderAction { Load, Unload };
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -80,6 +80,13 @@
         if (m_onReport)
             m_onReport();
     }
+    if (answer.metadata.requestsPerSecond || answer.metadata.maxRefusals)
+        logDecision("endpoint_capacity",
+                    {{"id", request.metadata.id},
+                     {"endpoint", choice.endpoint},
+                     {"born_ms", choice.startedAtMs},
+                     {"requests_per_s", answer.metadata.requestsPerSecond.value_or(-1)},
+                     {"max_refusals_per_s", answer.metadata.maxRefusals ? int64_t(*answer.metadata.maxRefusals) : -1}});
     if (!answer.metadata.pause)
         return;
     const Time until = advice.recordPause(choice.endpoint, choice.startedAtMs, *answer.metadata.pause, now);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -199,6 +199,35 @@
         BOOST_TEST(std::min<int64_t>(metadata.pause->count(), 1000000000) == row.pauseMs);
 }
 
+struct CapacityRow {
+    const char *limit;
+    const char *brittle;
+    std::optional<double> requestsPerSecond;
+    std::optional<uint32_t> maxRefusals;
+};
+std::ostream &operator<<(std::ostream &os, const CapacityRow &row)
+{
+    return os << "'" << row.limit << "' '" << row.brittle << "'";
+}
+const CapacityRow CapacityRows[] = {
+    {"", "", std::nullopt, std::nullopt},
+    {"1.8", "", 1.8, std::nullopt},
+    {"2", "3", 2.0, 3},
+    {"0", "0", 0.0, 0},
+    {"-1", "-1", std::nullopt, std::nullopt},
+    {"few", "very", std::nullopt, std::nullopt},
+    {"nan", "2.5", std::nullopt, std::nullopt},
+    {"inf", "", std::nullopt, std::nullopt},
+};
+BOOST_DATA_TEST_CASE(capacityOfEndpointsIsDecoded, bdata::make(CapacityRows), row)
+{
+    const ResponseMetadata metadata = Codec.responseMetadata(200, [&](std::string_view name) -> std::string_view {
+        return name == "Server-Limit" ? row.limit : name == "Server-Brittle" ? row.brittle : "";
+    });
+    BOOST_TEST((metadata.requestsPerSecond == row.requestsPerSecond));
+    BOOST_TEST((metadata.maxRefusals == row.maxRefusals));
+}
+
 struct CallRow {
     const char *method;
     const char *target;
