--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -233,6 +233,12 @@
     return begun;
 }
 
+std::vector<int64_t> Fleet::arrivals(int runner)
+{
+    const httplib::Result result = clientFor("127.0.0.1", m_firstPort + 40 + runner).Get("/arrivals");
+    return result ? Json::parse(result->body).get<std::vector<int64_t>>() : std::vector<int64_t>();
+}
+
 Json Fleet::orders(int runner)
 {
     const httplib::Result result = clientFor("127.0.0.1", m_firstPort + 40 + runner).Get("/orders");
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -49,6 +49,8 @@
     bool waitForOrders(int orderLeaseMs = 300);
     // Returns all orders that a runner received: holder, fencing token, time in ms.
     Json orders(int runner);
+    // Returns when requests of callers arrived at a runner, in ms of a steady clock.
+    std::vector<int64_t> arrivals(int runner);
     int entryPort(int n) const
     {
         return m_firstPort + 10 + n;
--- a/tests/standin/runner_main.cpp
+++ b/tests/standin/runner_main.cpp
@@ -2,15 +2,19 @@
 // heartbeats with its address. The path of a request selects the behaviour: /events/N/ streams N events, /pause/MS/ pauses
 // between them or before a plain answer, /cut/N/ cuts a plain answer off in the middle if this is runner N, /crash/ ends
 // the process, and so does a part of the prompt with the id dead. From a request with /leaving/N/ on, runner N states in all its answers
-// that it is leaving, and to one with /full/N/MS/ it answers that it wants no request for that time.
+// that it is leaving, and to one with /full/N/MS/ it answers that it wants no request for that time. From a request with
+// /limit/N/R/ on it names a limit of R thousandths of a request a second (0: none), and from one with /brittle/N/R/ on it
+// is brittle: it runs Slots requests at a time, refuses others, and ends if it refuses more than R in a second.
 
 #include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cxxopts.hpp>
+#include <deque>
 #include <fmt/format.h>
 #include <httplib.h>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -25,6 +29,8 @@
 constexpr std::chrono::milliseconds LoadTime{200};
 constexpr double ModelMegabytes = 60;
 constexpr double CapacityMegabytes = 200;
+constexpr int Slots = 8;
+constexpr std::chrono::seconds RefusalWindow{1};
 constexpr const char *CrashingPart = "dead:"; // id of a part of a prompt
 
 struct Options {
@@ -51,6 +57,7 @@
         m_server.Post("/api/order", [this](const httplib::Request &request, httplib::Response &response) { order(request, response); });
         m_server.Get("/api/report", [this](const httplib::Request &, httplib::Response &response) { report(response); });
         m_server.Get("/orders", [this](const httplib::Request &, httplib::Response &response) { orders(response); });
+        m_server.Get("/arrivals", [this](const httplib::Request &, httplib::Response &response) { arrivals(response); });
         m_server.Get("/seen", [this](const httplib::Request &, httplib::Response &response) { requestRecords(response); });
         m_server.Post(".*", [this](const httplib::Request &request, httplib::Response &response) { run(request, response); });
     }
@@ -80,7 +87,7 @@
                       {"address", fmt::format("127.0.0.1:{}", m_options.port)},
                       {"zone", "z1"},
                       {"version", "v1"},
-                      {"slots", 8},
+                      {"slots", Slots},
                       {"state", "ready"},
                       {"cold_remaining_ms", 0},
                       {"sequence", sequence},
@@ -172,6 +179,34 @@
         response.set_content(m_requestRecords.dump(), "application/json");
     }
 
+    // Returns when requests of callers arrived, those that were refused included, in ms of the steady clock.
+    void arrivals(httplib::Response &response)
+    {
+        const std::lock_guard lock(m_mutex);
+        response.set_content(m_arrivals.dump(), "application/json");
+    }
+
+    // Returns the second number of /KEY/N/NUMBER/ if this is runner N, else the fallback.
+    int ownPathNumber(const std::string &path, const std::string &key, int fallback) const
+    {
+        const std::string begin = fmt::format("/{}/{}/", key, m_options.id.substr(2));
+        const size_t at = path.find(begin);
+        return at == std::string::npos ? fallback : std::atoi(path.c_str() + at + begin.size());
+    }
+
+    // Refuses a request because all slots are taken. A brittle runner ends if it does so too often.
+    void refuse(httplib::Response &response)
+    {
+        const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+        m_refusals.push_back(now);
+        while (m_refusals.front() + RefusalWindow < now)
+            m_refusals.pop_front();
+        if (int(m_refusals.size()) > m_maxRefusals)
+            std::_Exit(1);
+        response.status = 503;
+        response.set_header("X-Not-Executed", "1");
+    }
+
     static int pathNumber(const std::string &path, const std::string &key, int fallback)
     {
         const size_t at = path.find("/" + key + "/");
@@ -182,6 +217,21 @@
     {
         const std::string id = request.get_header_value("X-Request-Id");
         response.set_header("X-Request-Id", id);
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch());
+            m_arrivals.push_back(now.count());
+            m_limit = ownPathNumber(request.path, "limit", m_limit);
+            m_maxRefusals = ownPathNumber(request.path, "brittle", m_maxRefusals);
+            if (m_limit > 0)
+                response.set_header("Server-Limit", fmt::format("{:.3f}", double(m_limit) / 1000));
+            if (m_maxRefusals >= 0)
+                response.set_header("Server-Brittle", std::to_string(m_maxRefusals));
+            if (m_maxRefusals >= 0 && m_running >= Slots)
+                return refuse(response);
+        }
+        ++m_running;
+        const std::unique_ptr<std::atomic<int>, void (*)(std::atomic<int> *)> running(&m_running, [](std::atomic<int> *it) { --*it; });
         if (m_options.id == fmt::format("i-{}", pathNumber(request.path, "leaving", 0)))
             m_leaving = true;
         if (m_leaving)
@@ -262,6 +312,11 @@
     std::set<std::string> m_copies;
     Json m_requestRecords = Json::object(); // by request id
     Json m_orders = Json::array();
+    Json m_arrivals = Json::array();
+    std::atomic<int> m_running{0}; // requests, up to the begin of a stream
+    int m_limit = 0; // thousandths of a request a second; 0: none
+    int m_maxRefusals = -1; // -1: it is not brittle
+    std::deque<std::chrono::steady_clock::time_point> m_refusals;
     uint64_t m_sequence = 0;
     bool m_busy = false;
     bool m_orderUnloads = false;
