Routers keep the limit that an endpoint names in sum

Callers: requests went on to engines in need at three times the rate that these had named, while other engines had room. The class: a bound over all hosts that each host sees only its own part of. Change: what endpoints say in answers is one mechanism for leaving and capacity. It reaches all routers with the endpoint's announcement. A few routers, selected by a hash, share the limit; requests use other endpoints, wait for their turn, or are refused at once with its time; the leader loads models of a limited engine elsewhere. Conclusion: the sum is bounded by arithmetic, not by the speed of messages.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -26,8 +26,9 @@
 
 } // namespace
 
-Balancer::Balancer(std::string zone)
+Balancer::Balancer(std::string zone, std::string self)
     : m_zone(std::move(zone))
+    , m_limitShare(std::move(self))
 {
 }
 
@@ -35,6 +36,12 @@
 {
     const uint64_t seen = m_seenVersion;
     m_seenVersion = registry.version();
+    std::vector<std::string> routers;
+    for (const std::pair<const std::string, LiveRouter> &it : registry.routers()) {
+        if (it.second.state.accepting())
+            routers.push_back(it.first);
+    }
+    m_limitShare.setRouters(std::move(routers));
     for (const std::pair<const std::string, LiveEndpoint> &it : registry.endpoints()) {
         if (std::max(it.second.version, it.second.holdingsVersion) <= seen)
             continue;
@@ -45,6 +52,7 @@
         }
         endpoint.announcement = it.second.announcement;
         endpoint.usable = it.second.usable();
+        updateCapacity(it.second);
         endpoint.copies = std::set<std::string>(it.second.announcement.on_disk().begin(), it.second.announcement.on_disk().end());
         endpoint.loading.clear();
         for (const pb::LoadingModel &model : it.second.holdings.loading())
@@ -60,6 +68,18 @@
     });
 }
 
+void Balancer::updateCapacity(const LiveEndpoint &endpoint)
+{
+    if (endpoint.capacityAt == Time())
+        return;
+    const std::string &id = endpoint.announcement.endpoint();
+    const uint64_t startedAtMs = endpoint.announcement.born_ms();
+    const bool limited = limit(id, startedAtMs).has_value();
+    m_advice.recordShared(id, startedAtMs, endpoint.capacity, endpoint.capacityAt);
+    if (!limited && endpoint.capacity.requestsPerSecond)
+        m_limitShare.recordSend(id, endpoint.capacityAt);
+}
+
 bool Balancer::hasUsableEndpoint(const EndpointRequirements &requirements) const
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const std::pair<const std::string, Endpoint> &it) {
@@ -109,28 +129,53 @@
     return endpoint.usable && !m_advice.leaving(endpoint.announcement.endpoint(), endpoint.announcement.born_ms());
 }
 
-bool Balancer::paused(const Endpoint &endpoint, Time now) const
+Time Balancer::acceptsFrom(const std::string &endpoint, uint64_t startedAtMs, Time now) const
 {
-    return now < m_advice.pausedUntil(endpoint.announcement.endpoint(), endpoint.announcement.born_ms());
+    const Time resumedAt = m_advice.pausedUntil(endpoint, startedAtMs);
+    const EndpointAdvice::KnownCapacity known = m_advice.capacity(endpoint, startedAtMs);
+    if (!known.capacity.requestsPerSecond)
+        return resumedAt;
+    const bool confirmed = now < known.toldAt + CapacityConfirmTime;
+    return std::max(resumedAt, m_limitShare.nextSendAt(endpoint, *known.capacity.requestsPerSecond, confirmed));
 }
 
 bool Balancer::accepts(const EndpointChoice &choice, Time now) const
 {
-    return !m_advice.leaving(choice.endpoint, choice.startedAtMs) && now >= m_advice.pausedUntil(choice.endpoint, choice.startedAtMs);
+    return !m_advice.leaving(choice.endpoint, choice.startedAtMs) && now >= acceptsFrom(choice.endpoint, choice.startedAtMs, now);
 }
 
-std::optional<Time> Balancer::pausedUntil(const EndpointRequirements &requirements, Time now) const
+std::optional<Restriction> Balancer::restriction(const EndpointRequirements &requirements, size_t waiting, Time now) const
 {
-    std::optional<Time> earliest;
+    std::vector<Time> times;
+    bool byLimit = false;
     for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
         if (!canServe(it.second, requirements, now))
             continue;
-        if (!paused(it.second, now))
+        const Time from = acceptsFrom(it.second, now);
+        if (now >= from)
             return std::nullopt;
-        const Time until = m_advice.pausedUntil(it.second.announcement.endpoint(), it.second.announcement.born_ms());
-        earliest = earliest ? std::min(*earliest, until) : until;
+        times.push_back(from);
+        byLimit |= limit(it.first, it.second.announcement.born_ms()).has_value();
     }
-    return earliest;
+    if (times.empty())
+        return std::nullopt;
+    std::sort(times.begin(), times.end());
+    return Restriction{waiting < times.size() ? times[waiting] : Time::max(), byLimit};
+}
+
+void Balancer::recordSend(const EndpointChoice &choice, Time now)
+{
+    if (limit(choice.endpoint, choice.startedAtMs))
+        m_limitShare.recordSend(choice.endpoint, now);
+}
+
+bool Balancer::recordCapacity(const EndpointChoice &choice, const EndpointCapacity &capacity, Time sentAt, Time now)
+{
+    const bool limited = limit(choice.endpoint, choice.startedAtMs).has_value();
+    const bool changed = m_advice.recordCapacity(choice.endpoint, choice.startedAtMs, capacity, sentAt, now);
+    if (changed && !limited && capacity.requestsPerSecond)
+        m_limitShare.recordSend(choice.endpoint, now);
+    return changed;
 }
 
 bool Balancer::canServe(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const
@@ -182,7 +227,7 @@
     double bestCost = 0;
     uint32_t candidates = 0;
     for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
-        if (!canServe(it.second, requirements, now) || paused(it.second, now))
+        if (!canServe(it.second, requirements, now) || now < acceptsFrom(it.second, now))
             continue;
         ++candidates;
         const double candidate = cost(it.second, requirements, now);
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -4,6 +4,7 @@
 
 #include "coordination/admission.h"
 #include "coordination/endpointadvice.h"
+#include "coordination/limitshare.h"
 #include "coordination/registry.h"
 #include "protocol/platformcodec.h"
 
@@ -54,20 +55,28 @@
     Cancelled, // by the caller or at the deadline
 };
 
+// Why no endpoint takes a request now, although some can serve it.
+struct Restriction {
+    Time until{}; // when the next of them takes one; Time::max() if it is not known
+    bool byLimit = false; // one of them has a limit; otherwise all have asked for a pause
+};
+
 class Balancer
 {
 public:
-    explicit Balancer(std::string zone);
+    // `self`: the id of this router.
+    explicit Balancer(std::string zone, std::string self = "");
 
     // Updates endpoints from the registry.
     void update(const Registry &registry);
     // Returns the endpoint of lowest cost that can serve the request, if there is one.
     std::optional<EndpointChoice> choose(const EndpointRequirements &requirements, Time now) const;
     // Returns whether a request may still be sent to a chosen endpoint, which may have said since that it is leaving or
-    // that it wants none.
+    // that it wants none, or taken another request under its limit.
     bool accepts(const EndpointChoice &choice, Time now) const;
-    // Returns the earliest end of a pause if all endpoints that can serve the request have asked for one.
-    std::optional<Time> pausedUntil(const EndpointRequirements &requirements, Time now) const;
+    // Returns what keeps a request from all endpoints that can serve it: the pauses that they asked for, or their limits.
+    // `waiting`: requests that wait for the same endpoints already.
+    std::optional<Restriction> restriction(const EndpointRequirements &requirements, size_t waiting, Time now) const;
     // Returns where the model of a request can be loaded from, if no engine holds it.
     ColdModel coldModel(const EndpointRequirements &requirements, Time now) const;
     // Returns whether the service has an endpoint that is neither leaving, gone nor lost. If the request requires a software
@@ -78,6 +87,10 @@
 
     void attemptStarted(const EndpointRequirements &requirements, const EndpointChoice &choice, Time now);
     void attemptEnded(const EndpointRequirements &requirements, const EndpointChoice &choice, AttemptOutcome end, Time now);
+    // Records a request that is sent to an endpoint with a limit.
+    void recordSend(const EndpointChoice &choice, Time now);
+    // Records what the answer to a request sent at `sentAt` says about the endpoint's capacity. Returns whether it has changed.
+    bool recordCapacity(const EndpointChoice &choice, const EndpointCapacity &capacity, Time sentAt, Time now);
     // Records the load that an endpoint reported with an answer.
     void observeLoad(const std::string &endpoint, uint32_t running, uint32_t waiting, Time now);
 
@@ -118,7 +131,18 @@
     using ArtifactKey = std::tuple<ServiceId, std::string, std::string>;
 
     bool usable(const Endpoint &endpoint) const;
-    bool paused(const Endpoint &endpoint, Time now) const;
+    // Returns the time from which the endpoint takes a request of this router: the end of a pause, or the next one under its
+    // limit; Time::max() if other routers share that.
+    Time acceptsFrom(const std::string &endpoint, uint64_t startedAtMs, Time now) const;
+    Time acceptsFrom(const Endpoint &endpoint, Time now) const
+    {
+        return acceptsFrom(endpoint.announcement.endpoint(), endpoint.announcement.born_ms(), now);
+    }
+    std::optional<double> limit(const std::string &endpoint, uint64_t startedAtMs) const
+    {
+        return m_advice.capacity(endpoint, startedAtMs).capacity.requestsPerSecond;
+    }
+    void updateCapacity(const LiveEndpoint &endpoint);
     // Returns whether the endpoint belongs to the service and has the software version that the request requires.
     static bool matches(const Endpoint &endpoint, const EndpointRequirements &requirements);
     // Returns whether the endpoint can serve the request once its pause, if it asked for one, is over.
@@ -132,6 +156,7 @@
     std::map<std::string, Endpoint> m_endpoints;
     uint64_t m_seenVersion = 0; // of the registry, at the last update
     EndpointAdvice m_advice;
+    LimitShare m_limitShare;
     std::map<ArtifactKey, Demand> m_demands;
 };
 
--- a/src/coordination/endpointadvice.cpp
+++ b/src/coordination/endpointadvice.cpp
@@ -9,13 +9,30 @@
 
 using namespace tunables;
 
+EndpointCapacity fromProto(const pb::EndpointCapacity &message)
+{
+    EndpointCapacity capacity;
+    if (message.has_requests_per_second())
+        capacity.requestsPerSecond = message.requests_per_second();
+    return capacity;
+}
+
+pb::EndpointCapacity toProto(const EndpointCapacity &capacity, Millis age)
+{
+    pb::EndpointCapacity message;
+    if (capacity.requestsPerSecond)
+        message.set_requests_per_second(*capacity.requestsPerSecond);
+    message.set_age_ms(uint64_t(std::max<int64_t>(0, age.count())));
+    return message;
+}
+
 EndpointAdvice::Entry *EndpointAdvice::entryFor(const std::string &endpoint, uint64_t startedAtMs)
 {
     Entry &entry = m_entries[endpoint];
     if (startedAtMs < entry.startedAtMs)
         return nullptr;
     if (startedAtMs > entry.startedAtMs)
-        entry = Entry{startedAtMs, false, Time(), Time()};
+        entry = Entry{startedAtMs, false, Time(), Time(), {}, Time(), false};
     return &entry;
 }
 
@@ -44,6 +61,32 @@
     return entry->pausedUntil;
 }
 
+bool EndpointAdvice::recordCapacity(const std::string &endpoint, uint64_t startedAtMs, const EndpointCapacity &capacity, Time sentAt,
+                                    Time now)
+{
+    const Entry *known = find(endpoint, startedAtMs);
+    if (!capacity.restricts() && (known == nullptr || !known->capacity.restricts() || sentAt <= known->capacityAt))
+        return false;
+    Entry *entry = entryFor(endpoint, startedAtMs);
+    if (entry == nullptr)
+        return false;
+    const bool changed = entry->capacity != capacity;
+    entry->capacity = capacity;
+    entry->capacityAt = now;
+    entry->capacityOwn = true;
+    return changed;
+}
+
+void EndpointAdvice::recordShared(const std::string &endpoint, uint64_t startedAtMs, const EndpointCapacity &capacity, Time at)
+{
+    Entry *entry = entryFor(endpoint, startedAtMs);
+    if (entry == nullptr || at <= entry->capacityAt)
+        return;
+    entry->capacity = capacity;
+    entry->capacityAt = at;
+    entry->capacityOwn = false;
+}
+
 bool EndpointAdvice::leaving(const std::string &endpoint, uint64_t startedAtMs) const
 {
     const Entry *entry = find(endpoint, startedAtMs);
@@ -56,19 +99,31 @@
     return entry == nullptr ? Time() : entry->pausedUntil;
 }
 
-std::vector<pb::LeavingReport> EndpointAdvice::leavingReports(Time now)
+EndpointAdvice::KnownCapacity EndpointAdvice::capacity(const std::string &endpoint, uint64_t startedAtMs) const
+{
+    const Entry *entry = find(endpoint, startedAtMs);
+    return entry == nullptr ? KnownCapacity{} : KnownCapacity{entry->capacity, entry->capacityAt};
+}
+
+std::vector<pb::EndpointAdvice> EndpointAdvice::reports(Time now)
 {
     std::erase_if(m_entries, [now](const std::pair<const std::string, Entry> &it) {
         const bool left = !it.second.leaving || now > it.second.recordedAt + LeavingRetention;
-        return left && now > it.second.pausedUntil;
+        return left && now > it.second.pausedUntil && now > it.second.capacityAt + CapacityRetention;
     });
-    std::vector<pb::LeavingReport> reports;
+    std::vector<pb::EndpointAdvice> reports;
     for (const std::pair<const std::string, Entry> &it : m_entries) {
-        if (!it.second.leaving || now > it.second.recordedAt + LeavingReportTime)
+        const Entry &entry = it.second;
+        const bool leaving = entry.leaving && now <= entry.recordedAt + LeavingReportTime;
+        const bool capacity = entry.capacityOwn && now <= entry.capacityAt + CapacityReportTime;
+        if (!leaving && !capacity)
             continue;
-        pb::LeavingReport &report = reports.emplace_back();
+        pb::EndpointAdvice &report = reports.emplace_back();
         report.set_endpoint(it.first);
-        report.set_born_ms(it.second.startedAtMs);
+        report.set_born_ms(entry.startedAtMs);
+        report.set_leaving(leaving);
+        if (capacity)
+            *report.mutable_capacity() = toProto(entry.capacity, now - entry.capacityAt);
     }
     return reports;
 }
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -124,14 +124,20 @@
         return false;
     const bool newlyLost = announcement.lost() && announcement.sequence() == known.announcement.sequence() && !known.announcement.lost();
     if (sameIncarnation && !announcement.gone() && !newlyLost && announcement.sequence() <= known.announcement.sequence())
-        return announcement.leaving() && markLeaving(known, lastSeenAt, from);
+        return mergeAdvice(known, announcement, lastSeenAt, from);
     pb::Announcement next = announcement;
     // That an incarnation is leaving is final, too. A router may have learned it before the endpoint's heartbeats say so.
     next.set_leaving(announcement.leaving() || (sameIncarnation && known.announcement.leaving()));
     const bool changed = first || !sameForRouters(known.announcement, next, holdingsKnown(known));
     known.announcement = std::move(next);
+    known.announcement.clear_capacity();
     known.lastSeenAt = std::max(known.lastSeenAt, lastSeenAt);
+    if (!sameIncarnation)
+        known.capacityAt = Time();
+    if (!sameIncarnation)
+        known.capacity = EndpointCapacity();
     recordChange(known, changed, lastSeenAt, from);
+    mergeAdvice(known, announcement, lastSeenAt, from);
     if (first) {
         const std::map<std::string, pb::Holdings>::node_type early = m_earlyHoldings.extract(announcement.endpoint());
         if (!early.empty())
@@ -194,7 +200,7 @@
     known.state = state;
     known.lastSeenAt = std::max(known.lastSeenAt, lastSeenAt);
     recordChange(known, changed, lastSeenAt, from);
-    applyLeavingReports(state, lastSeenAt);
+    applyAdvice(state, lastSeenAt);
     return true;
 }
 
@@ -221,15 +227,53 @@
     return true;
 }
 
-void Registry::applyLeavingReports(const pb::RouterState &state, Time now)
+bool Registry::mergeCapacity(LiveEndpoint &endpoint, const pb::EndpointCapacity &message, Time at, Time now, const std::string &from)
 {
-    for (const pb::LeavingReport &it : state.leaving()) {
+    if (at <= endpoint.capacityAt)
+        return false;
+    const EndpointCapacity capacity = fromProto(message);
+    const bool changed = capacity != endpoint.capacity;
+    endpoint.capacity = capacity;
+    endpoint.capacityAt = at;
+    if (!changed && at < endpoint.capacityRelayedAt + CapacityRelayInterval)
+        return false;
+    endpoint.capacityRelayedAt = at;
+    recordChange(endpoint, true, now, from);
+    return true;
+}
+
+// Applies what routers have learned of the endpoint, as another process has added it to the announcement.
+bool Registry::mergeAdvice(LiveEndpoint &endpoint, const pb::Announcement &announcement, Time lastSeenAt, const std::string &from)
+{
+    const Time sentAt = lastSeenAt + Millis(announcement.age_ms());
+    bool changed = announcement.leaving() && markLeaving(endpoint, lastSeenAt, from);
+    if (announcement.has_capacity())
+        changed |= mergeCapacity(endpoint, announcement.capacity(), sentAt - Millis(announcement.capacity().age_ms()), lastSeenAt, from);
+    return changed;
+}
+
+void Registry::applyAdvice(const pb::RouterState &state, Time sentAt)
+{
+    for (const pb::EndpointAdvice &it : state.advice()) {
         const auto known = m_endpoints.find(it.endpoint());
-        if (known != m_endpoints.end() && known->second.announcement.born_ms() == it.born_ms())
-            markLeaving(known->second, now, "");
+        if (known == m_endpoints.end() || known->second.announcement.born_ms() != it.born_ms())
+            continue;
+        if (it.leaving())
+            markLeaving(known->second, sentAt, "");
+        if (it.has_capacity())
+            mergeCapacity(known->second, it.capacity(), sentAt - Millis(it.capacity().age_ms()), sentAt, "");
     }
 }
 
+pb::Announcement Registry::announcementNow(const LiveEndpoint &endpoint, Time now)
+{
+    pb::Announcement announcement = endpoint.announcement;
+    announcement.set_age_ms(ageMs(endpoint.lastSeenAt, now));
+    if (endpoint.capacityAt != Time())
+        *announcement.mutable_capacity() = toProto(endpoint.capacity, now - endpoint.capacityAt);
+    return announcement;
+}
+
 void Registry::withdraw(const std::string &endpoint, Time now)
 {
     const auto it = m_endpoints.find(endpoint);
@@ -324,9 +368,7 @@
     for (const std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
         const LiveEndpoint &endpoint = it.second;
         if (selected(filter, filter.all ? endpoint.version : endpoint.sharedVersion, endpoint.from)) {
-            pb::Announcement &announcement = *out.add_endpoints();
-            announcement = endpoint.announcement;
-            announcement.set_age_ms(ageMs(endpoint.lastSeenAt, now));
+            *out.add_endpoints() = announcementNow(endpoint, now);
         }
         if (selected(filter, endpoint.holdingsVersion, endpoint.holdingsFrom))
             *out.add_holdings() = endpoint.holdingsNow(now);
@@ -355,14 +397,13 @@
         if (it.second.visibleVersion <= since)
             continue;
         pb::Announcement &announcement = *out.add_endpoints();
-        announcement = it.second.announcement;
+        announcement = announcementNow(it.second, now);
         // Routers need not know where on the host the copies are.
         const std::set<std::string> all = copies(announcement);
         announcement.clear_in_memory();
         announcement.mutable_on_disk()->Assign(all.begin(), all.end());
         if (holdingsKnown(it.second))
             announcement.clear_models();
-        announcement.set_age_ms(ageMs(it.second.lastSeenAt, now));
     }
     for (const std::pair<const std::string, LiveRouter> &it : m_routers) {
         if (it.second.visibleVersion <= since)
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -2,8 +2,7 @@
 // exchange changes by version, merge them in any order and collect them again after a restart.
 #pragma once
 
-#include "mesh.pb.h"
-#include "state/types.h"
+#include "coordination/endpointadvice.h"
 
 #include <map>
 #include <set>
@@ -39,6 +38,9 @@
     std::string holdingsFrom; // as `from`
     Time holdingsAt{}; // when they were received
     Time lastSeenAt{};
+    EndpointCapacity capacity; // of this incarnation, as routers report it
+    Time capacityAt{}; // when the endpoint said so
+    Time capacityRelayedAt{}; // when it was last a visible change
     bool usable() const
     {
         return !announcement.leaving() && !announcement.gone() && !announcement.lost();
@@ -119,7 +121,12 @@
     bool markLost(LiveEndpoint &endpoint, Time now);
     bool markLost(LiveRouter &router, Time now);
     bool markLeaving(LiveEndpoint &endpoint, Time now, const std::string &from);
-    void applyLeavingReports(const pb::RouterState &state, Time now);
+    // Stores what the endpoint said at `at`, if it is newer.
+    bool mergeCapacity(LiveEndpoint &endpoint, const pb::EndpointCapacity &message, Time at, Time now, const std::string &from);
+    bool mergeAdvice(LiveEndpoint &endpoint, const pb::Announcement &announcement, Time lastSeenAt, const std::string &from);
+    void applyAdvice(const pb::RouterState &state, Time sentAt);
+    // Returns the announcement as it is sent to other processes, with all ages as of `now`.
+    static pb::Announcement announcementNow(const LiveEndpoint &endpoint, Time now);
     void resolveAddressConflict(const LiveEndpoint &updated, Time now);
     // Assigns new versions to a changed entry. A change that routers don't need reaches all control hosts at intervals only.
     void recordChange(EntryVersions &entry, bool visible, Time now, const std::string &from);
--- a/src/coordination/residency.cpp
+++ b/src/coordination/residency.cpp
@@ -71,6 +71,7 @@
         engine.zone = live.announcement.zone();
     }
     engine.usable = live.usable();
+    engine.limitedUntil = live.capacity.requestsPerSecond ? live.capacityAt + CapacityConfirmTime : Time();
     if (engine.seenVersion == live.version)
         return;
     engine.seenVersion = live.version;
--- a/src/coordination/residency.h
+++ b/src/coordination/residency.h
@@ -94,6 +94,7 @@
         bool reservedFromStore = false; // that load will come from the weight store
         Time reservedUntil{};
         Time changedAt{}; // last change of `held`
+        Time limitedUntil{}; // it takes few requests, so that its models need another holder
         bool published = false; // returned by takeHoldings() since the last change
     };
     // Where a model of one service is, or will be; kept up to date within a planning round.
@@ -141,6 +142,8 @@
     std::optional<double> evictionCost(const Engine &engine, const std::string &model, bool urgent, Time now) const;
     OrderInputs inputsOf(const Engine &engine, const ArtifactName &name, bool fromStore, Time now) const;
     void issueOrder(Engine &engine, OrderAction action, const ArtifactName &name, bool fromStore, Plan &plan, Time now);
+    // Returns the number of engines that hold the model and have no limit, `except` not counted.
+    size_t unlimitedHolders(const std::string &model, const Engine *except, Time now) const;
     bool hasLocalCopy(const Engine &engine, const std::string &model) const;
     bool availableFor(const Engine &engine, const std::string &forModel, Time now) const;
     bool storeLoadAllowed(const EngineSpec &spec, size_t maxInFlight, const Engine *engine, Time now) const;
--- a/src/coordination/residencyplan.cpp
+++ b/src/coordination/residencyplan.cpp
@@ -139,8 +139,8 @@
         if (!name.adapter.empty() || spec.models.count(name.model) == 0 || places(name.model).planned)
             continue;
         const AggregateDemand &demand = it->second;
-        demands.push_back(
-            ModelDemand{name.model, demand.waiting, demand.running, demand.totalWait, uint32_t(places(name.model).holders.size())});
+        demands.push_back(ModelDemand{name.model, demand.waiting, demand.running, demand.totalWait,
+                                      uint32_t(unlimitedHolders(name.model, nullptr, now))});
     }
     for (const std::string &it : modelsByLoadPriority(demands, spec.slots))
         placeModel(spec, it, true, plan, now);
@@ -249,6 +249,8 @@
     const bool onDisk = engine.onDisk.count(model.name) != 0;
     option.fromStore = !hasLocalCopy(engine, model.name);
     option.cost = double((option.fromStore ? model.storeLoadTime : onDisk ? model.diskLoadTime : model.memoryLoadTime).count());
+    if (now < engine.limitedUntil)
+        option.cost += LimitedEngineCostMs;
     double freeMegabytes = spec.megabytes - usedMegabytes(engine, spec);
     std::vector<std::pair<double, std::string>> victims;
     for (const std::pair<const std::string, std::set<std::string>> &it : engine.held) {
@@ -291,6 +293,12 @@
     return best;
 }
 
+size_t Residency::unlimitedHolders(const std::string &model, const Engine *except, Time now) const
+{
+    const std::vector<Engine *> &holders = places(model).holders;
+    return size_t(std::count_if(holders.begin(), holders.end(), [&](const Engine *it) { return it != except && now >= it->limitedUntil; }));
+}
+
 // Returns the cost to callers, in milliseconds, of evicting a model, or nothing if it must not be evicted.
 std::optional<double> Residency::evictionCost(const Engine &engine, const std::string &model, bool urgent, Time now) const
 {
@@ -301,7 +309,8 @@
     const EngineSpec *engineSpec = spec(engine.service);
     if (requests > 0) {
         // A model in use may be evicted only if the other engines that hold it have enough slots for its requests.
-        const bool othersSuffice = held > 1 && requests < (held - 1) * engineSpec->slots * ScaleDownSlotShare;
+        const size_t others = unlimitedHolders(model, &engine, now);
+        const bool othersSuffice = others > 0 && requests < others * engineSpec->slots * ScaleDownSlotShare;
         if (!othersSuffice || !urgent)
             return std::nullopt;
         return BusyVictimCostMs;
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -104,6 +104,13 @@
 constexpr Millis MaxEndpointPause = std::chrono::minutes(10); // asked for in an answer; a longer one is taken for a mistake
 constexpr Millis LeavingRetention = std::chrono::hours(1); // exceeds the time for which a leaving endpoint goes on serving
 constexpr Millis LeavingReportTime{30000}; // then the endpoint's own heartbeats say so
+// Without an answer of the endpoint for this long, its limit may have ended, and each router may find out.
+constexpr Millis CapacityConfirmTime{10000};
+constexpr Millis CapacityRetention = std::chrono::minutes(2); // exceeds the time for which an endpoint is in need
+constexpr Millis CapacityReportTime{10000}; // several polls, also of a router that is cut off for some seconds
+constexpr Millis CapacityRelayInterval{3000}; // of an unchanged capacity, to all routers; well within CapacityConfirmTime
+constexpr double RoutersPerLimitedRequest = 2; // routers that share a limit, for each request a second of it
+constexpr size_t MinRoutersSharingLimit = 3; // and this many more: their simultaneous requests stay below the tolerated excess
 constexpr Millis ModelNotHeldCooldown{300}; // until the contents of the endpoint are reported again
 constexpr size_t MaxPromptPartsPerEndpoint = 20000; // 40 bytes each; above it, expired parts are removed
 constexpr Millis PromptPartTtl{20000}; // about the time in which an engine's cache is replaced
@@ -124,6 +131,7 @@
 constexpr Millis ExcessRequestWait{1000}; // weight of each request above ScaleUpSlotShare; about the delay in a full batch
 // Share of the other holders' slots in use below which one holder may unload the model.
 constexpr double ScaleDownSlotShare = 0.25;
+constexpr double LimitedEngineCostMs = 10000; // of a load on an engine with a limit: more than that of any load elsewhere
 constexpr double IdleUnloadCostMs = 50; // of the unload of an idle model
 constexpr double BusyVictimCostMs = 1500; // about the time until the last request on the engine ends
 constexpr double RecentVictimCostMs = 800; // of the reload if the model is requested again at once
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -45,7 +45,7 @@
     , m_settings(settings)
     , m_codec(codec)
     , m_registry(HeartbeatTimeouts{EndpointLivenessTimeout, RouterLivenessTimeout}, monotonicNow())
-    , m_balancer(settings.host.zone)
+    , m_balancer(settings.host.zone, settings.host.id)
     , m_retries(settings.retryRatio, settings.retryWindow, settings.firstStart ? std::nullopt : std::optional(monotonicNow()))
     , m_forwarder(io, codec, m_balancer, m_retries, m_crashes, m_crashingParts)
     , m_callerServer(io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
@@ -191,8 +191,8 @@
     for (pb::CrashReport &it : m_crashes.reports(monotonicNow()))
         *state.add_crashes() = std::move(it);
     m_crashingParts.addReports(state, monotonicNow());
-    for (pb::LeavingReport &it : m_balancer.advice().leavingReports(monotonicNow()))
-        *state.add_leaving() = std::move(it);
+    for (pb::EndpointAdvice &it : m_balancer.advice().reports(monotonicNow()))
+        *state.add_advice() = std::move(it);
     request.set_epoch(m_epoch);
     request.set_version(m_version);
     request.set_configuration(m_configuration.version());
@@ -217,6 +217,8 @@
                       {"software", it.software()},
                       {"state", stateName(it)},
                       {"age_ms", it.age_ms()},
+                      {"requests_per_s", it.capacity().has_requests_per_second() ? it.capacity().requests_per_second() : -1},
+                      {"capacity_age_ms", it.capacity().age_ms()},
                       {"known", reply.version()}});
     }
     for (const pb::Holdings &it : reply.holdings()) {
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -246,10 +246,12 @@
         co_return std::nullopt;
     }
     std::optional<EndpointChoice> choice = m_balancer.choose(request.requirements, monotonicNow());
-    if (!choice && refuseIfPaused(request))
-        co_return std::nullopt;
-    if (choice || request.requirements.model.empty() || !m_balancer.hasUsableEndpoint(request.requirements))
+    if (choice)
         co_return choice;
+    if (request.requirements.model.empty())
+        co_return co_await waitForCapacity(request);
+    if (refuseIfPaused(request) || !m_balancer.hasUsableEndpoint(request.requirements))
+        co_return std::nullopt;
     const ServiceSpec *service = request.table->service(request.requirements.service);
     if (!service->hasEngine || service->engine.models.count(request.requirements.model) == 0) {
         request.cause = "the model is not part of the configuration";
@@ -262,14 +264,68 @@
 bool Forwarder::refuseIfPaused(Request &request)
 {
     const Time now = monotonicNow();
-    const std::optional<Time> until = m_balancer.pausedUntil(request.requirements, now);
-    if (!until)
+    const std::optional<Restriction> restriction = m_balancer.restriction(request.requirements, 0, now);
+    if (!restriction || restriction->byLimit)
         return false;
-    request.cause = "all endpoints that can serve the request have asked for a pause";
-    request.retryDelay = *until - now;
+    refuseRestricted(request, *restriction, now);
     return true;
 }
 
+void Forwarder::refuseRestricted(Request &request, const Restriction &restriction, Time now)
+{
+    request.cause = restriction.byLimit ? "the endpoints that can serve the request have reached the limits that they named"
+                                        : "all endpoints that can serve the request have asked for a pause";
+    if (restriction.until != Time::max())
+        request.retryDelay = restriction.until - now;
+}
+
+// Waits until an endpoint takes the request under its limit, or sets the refusal at once if that is too late for the caller.
+Task<std::optional<EndpointChoice>> Forwarder::waitForCapacity(Request &request)
+{
+    const Time now = monotonicNow();
+    size_t &waiting = m_waitingForCapacity[request.requirements.service];
+    const std::optional<Restriction> restriction = m_balancer.restriction(request.requirements, waiting, now);
+    if (!restriction)
+        co_return std::nullopt;
+    const Time until = request.caller.arrivedAt() + coldWait(*request.route, request.deadline - request.caller.arrivedAt());
+    if (!restriction->byLimit || restriction->until > until) {
+        refuseRestricted(request, *restriction, now);
+        co_return std::nullopt;
+    }
+    ++waiting;
+    logWait(request, now, until);
+    const std::optional<EndpointChoice> choice = co_await waitForChoice(request, until);
+    --waiting;
+    co_return choice;
+}
+
+// Waits until an endpoint takes the request, but not longer than `until`.
+Task<std::optional<EndpointChoice>> Forwarder::waitForChoice(Request &request, Time until)
+{
+    const Time since = monotonicNow();
+    net::steady_timer timer(m_io);
+    m_waitTimers.insert(&timer);
+    request.cancellation->cancelPending = [&timer] {
+        timer.cancel();
+    };
+    std::optional<EndpointChoice> choice;
+    while (!choice && !request.cancellation->cancelled() && monotonicNow() < std::min(until, m_waitDeadline)) {
+        ErrorCode ec;
+        const Time now = monotonicNow();
+        const std::optional<Restriction> restriction = m_balancer.restriction(request.requirements, 0, now);
+        const Time nextTry = std::min({until, now + ModelNotHeldCooldown, restriction ? restriction->until : Time::max()});
+        timer.expires_after(nextTry - now);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+        choice = m_balancer.choose(request.requirements, monotonicNow());
+        if (!choice && refuseIfPaused(request))
+            break;
+    }
+    request.cancellation->cancelPending = nullptr;
+    m_waitTimers.erase(&timer);
+    request.waitTime += monotonicNow() - since;
+    co_return request.cancellation->cancelled() ? std::nullopt : choice;
+}
+
 // Waits until an endpoint holds the model, but no longer than leaves time to answer the caller.
 Task<std::optional<EndpointChoice>> Forwarder::waitForModel(Request &request)
 {
@@ -279,7 +335,9 @@
     const ColdModel place = m_balancer.coldModel(request.requirements, since);
     const ColdAdmission admission
         = admitColdRequest(*request.route, model, place, request.caller.arrivedAt(), request.deadline, m_ordersAllowedAt, jitter, since);
-    request.retryDelay = admission.retryDelay;
+    const std::optional<Restriction> restriction = m_balancer.restriction(request.requirements, 0, since);
+    const bool heldInTime = restriction && restriction->until <= admission.until;
+    request.retryDelay = heldInTime ? std::nullopt : admission.retryDelay;
     if (request.retryDelay) {
         request.cause = m_ordersAllowedAt > since
             ? fmt::format("no model can be loaded for the next {} ms, because the control leader has changed",
@@ -288,32 +346,15 @@
         m_balancer.recordRefusal(request.requirements, since);
         co_return std::nullopt;
     }
-    const Time until = admission.until;
-    net::steady_timer timer(m_io);
-    logWait(request, since, until);
+    logWait(request, since, admission.until);
     m_balancer.startWaiting(request.requirements, since);
-    m_waitTimers.insert(&timer);
-    request.cancellation->cancelPending = [&timer] {
-        timer.cancel();
-    };
     if (m_onWait)
         m_onWait();
-    std::optional<EndpointChoice> choice;
-    while (!choice && !request.cancellation->cancelled() && monotonicNow() < std::min(until, m_waitDeadline)) {
-        ErrorCode ec;
-        timer.expires_after(std::min(until - monotonicNow(), ModelNotHeldCooldown));
-        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
-        choice = m_balancer.choose(request.requirements, monotonicNow());
-        if (!choice && refuseIfPaused(request))
-            break;
-    }
-    request.cancellation->cancelPending = nullptr;
-    m_waitTimers.erase(&timer);
+    const std::optional<EndpointChoice> choice = co_await waitForChoice(request, admission.until);
     m_balancer.stopWaiting(request.requirements, since);
-    request.waitTime += monotonicNow() - since;
     if (!choice && !request.retryDelay)
         request.cause = "the model was not loaded in time";
-    co_return request.cancellation->cancelled() ? std::nullopt : choice;
+    co_return choice;
 }
 
 Task<AttemptEnd> Forwarder::attempt(Request &request, const EndpointChoice &choice)
@@ -343,7 +384,9 @@
         request.requirements.avoid.insert(choice.endpoint);
         co_return request.cancellation->cancelled() ? AttemptEnd::Abandoned : AttemptEnd::NotSent;
     }
-    logSend(request, choice, monotonicNow());
+    request.sentAt = monotonicNow();
+    logSend(request, choice, request.sentAt);
+    m_balancer.recordSend(choice, request.sentAt);
     m_balancer.attemptStarted(request.requirements, choice, monotonicNow());
     ++request.progress.sends;
     ++request.progress.runs;
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -46,7 +46,7 @@
     {
         m_onWait = std::move(callback);
     }
-    // Called when an endpoint has said that it is leaving, which the control hosts are to learn soon.
+    // Called when an endpoint has said something about itself that the control hosts are to learn soon.
     void onReport(std::function<void()> callback)
     {
         m_onReport = std::move(callback);
@@ -93,7 +93,11 @@
     static InterruptedRequest interruptedRequest(const Request &request);
     Task<> checkForCrash(InterruptedRequest request, EndpointChoice choice);
     void recordAdvice(const Request &request, const EndpointChoice &choice, const struct EndpointAnswer &answer);
+    void recordCapacity(const Request &request, const EndpointChoice &choice, const struct EndpointAnswer &answer, Time now);
     bool refuseIfPaused(Request &request);
+    static void refuseRestricted(Request &request, const Restriction &restriction, Time now);
+    Task<std::optional<EndpointChoice>> waitForCapacity(Request &request);
+    Task<std::optional<EndpointChoice>> waitForChoice(Request &request, Time until);
     Task<bool> readNextHead(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
     Task<bool> skipBody(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
     Task<bool> readHead(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
@@ -122,6 +126,7 @@
     std::function<void()> m_onWait;
     std::function<void()> m_onReport;
     std::set<net::steady_timer *> m_waitTimers;
+    std::map<ServiceId, size_t> m_waitingForCapacity; // requests
     BufferQuota m_bufferQuota;
     StreamVersions m_streamVersions;
     size_t m_active = 0;
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -80,13 +80,7 @@
         if (m_onReport)
             m_onReport();
     }
-    if (answer.metadata.requestsPerSecond || answer.metadata.maxRefusals)
-        logDecision("endpoint_capacity",
-                    {{"id", request.metadata.id},
-                     {"endpoint", choice.endpoint},
-                     {"born_ms", choice.startedAtMs},
-                     {"requests_per_s", answer.metadata.requestsPerSecond.value_or(-1)},
-                     {"max_refusals_per_s", answer.metadata.maxRefusals ? int64_t(*answer.metadata.maxRefusals) : -1}});
+    recordCapacity(request, choice, answer, now);
     if (!answer.metadata.pause)
         return;
     const Time until = advice.recordPause(choice.endpoint, choice.startedAtMs, *answer.metadata.pause, now);
@@ -97,6 +91,22 @@
                  {"paused_ms", (until - now).count()}});
 }
 
+// A 421 may come from another endpoint, to which the address belongs now.
+void Forwarder::recordCapacity(const Request &request, const EndpointChoice &choice, const EndpointAnswer &answer, Time now)
+{
+    if (answer.status == 421
+        || !m_balancer.recordCapacity(choice, EndpointCapacity{answer.metadata.requestsPerSecond}, request.sentAt, now))
+        return;
+    logEvent("endpoint_capacity",
+             {{"id", request.metadata.id},
+              {"endpoint", choice.endpoint},
+              {"born_ms", choice.startedAtMs},
+              {"requests_per_s", answer.metadata.requestsPerSecond.value_or(-1)},
+              {"max_refusals_per_s", answer.metadata.maxRefusals ? int64_t(*answer.metadata.maxRefusals) : -1}});
+    if (m_onReport)
+        m_onReport();
+}
+
 // Reads the next final head on the connection and skips interim ones. Returns whether it was received.
 Task<bool> Forwarder::readNextHead(Request &request, EndpointConnection &connection, EndpointAnswer &answer)
 {
--- a/src/transport/forwarderrequest.h
+++ b/src/transport/forwarderrequest.h
@@ -59,6 +59,7 @@
     EndpointRequirements requirements;
     SoftwareVersion software; // of the endpoint that began the answer
     Time deadline{};
+    Time sentAt{}; // of the last attempt
     RouteProgress progress;
     EventRelay eventRelay; // of a stream
     BufferShare buffered; // what is held of the current answer
--- a/tests/advice_test.cpp
+++ b/tests/advice_test.cpp
@@ -69,7 +69,7 @@
         router.balancer.advice().recordLeaving(it, 10, Now);
     BOOST_TEST(router.chosen(Now) == "");
     BOOST_TEST(!router.balancer.hasUsableEndpoint(plainRequest()));
-    BOOST_TEST(!router.balancer.pausedUntil(plainRequest(), Now).has_value());
+    BOOST_TEST(!router.balancer.restriction(plainRequest(), 0, Now).has_value());
     // It comes back as a new incarnation. An answer of the earlier one that arrives late doesn't concern it.
     router.announce("e0", 20, 1);
     BOOST_TEST(router.chosen(Now) == "e0");
@@ -107,7 +107,7 @@
     BOOST_TEST((until == Now + row.honoured));
     BOOST_TEST(!router.balancer.accepts(choice, Now));
     BOOST_TEST(router.chosen(until - Millis(1)) != choice.endpoint);
-    BOOST_TEST(!router.balancer.pausedUntil(plainRequest(), Now).has_value());
+    BOOST_TEST(!router.balancer.restriction(plainRequest(), 0, Now).has_value());
     // A later answer with a shorter pause, to a request that was on its way, doesn't end the longer one.
     advice.recordPause(choice.endpoint, 10, Millis(1), Now);
     BOOST_TEST((advice.pausedUntil(choice.endpoint, 10) == until));
@@ -121,8 +121,8 @@
     router.balancer.advice().recordPause("e0", 10, Millis(4000), Now);
     router.balancer.advice().recordPause("e1", 10, Millis(1500), Now);
     BOOST_TEST(router.chosen(Now) == "");
-    BOOST_REQUIRE(router.balancer.pausedUntil(plainRequest(), Now).has_value());
-    BOOST_TEST((*router.balancer.pausedUntil(plainRequest(), Now) == Now + Millis(1500)));
+    BOOST_REQUIRE(router.balancer.restriction(plainRequest(), 0, Now).has_value());
+    BOOST_TEST((router.balancer.restriction(plainRequest(), 0, Now)->until == Now + Millis(1500)));
     BOOST_TEST(router.chosen(Now + Millis(1500)) == "e1");
     // A new incarnation didn't ask for one.
     router.announce("e0", 20, 1);
@@ -134,9 +134,10 @@
     EndpointAdvice advice;
     advice.recordLeaving("e0", 10, Now);
     advice.recordPause("e1", 10, Millis(1000), Now);
-    const std::vector<pb::LeavingReport> reports = advice.leavingReports(Now + Millis(1000));
+    const std::vector<pb::EndpointAdvice> reports = advice.reports(Now + Millis(1000));
     BOOST_REQUIRE(reports.size() == 1u);
     BOOST_TEST(reports[0].endpoint() == "e0");
-    BOOST_TEST(advice.leavingReports(Now + tunables::LeavingReportTime + Millis(1)).empty());
+    BOOST_TEST(reports[0].leaving());
+    BOOST_TEST(advice.reports(Now + tunables::LeavingReportTime + Millis(1)).empty());
     BOOST_TEST(advice.leaving("e0", 10));
 }
--- a/tests/residency_test.cpp
+++ b/tests/residency_test.cpp
@@ -312,6 +312,36 @@
     BOOST_TEST(simulation.anyEngineHolds("m6"));
 }
 
+// Load pattern: the only engine that holds a model names a limit, and requests for the model wait. Another one loads it.
+BOOST_DATA_TEST_CASE(modelOfALimitedEngineIsLoadedElsewhere, bdata::make({true, false}), limited)
+{
+    Simulation simulation;
+    uint64_t sequence = 0;
+    for (std::pair<const std::string, FakeEngine> &it : simulation.engines) {
+        if (it.first == "e0")
+            it.second.held = {{"m0", {}}};
+        for (int i = 0; i < 7; ++i)
+            simulation.cachedModels.insert(it.first + "/m" + std::to_string(i));
+        simulation.sendHeartbeat(it.second);
+    }
+    if (limited) {
+        pb::RouterState state;
+        state.set_router("other");
+        state.set_sequence(1);
+        pb::EndpointAdvice &advice = *state.add_advice();
+        advice.set_endpoint("e0");
+        advice.set_born_ms(simulation.engines.at("e0").startedAtMs);
+        advice.mutable_capacity()->set_requests_per_second(1.5);
+        simulation.registry.merge(state, simulation.now);
+    }
+    for (int i = 0; i < 40; ++i) {
+        simulation.setDemand("m0", 1, ++sequence);
+        simulation.runRound([] { return 0; });
+    }
+    const bool elsewhere = simulation.engines.at("e1").held.count("m0") != 0 || simulation.engines.at("e2").held.count("m0") != 0;
+    BOOST_TEST(elsewhere == limited);
+}
+
 // Load pattern: requests wait for a model that an engine already holds. No model is loaded or unloaded.
 BOOST_AUTO_TEST_CASE(noOrderWhenDemandIsServed)
 {
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -218,8 +218,9 @@
     state.set_router("r");
     state.set_incarnation(1);
     state.set_sequence(sequence);
-    pb::LeavingReport &report = *state.add_leaving();
+    pb::EndpointAdvice &report = *state.add_advice();
     report.set_endpoint("e");
+    report.set_leaving(true);
     report.set_born_ms(startedAtMs);
     return state;
 }
