Brittle endpoints are not made to refuse requests

Callers: an endpoint that says it is brittle ends if it refuses more than some requests in a second, and with it all that it runs. Cause: routers send an endpoint what they have, whatever it has room for, and go on when it refuses. Change: while an endpoint of a service is brittle, each router uses an equal part of the slots of the service's endpoints; after a refusal, which routers tell each other, all of them pause for that endpoint.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -76,6 +76,8 @@
     const uint64_t startedAtMs = endpoint.announcement.born_ms();
     const bool limited = limit(id, startedAtMs).has_value();
     m_advice.recordShared(id, startedAtMs, endpoint.capacity, endpoint.capacityAt);
+    if (endpoint.capacity.maxRefusals)
+        recordBrittle(endpoint.announcement.service(), endpoint.capacityAt);
     if (!limited && endpoint.capacity.requestsPerSecond)
         m_limitShare.recordSend(id, endpoint.capacityAt);
 }
@@ -129,19 +131,51 @@
     return endpoint.usable && !m_advice.leaving(endpoint.announcement.endpoint(), endpoint.announcement.born_ms());
 }
 
-Time Balancer::acceptsFrom(const std::string &endpoint, uint64_t startedAtMs, Time now) const
+Time Balancer::acceptsFrom(const Endpoint &endpoint, uint64_t startedAtMs, Time now) const
 {
-    const Time resumedAt = m_advice.pausedUntil(endpoint, startedAtMs);
-    const EndpointAdvice::KnownCapacity known = m_advice.capacity(endpoint, startedAtMs);
-    if (!known.capacity.requestsPerSecond)
-        return resumedAt;
+    const std::string &id = endpoint.announcement.endpoint();
+    Time result = m_advice.pausedUntil(id, startedAtMs);
+    const EndpointAdvice::KnownCapacity known = m_advice.capacity(id, startedAtMs);
     const bool confirmed = now < known.toldAt + CapacityConfirmTime;
-    return std::max(resumedAt, m_limitShare.nextSendAt(endpoint, *known.capacity.requestsPerSecond, confirmed));
+    if (known.capacity.requestsPerSecond)
+        result = std::max(result, m_limitShare.nextSendAt(id, *known.capacity.requestsPerSecond, confirmed));
+    if (brittle(endpoint.announcement.service(), now))
+        result = std::max(result, brittleAcceptsFrom(endpoint, known.capacity, now));
+    return result;
+}
+
+Time Balancer::brittleAcceptsFrom(const Endpoint &endpoint, const EndpointCapacity &capacity, Time now) const
+{
+    Time result{};
+    if (capacity.refusedAt != Time())
+        result = capacity.refusedAt + BrittleRefusalPause + m_limitShare.jitter(endpoint.announcement.endpoint(), BrittlePauseJitter);
+    const uint32_t slots = std::max(1u, endpoint.announcement.slots());
+    const bool fresh = now < endpoint.loadReportedAt + LoadObservationTtl;
+    if (endpoint.ownRequests >= std::max(1u, slots / uint32_t(m_limitShare.routers())))
+        result = std::max(result, now + BrittleSlotWait);
+    else if (fresh && endpoint.ownRequests + endpoint.otherRequests >= slots)
+        result = std::max(result, endpoint.loadReportedAt + LoadObservationTtl);
+    return result;
+}
+
+bool Balancer::brittle(const std::string &service, Time now) const
+{
+    const auto it = m_brittleUntil.find(service);
+    return it != m_brittleUntil.end() && now < it->second;
+}
+
+void Balancer::recordBrittle(const std::string &service, Time toldAt)
+{
+    Time &until = m_brittleUntil[service];
+    until = std::max(until, toldAt + CapacityConfirmTime);
 }
 
 bool Balancer::accepts(const EndpointChoice &choice, Time now) const
 {
-    return !m_advice.leaving(choice.endpoint, choice.startedAtMs) && now >= acceptsFrom(choice.endpoint, choice.startedAtMs, now);
+    if (m_advice.leaving(choice.endpoint, choice.startedAtMs) || now < m_advice.pausedUntil(choice.endpoint, choice.startedAtMs))
+        return false;
+    const auto it = m_endpoints.find(choice.endpoint);
+    return it == m_endpoints.end() || now >= acceptsFrom(it->second, choice.startedAtMs, now);
 }
 
 std::optional<Restriction> Balancer::restriction(const EndpointRequirements &requirements, size_t waiting, Time now) const
@@ -155,7 +189,7 @@
         if (now >= from)
             return std::nullopt;
         times.push_back(from);
-        byLimit |= limit(it.first, it.second.announcement.born_ms()).has_value();
+        byLimit |= limit(it.first, it.second.announcement.born_ms()) || brittle(it.second.announcement.service(), now);
     }
     if (times.empty())
         return std::nullopt;
@@ -169,12 +203,20 @@
         m_limitShare.recordSend(choice.endpoint, now);
 }
 
+bool Balancer::recordRefusal(const EndpointChoice &choice, Time now)
+{
+    return m_advice.recordRefusal(choice.endpoint, choice.startedAtMs, now);
+}
+
 bool Balancer::recordCapacity(const EndpointChoice &choice, const EndpointCapacity &capacity, Time sentAt, Time now)
 {
     const bool limited = limit(choice.endpoint, choice.startedAtMs).has_value();
     const bool changed = m_advice.recordCapacity(choice.endpoint, choice.startedAtMs, capacity, sentAt, now);
     if (changed && !limited && capacity.requestsPerSecond)
         m_limitShare.recordSend(choice.endpoint, now);
+    const auto endpoint = m_endpoints.find(choice.endpoint);
+    if (capacity.maxRefusals && endpoint != m_endpoints.end())
+        recordBrittle(endpoint->second.announcement.service(), now);
     return changed;
 }
 
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -58,7 +58,7 @@
 // Why no endpoint takes a request now, although some can serve it.
 struct Restriction {
     Time until{}; // when the next of them takes one; Time::max() if it is not known
-    bool byLimit = false; // one of them has a limit; otherwise all have asked for a pause
+    bool byLimit = false; // one of them has a limit or is brittle; otherwise all have asked for a pause
 };
 
 class Balancer
@@ -89,6 +89,8 @@
     void attemptEnded(const EndpointRequirements &requirements, const EndpointChoice &choice, AttemptOutcome end, Time now);
     // Records a request that is sent to an endpoint with a limit.
     void recordSend(const EndpointChoice &choice, Time now);
+    // Records that an endpoint refused a request for lack of room. Returns whether it is brittle, so that others must know.
+    bool recordRefusal(const EndpointChoice &choice, Time now);
     // Records what the answer to a request sent at `sentAt` says about the endpoint's capacity. Returns whether it has changed.
     bool recordCapacity(const EndpointChoice &choice, const EndpointCapacity &capacity, Time sentAt, Time now);
     // Records the load that an endpoint reported with an answer.
@@ -133,16 +135,22 @@
     bool usable(const Endpoint &endpoint) const;
     // Returns the time from which the endpoint takes a request of this router: the end of a pause, or the next one under its
     // limit; Time::max() if other routers share that.
-    Time acceptsFrom(const std::string &endpoint, uint64_t startedAtMs, Time now) const;
+    Time acceptsFrom(const Endpoint &endpoint, uint64_t startedAtMs, Time now) const;
     Time acceptsFrom(const Endpoint &endpoint, Time now) const
     {
-        return acceptsFrom(endpoint.announcement.endpoint(), endpoint.announcement.born_ms(), now);
+        return acceptsFrom(endpoint, endpoint.announcement.born_ms(), now);
     }
+    // Returns the time from which a brittle endpoint takes a request of this router: it must have room for it, which each
+    // router sees only in part, and must not have refused one shortly before.
+    Time brittleAcceptsFrom(const Endpoint &endpoint, const EndpointCapacity &capacity, Time now) const;
+    // Returns whether an endpoint of the service, and thus probably each, is brittle.
+    bool brittle(const std::string &service, Time now) const;
     std::optional<double> limit(const std::string &endpoint, uint64_t startedAtMs) const
     {
         return m_advice.capacity(endpoint, startedAtMs).capacity.requestsPerSecond;
     }
     void updateCapacity(const LiveEndpoint &endpoint);
+    void recordBrittle(const std::string &service, Time toldAt);
     // Returns whether the endpoint belongs to the service and has the software version that the request requires.
     static bool matches(const Endpoint &endpoint, const EndpointRequirements &requirements);
     // Returns whether the endpoint can serve the request once its pause, if it asked for one, is over.
@@ -157,6 +165,7 @@
     uint64_t m_seenVersion = 0; // of the registry, at the last update
     EndpointAdvice m_advice;
     LimitShare m_limitShare;
+    std::map<std::string, Time> m_brittleUntil; // by service
     std::map<ArtifactKey, Demand> m_demands;
 };
 
--- a/src/coordination/endpointadvice.cpp
+++ b/src/coordination/endpointadvice.cpp
@@ -9,20 +9,48 @@
 
 using namespace tunables;
 
-EndpointCapacity fromProto(const pb::EndpointCapacity &message)
+namespace
+{
+
+Millis age(Time at, Time now)
+{
+    return std::max(Millis(0), Millis(now - at));
+}
+
+} // namespace
+
+bool EndpointCapacity::update(const EndpointCapacity &newer)
+{
+    const bool refused = newer.refusedAt > refusedAt + RefusalReportInterval;
+    const bool changed = newer.requestsPerSecond != requestsPerSecond || newer.maxRefusals != maxRefusals || refused;
+    requestsPerSecond = newer.requestsPerSecond;
+    maxRefusals = newer.maxRefusals;
+    refusedAt = refused ? newer.refusedAt : refusedAt;
+    return changed;
+}
+
+EndpointCapacity fromProto(const pb::EndpointCapacity &message, Time now)
 {
     EndpointCapacity capacity;
+    if (message.has_max_refusals())
+        capacity.maxRefusals = message.max_refusals();
+    if (message.has_refused_age_ms())
+        capacity.refusedAt = now - Millis(message.refused_age_ms());
     if (message.has_requests_per_second())
         capacity.requestsPerSecond = message.requests_per_second();
     return capacity;
 }
 
-pb::EndpointCapacity toProto(const EndpointCapacity &capacity, Millis age)
+pb::EndpointCapacity toProto(const EndpointCapacity &capacity, Time toldAt, Time now)
 {
     pb::EndpointCapacity message;
+    if (capacity.maxRefusals)
+        message.set_max_refusals(*capacity.maxRefusals);
+    if (now < capacity.refusedAt + BrittleRefusalPause + BrittlePauseJitter)
+        message.set_refused_age_ms(uint64_t(age(capacity.refusedAt, now).count()));
     if (capacity.requestsPerSecond)
         message.set_requests_per_second(*capacity.requestsPerSecond);
-    message.set_age_ms(uint64_t(std::max<int64_t>(0, age.count())));
+    message.set_age_ms(uint64_t(age(toldAt, now).count()));
     return message;
 }
 
@@ -70,11 +98,18 @@
     Entry *entry = entryFor(endpoint, startedAtMs);
     if (entry == nullptr)
         return false;
-    const bool changed = entry->capacity != capacity;
-    entry->capacity = capacity;
     entry->capacityAt = now;
     entry->capacityOwn = true;
-    return changed;
+    return entry->capacity.update(capacity);
+}
+
+bool EndpointAdvice::recordRefusal(const std::string &endpoint, uint64_t startedAtMs, Time now)
+{
+    EndpointCapacity refused = capacity(endpoint, startedAtMs).capacity;
+    if (!refused.maxRefusals)
+        return false;
+    refused.refusedAt = now;
+    return recordCapacity(endpoint, startedAtMs, refused, now, now);
 }
 
 void EndpointAdvice::recordShared(const std::string &endpoint, uint64_t startedAtMs, const EndpointCapacity &capacity, Time at)
@@ -82,7 +117,7 @@
     Entry *entry = entryFor(endpoint, startedAtMs);
     if (entry == nullptr || at <= entry->capacityAt)
         return;
-    entry->capacity = capacity;
+    entry->capacity.update(capacity);
     entry->capacityAt = at;
     entry->capacityOwn = false;
 }
@@ -123,7 +158,7 @@
         report.set_born_ms(entry.startedAtMs);
         report.set_leaving(leaving);
         if (capacity)
-            *report.mutable_capacity() = toProto(entry.capacity, now - entry.capacityAt);
+            *report.mutable_capacity() = toProto(entry.capacity, entry.capacityAt, now);
     }
     return reports;
 }
--- a/src/coordination/endpointadvice.h
+++ b/src/coordination/endpointadvice.h
@@ -19,16 +19,20 @@
 
 // How much an endpoint takes.
 struct EndpointCapacity {
-    std::optional<double> requestsPerSecond; // from all routers together
+    std::optional<double> requestsPerSecond{}; // from all routers together
+    std::optional<uint32_t> maxRefusals{}; // in a second, above which it ends; set: it is brittle
+    Time refusedAt{}; // when it refused a request for lack of room while it was brittle
     bool restricts() const
     {
-        return requestsPerSecond.has_value();
+        return requestsPerSecond.has_value() || maxRefusals.has_value();
     }
-    bool operator==(const EndpointCapacity &) const = default;
+    // Takes over what a newer answer says, except that it leaves the latest refusal. Returns whether routers must know.
+    bool update(const EndpointCapacity &newer);
 };
 
-EndpointCapacity fromProto(const pb::EndpointCapacity &message);
-pb::EndpointCapacity toProto(const EndpointCapacity &capacity, Millis age);
+// `now` is the time at which the message was or will be sent, `toldAt` that of the answer.
+EndpointCapacity fromProto(const pb::EndpointCapacity &message, Time now);
+pb::EndpointCapacity toProto(const EndpointCapacity &capacity, Time toldAt, Time now);
 
 class EndpointAdvice
 {
@@ -42,6 +46,8 @@
     // restriction ends an earlier one only if its request was sent after that was known. Returns whether the capacity has
     // changed.
     bool recordCapacity(const std::string &endpoint, uint64_t startedAtMs, const EndpointCapacity &capacity, Time sentAt, Time now);
+    // Records that a brittle endpoint refused a request for lack of room. Returns false if it is not known to be brittle.
+    bool recordRefusal(const std::string &endpoint, uint64_t startedAtMs, Time now);
     // Records what another router was told at `at`, if it is newer.
     void recordShared(const std::string &endpoint, uint64_t startedAtMs, const EndpointCapacity &capacity, Time at);
 
--- a/src/coordination/limitshare.cpp
+++ b/src/coordination/limitshare.cpp
@@ -30,6 +30,11 @@
     m_routers = std::move(routers);
 }
 
+Millis LimitShare::jitter(const std::string &endpoint, Millis range) const
+{
+    return Millis(int64_t(weightOf(endpoint, m_self) % uint64_t(range.count())));
+}
+
 bool LimitShare::selected(const std::string &endpoint, size_t sharers) const
 {
     if (m_routers.size() <= sharers)
@@ -42,7 +47,7 @@
 
 Time LimitShare::nextSendAt(const std::string &endpoint, double requestsPerSecond, bool confirmed) const
 {
-    const size_t all = std::max<size_t>(1, m_routers.size());
+    const size_t all = routers();
     size_t sharers = std::min(all, size_t(requestsPerSecond * RoutersPerLimitedRequest) + MinRoutersSharingLimit);
     if (!selected(endpoint, sharers)) {
         if (confirmed)
--- a/src/coordination/limitshare.h
+++ b/src/coordination/limitshare.h
@@ -8,6 +8,7 @@
 
 #include "state/types.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -27,8 +28,10 @@
     // Returns the number of routers, this one included.
     size_t routers() const
     {
-        return m_routers.size();
+        return std::max<size_t>(1, m_routers.size());
     }
+    // Returns a time below `range` that differs between routers.
+    Millis jitter(const std::string &endpoint, Millis range) const;
     // Returns when this router may send the endpoint its next request; Time::max() if other routers share the limit. If it is not
     // `confirmed`, no router has used the endpoint for a while, and the others have a small share as well.
     Time nextSendAt(const std::string &endpoint, double requestsPerSecond, bool confirmed) const;
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -231,9 +231,7 @@
 {
     if (at <= endpoint.capacityAt)
         return false;
-    const EndpointCapacity capacity = fromProto(message);
-    const bool changed = capacity != endpoint.capacity;
-    endpoint.capacity = capacity;
+    const bool changed = endpoint.capacity.update(fromProto(message, at + Millis(message.age_ms())));
     endpoint.capacityAt = at;
     if (!changed && at < endpoint.capacityRelayedAt + CapacityRelayInterval)
         return false;
@@ -270,7 +268,7 @@
     pb::Announcement announcement = endpoint.announcement;
     announcement.set_age_ms(ageMs(endpoint.lastSeenAt, now));
     if (endpoint.capacityAt != Time())
-        *announcement.mutable_capacity() = toProto(endpoint.capacity, now - endpoint.capacityAt);
+        *announcement.mutable_capacity() = toProto(endpoint.capacity, endpoint.capacityAt, now);
     return announcement;
 }
 
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -109,6 +109,10 @@
 constexpr Millis CapacityRetention = std::chrono::minutes(2); // exceeds the time for which an endpoint is in need
 constexpr Millis CapacityReportTime{10000}; // several polls, also of a router that is cut off for some seconds
 constexpr Millis CapacityRelayInterval{3000}; // of an unchanged capacity, to all routers; well within CapacityConfirmTime
+constexpr Millis BrittleRefusalPause{1000}; // after a refusal; a brittle endpoint counts its refusals in a second
+constexpr Millis BrittlePauseJitter{500}; // so that the routers do not resume at the same moment
+constexpr Millis RefusalReportInterval{300}; // within which routers need not know of another refusal
+constexpr Millis BrittleSlotWait{20}; // until a request that waits for a slot of a brittle endpoint tries again
 constexpr double RoutersPerLimitedRequest = 2; // routers that share a limit, for each request a second of it
 constexpr size_t MinRoutersSharingLimit = 3; // and this many more: their simultaneous requests stay below the tolerated excess
 constexpr Millis ModelNotHeldCooldown{300}; // until the contents of the endpoint are reported again
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -407,6 +407,11 @@
     else if (request.cancellation->cancelled())
         outcome = AttemptOutcome::Cancelled;
     m_balancer.attemptEnded(request.requirements, choice, outcome, monotonicNow());
+    if (outcome == AttemptOutcome::Full && m_balancer.recordRefusal(choice, monotonicNow())) {
+        logDecision("brittle_endpoint_refused", {{"id", request.metadata.id}, {"endpoint", choice.endpoint}});
+        if (m_onReport)
+            m_onReport();
+    }
     if (end == AttemptEnd::RefusedNotRun)
         --request.progress.runs;
     if (end == AttemptEnd::Completed)
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -95,7 +95,8 @@
 void Forwarder::recordCapacity(const Request &request, const EndpointChoice &choice, const EndpointAnswer &answer, Time now)
 {
     if (answer.status == 421
-        || !m_balancer.recordCapacity(choice, EndpointCapacity{answer.metadata.requestsPerSecond}, request.sentAt, now))
+        || !m_balancer.recordCapacity(choice, EndpointCapacity{answer.metadata.requestsPerSecond, answer.metadata.maxRefusals},
+                                      request.sentAt, now))
         return;
     logEvent("endpoint_capacity",
              {{"id", request.metadata.id},
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -201,6 +201,158 @@
 namespace
 {
 
+// Routers that poll one control host every 250 ms, and brittle endpoints that run `slots` requests at a time, each for
+// RunTime, and refuse others.
+struct BrittleSystem {
+    struct Run {
+        size_t router;
+        EndpointChoice choice;
+        Time endsAt;
+    };
+    static constexpr Millis RunTime{60};
+    Registry control{ExpiryTimes, Now};
+    std::deque<Router> routers;
+    Time now = Now;
+    uint32_t slots;
+    std::vector<Run> runs;
+    std::map<std::string, std::deque<Time>> refusals; // within the last second
+    std::map<std::string, uint64_t> startedAtMs;
+    uint32_t maxRefusals;
+    int falls = 0;
+    size_t served = 0;
+
+    BrittleSystem(int routerCount, int endpoints, uint32_t slotsOfEach, uint32_t refusalsInASecond)
+        : slots(slotsOfEach)
+        , maxRefusals(refusalsInASecond)
+    {
+        for (int i = 0; i < endpoints; ++i) {
+            startedAtMs["e" + std::to_string(i)] = StartedAtMs;
+            announce("e" + std::to_string(i));
+        }
+        for (int i = 0; i < routerCount; ++i)
+            routers.emplace_back(i);
+        for (int round = 0; round < 2; ++round) {
+            for (Router &it : routers)
+                it.poll(control, now);
+        }
+    }
+    void announce(const std::string &id)
+    {
+        pb::Announcement it = announcement(id, startedAtMs[id], 1, "10.0.0.1:" + id.substr(1));
+        it.set_slots(slots);
+        control.merge(it, now);
+    }
+    void refuse(const std::string &endpoint)
+    {
+        std::deque<Time> &times = refusals[endpoint];
+        times.push_back(now);
+        while (times.front() + Millis(1000) <= now)
+            times.pop_front();
+        if (times.size() <= maxRefusals)
+            return;
+        ++falls;
+        times.clear();
+        startedAtMs[endpoint] += 1000;
+        announce(endpoint);
+    }
+    void request(size_t n)
+    {
+        Balancer &balancer = *routers[n].balancer;
+        const std::optional<EndpointChoice> choice = balancer.choose(plainRequest(), now);
+        if (!choice || !balancer.accepts(*choice, now))
+            return;
+        balancer.attemptStarted(plainRequest(), *choice, now);
+        const auto running = std::count_if(runs.begin(), runs.end(), [&](const Run &it) { return it.choice.endpoint == choice->endpoint; });
+        balancer.recordCapacity(*choice, EndpointCapacity{std::nullopt, maxRefusals}, now, now);
+        if (uint32_t(running) < slots) {
+            runs.push_back(Run{n, *choice, now + RunTime});
+            return;
+        }
+        balancer.attemptEnded(plainRequest(), *choice, AttemptOutcome::Full, now);
+        balancer.recordRefusal(*choice, now);
+        refuse(choice->endpoint);
+    }
+    void endRuns()
+    {
+        std::erase_if(runs, [&](const Run &it) {
+            if (now < it.endsAt)
+                return false;
+            ++served;
+            routers[it.router].balancer->attemptEnded(plainRequest(), it.choice, AttemptOutcome::Answered, now);
+            return true;
+        });
+    }
+    void run(Millis time, double perSecond, std::mt19937_64 &random)
+    {
+        const Time end = now + time;
+        for (; now < end; now += Millis(10)) {
+            endRuns();
+            for (size_t n = 0; n < routers.size(); ++n) {
+                if ((size_t(toMillis(now)) / 10 + n) % 25 == 0)
+                    routers[n].poll(control, now);
+            }
+            for (double due = perSecond / 100; due > 0; due -= 1) {
+                if (due >= 1 || double(random() % 1000) < due * 1000)
+                    request(random() % routers.size());
+            }
+        }
+    }
+};
+
+struct BrittleRow {
+    int routers;
+    int endpoints;
+    uint32_t slots;
+    uint32_t maxRefusals;
+    double overload; // requests, as a multiple of what the endpoints can run
+};
+std::ostream &operator<<(std::ostream &os, const BrittleRow &row)
+{
+    return os << row.routers << " routers, " << row.endpoints << " endpoints of " << row.slots << " slots, " << row.maxRefusals
+              << " refusals, load " << row.overload;
+}
+const BrittleRow BrittleRows[] = {
+    {4, 3, 8, 0, 5}, {10, 12, 64, 0, 3}, {10, 3, 6, 4, 0.5}, {10, 3, 6, 4, 5}, {11, 3, 6, 5, 10},
+};
+
+} // namespace
+
+// Pattern: more requests than brittle endpoints have room for arrive at all routers, none of which sees what the others send.
+BOOST_DATA_TEST_CASE(brittleEndpointsAreNotMadeToRefuse, bdata::make(BrittleRows), row)
+{
+    BrittleSystem system(row.routers, row.endpoints, row.slots, row.maxRefusals);
+    std::mt19937_64 random(1);
+    const double capacity = double(row.endpoints) * row.slots * 1000 / double(BrittleSystem::RunTime.count());
+    // The routers are told before the load comes.
+    system.run(Millis(3000), capacity / 20, random);
+    system.run(Millis(20000), capacity * row.overload, random);
+    BOOST_TEST(system.falls <= 2 + row.endpoints / 10);
+}
+
+// An endpoint that has fallen, and has not answered since, is as brittle as the others of its service.
+BOOST_AUTO_TEST_CASE(restartedEndpointOfABrittleServiceCountsAsBrittle)
+{
+    BrittleSystem system(1, 2, 2, 0);
+    std::mt19937_64 random(1);
+    system.run(Millis(500), 20, random);
+    system.startedAtMs["e0"] += 1000;
+    system.announce("e0");
+    system.run(Millis(500), 0, random);
+    Balancer &balancer = *system.routers[0].balancer;
+    for (int n = 0; n < 4; ++n) {
+        const std::optional<EndpointChoice> choice = balancer.choose(plainRequest(), system.now);
+        BOOST_REQUIRE(choice.has_value());
+        balancer.attemptStarted(plainRequest(), *choice, system.now);
+    }
+    BOOST_TEST(!balancer.choose(plainRequest(), system.now).has_value());
+    BOOST_TEST(balancer.restriction(plainRequest(), 0, system.now)->byLimit);
+    // Nothing says that the service is brittle any longer.
+    BOOST_TEST(balancer.choose(plainRequest(), system.now + CapacityConfirmTime).has_value());
+}
+
+namespace
+{
+
 // A router with an endpoint that has named a limit of one request a second, all of which is this router's.
 struct LimitedEndpoint {
     Router router{0};
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -189,6 +189,11 @@
     return clientFor("127.0.0.1", entryPort(entry)).Post(path, extraHeaders, "the body", "text/plain");
 }
 
+httplib::Result Fleet::sendToRunner(int runner, const std::string &path)
+{
+    return clientFor("127.0.0.1", m_firstPort + 40 + runner).Post(path, {{"X-Request-Id", "direct"}}, "", "text/plain");
+}
+
 Json Fleet::requestRecord(int runner, const std::string &id)
 {
     const httplib::Result result = clientFor("127.0.0.1", m_firstPort + 40 + runner).Get("/seen");
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -38,6 +38,8 @@
     // Sends a request to an entry host, with the header X-Model unless `model` is empty, as for the plain service.
     httplib::Result sendRequest(int entry, const std::string &path, const std::string &id, const std::string &model = "",
                                 httplib::Headers extraHeaders = {});
+    // Sends a request to a runner itself, as another system's router might.
+    httplib::Result sendToRunner(int runner, const std::string &path);
     // Returns what a runner recorded about a request: headers, path, body, number of runs, events sent, cancellation.
     Json requestRecord(int runner, const std::string &id);
     // Return the state dump of a process.
--- a/tests/fleet_capacity_test.cpp
+++ b/tests/fleet_capacity_test.cpp
@@ -35,17 +35,6 @@
     BOOST_REQUIRE(fleet.waitForEndpoints(Entries, size_t(runners)));
 }
 
-// Repeats a request until the given runner has run it.
-void sendTo(Fleet &fleet, int runner, const std::string &path)
-{
-    BOOST_REQUIRE(eventually([&] {
-        static int n = 0;
-        const std::string id = "say-" + std::to_string(++n);
-        fleet.sendRequest(1 + n % int(Entries.size()), path, id);
-        return fleet.requestRecord(runner, id).value("runs", 0) == 1;
-    }));
-}
-
 struct LoadResult {
     int sent = 0;
     int served = 0;
@@ -96,20 +85,42 @@
 // hosts together go on sending more, although another runner has room.
 BOOST_AUTO_TEST_CASE(runnerWithALimitGetsNoMoreFromAllRoutersTogether)
 {
-    constexpr double Limit = 1.5;
+    constexpr double limit = 1.5;
     Fleet fleet("capacity-limit", FirstPort);
     startSystem(fleet, 2);
-    sendTo(fleet, 1, "/r/limit/1/1500/");
+    BOOST_REQUIRE(fleet.sendToRunner(1, "/r/limit/1/1500/"));
     const int64_t begin = steadyMillis() + ToldTime.count();
     const LoadResult load = sendLoad(fleet, "/r/x", 1, std::chrono::milliseconds(60), std::chrono::milliseconds(9000));
     BOOST_TEST(load.sent > 300);
     BOOST_TEST(load.served == load.sent);
     const std::vector<int64_t> arrivals = fleet.arrivals(1);
-    BOOST_TEST(mostInOneWindow(arrivals, begin) <= size_t(1.5 * Limit * LimitWindowMs / 1000 + 5));
+    BOOST_TEST(mostInOneWindow(arrivals, begin) <= size_t(1.5 * limit * LimitWindowMs / 1000 + 5));
     BOOST_TEST(arrivals.back() > begin);
     // The runner names no limit any longer.
-    sendTo(fleet, 1, "/r/limit/1/0/");
+    BOOST_REQUIRE(fleet.sendToRunner(1, "/r/limit/1/0/"));
     const int64_t end = steadyMillis();
     sendLoad(fleet, "/r/x", 1, std::chrono::milliseconds(60), std::chrono::milliseconds(4000));
     BOOST_TEST(mostInOneWindow(fleet.arrivals(1), end) > 50u);
 }
+
+// Guards against brittle runners that fall one after the other, because each router sends them more than they have room for
+// and goes on when they refuse it.
+BOOST_AUTO_TEST_CASE(brittleRunnersAreNotMadeToRefuse)
+{
+    constexpr int runners = 3;
+    constexpr int maxFallen = 2 + runners / 10; // by the platform's rules
+    Fleet fleet("capacity-brittle", FirstPort + 100);
+    startSystem(fleet, runners);
+    for (int n = 1; n <= runners; ++n)
+        BOOST_REQUIRE(fleet.sendToRunner(n, fmt::format("/r/brittle/{}/3/", n)));
+    sendLoad(fleet, "/r/x", 1, std::chrono::milliseconds(50), ToldTime);
+    sendLoad(fleet, "/r/pause/100/", 20, std::chrono::milliseconds(10), std::chrono::milliseconds(6000));
+    int fallen = 0;
+    for (int n = 1; n <= runners; ++n)
+        fallen += fleet.running("runner-" + std::to_string(n)) ? 0 : 1;
+    BOOST_TEST(fallen <= maxFallen);
+    // Fewer requests than there is room for are served again.
+    const LoadResult load = sendLoad(fleet, "/r/pause/20/", 1, std::chrono::milliseconds(100), std::chrono::milliseconds(2000));
+    BOOST_TEST(load.sent > 40);
+    BOOST_TEST(load.served == load.sent);
+}
