--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -52,7 +52,7 @@
     std::string seeds;
     for (int n = 1; n <= KeeperCount; ++n)
         seeds += fmt::format("{}\"{}:{}\"", n == 1 ? "" : ", ", keeperAddress(n), m_firstPort + 1);
-    return fmt::format("id: {}\nzone: z1\naddress: {}\nseeds: [{}]\ninternalPort: {}\ngrace: 4s\n", id, address, seeds, m_firstPort + 2);
+    return fmt::format("id: {}\nzone: z1\naddress: {}\nseeds: [{}]\ninternalPort: {}\ngrace: 4s\n", id, address, seeds, internalPort());
 }
 
 void Fleet::startKeeper(int n, bool mayFound, int orderLeaseMs)
@@ -79,7 +79,7 @@
                                      "--id",
                                      fmt::format("i-{}", n),
                                      "--port",
-                                     std::to_string(m_firstPort + 40 + n),
+                                     std::to_string(runnerPort(n)),
                                      "--service",
                                      service,
                                      "--models",
@@ -107,6 +107,11 @@
 }
 
 httplib::Result Fleet::putConfiguration(int keeper, uint64_t version, int streamTimeoutMs)
+{
+    return putText(keeper, configurationText(version, streamTimeoutMs));
+}
+
+std::string Fleet::configurationText(uint64_t version, int streamTimeoutMs)
 {
     const Json routes = Json::array({
         Json{{"name", "stream"},
@@ -147,7 +152,7 @@
     const Json services
         = Json::array({Json{{"name", "engines"}, {"health_path", "/healthz"}, {"max_connections", 100}, {"engine", engineSpec()}},
                        Json{{"name", "plain"}, {"health_path", "/healthz"}, {"max_connections", 100}}});
-    return putText(keeper, Json{{"version", version}, {"routes", routes}, {"services", services}, {"limits", Json::object()}}.dump());
+    return Json{{"version", version}, {"routes", routes}, {"services", services}, {"limits", Json::object()}}.dump();
 }
 
 httplib::Result Fleet::getConfiguration(int keeper)
@@ -191,13 +196,18 @@
 
 httplib::Result Fleet::sendToRunner(int runner, const std::string &path)
 {
-    return clientFor("127.0.0.1", m_firstPort + 40 + runner).Post(path, {{"X-Request-Id", "direct"}}, "", "text/plain");
+    return clientFor("127.0.0.1", runnerPort(runner)).Post(path, {{"X-Request-Id", "direct"}}, "", "text/plain");
+}
+
+Json Fleet::requestRecords(int runner)
+{
+    const httplib::Result result = clientFor("127.0.0.1", runnerPort(runner)).Get("/seen");
+    return result ? Json::parse(result->body) : Json::object();
 }
 
 Json Fleet::requestRecord(int runner, const std::string &id)
 {
-    const httplib::Result result = clientFor("127.0.0.1", m_firstPort + 40 + runner).Get("/seen");
-    return result ? Json::parse(result->body).value(id, Json::object()) : Json::object();
+    return requestRecords(runner).value(id, Json::object());
 }
 
 Json Fleet::entryDump(int entry)
@@ -240,13 +250,13 @@
 
 std::vector<int64_t> Fleet::arrivals(int runner)
 {
-    const httplib::Result result = clientFor("127.0.0.1", m_firstPort + 40 + runner).Get("/arrivals");
+    const httplib::Result result = clientFor("127.0.0.1", runnerPort(runner)).Get("/arrivals");
     return result ? Json::parse(result->body).get<std::vector<int64_t>>() : std::vector<int64_t>();
 }
 
 Json Fleet::orders(int runner)
 {
-    const httplib::Result result = clientFor("127.0.0.1", m_firstPort + 40 + runner).Get("/orders");
+    const httplib::Result result = clientFor("127.0.0.1", runnerPort(runner)).Get("/orders");
     return result ? Json::parse(result->body) : Json::array();
 }
 
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -29,6 +29,7 @@
     // Puts a configuration with one engine service and one plain service. Follows redirects to the leader.
     httplib::Result putConfiguration(int keeper, uint64_t version, int streamTimeoutMs = 8000);
     httplib::Result putText(int keeper, const std::string &body);
+    static std::string configurationText(uint64_t version, int streamTimeoutMs = 8000);
     httplib::Result getConfiguration(int keeper);
     // Waits until each of the given entry hosts reports that it is ready.
     bool waitUntilReady(const std::vector<int> &entries);
@@ -42,6 +43,8 @@
     httplib::Result sendToRunner(int runner, const std::string &path);
     // Returns what a runner recorded about a request: headers, path, body, number of runs, events sent, cancellation.
     Json requestRecord(int runner, const std::string &id);
+    // Returns the records of all requests, by id.
+    Json requestRecords(int runner);
     // Return the state dump of a process.
     Json entryDump(int entry);
     Json keeperDump(int keeper);
@@ -57,6 +60,15 @@
     {
         return m_firstPort + 10 + n;
     }
+    int runnerPort(int n) const
+    {
+        return m_firstPort + 40 + n;
+    }
+    // Returns the port of the internal protocol of control hosts.
+    int internalPort() const
+    {
+        return m_firstPort + 2;
+    }
 
 private:
     std::string settings(const std::string &id, const std::string &address) const;
