Routers know which endpoints they can't connect to

Cause: only the request that failed to connect knew of it, and for a second the endpoint cost more. Change: an endpoint that could not be connected to is a last resort until a probe succeeds; two failures cause all others to be probed, and pooled connections to an unreachable address are closed, except after a refusal, which says nothing about open ones. Probes are kept as pooled connections, and stop when nothing is unreachable.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -49,6 +49,7 @@
         if (endpoint.announcement.born_ms() != it.second.announcement.born_ms()) {
             endpoint.cachedParts.clear();
             endpoint.failedUntil = Time();
+            m_reachability.forget(it.first);
         }
         endpoint.announcement = it.second.announcement;
         endpoint.usable = it.second.usable();
@@ -64,7 +65,10 @@
     for (std::pair<const std::string, Endpoint> &it : m_endpoints)
         it.second.usable = it.second.usable && registry.endpoints().count(it.first) != 0;
     std::erase_if(m_endpoints, [&](const std::pair<const std::string, Endpoint> &it) {
-        return it.second.ownRequests == 0 && registry.endpoints().count(it.first) == 0;
+        const bool removed = it.second.ownRequests == 0 && registry.endpoints().count(it.first) == 0;
+        if (removed)
+            m_reachability.forget(it.first);
+        return removed;
     });
 }
 
@@ -131,6 +135,31 @@
     return endpoint.usable && !m_advice.leaving(endpoint.announcement.endpoint(), endpoint.announcement.born_ms());
 }
 
+std::vector<std::string> Balancer::usableEndpoints() const
+{
+    std::vector<std::string> result;
+    for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
+        if (usable(it.second))
+            result.push_back(it.first);
+    }
+    return result;
+}
+
+bool Balancer::hasUnreachableEndpoint() const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [this](const std::pair<const std::string, Endpoint> &it) {
+        return usable(it.second) && m_reachability.unreachable(it.first);
+    });
+}
+
+std::map<std::string, std::string> Balancer::dueProbes(Time now)
+{
+    std::map<std::string, std::string> result;
+    for (const std::string &it : m_reachability.dueProbes(usableEndpoints(), now))
+        result[it] = m_endpoints.at(it).announcement.address();
+    return result;
+}
+
 Time Balancer::acceptsFrom(const Endpoint &endpoint, uint64_t startedAtMs, Time now) const
 {
     const std::string &id = endpoint.announcement.endpoint();
@@ -263,7 +292,7 @@
     return ms;
 }
 
-std::optional<EndpointChoice> Balancer::choose(const EndpointRequirements &requirements, Time now) const
+std::optional<EndpointChoice> Balancer::choose(const EndpointRequirements &requirements, Time now, bool lastResort) const
 {
     const Endpoint *best = nullptr;
     double bestCost = 0;
@@ -271,8 +300,11 @@
     for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
         if (!canServe(it.second, requirements, now) || now < acceptsFrom(it.second, now))
             continue;
+        const bool unreachable = m_reachability.unreachable(it.first);
+        if (unreachable && !lastResort)
+            continue;
         ++candidates;
-        const double candidate = cost(it.second, requirements, now);
+        const double candidate = cost(it.second, requirements, now) + (unreachable ? UnreachableEndpointCostMs : 0);
         if (best == nullptr || candidate < bestCost) {
             best = &it.second;
             bestCost = candidate;
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -5,6 +5,7 @@
 #include "coordination/admission.h"
 #include "coordination/endpointadvice.h"
 #include "coordination/limitshare.h"
+#include "coordination/reachability.h"
 #include "coordination/registry.h"
 #include "protocol/platformcodec.h"
 
@@ -69,8 +70,9 @@
 
     // Updates endpoints from the registry.
     void update(const Registry &registry);
-    // Returns the endpoint of lowest cost that can serve the request, if there is one.
-    std::optional<EndpointChoice> choose(const EndpointRequirements &requirements, Time now) const;
+    // Returns the endpoint of lowest cost that can serve the request, if there is one. One that this router can't connect to is
+    // returned only as a last resort.
+    std::optional<EndpointChoice> choose(const EndpointRequirements &requirements, Time now, bool lastResort = true) const;
     // Returns whether a request may still be sent to a chosen endpoint, which may have said since that it is leaving or
     // that it wants none, or taken another request under its limit.
     bool accepts(const EndpointChoice &choice, Time now) const;
@@ -96,6 +98,24 @@
     // Records the load that an endpoint reported with an answer.
     void observeLoad(const std::string &endpoint, uint32_t running, uint32_t waiting, Time now);
 
+    // Record the result of an attempt to connect to an endpoint. Each returns whether its state has changed.
+    bool recordConnected(const std::string &endpoint, Time now)
+    {
+        return m_reachability.recordConnected(endpoint, now);
+    }
+    bool recordConnectFailed(const std::string &endpoint, Time now)
+    {
+        return m_reachability.recordFailed(endpoint, now);
+    }
+    // Returns whether this router can't connect to at least half of the endpoints.
+    bool isolated() const
+    {
+        return m_reachability.isolated(usableEndpoints());
+    }
+    bool hasUnreachableEndpoint() const;
+    // Returns the addresses of the endpoints that are to be probed now, by endpoint.
+    std::map<std::string, std::string> dueProbes(Time now);
+
     EndpointAdvice &advice()
     {
         return m_advice;
@@ -133,6 +153,7 @@
     using ArtifactKey = std::tuple<ServiceId, std::string, std::string>;
 
     bool usable(const Endpoint &endpoint) const;
+    std::vector<std::string> usableEndpoints() const;
     // Returns the time from which the endpoint takes a request of this router: the end of a pause, or the next one under its
     // limit; Time::max() if other routers share that.
     Time acceptsFrom(const Endpoint &endpoint, uint64_t startedAtMs, Time now) const;
@@ -164,6 +185,7 @@
     std::map<std::string, Endpoint> m_endpoints;
     uint64_t m_seenVersion = 0; // of the registry, at the last update
     EndpointAdvice m_advice;
+    EndpointReachability m_reachability;
     LimitShare m_limitShare;
     std::map<std::string, Time> m_brittleUntil; // by service
     std::map<ArtifactKey, Demand> m_demands;
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -100,6 +100,10 @@
 constexpr double FullBatchCostMs = 60; // added to the time to first token by a full batch
 constexpr double QueuedRequestCostMs = 30; // of each request that waits for a slot
 constexpr double FailedEndpointCostMs = 5000; // more than the cost of any endpoint without a failure
+constexpr Millis ReachabilityProbeInterval{1000}; // of an endpoint that could not be connected to
+constexpr Millis ReachabilitySweepInterval{2000}; // endpoints connected to within this time before a failure are not probed for it
+constexpr Millis ReachabilityCheckInterval{100}; // for due probes
+constexpr double UnreachableEndpointCostMs = 20000; // chosen only if there is no other, and no router that reaches one
 constexpr Millis EndpointFailureCooldown{1000}; // after a failure an endpoint is chosen only if there is no other
 constexpr Millis MaxEndpointPause = std::chrono::minutes(10); // asked for in an answer; a longer one is taken for a mistake
 constexpr Millis LeavingRetention = std::chrono::hours(1); // exceeds the time for which a leaving endpoint goes on serving
--- a/src/transport/endpointpool.cpp
+++ b/src/transport/endpointpool.cpp
@@ -101,6 +101,11 @@
         idle.pop_front();
 }
 
+void EndpointPool::closeIdle(const std::string &address)
+{
+    m_idle.erase(address);
+}
+
 void EndpointPool::closeExpired(Time now)
 {
     for (std::pair<const std::string, std::deque<EndpointConnectionPtr>> &it : m_idle) {
--- a/src/transport/endpointpool.h
+++ b/src/transport/endpointpool.h
@@ -35,6 +35,8 @@
     Task<EndpointConnectionPtr> connect(const std::string &address, Millis timeout, ErrorCode *error = nullptr);
     // Returns a connection to the pool after its last answer was read completely.
     void putIdle(EndpointConnectionPtr connection, Time now);
+    // Closes the idle connections to an address.
+    void closeIdle(const std::string &address);
     // Closes connections whose idle time-out has passed.
     void closeExpired(Time now);
 
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -357,12 +357,63 @@
     co_return choice;
 }
 
+// Opens a connection to an endpoint and records whether it can be reached from here.
+Task<EndpointConnectionPtr> Forwarder::connect(std::string endpoint, std::string address)
+{
+    ErrorCode ec;
+    EndpointConnectionPtr connection = co_await m_pool.connect(address, EndpointConnectTimeout, &ec);
+    const Time now = monotonicNow();
+    const bool isolatedBefore = m_balancer.isolated();
+    if (connection) {
+        if (m_balancer.recordConnected(endpoint, now))
+            logEvent("endpoint_reachable", {{"endpoint", endpoint}, {"address", address}});
+    } else if (m_balancer.recordConnectFailed(endpoint, now)) {
+        logEvent("endpoint_unreachable", {{"endpoint", endpoint}, {"address", address}, {"error", ec.message()}});
+    }
+    if (!connection && !m_probing)
+        net::co_spawn(m_io, probeEndpoints(), net::detached);
+    // A refused connection says nothing about open ones.
+    if (!connection && ec != net::error::connection_refused)
+        m_pool.closeIdle(address);
+    const bool isolated = m_balancer.isolated();
+    if (isolated != isolatedBefore) {
+        logEvent(isolated ? "isolated_from_endpoints" : "isolation_from_endpoints_ended");
+        if (m_onReport)
+            m_onReport();
+    }
+    co_return connection;
+}
+
+Task<> Forwarder::probe(std::string endpoint, std::string address)
+{
+    EndpointConnectionPtr connection = co_await connect(std::move(endpoint), std::move(address));
+    if (!connection)
+        co_return;
+    m_pool.putIdle(std::move(connection), monotonicNow());
+    wakeWaitingRequests();
+}
+
+// Probes the endpoints that this router can't connect to, until there are none.
+Task<> Forwarder::probeEndpoints()
+{
+    m_probing = true;
+    net::steady_timer timer(m_io);
+    while (m_balancer.hasUnreachableEndpoint()) {
+        ErrorCode ec;
+        timer.expires_after(ReachabilityCheckInterval);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+        for (const std::pair<const std::string, std::string> &it : m_balancer.dueProbes(monotonicNow()))
+            net::co_spawn(m_io, probe(it.first, it.second), net::detached);
+    }
+    m_probing = false;
+}
+
 Task<AttemptEnd> Forwarder::attempt(Request &request, const EndpointChoice &choice)
 {
     request.endpoint = choice.endpoint;
     EndpointConnectionPtr connection = m_pool.takeIdle(choice.address, monotonicNow());
     if (!connection)
-        connection = co_await m_pool.connect(choice.address, EndpointConnectTimeout);
+        connection = co_await connect(choice.endpoint, choice.address);
     if (request.cancellation->cancelled())
         co_return AttemptEnd::Abandoned;
     if (!connection) {
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -86,6 +86,9 @@
     Task<std::optional<EndpointChoice>> findEndpoint(Request &request);
     Task<std::optional<EndpointChoice>> waitForModel(Request &request);
     Task<AttemptEnd> attempt(Request &request, const EndpointChoice &choice);
+    Task<EndpointConnectionPtr> connect(std::string endpoint, std::string address);
+    Task<> probe(std::string endpoint, std::string address);
+    Task<> probeEndpoints();
     bool selectVersion(Request &request);
     Task<bool> confirmIncarnation(Request &request, const EndpointChoice &choice, EndpointConnection &connection);
     Task<AttemptEnd> exchange(Request &request, const EndpointChoice &choice, EndpointConnection &connection, bool &reusable);
@@ -130,6 +133,7 @@
     BufferQuota m_bufferQuota;
     StreamVersions m_streamVersions;
     size_t m_active = 0;
+    bool m_probing = false; // probeEndpoints() is running
     uint64_t m_registryVersion = 0; // of the control host, at the last sync
     Time m_syncedAt{};
     Time m_currentAt{}; // of the configuration
