Requests at a host that can't connect to the endpoints go by way of another host

Callers: at hosts that are cut from all endpoints no first attempt was served, while other hosts served all (RECOVER). The class: one path between two processes, and no other when it fails. Change: a router that can't connect to the endpoints of a request passes it on to a router that can, one hop at most, with the time left, its configuration's version and the software version of a stream; a router's own answer is told from an endpoint's. If no router can, the request is refused at once. Requests still hang for a while on pooled connections when these go silent.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -145,6 +145,21 @@
     return result;
 }
 
+bool Balancer::reachableByOthersOnly(const EndpointRequirements &requirements, Time now) const
+{
+    EndpointRequirements all = requirements;
+    all.avoid.clear(); // an endpoint that this request could not connect to is one of them
+    bool any = false;
+    for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
+        if (!canServe(it.second, all, now))
+            continue;
+        if (!m_reachability.unreachable(it.first))
+            return false;
+        any = true;
+    }
+    return any;
+}
+
 bool Balancer::hasUnreachableEndpoint() const
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [this](const std::pair<const std::string, Endpoint> &it) {
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -45,6 +45,7 @@
     uint64_t startedAtMs = 0;
     SoftwareVersion software;
     ChoiceInputs inputs;
+    std::string router{}; // that the request is passed to instead of an endpoint; empty: none
 };
 
 // How an attempt on an endpoint ended, as far as it matters to later choices.
@@ -113,6 +114,8 @@
         return m_reachability.isolated(usableEndpoints());
     }
     bool hasUnreachableEndpoint() const;
+    // Returns whether endpoints can serve the request, but this router can't connect to any of them.
+    bool reachableByOthersOnly(const EndpointRequirements &requirements, Time now) const;
     // Returns the addresses of the endpoints that are to be probed now, by endpoint.
     std::map<std::string, std::string> dueProbes(Time now);
 
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -48,6 +48,7 @@
             && std::equal(x.parts().begin(), x.parts().end(), y.parts().begin(), y.parts().end());
     };
     return a.incarnation() == b.incarnation() && a.address() == b.address() && a.zone() == b.zone() && a.accepting() == b.accepting()
+        && a.relay_address() == b.relay_address() && a.isolated() == b.isolated()
         && std::equal(a.crashes().begin(), a.crashes().end(), b.crashes().begin(), b.crashes().end(), sameReport)
         && std::equal(a.part_crashes().begin(), a.part_crashes().end(), b.part_crashes().begin(), b.part_crashes().end(), samePartCrash)
         && std::equal(a.sound_parts().begin(), a.sound_parts().end(), b.sound_parts().begin(), b.sound_parts().end());
--- a/src/protocol/hostsettings.cpp
+++ b/src/protocol/hostsettings.cpp
@@ -59,13 +59,14 @@
 EntrySettings readEntry(const YAML::Node &root)
 {
     checkKeys(root, "the settings",
-              {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "log", "listen", "ready", "directory", "retryRatio",
-               "retrySlack", "retryWindow", "firstStart"});
+              {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "log", "listen", "ready", "directory", "relay",
+               "retryRatio", "retrySlack", "retryWindow", "firstStart"});
     EntrySettings settings;
     settings.host = readHost(root);
     settings.listen = readAddress(root, "listen", "the settings");
     settings.ready = readAddress(root, "ready", "the settings");
     settings.directory = readAddress(root, "directory", "the settings");
+    settings.relay = root["relay"] ? readAddress(root, "relay", "the settings") : "";
     settings.retryRatio = readValue<double>(root, "retryRatio", 0.2, "a share of requests");
     settings.retrySlack = readValue<double>(root, "retrySlack", 20, "a number of requests");
     settings.firstStart = readValue<bool>(root, "firstStart", false, "true or false");
@@ -110,10 +111,10 @@
 std::string toYaml(const EntrySettings &settings)
 {
     return hostToYaml(settings.host)
-        + fmt::format(
-               "listen: \"{}\"\nready: \"{}\"\ndirectory: \"{}\"\nretryRatio: {}\nretrySlack: {}\nretryWindow: {}ms\nfirstStart: {}\n",
-               settings.listen, settings.ready, settings.directory, settings.retryRatio, settings.retrySlack, settings.retryWindow.count(),
-               settings.firstStart);
+        + fmt::format("listen: \"{}\"\nready: \"{}\"\ndirectory: \"{}\"\nrelay: \"{}\"\nretryRatio: {}\nretrySlack: {}\nretryWindow: "
+                      "{}ms\nfirstStart: {}\n",
+                      settings.listen, settings.ready, settings.directory, settings.relay, settings.retryRatio, settings.retrySlack,
+                      settings.retryWindow.count(), settings.firstStart);
 }
 
 std::string toYaml(const KeeperSettings &settings)
--- a/src/protocol/hostsettings.h
+++ b/src/protocol/hostsettings.h
@@ -30,6 +30,7 @@
     std::string listen; // host:port for callers
     std::string ready; // host:port for readiness checks
     std::string directory; // host:port for callers that resolve addresses
+    std::string relay; // host:port for requests that other routers pass on; empty: none are passed on, from here or to here
     double retryRatio = 0; // retries allowed in a window, as a share of requests
     double retrySlack = 0; // additional retries allowed, over all routers
     Millis retryWindow{0};
--- a/src/protocol/platformcodec.h
+++ b/src/protocol/platformcodec.h
@@ -136,7 +136,7 @@
     virtual ResponseMetadata responseMetadata(int status, const Lookup &header) const = 0;
     // Returns whether a header is set only by the system: values sent by callers are not forwarded to endpoints.
     virtual bool isReserved(std::string_view name) const = 0;
-    // Headers that the system adds to a request forwarded to `endpoint`.
+    // Headers that the system adds to a request forwarded to `endpoint`; if that is empty, to another router.
     virtual std::vector<HeaderField> forwardHeaders(const std::string &endpoint, Millis timeLeft) const = 0;
 
     virtual std::string orderPath() const = 0;
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -100,6 +100,8 @@
 constexpr double FullBatchCostMs = 60; // added to the time to first token by a full batch
 constexpr double QueuedRequestCostMs = 30; // of each request that waits for a slot
 constexpr double FailedEndpointCostMs = 5000; // more than the cost of any endpoint without a failure
+constexpr size_t MaxRelaysPerRequest = 2; // routers that a request is passed to, if the first can't be connected to
+constexpr size_t MaxRelayedRequests = 256; // of other routers at one router; a host of 0.12 cores relays some 100 streams
 constexpr Millis ReachabilityProbeInterval{1000}; // of an endpoint that could not be connected to
 constexpr Millis ReachabilitySweepInterval{2000}; // endpoints connected to within this time before a failure are not probed for it
 constexpr Millis ReachabilityCheckInterval{100}; // for due probes
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -48,7 +48,9 @@
     , m_balancer(settings.host.zone, settings.host.id)
     , m_retries(settings.retryRatio, settings.retryWindow, settings.firstStart ? std::nullopt : std::optional(monotonicNow()))
     , m_forwarder(io, codec, m_balancer, m_retries, m_crashes, m_crashingParts)
+    , m_peers(settings.host.id, settings.host.zone)
     , m_callerServer(io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
+    , m_relayServer(io, [this](CallerConnection &caller) { return m_forwarder.handleRelayed(caller); })
     , m_readinessServer(io, [this](CallerConnection &caller) { return answerReady(caller); })
     , m_directoryServer(io, [this](CallerConnection &caller) { return answerResolve(caller); })
     , m_incarnation(wallMillis())
@@ -63,6 +65,10 @@
 Result<void> EntryApi::listen()
 {
     BOOST_OUTCOME_TRY(m_callerServer.listen(m_settings.listen));
+    if (!m_settings.relay.empty()) {
+        BOOST_OUTCOME_TRY(m_relayServer.listen(m_settings.relay));
+        m_forwarder.setPeers(&m_peers, m_settings.host.id);
+    }
     BOOST_OUTCOME_TRY(m_readinessServer.listen(m_settings.ready));
     BOOST_OUTCOME_TRY(m_directoryServer.listen(m_settings.directory));
     // The thread of MeshClient gets each request from this thread, and passes each reply to it.
@@ -98,6 +104,7 @@
 {
     m_draining = true;
     m_callerServer.drain();
+    m_relayServer.drain();
     m_forwarder.drain(monotonicNow());
     m_meshClient->wake();
 }
@@ -110,6 +117,7 @@
                                  {"ready", ready()},
                                  {"draining", m_draining},
                                  {"active", m_forwarder.active()},
+                                 {"isolated", m_balancer.isolated()},
                                  {"retries", retries.used},
                                  {"retries_allowed", retries.allowed},
                                  {"crash_reports", m_crashes.reports(now).size()},
@@ -186,6 +194,8 @@
     state.set_address(m_settings.listen);
     state.set_zone(m_settings.host.zone);
     state.set_accepting(ready());
+    state.set_relay_address(m_settings.relay);
+    state.set_isolated(m_balancer.isolated());
     for (pb::ArtifactDemand &it : m_balancer.demands(monotonicNow()))
         *state.add_demands() = std::move(it);
     for (pb::CrashReport &it : m_crashes.reports(monotonicNow()))
@@ -246,6 +256,7 @@
     if (m_registry.version() == previousVersion)
         return;
     m_balancer.update(m_registry);
+    m_peers.update(m_registry);
     m_crashes.update(m_registry, m_settings.host.id);
     m_crashingParts.update(m_registry, m_settings.host.id, now);
     m_forwarder.wakeWaitingRequests();
@@ -307,6 +318,7 @@
     }
     logEvent("configuration", {{"version", configuration.version()}, {"routes", table.value().routes.size()}});
     m_callerServer.setLimits(table.value().limits);
+    m_relayServer.setLimits(table.value().limits);
     m_forwarder.setTable(std::make_shared<const RouteTable>(std::move(table.value())));
 }
 
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -48,7 +48,9 @@
     CrashingParts m_crashingParts;
     std::set<PromptPartId> m_loggedRefusedParts;
     Forwarder m_forwarder;
+    PeerRouters m_peers;
     HttpServer m_callerServer;
+    HttpServer m_relayServer;
     HttpServer m_readinessServer;
     HttpServer m_directoryServer;
     uint64_t m_incarnation;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -99,6 +99,12 @@
 Task<> Forwarder::handle(CallerConnection &caller)
 {
     Request request(caller, m_table, m_bufferQuota);
+    co_await run(request);
+}
+
+Task<> Forwarder::run(Request &request)
+{
+    CallerConnection &caller = request.caller;
     request.metadata = m_codec.requestMetadata(caller.lookup());
     net::co_spawn(m_io, watchCaller(caller, request.cancellation), net::detached);
     ++m_active;
@@ -183,7 +189,8 @@
     request.sharedParts = sharedParts(request.metadata);
     request.progress.retryPolicy = route.retryPolicy;
     request.progress.maxRuns = route.attempts;
-    m_retries.requestStarted(request.requirements.service, monotonicNow());
+    if (request.relayedFrom.empty()) // else it counts where it came from
+        m_retries.requestStarted(request.requirements.service, monotonicNow());
     const bool mayContinue = selectVersion(request);
     while (true) {
         std::optional<EndpointChoice> choice;
@@ -216,7 +223,10 @@
     static Counter &unknown = metrics().counter("roserail_continuations_of_unknown_version_total");
     if (request.route->retryPolicy != RetryPolicy::Resume || request.caller.header(LastEventId).empty())
         return true;
-    request.requirements.software = m_streamVersions.find(request.metadata.resumes, monotonicNow());
+    if (!request.relayedFrom.empty() && !request.caller.header(RelaySoftware).empty())
+        request.requirements.software = SoftwareVersion(std::string(request.caller.header(RelaySoftware)));
+    else
+        request.requirements.software = m_streamVersions.find(request.metadata.resumes, monotonicNow());
     if (request.requirements.software || !m_balancer.hasSeveralSoftwareVersions(request.requirements.service))
         return true;
     unknown.add();
@@ -245,7 +255,19 @@
         request.retryDelay = Millis(0);
         co_return std::nullopt;
     }
-    std::optional<EndpointChoice> choice = m_balancer.choose(request.requirements, monotonicNow());
+    if (request.refusedByRouter)
+        co_return std::nullopt;
+    std::optional<EndpointChoice> choice = m_balancer.choose(request.requirements, monotonicNow(), false);
+    if (!choice)
+        choice = choosePeer(request);
+    if (!choice && m_balancer.isolated() && m_balancer.reachableByOthersOnly(request.requirements, monotonicNow())) {
+        request.connectFailed = true;
+        request.cause = "this host can't connect to the endpoints, and no other host takes the request";
+        request.retryDelay = ReachabilityProbeInterval;
+        co_return std::nullopt;
+    }
+    if (!choice)
+        choice = m_balancer.choose(request.requirements, monotonicNow());
     if (choice)
         co_return choice;
     if (request.requirements.model.empty())
@@ -410,12 +432,15 @@
 
 Task<AttemptEnd> Forwarder::attempt(Request &request, const EndpointChoice &choice)
 {
+    if (!choice.router.empty())
+        co_return co_await relayAttempt(request, choice);
     request.endpoint = choice.endpoint;
     EndpointConnectionPtr connection = m_pool.takeIdle(choice.address, monotonicNow());
     if (!connection)
         connection = co_await connect(choice.endpoint, choice.address);
     if (request.cancellation->cancelled())
         co_return AttemptEnd::Abandoned;
+    request.connectFailed = !connection;
     if (!connection) {
         request.cause = "cannot connect to the endpoint";
         request.requirements.avoid.insert(choice.endpoint);
@@ -566,6 +591,8 @@
     std::vector<HeaderField> headers{{"Content-Type", "application/json"}};
     if (!request.metadata.id.empty())
         headers.push_back({"X-Request-Id", request.metadata.id});
+    if (!request.relayedFrom.empty())
+        headers.push_back(relayOutcome(request, error, status));
     if (error.retryAfterMs > 0)
         headers.push_back({"Retry-After", retryAfterHeader(Millis(error.retryAfterMs))});
     request.cause = error.message;
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -5,6 +5,7 @@
 #include "coordination/bufferquota.h"
 #include "coordination/crashingparts.h"
 #include "coordination/crashwatch.h"
+#include "coordination/peerrouters.h"
 #include "coordination/retry.h"
 #include "coordination/retrywindow.h"
 #include "coordination/streamversions.h"
@@ -57,9 +58,17 @@
         m_ordersAllowedAt = from;
     }
     Task<> handle(CallerConnection &caller);
+    // Serves a request that another router has passed on, which it is never passed on from here.
+    Task<> handleRelayed(CallerConnection &caller);
     // Prepares the end of the process: requests wait at most DrainLoadWait longer for models, and streams that begin more
     // than DrainStreamCutoff after `now` are refused, because they might not end before the process does.
     void drain(Time now);
+    // Enables passing requests on to other routers. `self`: the id of this one.
+    void setPeers(PeerRouters *peers, std::string self)
+    {
+        m_peers = peers;
+        m_self = std::move(self);
+    }
     size_t active() const
     {
         return m_active;
@@ -80,12 +89,18 @@
         uint64_t events = 0; // of its stream that were received
     };
 
+    Task<> run(Request &request);
     Task<> serve(Request &request);
     Task<> waitForConfiguration(Request &request);
     Task<> forward(Request &request);
     Task<std::optional<EndpointChoice>> findEndpoint(Request &request);
     Task<std::optional<EndpointChoice>> waitForModel(Request &request);
     Task<AttemptEnd> attempt(Request &request, const EndpointChoice &choice);
+    std::optional<EndpointChoice> choosePeer(const Request &request) const;
+    Task<AttemptEnd> relayAttempt(Request &request, const EndpointChoice &choice);
+    Task<AttemptEnd> readRelayOutcome(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
+    std::vector<HeaderField> relayHeaders(const Request &request) const;
+    static HeaderField relayOutcome(const Request &request, const Error &error, unsigned status);
     Task<EndpointConnectionPtr> connect(std::string endpoint, std::string address);
     Task<> probe(std::string endpoint, std::string address);
     Task<> probeEndpoints();
@@ -132,7 +147,10 @@
     std::map<ServiceId, size_t> m_waitingForCapacity; // requests
     BufferQuota m_bufferQuota;
     StreamVersions m_streamVersions;
+    PeerRouters *m_peers = nullptr; // null: requests are not passed on
+    std::string m_self;
     size_t m_active = 0;
+    size_t m_activeRelayed = 0; // of those, passed on by other routers
     bool m_probing = false; // probeEndpoints() is running
     uint64_t m_registryVersion = 0; // of the control host, at the last sync
     Time m_syncedAt{};
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -18,6 +18,13 @@
 constexpr std::string_view EventStreamType = "text/event-stream";
 constexpr size_t ReadBufferBytes = 8192; // of the buffer for one read from an endpoint
 
+bool isRelayHeader(std::string_view name)
+{
+    const std::string_view begin = name.substr(0, RelayHeaderPrefix.size());
+    return boost::beast::iequals(boost::beast::string_view(begin.data(), begin.size()),
+                                 boost::beast::string_view(RelayHeaderPrefix.data(), RelayHeaderPrefix.size()));
+}
+
 AnswerFraming framingOf(const http::response_parser<http::buffer_body> &parser)
 {
     if (parser.chunked())
@@ -37,12 +44,17 @@
     for (const http::fields::value_type &it : original) {
         const std::string_view name = view(it.name_string());
         const bool replaced = resumes && boost::beast::iequals(it.name_string(), LastEventId);
-        if (!isHopByHop(name) && !m_codec.isReserved(name) && !replaced)
+        if (!isHopByHop(name) && !m_codec.isReserved(name) && !isRelayHeader(name) && !replaced)
             bytes += fmt::format("{}: {}\r\n", name, view(it.value()));
     }
     if (resumes)
         bytes += fmt::format("{}: {}\r\n", LastEventId, request.eventRelay.lastId());
-    for (const HeaderField &it : m_codec.forwardHeaders(choice.endpoint, request.deadline - now))
+    std::vector<HeaderField> added = m_codec.forwardHeaders(choice.endpoint, request.deadline - now);
+    if (!choice.router.empty()) {
+        const std::vector<HeaderField> headers = relayHeaders(request);
+        added.insert(added.end(), headers.begin(), headers.end());
+    }
+    for (const HeaderField &it : added)
         bytes += fmt::format("{}: {}\r\n", it.name, it.value);
     const bool hasBody = !original.body().empty() || original.method() == http::verb::post || original.method() == http::verb::put;
     if (hasBody)
@@ -62,8 +74,13 @@
     EndpointAnswer answer;
     if (!co_await readHead(request, connection, answer))
         co_return AttemptEnd::Interrupted;
-    recordAdvice(request, choice, answer);
-    if (answer.metadata.load)
+    if (!choice.router.empty() && !view(answer.parser->get()[RelayOutcome]).empty())
+        co_return co_await readRelayOutcome(request, connection, answer);
+    if (!choice.router.empty())
+        request.software = SoftwareVersion(std::string(view(answer.parser->get()[RelaySoftware])));
+    else
+        recordAdvice(request, choice, answer);
+    if (answer.metadata.load && choice.router.empty())
         m_balancer.observeLoad(choice.endpoint, answer.metadata.load->running, answer.metadata.load->waiting, monotonicNow());
     const AttemptEnd end = co_await relay(request, connection, answer);
     reusable = answer.parser->is_done() && answer.keepAlive && connection.buffer.size() == 0;
@@ -181,9 +198,11 @@
 {
     std::string head = fmt::format("HTTP/1.1 {} {}\r\n", answer.status, view(http::obsolete_reason(http::status(answer.status))));
     for (const http::fields::value_type &it : answer.parser->get()) {
-        if (!isHopByHop(view(it.name_string())))
+        if (!isHopByHop(view(it.name_string())) && !isRelayHeader(view(it.name_string())))
             head += fmt::format("{}: {}\r\n", view(it.name_string()), view(it.value()));
     }
+    if (!request.relayedFrom.empty() && !request.software.value().empty())
+        head += fmt::format("{}: {}\r\n", RelaySoftware, request.software.value());
     if (!request.caller.keepAlive())
         head += "Connection: close\r\n";
     return head;
--- /dev/null
+++ b/src/transport/forwarderrelay.cpp
@@ -0,0 +1,145 @@
+// Requests of Forwarder that go to an endpoint by way of another router, because this one can't connect to the endpoints.
+#include "protocol/log.h"
+#include "protocol/metrics.h"
+#include "state/tunables.h"
+#include "transport/clock.h"
+#include "transport/forwarderrequest.h"
+
+#include <charconv>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+template <typename Number>
+Number parseHeader(std::string_view text)
+{
+    Number number{};
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+} // namespace
+
+// Returns a router that may reach the endpoints which this one can't connect to. A request that was passed on stays here.
+std::optional<EndpointChoice> Forwarder::choosePeer(const Request &request) const
+{
+    if (m_peers == nullptr || !request.relayedFrom.empty() || request.triedRouters.size() >= MaxRelaysPerRequest)
+        return std::nullopt;
+    if (!m_balancer.isolated() && !m_balancer.reachableByOthersOnly(request.requirements, monotonicNow()))
+        return std::nullopt;
+    const std::optional<PeerChoice> peer = m_peers->choose(request.triedRouters, monotonicNow());
+    if (!peer)
+        return std::nullopt;
+    EndpointChoice choice;
+    choice.address = peer->address;
+    choice.router = peer->router;
+    return choice;
+}
+
+std::vector<HeaderField> Forwarder::relayHeaders(const Request &request) const
+{
+    std::vector<HeaderField> headers{{RelayedFrom, m_self}, {RelayConfiguration, std::to_string(request.table->version)}};
+    if (request.requirements.software)
+        headers.push_back({RelaySoftware, request.requirements.software->value()});
+    return headers;
+}
+
+// Returns the header by which the router that passed the request on recognizes the refusal and whether the request may have run.
+HeaderField Forwarder::relayOutcome(const Request &request, const Error &error, unsigned status)
+{
+    if (status == 502 || status == 504)
+        return {RelayOutcome, std::string(traits(error.kind).name)};
+    return {RelayOutcome, std::string(request.connectFailed ? UnreachableOutcome : NotRunOutcome)};
+}
+
+// Passes the request on to another router, which then selects endpoints, and retries, as for its own callers.
+Task<AttemptEnd> Forwarder::relayAttempt(Request &request, const EndpointChoice &choice)
+{
+    static Counter &relayed = metrics().counter("roserail_requests_passed_on_total");
+    request.endpoint = "";
+    request.triedRouters.insert(choice.router);
+    EndpointConnectionPtr connection = m_pool.takeIdle(choice.address, monotonicNow());
+    if (!connection)
+        connection = co_await m_pool.connect(choice.address, EndpointConnectTimeout);
+    if (request.cancellation->cancelled())
+        co_return AttemptEnd::Abandoned;
+    if (!connection) {
+        request.cause = "cannot connect to the router that the request is passed to";
+        m_peers->failed(choice.router, monotonicNow());
+        co_return AttemptEnd::NotSent;
+    }
+    logDecision("pass_on",
+                {{"id", request.metadata.id},
+                 {"router", choice.router},
+                 {"isolated", m_balancer.isolated()},
+                 {"left_ms", (request.deadline - monotonicNow()).count()},
+                 {"known", m_registryVersion},
+                 {"known_age_ms", (monotonicNow() - m_syncedAt).count()}});
+    relayed.add();
+    m_peers->started(choice.router);
+    ++request.progress.sends;
+    ++request.progress.runs;
+    request.cancellation->cancelPending = [&socket = connection->socket] {
+        ErrorCode ec;
+        socket.close(ec);
+    };
+    bool reusable = false;
+    const AttemptEnd end = co_await exchange(request, choice, *connection, reusable);
+    request.cancellation->cancelPending = nullptr;
+    m_peers->ended(choice.router);
+    if (end == AttemptEnd::RefusedNotRun)
+        --request.progress.runs;
+    if (end == AttemptEnd::Completed)
+        m_crashes.recordAnswer(request.fingerprint);
+    if (end == AttemptEnd::Completed && request.status / 100 == 2)
+        m_crashingParts.recordAnswer(request.sharedParts, monotonicNow());
+    if (request.eventRelay.events() > 0)
+        request.requirements.software = request.software;
+    if (reusable && connection->socket.is_open())
+        m_pool.putIdle(std::move(connection), monotonicNow());
+    co_return end;
+}
+
+// Reads the answer of a router that has no endpoint's answer. If the request has not run, it is refused with that router's
+// Retry-After, since another router would find the same, unless only that router can't connect to the endpoints.
+Task<AttemptEnd> Forwarder::readRelayOutcome(Request &request, EndpointConnection &connection, EndpointAnswer &answer)
+{
+    const http::response<http::buffer_body> &head = answer.parser->get();
+    const std::string outcome(view(head[RelayOutcome]));
+    const double retryAfter = parseHeader<double>(view(head[http::field::retry_after]));
+    request.status = answer.status;
+    request.cause = fmt::format("the router that the request was passed to answered {}, {}", answer.status, outcome);
+    const bool unreachable = outcome == UnreachableOutcome;
+    if (!co_await skipBody(request, connection, answer) || !(unreachable || outcome == NotRunOutcome))
+        co_return AttemptEnd::Interrupted;
+    request.refusedByRouter = !unreachable;
+    request.retryDelay = Millis(int64_t(retryAfter * 1000));
+    co_return AttemptEnd::RefusedNotRun;
+}
+
+Task<> Forwarder::handleRelayed(CallerConnection &caller)
+{
+    Request request(caller, m_table, m_bufferQuota);
+    request.relayedFrom = std::string(caller.header(RelayedFrom));
+    const uint64_t configuration = parseHeader<uint64_t>(caller.header(RelayConfiguration));
+    const bool outdated = !m_table || m_table->version < configuration;
+    if (request.relayedFrom.empty() || outdated || m_activeRelayed >= MaxRelayedRequests) {
+        request.metadata = m_codec.requestMetadata(caller.lookup());
+        request.relayedFrom = request.relayedFrom.empty() ? "unknown" : request.relayedFrom;
+        const std::string cause = outdated ? fmt::format("this router has not received configuration {} yet", configuration)
+                                           : "this router takes no more requests of other routers";
+        const Error error{ErrorKind::NotRun, cause + "; not run, retry later", RetryAfterBusy.count()};
+        co_await refuse(request, error, 503);
+        co_return;
+    }
+    ++m_activeRelayed;
+    co_await run(request);
+    --m_activeRelayed;
+}
+
+} // namespace roserail
--- a/src/transport/forwarderrequest.h
+++ b/src/transport/forwarderrequest.h
@@ -9,6 +9,15 @@
 
 constexpr const char *LastEventId = "Last-Event-Id"; // of the event streams of the HTML standard
 
+// Headers of requests that one router passes on to another, and of the answers to these. They are not forwarded further.
+constexpr std::string_view RelayHeaderPrefix = "Roserail-";
+constexpr const char *RelayedFrom = "Roserail-Relayed-From"; // the router
+constexpr const char *RelayConfiguration = "Roserail-Configuration"; // version that the request must at least be handled by
+constexpr const char *RelaySoftware = "Roserail-Software"; // version required to continue a stream; in an answer, the one that began it
+constexpr const char *RelayOutcome = "Roserail-Outcome"; // the answer is the router's own; NotRunOutcome, or another kind of error
+constexpr std::string_view NotRunOutcome = "not_run";
+constexpr std::string_view UnreachableOutcome = "unreachable"; // not run, since that router can't connect to the endpoints either
+
 inline std::string_view view(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -64,6 +73,10 @@
     EventRelay eventRelay; // of a stream
     BufferShare buffered; // what is held of the current answer
     std::shared_ptr<Cancellation> cancellation = std::make_shared<Cancellation>();
+    std::string relayedFrom; // router that has passed the request on; empty: it came from its caller
+    std::set<std::string> triedRouters; // that the request was passed to
+    bool connectFailed = false; // the last attempt could not connect to its endpoint
+    bool refusedByRouter = false; // the router that the request was passed to has refused it
     std::string endpoint; // of the last attempt
     unsigned status = 0; // of the latest answer
     AnswerFraming framing = AnswerFraming::None; // of the latest answer
--- a/tests/cutproxy.cpp
+++ b/tests/cutproxy.cpp
@@ -31,7 +31,7 @@
 
 int connectTo(int port, int flags)
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM | flags, 0);
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | flags, 0);
     const sockaddr_in address = loopback(port);
     ::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address);
     return socket;
@@ -87,7 +87,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const int on = 1;
-    m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     sockaddr_in address = loopback(m_port);
     ::bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof address);
@@ -109,7 +109,7 @@
     while (!m_stop) {
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
         const std::lock_guard lock(m_mutex);
-        const int caller = m_accepting && m_listener >= 0 ? ::accept(m_listener, nullptr, nullptr) : -1;
+        const int caller = m_accepting && m_listener >= 0 ? ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC) : -1;
         if (caller < 0)
             continue;
         Link &link = m_links.emplace_back();
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -69,7 +69,8 @@
     const std::string id = fmt::format("entry-{}", n);
     const std::string text = settings(id, "127.0.0.1") + fmt::format("metrics: \"127.0.0.1:{}\"\n", m_firstPort + 60 + n)
         + fmt::format("firstStart: true\nlisten: \"127.0.0.1:{}\"\nready: \"127.0.0.1:{}\"\ndirectory: \"127.0.0.1:{}\"\n", entryPort(n),
-                      m_firstPort + 20 + n, m_firstPort + 30 + n);
+                      m_firstPort + 20 + n, m_firstPort + 30 + n)
+        + fmt::format("relay: \"127.0.0.1:{}\"\n", m_firstPort + 70 + n);
     spawn(id, {ROSERAIL_BUILD "/roserail-entry", writeFile(id + ".yaml", text)});
 }
 
--- a/tests/fleet_cut_test.cpp
+++ b/tests/fleet_cut_test.cpp
@@ -22,7 +22,7 @@
 namespace
 {
 
-constexpr int FirstPort = 33000;
+constexpr int FirstPort = 25000; // below the ports that the system assigns to the proxies
 constexpr uint64_t ConfigurationVersion = 5;
 constexpr uint64_t Epoch = 1;
 const std::vector<int> Entries{1, 2, 3};
@@ -170,10 +170,12 @@
                     const httplib::Result answer = fleet.sendRequest(entry, route.path, id, route.model);
                     const bool complete
                         = answer && answer->status == 200 && (*route.model == 0 || answer->body.find("id: 3\n") != std::string::npos);
-                    const std::lock_guard lock(mutex);
-                    ++result.sent[entry];
-                    result.served[entry] += complete ? 1 : 0;
-                    result.ids.push_back(id);
+                    {
+                        const std::lock_guard lock(mutex);
+                        ++result.sent[entry];
+                        result.served[entry] += complete ? 1 : 0;
+                        result.ids.push_back(id);
+                    }
                     std::this_thread::sleep_for(std::chrono::milliseconds(50));
                 }
             });
@@ -186,6 +188,53 @@
 
 } // namespace
 
+// A caller whose request was passed on disconnects: the endpoint's work on it ends soon.
+BOOST_AUTO_TEST_CASE(passedOnRequestOfADisconnectedCallerIsCancelled)
+{
+    CutSystem system(FirstPort + 500);
+    system.cut(CutKind::RefuseNew);
+    BOOST_REQUIRE(eventually([&] {
+        sendLoad(system.fleet, std::chrono::milliseconds(200));
+        return system.fleet.entryDump(1)["process"].value("isolated", false);
+    }));
+    httplib::Client client("127.0.0.1", system.fleet.entryPort(1));
+    client.set_read_timeout(std::chrono::milliseconds(600));
+    const httplib::Headers headers{{"Host", "h.example"}, {"X-Request-Id", "leaves"}, {"X-Deadline-Ms", "10000"}, {"X-Model", "m1"}};
+    client.Post("/s/events/7/pause/1000/", headers, "", "text/plain");
+    client.stop();
+    const auto record = [&] {
+        return system.fleet.requestRecord(1, "leaves").empty() ? system.fleet.requestRecord(2, "leaves")
+                                                               : system.fleet.requestRecord(1, "leaves");
+    };
+    BOOST_TEST(eventually([&] { return record().value("cancelled", false); }, std::chrono::milliseconds(3000)));
+    BOOST_TEST(record().value("events", 0) < 5);
+}
+
+// All hosts are cut: each refuses at once, with a time to come back, and none passes a request on for ever.
+BOOST_AUTO_TEST_CASE(requestsAreRefusedAtOnceIfNoHostReachesAnEndpoint)
+{
+    CutSystem system(FirstPort + 600);
+    system.cut(CutKind::Hang);
+    system.fleet.kill("entry-3");
+    const auto isolated = [&](int entry) {
+        return system.fleet.entryDump(entry)["process"].value("isolated", false);
+    };
+    BOOST_REQUIRE(eventually([&] {
+        for (const int entry : CutEntries)
+            system.fleet.sendRequest(entry, "/r/x", "probe");
+        return isolated(1) && isolated(2);
+    }));
+    std::this_thread::sleep_for(ContactTime);
+    for (const Route &route : Routes) {
+        const std::chrono::steady_clock::time_point sentAt = std::chrono::steady_clock::now();
+        const httplib::Result result = system.fleet.sendRequest(1, route.path, "refused", route.model);
+        BOOST_REQUIRE(result);
+        BOOST_TEST(result->status == 503);
+        BOOST_TEST(!result->get_header_value("Retry-After").empty());
+        BOOST_TEST((std::chrono::steady_clock::now() - sentAt < std::chrono::milliseconds(700)));
+    }
+}
+
 // Guards against the incident RECOVER: hosts that are cut from all endpoints serve nobody, while another host has all links.
 BOOST_DATA_TEST_CASE(hostsThatAreCutFromTheEndpointsServeTheirCallers, bdata::make({CutKind::Hang, CutKind::Reset, CutKind::RefuseNew}),
                      kind)
@@ -201,7 +250,8 @@
     BOOST_TEST(during.share(CutEntries) * 3 >= during.share({3}) * 2);
     std::map<std::string, int> runs; // by request
     for (int n = 1; n <= Runners; ++n) {
-        for (const auto &it : system.fleet.requestRecords(n).items())
+        const Json records = system.fleet.requestRecords(n);
+        for (const auto &it : records.items())
             runs[it.key()] += it.value().value("runs", 0);
     }
     for (const std::string &it : during.ids)
--- a/tests/reachability_test.cpp
+++ b/tests/reachability_test.cpp
@@ -1,6 +1,7 @@
 // Unit tests of what a router knows about the endpoints that it can't connect to.
 #define BOOST_TEST_MODULE reachability
 #include "coordination/balancer.h"
+#include "coordination/peerrouters.h"
 #include "livestate.h"
 #include "state/tunables.h"
 
@@ -128,3 +129,52 @@
     balancer.update(registry);
     BOOST_TEST(balancer.choose(request, Now, false)->endpoint == "e0");
 }
+
+namespace
+{
+
+pb::RouterState routerState(const std::string &id, const std::string &zone)
+{
+    pb::RouterState state;
+    state.set_router(id);
+    state.set_incarnation(1);
+    state.set_sequence(1);
+    state.set_zone(zone);
+    state.set_accepting(true);
+    state.set_relay_address(id + ":1");
+    return state;
+}
+
+} // namespace
+
+// Pattern: most routers are cut, and all of their requests go to the few others.
+BOOST_AUTO_TEST_CASE(requestsAreSpreadOverTheRoutersThatReachEndpoints)
+{
+    Registry registry{ExpiryTimes, Now};
+    for (const char *it : {"self", "near1", "near2"})
+        registry.merge(routerState(it, "z"), Now);
+    registry.merge(routerState("far", "y"), Now);
+    pb::RouterState isolated = routerState("isolated", "z");
+    isolated.set_isolated(true);
+    registry.merge(isolated, Now);
+    pb::RouterState leaving = routerState("leaving", "z");
+    leaving.set_accepting(false);
+    registry.merge(leaving, Now);
+    PeerRouters peers("self", "z");
+    peers.update(registry);
+    std::map<std::string, int> chosen;
+    for (int n = 0; n < 30; ++n) {
+        const std::optional<PeerChoice> peer = peers.choose({}, Now);
+        BOOST_REQUIRE(peer.has_value());
+        ++chosen[peer->router];
+        peers.started(peer->router);
+    }
+    BOOST_TEST(chosen.size() == 3u);
+    for (const std::pair<const std::string, int> &it : chosen)
+        BOOST_TEST((it.second >= 8 && it.second <= 12));
+    // One of them can't be connected to; another was tried.
+    peers.failed("near1", Now);
+    BOOST_TEST(peers.choose({"near2"}, Now)->router == "far");
+    BOOST_TEST(!peers.choose({"near2", "far"}, Now).has_value());
+    BOOST_TEST(peers.choose({"near2", "far"}, Now + EndpointFailureCooldown)->router == "near1");
+}
