A cut that resets and refuses connections is not taken for crashes of endpoints

Cause: an interrupted request and a refused connection counted as a crash, whatever else this host could connect to. The class: one host's view taken for the state of an endpoint; looked for elsewhere: the registry marks endpoints as lost by their heartbeats only. Conclusion: crashes are still found while other endpoints can be reached.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -160,6 +160,16 @@
     return any;
 }
 
+std::map<std::string, std::string> Balancer::otherEndpoints(const std::string &endpoint, size_t n) const
+{
+    std::map<std::string, std::string> result;
+    for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
+        if (result.size() < n && it.first != endpoint && usable(it.second))
+            result[it.first] = it.second.announcement.address();
+    }
+    return result;
+}
+
 bool Balancer::hasUnreachableEndpoint() const
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [this](const std::pair<const std::string, Endpoint> &it) {
--- a/src/coordination/reachability.h
+++ b/src/coordination/reachability.h
@@ -25,6 +25,8 @@
     void forget(const std::string &endpoint);
 
     bool unreachable(const std::string &endpoint) const;
+    // Returns whether a connection to another endpoint than this one was opened after `since`.
+    bool connectedToOther(const std::string &endpoint, Time since) const;
     // Returns whether at least half of the endpoints, and more than one, are unreachable.
     bool isolated(const std::vector<std::string> &endpoints) const;
     // Returns the endpoints to probe now: unreachable ones at intervals, and all others once when several have become unreachable.
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -561,6 +561,22 @@
     co_return false;
 }
 
+// Returns whether this router can connect to another endpoint, or there is none. If it can't, the network between it and the
+// endpoints is the probable cause of a refused connection.
+Task<bool> Forwarder::reachesOtherEndpoint(std::string endpoint)
+{
+    const Time since = monotonicNow() - CrashComparisonTime;
+    const std::map<std::string, std::string> others = m_balancer.otherEndpoints(endpoint, CrashComparisonEndpoints);
+    for (const std::pair<const std::string, std::string> &it : others) {
+        if (m_balancer.connectedToOther(endpoint, since))
+            co_return true;
+        EndpointConnectionPtr connection = co_await connect(it.first, it.second);
+        if (connection)
+            m_pool.putIdle(std::move(connection), monotonicNow());
+    }
+    co_return others.empty() || m_balancer.connectedToOther(endpoint, since);
+}
+
 Forwarder::InterruptedRequest Forwarder::interruptedRequest(const Request &request)
 {
     return InterruptedRequest{request.metadata.id, request.fingerprint, request.sharedParts, request.eventRelay.events()};
@@ -571,6 +587,10 @@
 {
     if (!co_await processEnded(choice.address))
         co_return;
+    if (!co_await reachesOtherEndpoint(choice.endpoint)) {
+        logDecision("crash_not_counted", {{"id", request.id}, {"endpoint", choice.endpoint}, {"isolated", m_balancer.isolated()}});
+        co_return;
+    }
     const Time now = monotonicNow();
     m_crashingParts.recordCrash(request.sharedParts, request.events, choice.endpoint, choice.startedAtMs, now);
     if (!m_crashes.recordCrash(request.fingerprint, choice.endpoint, choice.startedAtMs, now))
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -108,6 +108,7 @@
     Task<bool> confirmIncarnation(Request &request, const EndpointChoice &choice, EndpointConnection &connection);
     Task<AttemptEnd> exchange(Request &request, const EndpointChoice &choice, EndpointConnection &connection, bool &reusable);
     Task<bool> processEnded(std::string address);
+    Task<bool> reachesOtherEndpoint(std::string endpoint);
     static InterruptedRequest interruptedRequest(const Request &request);
     Task<> checkForCrash(InterruptedRequest request, EndpointChoice choice);
     void recordAdvice(const Request &request, const EndpointChoice &choice, const struct EndpointAnswer &answer);
--- a/tests/cutproxy.cpp
+++ b/tests/cutproxy.cpp
@@ -56,7 +56,7 @@
 
 std::ostream &operator<<(std::ostream &out, CutKind kind)
 {
-    constexpr std::array names{"hang", "reset", "refuse new ones"};
+    constexpr std::array names{"hang", "reset", "refuse new ones", "reset and refuse"};
     return out << names[size_t(kind)];
 }
 
@@ -141,17 +141,18 @@
 
 void CutProxy::cut(CutKind kind)
 {
-    if (kind == CutKind::RefuseNew) {
+    const bool refuse = kind == CutKind::RefuseNew || kind == CutKind::ResetAndRefuse;
+    if (refuse)
         closeListener();
-        return;
-    }
-    m_accepting = false;
+    m_accepting = refuse;
     m_silent = kind == CutKind::Hang;
     const std::lock_guard lock(m_mutex);
-    ::listen(m_listener, QueueLength);
-    for (int n = 0; n < Fillers; ++n)
-        m_fillers.push_back(connectTo(m_port, SOCK_NONBLOCK));
-    if (kind == CutKind::Reset) {
+    if (!refuse) {
+        ::listen(m_listener, QueueLength);
+        for (int n = 0; n < Fillers; ++n)
+            m_fillers.push_back(connectTo(m_port, SOCK_NONBLOCK));
+    }
+    if (kind == CutKind::Reset || kind == CutKind::ResetAndRefuse) {
         for (const Link &it : m_links)
             reset(it.caller);
     }
--- a/tests/cutproxy.h
+++ b/tests/cutproxy.h
@@ -17,6 +17,7 @@
     Hang, // open ones and attempts to connect get no answer
     Reset, // open ones are reset, attempts to connect get no answer
     RefuseNew, // open ones live on, new ones are refused
+    ResetAndRefuse, // open ones are reset, new ones are refused, as if the endpoint's process had ended
 };
 std::ostream &operator<<(std::ostream &out, CutKind kind);
 
--- a/tests/fleet_cut_test.cpp
+++ b/tests/fleet_cut_test.cpp
@@ -236,8 +236,8 @@
 }
 
 // Guards against the incident RECOVER: hosts that are cut from all endpoints serve nobody, while another host has all links.
-BOOST_DATA_TEST_CASE(hostsThatAreCutFromTheEndpointsServeTheirCallers, bdata::make({CutKind::Hang, CutKind::Reset, CutKind::RefuseNew}),
-                     kind)
+BOOST_DATA_TEST_CASE(hostsThatAreCutFromTheEndpointsServeTheirCallers,
+                     bdata::make({CutKind::Hang, CutKind::Reset, CutKind::RefuseNew, CutKind::ResetAndRefuse}), kind)
 {
     CutSystem system(FirstPort + 100 * int(kind));
     const LoadResult before = sendLoad(system.fleet, std::chrono::milliseconds(1500));
@@ -262,3 +262,27 @@
     LoadResult after = sendLoad(system.fleet, std::chrono::milliseconds(1500));
     BOOST_TEST(after.share(Entries) == 1);
 }
+
+// Guards against sound endpoints that count as crashed, so that sound requests are refused as the cause: a cut resets open
+// connections and refuses new ones, as the end of a process does.
+BOOST_AUTO_TEST_CASE(cutThatLooksLikeCrashesIsNotTakenForThem)
+{
+    CutSystem system(FirstPort + 700);
+    std::vector<std::thread> callers; // with requests in progress at all endpoints
+    for (const int entry : CutEntries) {
+        for (int n = 0; n < 4; ++n) {
+            callers.emplace_back([&, entry, id = fmt::format("stream-{}-{}", entry, n)] {
+                system.fleet.sendRequest(entry, "/s/events/30/pause/100/", id, "m1");
+            });
+            callers.emplace_back(
+                [&, entry, id = fmt::format("plain-{}-{}", entry, n)] { system.fleet.sendRequest(entry, "/u/pause/3000/", id); });
+        }
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    system.cut(CutKind::ResetAndRefuse);
+    for (std::thread &it : callers)
+        it.join();
+    sendLoad(system.fleet, std::chrono::milliseconds(1000));
+    for (const int it : CutEntries)
+        BOOST_TEST(system.fleet.output(fmt::format("entry-{}", it)).find("event=endpoint_crashed") == std::string::npos);
+}
