--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -111,7 +111,7 @@
     // Returns whether this router can't connect to at least half of the endpoints.
     bool isolated() const
     {
-        return m_reachability.isolated(usableEndpoints());
+        return m_reachability.anyUnreachable() && m_reachability.isolated(usableEndpoints());
     }
     bool hasUnreachableEndpoint() const;
     // Returns whether endpoints can serve the request, but this router can't connect to any of them.
--- a/src/coordination/reachability.cpp
+++ b/src/coordination/reachability.cpp
@@ -50,6 +50,12 @@
     return it != m_entries.end() && it->second.unreachable;
 }
 
+bool EndpointReachability::anyUnreachable() const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(),
+                       [](const std::pair<const std::string, Entry> &it) { return it.second.unreachable; });
+}
+
 bool EndpointReachability::connectedToOther(const std::string &endpoint, Time since) const
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const std::pair<const std::string, Entry> &it) {
--- a/src/coordination/reachability.h
+++ b/src/coordination/reachability.h
@@ -27,6 +27,7 @@
     bool unreachable(const std::string &endpoint) const;
     // Returns whether a connection to another endpoint than this one was opened after `since`.
     bool connectedToOther(const std::string &endpoint, Time since) const;
+    bool anyUnreachable() const;
     // Returns whether at least half of the endpoints, and more than one, are unreachable.
     bool isolated(const std::vector<std::string> &endpoints) const;
     // Returns the endpoints to probe now: unreachable ones at intervals, and all others once when several have become unreachable.
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -195,7 +195,7 @@
 
 // Connections of general routes
 constexpr int ListenBacklog = 1024; // connections of one burst
-constexpr int TcpKeepAliveIdleSeconds = 2; // an unresponsive peer is detected in about 5 s
+constexpr int TcpKeepAliveIdleSeconds = 2; // an unresponsive peer is detected after TcpUserTimeout, which ends the probes as well
 constexpr int TcpKeepAliveIntervalSeconds = 1;
 constexpr int TcpKeepAliveProbes = 3;
 constexpr Millis TcpUserTimeout{4000}; // for unacknowledged data; longer than most disturbances of a link
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -188,7 +188,7 @@
     request.fingerprint = fingerprintOf(request.caller.request(), request.metadata);
     request.sharedParts = sharedParts(request.metadata);
     request.progress.retryPolicy = route.retryPolicy;
-    request.progress.maxRuns = route.attempts;
+    request.progress.maxRuns = std::min(route.attempts, request.attemptsLeft.value_or(route.attempts));
     if (request.relayedFrom.empty()) // else it counts where it came from
         m_retries.requestStarted(request.requirements.service, monotonicNow());
     const bool mayContinue = selectVersion(request);
@@ -318,6 +318,8 @@
     logWait(request, now, until);
     const std::optional<EndpointChoice> choice = co_await waitForChoice(request, until);
     --waiting;
+    if (!choice)
+        request.cause = "no endpoint took the request in time, by the limits that they named";
     co_return choice;
 }
 
--- a/src/transport/forwarderrelay.cpp
+++ b/src/transport/forwarderrelay.cpp
@@ -43,7 +43,9 @@
 
 std::vector<HeaderField> Forwarder::relayHeaders(const Request &request) const
 {
-    std::vector<HeaderField> headers{{RelayedFrom, m_self}, {RelayConfiguration, std::to_string(request.table->version)}};
+    const uint32_t attempts = request.progress.maxRuns - std::min(request.progress.maxRuns, request.runsBeforeRelay);
+    std::vector<HeaderField> headers{
+        {RelayedFrom, m_self}, {RelayConfiguration, std::to_string(request.table->version)}, {RelayAttempts, std::to_string(attempts)}};
     if (request.requirements.software)
         headers.push_back({RelaySoftware, request.requirements.software->value()});
     return headers;
@@ -83,7 +85,9 @@
     relayed.add();
     m_peers->started(choice.router);
     ++request.progress.sends;
-    ++request.progress.runs;
+    // The other router may use all attempts that are left.
+    request.runsBeforeRelay = request.progress.runs;
+    request.progress.runs = request.progress.maxRuns;
     request.cancellation->cancelPending = [&socket = connection->socket] {
         ErrorCode ec;
         socket.close(ec);
@@ -93,7 +97,7 @@
     request.cancellation->cancelPending = nullptr;
     m_peers->ended(choice.router);
     if (end == AttemptEnd::RefusedNotRun)
-        --request.progress.runs;
+        request.progress.runs = request.runsBeforeRelay;
     if (end == AttemptEnd::Completed)
         m_crashes.recordAnswer(request.fingerprint);
     if (end == AttemptEnd::Completed && request.status / 100 == 2)
@@ -137,6 +141,7 @@
         co_await refuse(request, error, 503);
         co_return;
     }
+    request.attemptsLeft = parseHeader<uint32_t>(caller.header(RelayAttempts));
     ++m_activeRelayed;
     co_await run(request);
     --m_activeRelayed;
--- a/src/transport/forwarderrequest.h
+++ b/src/transport/forwarderrequest.h
@@ -14,6 +14,7 @@
 constexpr const char *RelayedFrom = "Roserail-Relayed-From"; // the router
 constexpr const char *RelayConfiguration = "Roserail-Configuration"; // version that the request must at least be handled by
 constexpr const char *RelaySoftware = "Roserail-Software"; // version required to continue a stream; in an answer, the one that began it
+constexpr const char *RelayAttempts = "Roserail-Attempts"; // endpoints that may still run the request
 constexpr const char *RelayOutcome = "Roserail-Outcome"; // the answer is the router's own; NotRunOutcome, or another kind of error
 constexpr std::string_view NotRunOutcome = "not_run";
 constexpr std::string_view UnreachableOutcome = "unreachable"; // not run, since that router can't connect to the endpoints either
@@ -74,6 +75,8 @@
     BufferShare buffered; // what is held of the current answer
     std::shared_ptr<Cancellation> cancellation = std::make_shared<Cancellation>();
     std::string relayedFrom; // router that has passed the request on; empty: it came from its caller
+    std::optional<uint32_t> attemptsLeft; // of a request that was passed on
+    uint32_t runsBeforeRelay = 0; // endpoints that may have run the request before it was passed on
     std::set<std::string> triedRouters; // that the request was passed to
     bool connectFailed = false; // the last attempt could not connect to its endpoint
     bool refusedByRouter = false; // the router that the request was passed to has refused it
