Compare with another endpoint after a refused connection; read empty optional addresses

Change: the comparison is made 0.1 s after the interruption, with new connections only, and once for all requests that were interrupted.

--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -116,10 +116,6 @@
     bool hasUnreachableEndpoint() const;
     // Returns whether endpoints can serve the request, but this router can't connect to any of them.
     bool reachableByOthersOnly(const EndpointRequirements &requirements, Time now) const;
-    bool connectedToOther(const std::string &endpoint, Time since) const
-    {
-        return m_reachability.connectedToOther(endpoint, since);
-    }
     // Returns up to `n` usable endpoints other than this one, with their addresses.
     std::map<std::string, std::string> otherEndpoints(const std::string &endpoint, size_t n) const;
     // Returns the addresses of the endpoints that are to be probed now, by endpoint.
--- a/src/coordination/reachability.cpp
+++ b/src/coordination/reachability.cpp
@@ -56,13 +56,6 @@
                        [](const std::pair<const std::string, Entry> &it) { return it.second.unreachable; });
 }
 
-bool EndpointReachability::connectedToOther(const std::string &endpoint, Time since) const
-{
-    return std::any_of(m_entries.begin(), m_entries.end(), [&](const std::pair<const std::string, Entry> &it) {
-        return it.first != endpoint && !it.second.unreachable && it.second.triedAt > since;
-    });
-}
-
 size_t EndpointReachability::unreachableCount(const std::vector<std::string> &endpoints) const
 {
     return size_t(std::count_if(endpoints.begin(), endpoints.end(), [this](const std::string &it) { return unreachable(it); }));
--- a/src/coordination/reachability.h
+++ b/src/coordination/reachability.h
@@ -25,8 +25,6 @@
     void forget(const std::string &endpoint);
 
     bool unreachable(const std::string &endpoint) const;
-    // Returns whether a connection to another endpoint than this one was opened after `since`.
-    bool connectedToOther(const std::string &endpoint, Time since) const;
     bool anyUnreachable() const;
     // Returns whether at least half of the endpoints, and more than one, are unreachable.
     bool isolated(const std::vector<std::string> &endpoints) const;
--- a/src/protocol/hostsettings.cpp
+++ b/src/protocol/hostsettings.cpp
@@ -33,6 +33,13 @@
     return LogDetailNames[size_t(detail)].second;
 }
 
+// Returns an address, or an empty string if the key is absent or its value empty.
+std::string readOptionalAddress(const YAML::Node &root, const char *key)
+{
+    const bool empty = readValue<std::string>(root, key, "", "an address, or empty").empty();
+    return empty ? "" : readAddress(root, key, "the settings");
+}
+
 HostSettings readHost(const YAML::Node &root)
 {
     HostSettings host;
@@ -50,7 +57,7 @@
     if (port == 0 || port > 65535)
         fail(root, "'internalPort' must be a port from 1 to 65535");
     host.internalPort = uint16_t(port);
-    host.metrics = root["metrics"] ? readAddress(root, "metrics", "the settings") : "";
+    host.metrics = readOptionalAddress(root, "metrics");
     host.grace = readDuration(root, "grace", Millis(8000));
     host.log = readLogDetail(root);
     return host;
@@ -66,7 +73,7 @@
     settings.listen = readAddress(root, "listen", "the settings");
     settings.ready = readAddress(root, "ready", "the settings");
     settings.directory = readAddress(root, "directory", "the settings");
-    settings.relay = root["relay"] ? readAddress(root, "relay", "the settings") : "";
+    settings.relay = readOptionalAddress(root, "relay");
     settings.retryRatio = readValue<double>(root, "retryRatio", 0.2, "a share of requests");
     settings.retrySlack = readValue<double>(root, "retrySlack", 20, "a number of requests");
     settings.firstStart = readValue<bool>(root, "firstStart", false, "true or false");
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -90,8 +90,7 @@
 constexpr Millis RetryAfterBusy{1000}; // about the time of a load from a copy, after which the model may be available
 constexpr Millis EndpointConnectTimeout{500}; // a handshake takes 4 ms; a lost packet is retransmitted within this time
 constexpr Millis CrashConfirmTime{100}; // in which a process that is ending closes a connection it still accepted
-constexpr Millis CrashComparisonTime{1000}; // a connection to another endpoint within it shows that this host is not cut from all
-constexpr size_t CrashComparisonEndpoints = 3; // tried if there is none
+constexpr size_t CrashComparisonEndpoints = 3; // one that can be connected to shows that this host is not cut from all
 constexpr int CrashCheckConnections = 3; // opened to find out whether a process has ended
 constexpr Millis ResolveTtl{1500}; // some callers cache an answer for three times as long; a drain waits for them
 
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -564,19 +564,37 @@
 }
 
 // Returns whether this router can connect to another endpoint, or there is none. If it can't, the network between it and the
-// endpoints is the probable cause of a refused connection.
+// endpoints is the probable cause of a refused connection. A crash interrupts many requests, which share one comparison.
 Task<bool> Forwarder::reachesOtherEndpoint(std::string endpoint)
 {
-    const Time since = monotonicNow() - CrashComparisonTime;
+    const Time since = monotonicNow();
+    net::steady_timer timer(m_io, CrashConfirmTime); // a cut does not reset all connections at the same moment
+    ErrorCode ec;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    while (m_comparison.running) {
+        timer.expires_after(CrashConfirmTime);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    }
+    if (m_comparison.startedAt <= since)
+        co_await compareEndpoints(std::move(endpoint));
+    co_return m_comparison.connected;
+}
+
+Task<> Forwarder::compareEndpoints(std::string endpoint)
+{
     const std::map<std::string, std::string> others = m_balancer.otherEndpoints(endpoint, CrashComparisonEndpoints);
+    m_comparison.running = true;
+    m_comparison.startedAt = monotonicNow();
+    m_comparison.connected = others.empty();
     for (const std::pair<const std::string, std::string> &it : others) {
-        if (m_balancer.connectedToOther(endpoint, since))
-            co_return true;
         EndpointConnectionPtr connection = co_await connect(it.first, it.second);
-        if (connection)
-            m_pool.putIdle(std::move(connection), monotonicNow());
+        if (!connection)
+            continue;
+        m_pool.putIdle(std::move(connection), monotonicNow());
+        m_comparison.connected = true;
+        break;
     }
-    co_return others.empty() || m_balancer.connectedToOther(endpoint, since);
+    m_comparison.running = false;
 }
 
 Forwarder::InterruptedRequest Forwarder::interruptedRequest(const Request &request)
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -109,6 +109,7 @@
     Task<AttemptEnd> exchange(Request &request, const EndpointChoice &choice, EndpointConnection &connection, bool &reusable);
     Task<bool> processEnded(std::string address);
     Task<bool> reachesOtherEndpoint(std::string endpoint);
+    Task<> compareEndpoints(std::string endpoint);
     static InterruptedRequest interruptedRequest(const Request &request);
     Task<> checkForCrash(InterruptedRequest request, EndpointChoice choice);
     void recordAdvice(const Request &request, const EndpointChoice &choice, const struct EndpointAnswer &answer);
@@ -152,6 +153,12 @@
     std::string m_self;
     size_t m_active = 0;
     size_t m_activeRelayed = 0; // of those, passed on by other routers
+    // Whether this router could connect to another endpoint than one that seems to have ended, at the last comparison.
+    struct {
+        bool running = false;
+        bool connected = false;
+        Time startedAt{};
+    } m_comparison;
     bool m_probing = false; // probeEndpoints() is running
     uint64_t m_registryVersion = 0; // of the control host, at the last sync
     Time m_syncedAt{};
