--- a/src/coordination/limitshare.cpp
+++ b/src/coordination/limitshare.cpp
@@ -48,7 +48,8 @@
 Time LimitShare::nextSendAt(const std::string &endpoint, double requestsPerSecond, bool confirmed) const
 {
     const size_t all = routers();
-    size_t sharers = std::min(all, size_t(requestsPerSecond * RoutersPerLimitedRequest) + MinRoutersSharingLimit);
+    // Compared before the conversion, as an endpoint may name any number.
+    size_t sharers = size_t(std::min(double(all), requestsPerSecond * RoutersPerLimitedRequest + double(MinRoutersSharingLimit)));
     if (!selected(endpoint, sharers)) {
         if (confirmed)
             return Time::max();
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -388,6 +388,18 @@
     BOOST_TEST((it.router.balancer->restriction(plainRequest(), 1, Now)->until == Time::max()));
 }
 
+// Guards against limits outside the range of the types that are computed with.
+BOOST_DATA_TEST_CASE(anyLimitIsComputedWith, bdata::make({0.0, 1e-300, 1e300}), limit)
+{
+    Router router(0);
+    Registry control{ExpiryTimes, Now};
+    control.merge(announcement("e", StartedAtMs, 1), Now);
+    router.poll(control, Now);
+    const EndpointChoice choice = *router.balancer->choose(plainRequest(), Now);
+    router.balancer->recordCapacity(choice, EndpointCapacity{limit}, Now, Now);
+    BOOST_TEST(router.balancer->choose(plainRequest(), Now + Millis(1000)).has_value() == (limit > 1));
+}
+
 // An answer to a request that was sent before the limit was named, and overtaken by the one that named it, does not end it.
 BOOST_AUTO_TEST_CASE(overtakenAnswerDoesNotEndALimit)
 {
