--- /dev/null
+++ b/tests/meshclient_test.cpp
@@ -0,0 +1,128 @@
+// Tests of a router's session with the control hosts: a real client, and control hosts that are servers of the test's own.
+#define BOOST_TEST_MODULE meshclient
+#include "mesh.grpc.pb.h"
+#include "state/tunables.h"
+#include "transport/mesh.h"
+
+#include <atomic>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/included/unit_test.hpp>
+#include <fmt/format.h>
+#include <grpcpp/grpcpp.h>
+#include <thread>
+
+using namespace roserail;
+
+namespace bdata = boost::unit_test::data;
+
+namespace
+{
+
+// A control host that serves routers, or refers them to the hosts in its list.
+class ControlHost final : public pb::Mesh::Service
+{
+public:
+    ControlHost()
+    {
+        grpc::ServerBuilder builder;
+        int port = 0;
+        builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+        builder.RegisterService(this);
+        m_server = builder.BuildAndStart();
+        m_address = fmt::format("127.0.0.1:{}", port);
+    }
+    ~ControlHost() override
+    {
+        m_server->Shutdown(std::chrono::system_clock::now());
+    }
+    grpc::Status Sync(grpc::ServerContext *, const pb::SyncRequest *, pb::SyncReply *reply) override
+    {
+        ++polls;
+        if (fails)
+            return grpc::Status(grpc::StatusCode::UNAVAILABLE, "");
+        reply->set_epoch(serves ? 1 : 0);
+        const std::lock_guard lock(m_mutex);
+        for (const std::string &it : m_listed)
+            reply->add_control(it);
+        return grpc::Status::OK;
+    }
+    void list(std::vector<std::string> hosts)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_listed = std::move(hosts);
+    }
+    const std::string &address() const
+    {
+        return m_address;
+    }
+    std::atomic<bool> serves{true};
+    std::atomic<bool> fails{false};
+    std::atomic<int> polls{0};
+
+private:
+    std::mutex m_mutex;
+    std::vector<std::string> m_listed;
+    std::string m_address;
+    std::unique_ptr<grpc::Server> m_server;
+};
+
+template <typename Condition>
+bool becomes(Condition condition, Millis limit)
+{
+    const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + limit;
+    while (!condition() && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(Millis(10));
+    return condition();
+}
+
+} // namespace
+
+// Guards against a router that believes the hosts of a cut-off minority about who else there is: they name each other, and the
+// router asked them in turn and never the majority again, while it went on by an old configuration.
+BOOST_DATA_TEST_CASE(routerFindsTheMajorityAgainAfterASplit, bdata::make({0, 1, 2}), seedsOfTheMinority)
+{
+    ControlHost majority;
+    ControlHost minority1;
+    ControlHost minority2;
+    const std::vector<std::string> all{majority.address(), minority1.address(), minority2.address()};
+    for (ControlHost *it : {&majority, &minority1, &minority2})
+        it->list(all);
+    std::vector<std::string> seeds{minority1.address()};
+    if (seedsOfTheMinority != 1)
+        seeds.push_back(minority2.address());
+    std::atomic<int> served = 0;
+    MeshClient client(
+        seeds, [] { return pb::SyncRequest(); }, [&](const pb::SyncReply &) { ++served; });
+    BOOST_REQUIRE(becomes([&] { return served > 0; }, Millis(5000)));
+    // The core is split, and the majority is without a leader for a while.
+    for (ControlHost *it : {&minority1, &minority2}) {
+        it->list({minority1.address(), minority2.address()});
+        it->serves = false;
+    }
+    majority.fails = true;
+    std::this_thread::sleep_for(Millis(1500));
+    served = 0;
+    majority.fails = false;
+    // Three known hosts, each of which answers at once or fails at once.
+    BOOST_TEST(becomes([&] { return served > 0; }, Millis(1000)));
+}
+
+// Guards against a router that replaces what it knows by the list of a host that has just started on the wrong side of a split.
+BOOST_AUTO_TEST_CASE(routerRemembersHostsThatTheServingHostDoesNotName)
+{
+    ControlHost majority;
+    ControlHost minority;
+    majority.list({majority.address(), minority.address()});
+    minority.list({majority.address(), minority.address()});
+    std::atomic<int> served = 0;
+    MeshClient client(
+        {minority.address()}, [] { return pb::SyncRequest(); }, [&](const pb::SyncReply &) { ++served; });
+    BOOST_REQUIRE(becomes([&] { return served > 0; }, Millis(5000)));
+    majority.fails = true;
+    minority.list({minority.address()});
+    BOOST_REQUIRE(becomes([&, before = minority.polls.load()] { return minority.polls > before + 3; }, Millis(5000)));
+    minority.serves = false;
+    majority.fails = false;
+    served = 0;
+    BOOST_TEST(becomes([&] { return served > 0; }, Millis(1000)));
+}
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -299,6 +299,76 @@
     BOOST_TEST((follower.currentAt(start + Millis(30)) == start + Millis(20)));
 }
 
+// Guards against a leader that sends the entries that a follower lacks again with each heartbeat: on a link of 100 Mbit/s a
+// follower that lacked several large configurations got none of them, and the leader's memory grew until its process was ended.
+BOOST_DATA_TEST_CASE(followerThatLacksLargeEntriesCatchesUpOnASlowLink, bdata::make({3u, 5u}), replicas)
+{
+    constexpr double BytesPerMs = 12500; // 100 Mbit/s
+    constexpr size_t EntryBytes = 500000;
+    constexpr size_t Entries = 24; // 12 MB, which the link takes in 1 s
+    Cluster cluster(replicas, 11);
+    cluster.run(Millis(2000));
+    const uint64_t behind = cluster.leader()->self().id % replicas + 1;
+    cluster.cutOff(behind);
+    for (size_t i = 0; i < Entries; ++i) {
+        cluster.propose(std::string(EntryBytes, 'x'));
+        cluster.run(Millis(50));
+    }
+    cluster.run(Millis(500));
+    cluster.bytesPerMs = BytesPerMs;
+    cluster.callTimeout = Millis(400);
+    cluster.heal();
+    const uint64_t term = cluster.leader()->term();
+    cluster.run(Millis(4000));
+    BOOST_REQUIRE(cluster.leader() != nullptr);
+    BOOST_TEST(cluster.leader()->term() <= term + 1); // the returning replica may cause one election
+    BOOST_TEST(cluster.nodes().at(behind).appliedIndex == cluster.leader()->lastIndex());
+    BOOST_TEST(cluster.peakLinkBytes < 4 * EntryBytes);
+}
+
+// Guards against a leader whose messages to a replica that does not answer grow without bound.
+BOOST_AUTO_TEST_CASE(replicaThatDoesNotAnswerIsSentFewBytes)
+{
+    constexpr size_t EntryBytes = 500000;
+    Cluster cluster(3, 12);
+    cluster.run(Millis(2000));
+    const uint64_t silent = cluster.leader()->self().id % 3 + 1;
+    cluster.freeze(silent, true);
+    cluster.bytesPerMs = 1e9; // counts only
+    Raft &raft = *cluster.leader();
+    size_t bytes = 0;
+    const Time end = cluster.now() + Millis(3000);
+    for (Time now = cluster.now(); now < end; now += Millis(20)) {
+        Actions actions;
+        pb::Command command;
+        command.mutable_put_configuration()->mutable_configuration()->set_content(std::string(EntryBytes, 'x'));
+        if (toMillis(now) % 500 == 0)
+            raft.propose(command, actions);
+        raft.tick(now, actions);
+        raft.flush(now, actions);
+        for (const pb::RaftMessage &it : actions.messages)
+            bytes += it.to().id() == silent ? it.ByteSizeLong() : 0;
+        // The other follower answers at once, so that the leader stays the leader.
+        for (const pb::RaftMessage &it : actions.messages) {
+            if (it.kind() != pb::RaftMessage::APPEND || it.to().id() == silent)
+                continue;
+            pb::RaftMessage reply;
+            reply.set_kind(pb::RaftMessage::APPEND_REPLY);
+            reply.set_cluster_id(7);
+            *reply.mutable_from() = it.to();
+            *reply.mutable_to() = it.from();
+            reply.set_term(raft.term());
+            reply.set_sent_at_ms(it.sent_at_ms());
+            reply.set_granted(true);
+            reply.set_log_index(it.entries_size() == 0 ? it.log_index() : it.entries(it.entries_size() - 1).index());
+            Actions ignored;
+            raft.receive(reply, now, ignored);
+        }
+    }
+    BOOST_TEST(raft.isLeader());
+    BOOST_TEST(bytes < 2 * EntryBytes);
+}
+
 BOOST_AUTO_TEST_CASE(twoVotersAreNeverChangedAtOnce)
 {
     Cluster cluster(3, 4);
--- a/tests/raftcluster.h
+++ b/tests/raftcluster.h
@@ -99,13 +99,15 @@
     }
 
     // Proposes a command at every replica in the leader role, also at one that has lost its majority.
-    void propose()
+    void propose(const std::string &content = "")
     {
         for (std::pair<const uint64_t, Node> &it : m_nodes) {
             if (!it.second.raft || it.second.frozen || !it.second.raft->isLeader())
                 continue;
             pb::Command command;
             command.set_wall_ms(++m_proposals);
+            if (!content.empty())
+                command.mutable_put_configuration()->mutable_configuration()->set_content(content);
             Actions actions;
             it.second.raft->propose(command, actions);
             it.second.raft->flush(m_now, actions);
@@ -271,6 +273,9 @@
     int loss = 0; // percent of messages
     int duplicates = 0; // percent of messages
     int maxDelay = 30; // ms
+    double bytesPerMs = 0; // of each link; 0: unlimited
+    Millis callTimeout = Millis::max(); // of a call that carries entries or a heartbeat; a call that takes longer is lost
+    size_t peakLinkBytes = 0; // most bytes that waited for one link at a time
     bool tearNextWrite = false; // the replica crashes in the next write, which is lost
 
 private:
@@ -318,8 +323,22 @@
         if (m_droppedLinks.count({from, message.to().id()}) != 0 || int(m_random() % 100) < loss)
             return;
         const int copies = int(m_random() % 100) < duplicates ? 2 : 1;
-        for (int i = 0; i < copies; ++i)
-            m_network.push_back(Envelope{message, m_now + Millis(m_random() % uint64_t(maxDelay + 1))});
+        const std::optional<Millis> transmission = transmit(from, message);
+        for (int i = 0; transmission && i < copies; ++i)
+            m_network.push_back(Envelope{message, m_now + *transmission + Millis(m_random() % uint64_t(maxDelay + 1))});
+    }
+
+    // Returns how long the message takes on a link of limited bandwidth, behind the messages before it; nothing if its call times
+    // out. The link is occupied either way. Snapshots have a time limit that no message reaches.
+    std::optional<Millis> transmit(uint64_t from, const pb::RaftMessage &message)
+    {
+        if (bytesPerMs == 0)
+            return Millis(0);
+        Time &freeAt = m_linkFreeAt[{from, message.to().id()}];
+        freeAt = std::max(freeAt, m_now) + Millis(int64_t(double(message.ByteSizeLong()) / bytesPerMs));
+        const Millis taken = freeAt - m_now;
+        peakLinkBytes = std::max(peakLinkBytes, size_t(double(taken.count()) * bytesPerMs));
+        return message.kind() != pb::RaftMessage::INSTALL && taken > callTimeout ? std::nullopt : std::optional(taken);
     }
 
     void deliver(const pb::RaftMessage &message)
@@ -397,6 +416,7 @@
     std::map<uint64_t, Node> m_nodes;
     std::vector<Envelope> m_network;
     std::set<std::pair<uint64_t, uint64_t>> m_droppedLinks;
+    std::map<std::pair<uint64_t, uint64_t>, Time> m_linkFreeAt;
     std::map<uint64_t, std::string> m_committed; // by index
     std::map<uint64_t, Replica> m_leaders; // by term
     std::map<std::pair<Replica, uint64_t>, Replica> m_votes;
--- /dev/null
+++ b/tests/replicanode_test.cpp
@@ -0,0 +1,119 @@
+// Tests of a control replica with a real data folder, and of the messages between replicas.
+#define BOOST_TEST_MODULE replicanode
+#include "state/tunables.h"
+#include "transport/clock.h"
+#include "transport/replicanode.h"
+
+#include <boost/test/included/unit_test.hpp>
+#include <filesystem>
+#include <fmt/format.h>
+#include <grpcpp/grpcpp.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace roserail;
+
+namespace
+{
+
+// A folder that is removed with its contents.
+struct Folder {
+    std::filesystem::path path
+        = std::filesystem::temp_directory_path() / fmt::format("roserail-replicanode-{}-{}", ::getpid(), uint64_t(wallMillis()));
+    ~Folder()
+    {
+        std::filesystem::remove_all(path);
+    }
+};
+
+// A replica whose calls with entries take long, as on a slow link, and others no time.
+class SlowReplica final : public pb::Peer::Service
+{
+public:
+    SlowReplica()
+    {
+        grpc::ServerBuilder builder;
+        int port = 0;
+        builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+        builder.SetMaxReceiveMessageSize(MaxGrpcMessageBytes);
+        builder.RegisterService(this);
+        m_server = builder.BuildAndStart();
+        address = fmt::format("127.0.0.1:{}", port);
+    }
+    ~SlowReplica() override
+    {
+        m_server->Shutdown(std::chrono::system_clock::now());
+    }
+    grpc::Status Step(grpc::ServerContext *, const pb::RaftBatch *batch, pb::Ack *) override
+    {
+        for (const pb::RaftMessage &it : batch->messages()) {
+            if (it.entries_size() > 0)
+                std::this_thread::sleep_for(Millis(350)); // within the time limit of a call
+            else
+                ++heartbeats;
+        }
+        return grpc::Status::OK;
+    }
+    std::string address;
+    std::atomic<int> heartbeats{0};
+
+private:
+    std::unique_ptr<grpc::Server> m_server;
+};
+
+} // namespace
+
+// Guards against a log that is bounded in entries only: with large configurations it filled a disk of 64 MB, and memory.
+BOOST_AUTO_TEST_CASE(logOfLargeConfigurationsIsShortened)
+{
+    constexpr size_t MaxLogBytes = 16u << 20; // a quarter of the smallest disk
+    const Folder folder;
+    Result<std::unique_ptr<Storage>> storage = Storage::open(folder.path, 1, 1);
+    BOOST_REQUIRE(storage.has_value());
+    pb::Member self;
+    self.set_peer_address("127.0.0.1:1");
+    ReplicaNode node(std::move(storage.value()), self, {}, tunables::SnapshotEveryEntries, 1);
+    pb::Membership membership;
+    *membership.add_members() = self;
+    membership.mutable_members(0)->set_voter(true);
+    *membership.mutable_members(0)->mutable_identity() = toProto(Replica{1, 1});
+    BOOST_REQUIRE(node.bootstrap(7, membership).has_value());
+    const Time end = monotonicNow() + Millis(5000);
+    while (!node.status().leads(monotonicNow()) && monotonicNow() < end)
+        std::this_thread::sleep_for(Millis(10));
+    for (uint64_t version = 1; version <= 30; ++version) {
+        pb::Command command;
+        command.mutable_put_configuration()->mutable_configuration()->set_version(version);
+        command.mutable_put_configuration()->mutable_configuration()->set_content(std::string(1u << 20, char('a' + version % 20)));
+        BOOST_REQUIRE(node.execute(std::move(command), Millis(5000)).has_value());
+    }
+    std::this_thread::sleep_for(Millis(200));
+    BOOST_TEST(node.status().logBytes < MaxLogBytes);
+    BOOST_TEST(node.withMachine([](const StateMachine &machine) { return machine.configuration().version(); }) == 30u);
+}
+
+// Guards against heartbeats that wait behind large entries for the same replica, so that it takes its leader for lost.
+BOOST_AUTO_TEST_CASE(heartbeatsDoNotWaitForLargeEntries)
+{
+    SlowReplica replica;
+    Peers peers;
+    const auto heartbeat = [&] {
+        pb::RaftMessage message;
+        message.set_kind(pb::RaftMessage::APPEND);
+        peers.send(replica.address, std::move(message));
+    };
+    heartbeat();
+    const Time connected = monotonicNow() + Millis(5000);
+    while (replica.heartbeats == 0 && monotonicNow() < connected)
+        std::this_thread::sleep_for(Millis(5));
+    BOOST_REQUIRE(replica.heartbeats == 1);
+    pb::RaftMessage entries;
+    entries.set_kind(pb::RaftMessage::APPEND);
+    entries.add_entries()->mutable_command()->mutable_put_configuration()->mutable_configuration()->set_content(std::string(1u << 20, 'x'));
+    peers.send(replica.address, std::move(entries));
+    std::this_thread::sleep_for(Millis(50));
+    // The whole of a heartbeat interval, and as long again for the call itself.
+    heartbeat();
+    std::this_thread::sleep_for(2 * tunables::HeartbeatInterval);
+    BOOST_TEST(replica.heartbeats == 2);
+}
