Raft: entries are sent once, and in limited amounts, until the replica answers

Cause: while the log of a replica was not confirmed, each heartbeat carried up to 4 MB of entries, without waiting for an answer. A replica that lacked several whole configurations on a link of 100 Mbit/s got none of them in time, and what waited for it grew by 66 MB/s. Class: a repetition that does not wait for the outcome of the last one and starts from nothing.

Change: heartbeats carry no entries. Entries go to replicas whose log is known to match, at most 256 KB in flight (or one entry), large ones only while nothing else is in flight, and again after a time that grows with their size. A heartbeat beside large entries refers to what is confirmed, so that it may overtake them.

--- a/src/coordination/raft.cpp
+++ b/src/coordination/raft.cpp
@@ -31,6 +31,11 @@
     return identity;
 }
 
+Millis sendTimeout(size_t bytes)
+{
+    return MessageTimeout + Millis(bytes / MinSendBytesPerMs);
+}
+
 bool Actions::needsSync() const
 {
     return persist.has_hard_state() || persist.truncate_from() != 0 || persist.entries_size() != 0;
@@ -340,8 +345,7 @@
         if (to == m_self)
             continue;
         Progress &progress = m_progress[to];
-        if (!progress.probing && progress.next <= lastIndex())
-            sendAppend(to, progress, now, out);
+        sendEntries(to, progress, now, out);
     }
 }
 
@@ -356,35 +360,84 @@
         Progress &progress = m_progress[to];
         if (!known)
             progress.next = lastIndex();
-        sendAppend(to, progress, now, out);
+        sendHeartbeat(to, progress, now, out);
     }
 }
 
-// Sends entries from `next`, an empty append as heartbeat, or the snapshot if the log no longer contains `next`.
-void Raft::sendAppend(const Replica &to, Progress &progress, Time now, Actions &out)
+void Raft::Progress::probe(uint64_t first)
+{
+    probing = true;
+    next = first;
+    bytesInFlight = 0;
+    largeUntil = Time::max();
+}
+
+void Raft::sendFailed(const Replica &to)
+{
+    const auto it = m_progress.find(to);
+    if (it != m_progress.end() && it->second.largeUntil != Time::max())
+        it->second.probe(it->second.match + 1);
+}
+
+// Returns whether the log no longer contains `next`. Sends the snapshot then, unless it was sent a short time ago.
+bool Raft::sendSnapshotIfBehind(const Replica &to, Progress &progress, Time now, Actions &out)
+{
+    if (progress.next > m_snapIndex)
+        return false;
+    if (now < progress.retryAt)
+        return true;
+    pb::RaftMessage msg = message(pb::RaftMessage::INSTALL, to);
+    *msg.mutable_snapshot() = m_snapshot;
+    msg.set_sent_at_ms(uint64_t(toMillis(now)));
+    progress.retryAt = now + SnapshotResendInterval;
+    out.messages.push_back(std::move(msg));
+    return true;
+}
+
+// Returns an append without entries.
+pb::RaftMessage Raft::appendAfter(uint64_t prev, const Replica &to, Time now) const
 {
-    const bool behind = progress.next <= m_snapIndex;
-    if (behind && now >= progress.retryAt) {
-        pb::RaftMessage msg = message(pb::RaftMessage::INSTALL, to);
-        *msg.mutable_snapshot() = m_snapshot;
-        msg.set_sent_at_ms(uint64_t(toMillis(now)));
-        progress.retryAt = now + SnapshotResendInterval;
-        out.messages.push_back(std::move(msg));
-        return;
-    }
-    const uint64_t prev = behind ? lastIndex() : progress.next - 1;
     pb::RaftMessage msg = message(pb::RaftMessage::APPEND, to);
     msg.set_log_index(prev);
     msg.set_log_term(termAt(prev));
     msg.set_commit(m_commit);
     msg.set_sent_at_ms(uint64_t(toMillis(now)));
+    return msg;
+}
+
+// Sends an append without entries, and the snapshot if the replica needs it. Large entries may arrive after a later heartbeat,
+// which therefore refers to what is confirmed; small ones arrive in order, and a heartbeat after them finds out if they were lost.
+void Raft::sendHeartbeat(const Replica &to, Progress &progress, Time now, Actions &out)
+{
+    if (now >= progress.largeUntil)
+        progress.probe(progress.match + 1);
+    const bool behind = sendSnapshotIfBehind(to, progress, now, out);
+    const uint64_t confirmed = progress.largeUntil == Time::max() ? progress.next - 1 : std::max(progress.match, m_snapIndex);
+    out.messages.push_back(appendAfter(behind ? lastIndex() : confirmed, to, now));
+}
+
+// Sends the next entries, or the snapshot, to a replica whose log is known to match up to them. The bytes in flight are limited,
+// and large entries are sent only while nothing else is in flight.
+void Raft::sendEntries(const Replica &to, Progress &progress, Time now, Actions &out)
+{
+    if (progress.probing || progress.next > lastIndex() || sendSnapshotIfBehind(to, progress, now, out))
+        return;
+    const size_t limit = progress.bytesInFlight == 0 ? MaxBytesPerAppend : MaxSmallAppendBytes;
+    if (progress.largeUntil != Time::max() || progress.bytesInFlight >= MaxBytesInFlight
+        || (progress.bytesInFlight > 0 && entry(progress.next).ByteSizeLong() > limit))
+        return;
+    pb::RaftMessage msg = appendAfter(progress.next - 1, to, now);
     size_t bytes = 0;
-    for (uint64_t i = prev + 1; i <= lastIndex() && size_t(msg.entries_size()) < MaxEntriesPerAppend && bytes < MaxBytesPerAppend; ++i) {
-        bytes += entry(i).ByteSizeLong();
-        *msg.add_entries() = entry(i);
-    }
-    if (!progress.probing && !behind)
-        progress.next = prev + 1 + uint64_t(msg.entries_size());
+    while (progress.next <= lastIndex() && size_t(msg.entries_size()) < MaxEntriesPerAppend) {
+        const size_t size = entry(progress.next).ByteSizeLong();
+        if (msg.entries_size() > 0 && bytes + size > limit)
+            break;
+        bytes += size;
+        *msg.add_entries() = entry(progress.next++);
+    }
+    progress.bytesInFlight += bytes;
+    if (bytes > MaxSmallAppendBytes)
+        progress.largeUntil = now + sendTimeout(bytes);
     out.messages.push_back(std::move(msg));
 }
 
@@ -561,10 +614,9 @@
         const uint64_t next = std::max(progress.match, std::min(msg.log_index(), lastIndex())) + 1;
         // A repeated rejection is not answered: each duplicate would cause further duplicates.
         const bool repeated = progress.probing && progress.next == next;
-        progress.probing = true;
-        progress.next = next;
+        progress.probe(next);
         if (!repeated && (progress.next > m_snapIndex || now >= progress.retryAt))
-            sendAppend(from, progress, now, out);
+            sendHeartbeat(from, progress, now, out);
         return;
     }
     invariant(msg.log_index() <= lastIndex(), "a follower acknowledges only what was sent");
@@ -574,9 +626,12 @@
         progress.retryAt = now;
     }
     progress.next = std::max(progress.next, progress.match + 1);
+    if (progress.next == progress.match + 1) {
+        progress.bytesInFlight = 0;
+        progress.largeUntil = Time::max();
+    }
     advanceCommit(out);
-    if (progress.next <= lastIndex())
-        sendAppend(from, progress, now, out);
+    sendEntries(from, progress, now, out);
 }
 
 void Raft::onInstall(const pb::RaftMessage &msg, Time now, Actions &out)
--- a/src/coordination/raft.h
+++ b/src/coordination/raft.h
@@ -43,6 +43,9 @@
     bool needsSync() const;
 };
 
+// Returns the time after which a message that carries so many bytes of entries counts as lost.
+Millis sendTimeout(size_t bytes);
+
 enum class Role { Follower, PreCandidate, Candidate, Leader };
 
 std::string_view toString(Role role);
@@ -64,6 +67,8 @@
     bool transferLeadership(Time now, Actions &out);
     // Sends the entries proposed since the last call; the caller invokes it once per batch of events.
     void flush(Time now, Actions &out);
+    // Records that a message with large entries did not reach the replica, so that they are sent again once it answers.
+    void sendFailed(const Replica &to);
     // Drops the log up to a snapshot of the state machine that is durable.
     void compact(const pb::Snapshot &snapshot);
 
@@ -150,8 +155,13 @@
         uint64_t next = 1;
         Time ackedSentAt{}; // send time of the latest message it answered
         Time retryAt{}; // earliest time to send the snapshot again
-        bool probing = true; // the matching index is not confirmed yet: one append at a time
+        bool probing = true; // the matching index is not confirmed yet: no entries are sent
         bool everAcked = false;
+        size_t bytesInFlight = 0; // of entries sent and not acknowledged
+        Time largeUntil = Time::max(); // large entries are in flight, and count as lost from then on; max: there are none
+
+        // Sends nothing but heartbeats until the replica has confirmed that its log matches up to `next` - 1.
+        void probe(uint64_t first);
     };
 
     bool isVoter(const Replica &replica) const;
@@ -162,7 +172,10 @@
     void becomeLeader(Time now, Actions &out);
     void resetElectionDeadline(Time now);
     void append(pb::Entry entry, Actions &out);
-    void sendAppend(const Replica &to, Progress &progress, Time now, Actions &out);
+    void sendHeartbeat(const Replica &to, Progress &progress, Time now, Actions &out);
+    void sendEntries(const Replica &to, Progress &progress, Time now, Actions &out);
+    bool sendSnapshotIfBehind(const Replica &to, Progress &progress, Time now, Actions &out);
+    pb::RaftMessage appendAfter(uint64_t prev, const Replica &to, Time now) const;
     void broadcast(Time now, Actions &out);
     void advanceCommit(Actions &out);
     void commitTo(uint64_t index, Actions &out);
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -15,7 +15,11 @@
 constexpr Millis ClockDriftMargin{50}; // a lease ends this long before another leader can be elected
 constexpr Millis LeaderLease = ElectionTimeoutMin - ClockDriftMargin;
 constexpr size_t MaxEntriesPerAppend = 512;
-constexpr size_t MaxBytesPerAppend = 4u << 20;
+constexpr size_t MaxBytesPerAppend = 256u << 10; // unless a single entry is larger; 20 ms of a link of 100 Mbit/s
+constexpr size_t MaxSmallAppendBytes = 32u << 10; // larger ones are sent apart from heartbeats, which they would delay
+constexpr size_t MaxBytesInFlight = 256u << 10; // to one replica, unless a single entry is larger
+constexpr Millis MessageTimeout{400}; // of a message; below the time without a heartbeat after which a replica stands for election
+constexpr size_t MinSendBytesPerMs = 1000; // a larger message has more time; six receivers share a link of 100 Mbit/s
 constexpr uint64_t SnapshotEveryEntries = 20000;
 constexpr uint64_t LearnerPromotionMaxLag = 64; // entries; a learner at most this far behind the leader is promoted to voter
 constexpr size_t MaxProposalsInFlight = 8192;
