Control replicas: heartbeats do not wait behind large entries

Cause: heartbeats, votes and entries for a replica shared one queue and one call of 400 ms, up to 1,024 messages of any size.

Change: large entries have a sender of their own, with more time for more bytes, and report a failure to the consensus algorithm; queues and calls are limited in bytes. A sender that stops cancels its call instead of waiting for it.

replicanode_test heartbeatsDoNotWaitForLargeEntries: no heartbeat within 120 ms before, one after.

--- a/src/transport/replicanode.cpp
+++ b/src/transport/replicanode.cpp
@@ -44,6 +44,7 @@
     , m_randomSeed(randomSeed)
     , m_membershipPlanner(policy)
     , m_joinTimer(monotonicNow())
+    , m_peers([this](const Replica &to) { m_events.push(SendFailed{to}); })
 {
     DurableState state = m_storage->state();
     *m_self.mutable_identity() = state.identity.identity();
@@ -243,6 +244,11 @@
         m_raft->transferLeadership(now, out);
 }
 
+void ReplicaNode::handle(SendFailed &event, Time, Actions &)
+{
+    m_raft->sendFailed(event.to);
+}
+
 // Performs the actions in this order, because state must be durable before a message or an answer reports it.
 void ReplicaNode::perform(Actions &actions)
 {
--- a/src/transport/replicanode.h
+++ b/src/transport/replicanode.h
@@ -100,7 +100,11 @@
         enum Kind { Approve, Remove, Transfer, Wake } kind;
         uint64_t id = 0;
     };
-    using Event = std::variant<Received, Proposal, Bootstrap, AdminRequest>;
+    // A message with large entries that did not reach the replica.
+    struct SendFailed {
+        Replica to;
+    };
+    using Event = std::variant<Received, Proposal, Bootstrap, AdminRequest, SendFailed>;
     struct Pending {
         uint64_t term = 0;
         CommandCallback callback;
@@ -112,6 +116,7 @@
     void handle(Proposal &event, Time now, Actions &out);
     void handle(Bootstrap &event, Time now, Actions &out);
     void handle(AdminRequest &event, Time now, Actions &out);
+    void handle(SendFailed &event, Time now, Actions &out);
     void perform(Actions &actions);
     void persist(const Actions &actions);
     void installSnapshot(const pb::Snapshot &snapshot);
@@ -132,7 +137,6 @@
     uint64_t m_randomSeed;
     std::unique_ptr<Raft> m_raft;
     MembershipPlanner m_membershipPlanner;
-    Peers m_peers;
     std::map<uint64_t, Pending> m_pending; // by log index
     uint64_t m_applied = 0;
     uint64_t m_appliedTerm = 0;
@@ -146,6 +150,7 @@
     ReplicaStatus m_status;
 
     tbb::concurrent_bounded_queue<Event> m_events;
+    Peers m_peers; // its threads use m_events
     std::atomic<bool> m_stop{false};
     std::thread m_thread;
     std::thread m_ticker;
