--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -21,6 +21,7 @@
 constexpr Millis MessageTimeout{400}; // of a message; below the time without a heartbeat after which a replica stands for election
 constexpr size_t MinSendBytesPerMs = 1000; // a larger message has more time; six receivers share a link of 100 Mbit/s
 constexpr uint64_t SnapshotEveryEntries = 20000;
+constexpr uint64_t SnapshotEveryBytes = 4u << 20; // of the log; the largest document, and a sixteenth of the smallest disk
 constexpr uint64_t LearnerPromotionMaxLag = 64; // entries; a learner at most this far behind the leader is promoted to voter
 constexpr size_t MaxProposalsInFlight = 8192;
 
--- a/src/transport/replicanode.cpp
+++ b/src/transport/replicanode.cpp
@@ -370,7 +370,8 @@
 {
     if (!m_raft->isLeader() && !m_pending.empty() && m_raft->commitIndex() > m_pending.rbegin()->first)
         failPendingProposals();
-    if (m_applied < m_raft->snapshotIndex() + m_snapshotEvery)
+    const uint64_t applied = m_applied - m_raft->snapshotIndex();
+    if (applied < m_snapshotEvery && (applied == 0 || m_storage->logBytes() < SnapshotEveryBytes))
         return;
     pb::Snapshot snapshot;
     snapshot.set_index(m_applied);
