Routers do not forget control hosts because others do not name them

Cause: a router replaced its list of control hosts by that of any reply. A control host that is cut off names the hosts that it heard from within 4 s, so that 4 s after a split those of the smaller part name only each other, and a router that asked one of them went from one to the other.

Change: a module without network keeps each named host for a minute and tries the one that was tried longest ago, seeds included: each host is tried within one round, whatever the others name.

--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -69,6 +69,9 @@
 constexpr Millis SyncIntervalWhileWaiting{40}; // while requests wait for a model to be loaded
 constexpr double MaxPollsPerControlHost = 300; // a second; in a large system routers poll less often while requests wait
 constexpr Millis NearestHostRetryInterval{10000}; // a router connected to a distant control host tries the nearest one again
+// Known to a router though no other host has named it since; exceeds splits of the core and the time in which hosts are replaced.
+constexpr Millis ControlHostRetention = std::chrono::minutes(1);
+constexpr size_t MaxKnownControlHosts = 16; // seven with a disk tolerate three losses; each replaced one stays for a minute
 // Of an update of the configuration in one message. 60 routers that fetch it over one link of 100 Mbit/s receive it in 240 ms.
 constexpr size_t MaxConfigurationPieceBytes = 48u << 10;
 constexpr Millis SyncTimeout{600}; // a round trip takes 3 ms; after a time-out another control host is asked
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -98,10 +98,9 @@
 }
 
 MeshClient::MeshClient(std::vector<std::string> seeds, BuildRequest buildRequest, HandleReply handleReply)
-    : m_seeds(std::move(seeds))
-    , m_buildRequest(std::move(buildRequest))
+    : m_buildRequest(std::move(buildRequest))
     , m_handleReply(std::move(handleReply))
-    , m_seedOffset(randomNumber() % 1024)
+    , m_hosts(std::move(seeds), randomNumber())
     , m_minInterval(SyncIntervalWhileWaiting)
     , m_thread([this] { run(); })
 {
@@ -126,24 +125,19 @@
 void MeshClient::setSeeds(std::vector<std::string> seeds)
 {
     const std::lock_guard lock(m_mutex);
-    m_seeds = std::move(seeds);
+    m_hosts.setSeeds(std::move(seeds));
 }
 
-// Returns the next host to try: the known ones in turn, the nearest first. Every fourth attempt uses a seed, in case none
-// of the known hosts exists any longer.
-std::string MeshClient::nextAddress()
+void MeshClient::connect()
 {
     const std::lock_guard lock(m_mutex);
-    const std::vector<std::string> &known = m_controlHosts.empty() || m_attempt % 4 == 3 ? m_seeds : m_controlHosts;
-    const size_t n = m_controlHosts.empty() ? m_seedOffset + m_attempt : m_attempt;
-    ++m_attempt;
-    return known[n % known.size()];
+    m_channel = std::make_unique<Channel>(m_hosts.next(monotonicNow()));
 }
 
 bool MeshClient::syncOnce()
 {
     if (!m_channel)
-        m_channel = std::make_unique<Channel>(nextAddress());
+        connect();
     const pb::SyncRequest request = m_buildRequest();
     const std::shared_ptr<grpc::Channel> channel = m_channel->get();
     grpc::ClientContext context;
@@ -154,7 +148,10 @@
         m_channel.reset();
         return false;
     }
-    m_controlHosts.assign(reply.control().begin(), reply.control().end());
+    {
+        const std::lock_guard lock(m_mutex);
+        m_hosts.named({reply.control().begin(), reply.control().end()}, monotonicNow());
+    }
     if (reply.epoch() == 0) {
         m_channel.reset();
         return false;
@@ -172,12 +169,14 @@
 void MeshClient::retryNearestHost()
 {
     const Time now = monotonicNow();
-    if (now < m_nearestRetryAt || m_controlHosts.empty())
+    const std::lock_guard lock(m_mutex);
+    if (now < m_nearestRetryAt || m_hosts.nearest().empty())
         return;
     m_nearestRetryAt = now + NearestHostRetryInterval;
-    m_attempt = 0;
-    if (m_channel->address() != m_controlHosts.front())
-        m_channel.reset();
+    if (m_channel->address() == m_hosts.nearest())
+        return;
+    m_hosts.preferNext(m_hosts.nearest());
+    m_channel.reset();
 }
 
 void MeshClient::run()
@@ -186,7 +185,7 @@
     while (!m_stop) {
         const bool ok = syncOnce();
         if (ok != reachable)
-            logEvent(ok ? "control_regained" : "control_lost", {{"hosts", m_controlHosts.size()}});
+            logEvent(ok ? "control_regained" : "control_lost", {{"host", m_servedBy}, {"hosts", m_hosts.size()}});
         reachable = ok;
         // Limits the rate of polls, regardless of how often the thread is woken.
         const Millis interval = m_minInterval;
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -1,6 +1,7 @@
 // Sessions of the live state: control hosts receive changes from each other, and routers poll them several times a second.
 #pragma once
 
+#include "coordination/controlhosts.h"
 #include "mesh.grpc.pb.h"
 #include "transport/channel.h"
 #include "transport/livetable.h"
@@ -43,7 +44,7 @@
     ~MeshClient();
     MeshClient(const MeshClient &) = delete;
     MeshClient &operator=(const MeshClient &) = delete;
-    // Replaces the hosts to connect to while no others are known.
+    // Replaces the hosts to ask in addition to those that other control hosts name.
     void setSeeds(std::vector<std::string> seeds);
     // Starts the next poll as soon as the minimum interval has passed since the last one.
     void wake();
@@ -61,15 +62,12 @@
 private:
     void run();
     bool syncOnce();
-    std::string nextAddress();
+    void connect();
     void retryNearestHost();
 
-    std::vector<std::string> m_seeds;
     BuildRequest m_buildRequest;
     HandleReply m_handleReply;
-    std::vector<std::string> m_controlHosts; // as listed by the last reply, nearest first
-    size_t m_seedOffset; // random, so that routers start with different seeds
-    size_t m_attempt = 0; // addresses chosen since the nearest host was last due
+    ControlHosts m_hosts; // under m_mutex
     Time m_nearestRetryAt{};
     std::unique_ptr<Channel> m_channel;
     std::string m_servedBy; // control host of the latest reply
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -1,6 +1,7 @@
 // Unit tests of what control hosts send to each other: the choice of peers, the changes selected for each, and differences
 // of configurations. They use no network and no real clock.
 #define BOOST_TEST_MODULE sharing
+#include "coordination/controlhosts.h"
 #include "coordination/sharing.h"
 #include "coordination/staleness.h"
 #include "livestate.h"
@@ -60,6 +61,53 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(Hosts)
+
+// Pattern: `known` control hosts are split, and one of them serves. Whatever the others name meanwhile, the router tries it after as
+// many attempts as there are hosts and seeds, and then keeps to the nearest.
+BOOST_DATA_TEST_CASE(everyHostIsTriedWithinOneRound, bdata::make({1, 3, 5, 9}) * bdata::make({0, 1, 2}), known, seedsKnown)
+{
+    std::vector<std::string> all;
+    for (int n = 0; n < known; ++n)
+        all.push_back(address(n));
+    std::vector<std::string> seeds{address(50), address(51)};
+    for (int n = 0; n < seedsKnown; ++n)
+        seeds[size_t(n)] = all[size_t(n) % all.size()];
+    for (const std::string &serving : all) {
+        ControlHosts hosts(seeds, 1);
+        Time now = Now;
+        hosts.named(all, now);
+        for (int round = 0; round < 3; ++round) {
+            size_t attempts = 0;
+            std::string host;
+            do {
+                now += Millis(600);
+                host = hosts.next(now);
+                ++attempts;
+                hosts.named({all.front(), address(60)}, now); // from a host that knows little
+            } while (host != serving);
+            BOOST_TEST(attempts <= all.size() + 3);
+        }
+        hosts.preferNext(hosts.nearest());
+        BOOST_TEST(hosts.next(now) == all.front());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(hostsThatNobodyNamesAreForgotten)
+{
+    ControlHosts hosts({address(1)}, 0);
+    hosts.named({address(2), address(3)}, Now);
+    hosts.named({address(2)}, Now + Millis(1000));
+    BOOST_TEST(hosts.size() == 2u);
+    hosts.named({address(2)}, Now + ControlHostRetention);
+    BOOST_TEST(hosts.size() == 1u);
+    for (int n = 0; n < 100; ++n)
+        hosts.named({address(2), address(100 + n)}, Now + ControlHostRetention);
+    BOOST_TEST(hosts.size() == MaxKnownControlHosts);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Peers)
 
 // Pattern: five control hosts in each of many availability zones. If all had sessions with all others, each change would
