Odd entries among those of the endpoints are refused, and end nothing

Reported by other operators: one odd entry, and the hosts that read the list ended again and again or stopped following it. Both can happen here:

- An id that is no text (a byte 0xff in the path) was taken.
Messages between hosts carry it as text, no host could read them any more, and every entry host lost the control hosts for good.
The same by a caller's X-Model with such bytes, through the demand for models.
- A heartbeat of 8 MB of nested lists took 330 MB while it was decoded, on hosts of 160 MB.
- Ports were read up to the first other character; numbers above 32 bits were converted in an undefined way; a sequence of 9e15 or a start in the future under the id of an existing endpoint hid all that it said later.

Change, at the border: ids are names of printable characters, names of callers are made so; nesting is limited before a body is parsed; numbers have a range by their meaning; an address is one as a whole (state/address, used by all); heartbeats are at most 1 MB.

Looked at for the same class: reports and configurations (the same decoder), time limits of callers (could overflow), protobuf (its own limit of nesting).

--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -217,7 +217,7 @@
 // An answer that is not a stream is buffered until it is complete. The limit is twice the default limit of a request's body.
 constexpr size_t MaxBufferedAnswerBytes = 8u << 20;
 constexpr size_t MaxBufferedBytes = 32u << 20; // of all answers of one router: a fifth of the memory of the smallest hosts
-constexpr size_t MaxReportBytes = 1u << 20; // of an endpoint's answer to the control host; some 100 bytes for each model
+constexpr size_t MaxReportBytes = 1u << 20; // of an endpoint's heartbeat or report; some 100 bytes for each model
 constexpr Millis StreamVersionRetention = std::chrono::minutes(1); // exceeds the longest stream and its caller's retries
 constexpr size_t MaxStreamVersions = 8192; // some 100 bytes each
 constexpr int MaxSkippedAnswers = 2; // late answers to earlier requests, on one connection
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/log.h"
 #include "protocol/metrics.h"
+#include "state/address.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
 
@@ -42,13 +43,12 @@
 
 Result<tcp::endpoint> parseEndpoint(const std::string &text)
 {
-    const size_t colon = text.rfind(':');
+    const SocketAddress parts = splitAddress(text);
     ErrorCode ec;
-    const net::ip::address address = net::ip::make_address(text.substr(0, colon), ec);
-    const unsigned long port = colon == std::string::npos ? 0 : std::strtoul(text.c_str() + colon + 1, nullptr, 10);
-    if (ec || port == 0 || port > 65535)
+    const net::ip::address address = net::ip::make_address(parts.ip, ec);
+    if (ec || parts.port == 0)
         return Error{ErrorKind::BadRequest, fmt::format("'{}' is not an IP address and a port", text), 0};
-    return tcp::endpoint(address, uint16_t(port));
+    return tcp::endpoint(address, parts.port);
 }
 
 void configureSocket(tcp::socket &socket)
--- a/src/transport/keeperapi.cpp
+++ b/src/transport/keeperapi.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+// Of an endpoint's host to this one. An incarnation that started later replaces earlier ones for good.
+constexpr Millis MaxClockSkew = std::chrono::hours(24);
+
 const std::vector<HeaderField> JsonHeaders{{"Content-Type", "application/json"}};
 
 } // namespace
@@ -161,9 +164,12 @@
 
 Task<> KeeperApi::announce(CallerConnection &caller, const std::string &endpoint)
 {
-    Result<pb::Announcement> announcement = m_codec.decodeAnnouncement(endpoint, caller.request().body());
-    if (announcement.has_value() && parseEndpoint(announcement.value().address()).has_error())
-        announcement = Error{ErrorKind::InvalidDocument, "the endpoint's address is not an IP address and a port; correct it", 0};
+    const std::string &body = caller.request().body();
+    Result<pb::Announcement> announcement = body.size() > MaxReportBytes
+        ? Error{ErrorKind::InvalidDocument, fmt::format("the heartbeat has {} bytes; send at most {}", body.size(), MaxReportBytes), 0}
+        : m_codec.decodeAnnouncement(endpoint, body);
+    if (announcement.has_value() && announcement.value().born_ms() > wallMillis() + uint64_t(MaxClockSkew.count()))
+        announcement = Error{ErrorKind::InvalidDocument, "the endpoint's start lies in the future; correct it or its host's clock", 0};
     if (announcement.has_error()) {
         logEvent("announcement_refused", {{"endpoint", endpoint}, {"error", announcement.error().message}});
         const Error error{ErrorKind::BadRequest, announcement.error().message, 0};
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -339,3 +339,61 @@
     }
     BOOST_TEST(aliveAfter(2));
 }
+
+namespace
+{
+
+std::string heartbeatText(const std::string &changes)
+{
+    return R"({"service":"engines","zone":"z","version":"v1","slots":4,"state":"ready","models":[])" + changes + "}";
+}
+
+std::string putEntry(const std::string &id, const std::string &body)
+{
+    return fmt::format("PUT /api/instances/{} HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n{}", id, body.size(), body);
+}
+
+} // namespace
+
+// Guards against entries of another writer among those of the endpoints: hosts that read them ended, or lost their control hosts for
+// good, because the messages with the entry could not be read.
+BOOST_AUTO_TEST_CASE(oddEntriesStopNoHost)
+{
+    constexpr size_t Depth = 1000000;
+    constexpr int OddPort = FirstPort + 1400;
+    Fleet fleet("faults-odd-entries", OddPort);
+    startHosts(fleet, {1, 2});
+    fleet.startRunner(1, "engines", "m1");
+    BOOST_REQUIRE(configure(fleet, {1, 2}));
+    const auto served = [&](int entry, const std::string &id, const std::string &model) {
+        const httplib::Result result = fleet.sendRequest(entry, "/s/events/1/", id, model);
+        return result && result->status == 200;
+    };
+    BOOST_REQUIRE(eventually([&] { return served(1, "before-1", "m1") && served(2, "before-2", "m1"); }));
+    const std::string address = fmt::format(R"(,"address":"127.0.0.1:{}")", fleet.runnerPort(1));
+    const std::string sequence = R"(,"sequence":4)";
+    const std::vector<std::string> entries{
+        putEntry("i-\xff\xfe", heartbeatText(address + sequence)),
+        putEntry("deep", heartbeatText(address + sequence + R"(,"unread":)" + std::string(Depth, '[') + std::string(Depth, ']'))),
+        putEntry("deep-models",
+                 R"({"service":"engines","state":"ready","sequence":1,"address":"127.0.0.1:9","models":)" + std::string(Depth, '[') + "}"),
+        putEntry("large", heartbeatText(address + R"(,"sequence":1e400)")),
+        putEntry("large-2", heartbeatText(address + R"(,"sequence":99999999999999999999)")),
+        putEntry("i-1", heartbeatText(address + R"(,"sequence":9e15)")),
+        putEntry("future", heartbeatText(address + sequence + R"(,"born":4102444800000)")),
+        putEntry("port", heartbeatText(R"(,"address":"127.0.0.1:70000")" + sequence)),
+        putEntry("port-2", heartbeatText(R"(,"address":"127.0.0.1:-1")" + sequence)),
+    };
+    for (const std::string &it : entries)
+        BOOST_TEST(callRaw(OddPort + 1, it).status / 100 == 4u);
+    // A caller's header, which reaches the control hosts with the demand for models.
+    callRaw(fleet.entryPort(1),
+            "POST /s/events/1/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: odd\r\nX-Deadline-Ms: 300\r\nX-Model: m2/\xff\r\n"
+            "Content-Length: 0\r\n\r\n");
+    // The lists go on: an endpoint that starts now is found by every entry host.
+    fleet.startRunner(2, "engines", "m9");
+    BOOST_TEST(fleet.waitForEndpoints({1, 2}, 2));
+    BOOST_TEST((served(1, "after-1", "m1") && served(2, "after-2", "m1")));
+    for (const char *name : {"keeper-1", "keeper-2", "keeper-3", "entry-1", "entry-2"})
+        BOOST_TEST(fleet.running(name));
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/included/unit_test.hpp>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
+#include <sys/resource.h>
 
 using namespace roserail;
 
@@ -131,10 +132,40 @@
 }
 
 const Change InvalidHeartbeats[] = {
-    {"/service", ""},       {"/service", "[]"},      {"/address", "7"},           {"/state", "\"other\""},
-    {"/state", ""},         {"/sequence", "\"4\""},  {"/sequence", "-4"},         {"/models", "{}"},
-    {"/models/0", "null"},  {"/models/0/name", "1"}, {"/models/0/adapters", "3"}, {"/models/0/adapters", "[3]"},
-    {"/slots", "\"many\""}, {"/born", "1e400"},      {"/version", "7"},           {"/version", "null"},
+    {"/service", ""},
+    {"/service", "[]"},
+    {"/address", "7"},
+    {"/state", "\"other\""},
+    {"/state", ""},
+    {"/sequence", "\"4\""},
+    {"/sequence", "-4"},
+    {"/models", "{}"},
+    {"/models/0", "null"},
+    {"/models/0/name", "1"},
+    {"/models/0/adapters", "3"},
+    {"/models/0/adapters", "[3]"},
+    {"/slots", "\"many\""},
+    {"/born", "1e400"},
+    {"/version", "7"},
+    {"/version", "null"},
+    {"/slots", "4294967296"},
+    {"/slots", "9e15"},
+    {"/slots", "-1"},
+    {"/sequence", "9e15"},
+    {"/sequence", "1e19"},
+    {"/born", "9e15"},
+    {"/born", "-1"},
+    {"/born", "18446744073709551616"},
+    {"/address", "\"10.0.0.9:70000\""},
+    {"/address", "\"10.0.0.9:-1\""},
+    {"/address", "\"10.0.0.9:0\""},
+    {"/address", "\"10.0.0.9:80x\""},
+    {"/address", "\"10.0.0.9: 80\""},
+    {"/address", "\"10.0.0.9:4294967376\""},
+    {"/address", "\"10.0.0.9\""},
+    {"/address", "\"h.example:80\""},
+    {"/address", "\"\""},
+    {"/address", "\":80\""},
 };
 BOOST_DATA_TEST_CASE(invalidHeartbeatIsRefused, bdata::make(InvalidHeartbeats), change)
 {
@@ -145,6 +176,83 @@
     BOOST_TEST(Codec.decodeAnnouncement("i-1", text).has_error());
 }
 
+// Guards against an entry of another writer whose id is no text: the messages that carry it could not be read by any host.
+BOOST_DATA_TEST_CASE(entryWithAnIdThatIsNoNameIsRefused,
+                     bdata::make({std::string("i-\xff"), std::string("i-\xc3\x28"), std::string(), std::string("i 1"), std::string("i\n1"),
+                                  std::string(2000, 'i')}),
+                     id)
+{
+    BOOST_TEST(Codec.decodeAnnouncement(id, heartbeat().dump()).has_error());
+}
+
+// Guards against bytes of a caller that are no text in the messages to the control hosts, which then could not be read.
+BOOST_AUTO_TEST_CASE(namesOfACallerAreText)
+{
+    const RequestMetadata metadata
+        = Codec.requestMetadata([](std::string_view name) -> std::string_view { return name == "X-Model" ? "m\xff/a\xc3\x28" : ""; });
+    BOOST_TEST(metadata.model == "m?");
+    BOOST_TEST(metadata.adapter == "a?(");
+}
+
+struct NestedBody {
+    std::string name;
+    std::string open;
+    std::string close;
+};
+std::ostream &operator<<(std::ostream &os, const NestedBody &body)
+{
+    return os << body.name;
+}
+const std::vector<NestedBody> NestedBodies{{"lists", "[", "]"}, {"objects", "{\"a\":", "}"}, {"lists without end", "[", ""}};
+
+// Guards against a deeply nested body, which took a hundred times its size in memory while it was decoded: 8 MB ended a process.
+BOOST_DATA_TEST_CASE(deeplyNestedBodyIsRefusedWithLittleMemory, bdata::make(NestedBodies), nested)
+{
+    constexpr size_t BodyBytes = 8u << 20; // the limit of a body
+    constexpr long MaxGrowthKilobytes = 64 << 10; // less than half of the memory of the smallest hosts
+    std::string value;
+    for (size_t n = 0; n < BodyBytes / (nested.open.size() + 1); ++n)
+        value += nested.open;
+    value += nested.open == "[" ? "" : "0";
+    for (size_t n = 0; n < BodyBytes / (nested.open.size() + 1) && !nested.close.empty(); ++n)
+        value += nested.close;
+    std::string body = heartbeat().dump();
+    body.insert(1, "\"unread\":" + value + ",");
+    rusage before{};
+    rusage after{};
+    ::getrusage(RUSAGE_SELF, &before);
+    BOOST_TEST(Codec.decodeAnnouncement("i-1", body).has_error());
+    BOOST_TEST(Codec.decodeConfiguration(body).has_error());
+    BOOST_TEST(Codec.decodeReport(body).has_error());
+    ::getrusage(RUSAGE_SELF, &after);
+    BOOST_TEST(after.ru_maxrss - before.ru_maxrss < MaxGrowthKilobytes);
+}
+
+// Brackets inside of texts are no nesting.
+BOOST_AUTO_TEST_CASE(bracketsInTextAreAccepted)
+{
+    Json body = heartbeat();
+    body["zone"] = std::string(1000, '[') + "\\\"{{{";
+    BOOST_TEST(Codec.decodeAnnouncement("i-1", body.dump()).value().zone().size() == 1005u);
+}
+
+struct DeadlineRow {
+    const char *header;
+    int64_t ms; // -1: none
+};
+std::ostream &operator<<(std::ostream &os, const DeadlineRow &row)
+{
+    return os << row.header;
+}
+const DeadlineRow DeadlineRows[] = {{"1500", 1500}, {"0", 0}, {"-5", 0}, {"9223372036854775807", 43200000}, {"soon", -1}, {"1e9", -1}};
+// Guards against a time limit that overflows when it is added to the time of the request.
+BOOST_DATA_TEST_CASE(timeLimitOfACallerIsBounded, bdata::make(DeadlineRows), row)
+{
+    const RequestMetadata metadata = Codec.requestMetadata(
+        [&](std::string_view name) -> std::string_view { return name == "X-Deadline-Ms" ? row.header : std::string_view(); });
+    BOOST_TEST((metadata.timeout ? metadata.timeout->count() : -1) == row.ms);
+}
+
 BOOST_AUTO_TEST_CASE(arbitraryBytesAreDecodedOrRefused)
 {
     BOOST_TEST(rc::check([](const std::string &bytes, size_t cut) {
