Control hosts send whole lists one after another, and routers spread over them

Cause: 120 routers of the smaller part came to the first of the remaining hosts at once, by the order of addresses. Each needs the whole list of endpoints and routers, some 150 KB. Sent all at once, none arrived within the 600 ms of a poll; the router then asked the next host for the whole list. Class: a repetition that starts from nothing, after a limit that the work may not fit into.

Change: a control host starts a list only once the last ones have had the time to leave at half of its link, otherwise it answers 'busy': with the configuration, which is applied, but without a list. Hosts that are equally near are ordered by the router.

--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -214,6 +214,9 @@
 void EntryApi::applySync(const pb::SyncReply &reply)
 {
     const Time now = monotonicNow();
+    applyConfigurationOf(reply);
+    if (reply.busy())
+        return;
     m_epoch = reply.epoch();
     m_version = reply.version();
     const uint64_t previousVersion = m_registry.version();
@@ -240,12 +243,6 @@
         m_registry.merge(it, now - Millis(it.age_ms()));
     if (reply.full())
         m_registry.markUnlistedLost(reply, now);
-    if (reply.has_configuration())
-        applyConfiguration(reply.configuration());
-    if (reply.has_configuration_delta())
-        applyConfigurationDelta(reply.configuration_delta());
-    if (reply.has_configuration_piece())
-        addConfigurationPiece(reply.configuration_piece());
     // Routers that have stopped may have spent retries within the window, and are listed for longer than that.
     m_retries.setShare(m_settings.retrySlack, std::max<size_t>(1, m_registry.routers().size()));
     m_meshClient->setMinInterval(minSyncInterval(m_registry.routers().size(), size_t(reply.control_size())));
@@ -262,6 +259,16 @@
     m_forwarder.wakeWaitingRequests();
 }
 
+void EntryApi::applyConfigurationOf(const pb::SyncReply &reply)
+{
+    if (reply.has_configuration())
+        applyConfiguration(reply.configuration());
+    if (reply.has_configuration_delta())
+        applyConfigurationDelta(reply.configuration_delta());
+    if (reply.has_configuration_piece())
+        addConfigurationPiece(reply.configuration_piece());
+}
+
 void EntryApi::logRefusedParts()
 {
     const auto log = [this](std::string_view event, PromptPartId part) {
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -32,6 +32,7 @@
     Task<> closeExpiredConnections();
     pb::SyncRequest buildSyncRequest();
     void applySync(const pb::SyncReply &reply);
+    void applyConfigurationOf(const pb::SyncReply &reply);
     void applyConfiguration(const pb::WholeConfiguration &configuration);
     void logRefusedParts();
     void addConfigurationPiece(const pb::ConfigurationPiece &piece);
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -1,18 +1,33 @@
 #include "transport/mesh.h"
 
 #include "protocol/log.h"
+#include "protocol/metrics.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
 #include "transport/program.h"
 
 #include <algorithm>
 #include <set>
+#include <tuple>
+#include <xxhash.h>
 
 namespace roserail
 {
 
 using namespace tunables;
 
+namespace
+{
+
+// Returns a number by which a router orders control hosts that are equally near.
+size_t spread(const std::string &router, const std::string &host)
+{
+    const std::string both = router + " " + host;
+    return XXH3_64bits(both.data(), both.size());
+}
+
+} // namespace
+
 MeshService::MeshService(LiveTable &table, std::string self, std::vector<std::string> seeds, bool disk, uint64_t epoch)
     : m_table(table)
     , m_self(std::move(self))
@@ -28,34 +43,54 @@
     if (request->router().router().empty())
         return grpc::Status(grpc::StatusCode::INVALID_ARGUMENT, "'router' is empty; set 'id' in the router's settings");
     // A router without a configuration takes an old one rather than none.
-    const bool serves = m_disk && !(m_table.isolated(now) && request->configuration() > 0);
-    // Hosts of the router's own availability zone come first.
-    std::set<std::pair<bool, std::string>> control;
+    const bool current = m_disk && !(m_table.isolated(now) && request->configuration() > 0);
+    const bool wholeList = request->epoch() != m_epoch;
+    const bool serves = current && (!wholeList || mayStartList(now));
+    // Hosts of the router's own availability zone come first; otherwise routers use different ones.
+    std::set<std::tuple<bool, size_t, std::string>> control;
     if (m_disk)
         m_table.expire(now);
     m_table.change([&](Registry &registry) {
         if (m_disk) {
             registry.merge(request->router(), now);
             if (serves)
-                registry.routerChangesSince(request->epoch() == m_epoch ? request->version() : 0, now, *reply);
+                registry.routerChangesSince(wholeList ? 0 : request->version(), now, *reply);
         }
         if (registry.ordersAllowedAt() > now)
             reply->set_orders_in_ms(uint64_t((registry.ordersAllowedAt() - now).count()));
         for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
-            if (it.second.state.disk() && (serves || it.first != m_self) && now < it.second.lastSeenAt + KeeperStateMaxAge)
-                control.emplace(it.second.state.zone() != request->router().zone(), it.first);
+            if (it.second.state.disk() && (current || it.first != m_self) && now < it.second.lastSeenAt + KeeperStateMaxAge)
+                control.emplace(it.second.state.zone() != request->router().zone(), spread(request->router().router(), it.first), it.first);
         }
     });
+    if (serves && wholeList)
+        recordList(reply->ByteSizeLong(), now);
     reply->set_epoch(serves ? m_epoch : 0);
+    reply->set_busy(current && !serves);
     reply->set_state_age_ms(uint64_t(m_table.stateAge(now).count()));
     m_table.addConfigurationSince(request->configuration(), request->has_progress() ? &request->progress() : nullptr, *reply);
-    for (const std::pair<bool, std::string> &it : control)
-        reply->add_control(it.second);
+    for (const std::tuple<bool, size_t, std::string> &it : control)
+        reply->add_control(std::get<std::string>(it));
     if (control.empty())
         reply->mutable_control()->Add(m_seeds.begin(), m_seeds.end());
     return grpc::Status::OK;
 }
 
+bool MeshService::mayStartList(Time now)
+{
+    static Counter &postponed = metrics().counter("roserail_lists_postponed_total");
+    const std::lock_guard lock(m_mutex);
+    if (!m_lists.available(now))
+        postponed.add();
+    return m_lists.available(now);
+}
+
+void MeshService::recordList(size_t bytes, Time now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_lists.record(bytes, now);
+}
+
 grpc::Status MeshService::Share(grpc::ServerContext *, const pb::ShareRequest *request, pb::ShareReply *reply)
 {
     const Time now = monotonicNow();
@@ -153,6 +188,8 @@
         m_hosts.named({reply.control().begin(), reply.control().end()}, monotonicNow());
     }
     if (reply.epoch() == 0) {
+        if (reply.busy())
+            m_handleReply(reply);
         m_channel.reset();
         return false;
     }
@@ -187,8 +224,9 @@
         if (ok != reachable)
             logEvent(ok ? "control_regained" : "control_lost", {{"host", m_servedBy}, {"hosts", m_hosts.size()}});
         reachable = ok;
+        m_failures = ok ? 0 : m_failures + 1;
         // Limits the rate of polls, regardless of how often the thread is woken.
-        const Millis interval = m_minInterval;
+        const Millis interval = m_failures > m_hosts.size() ? std::max<Millis>(m_minInterval, SyncRetryInterval) : Millis(m_minInterval);
         std::this_thread::sleep_for(interval);
         std::unique_lock lock(m_mutex);
         if (ok && !m_waiting && interval < SyncInterval)
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "coordination/controlhosts.h"
+#include "coordination/replybudget.h"
 #include "mesh.grpc.pb.h"
+#include "state/tunables.h"
 #include "transport/channel.h"
 #include "transport/livetable.h"
 
@@ -25,12 +27,16 @@
 
 private:
     void addKeepers(const Registry &registry, Time now, pb::ShareReply &reply) const;
+    bool mayStartList(Time now);
+    void recordList(size_t bytes, Time now);
 
     LiveTable &m_table;
     std::string m_self; // internal address
     std::vector<std::string> m_seeds; // internal addresses
     bool m_disk;
     uint64_t m_epoch; // identifies this process
+    std::mutex m_mutex;
+    ReplyBudget m_lists{tunables::MaxListBytesPerSecond}; // under m_mutex
 };
 
 // A router's session with the control hosts: a thread that polls one of them at a time.
@@ -68,6 +74,7 @@
     BuildRequest m_buildRequest;
     HandleReply m_handleReply;
     ControlHosts m_hosts; // under m_mutex
+    size_t m_failures = 0; // consecutive polls without a host that serves
     Time m_nearestRetryAt{};
     std::unique_ptr<Channel> m_channel;
     std::string m_servedBy; // control host of the latest reply
--- a/tests/meshclient_test.cpp
+++ b/tests/meshclient_test.cpp
@@ -2,6 +2,7 @@
 #define BOOST_TEST_MODULE meshclient
 #include "mesh.grpc.pb.h"
 #include "state/tunables.h"
+#include "transport/clock.h"
 #include "transport/mesh.h"
 
 #include <atomic>
@@ -126,3 +127,33 @@
     served = 0;
     BOOST_TEST(becomes([&] { return served > 0; }, Millis(1000)));
 }
+
+// Guards against routers that all come to the same control host when those of their availability zone are cut off.
+BOOST_AUTO_TEST_CASE(routersWithoutAHostInTheirZoneUseDifferentOnes)
+{
+    constexpr int Routers = 90;
+    LiveTable table(HeartbeatTimeouts{Millis(9000), Millis(5000)}, monotonicNow());
+    for (int n = 0; n < 3; ++n) {
+        pb::KeeperState state;
+        state.set_address(fmt::format("10.0.{}.1:7380", n));
+        state.set_zone(fmt::format("z{}", n));
+        state.set_disk(true);
+        state.set_incarnation(1);
+        state.set_sequence(1);
+        table.change([&](Registry &registry) { registry.merge(state, monotonicNow()); });
+    }
+    MeshService service(table, "10.0.9.1:7380", {"10.0.0.1:7380"}, false, 1);
+    std::map<std::string, int> firstChoice;
+    for (int n = 0; n < Routers; ++n) {
+        pb::SyncRequest request;
+        request.mutable_router()->set_router(fmt::format("router-{}", n));
+        request.mutable_router()->set_zone("z9");
+        pb::SyncReply reply;
+        BOOST_REQUIRE(service.Sync(nullptr, &request, &reply).ok());
+        BOOST_REQUIRE(reply.control_size() == 3);
+        ++firstChoice[reply.control(0)];
+    }
+    BOOST_TEST(firstChoice.size() == 3u);
+    for (const std::pair<const std::string, int> &it : firstChoice)
+        BOOST_TEST(it.second >= Routers / 6);
+}
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -2,6 +2,7 @@
 // of configurations. They use no network and no real clock.
 #define BOOST_TEST_MODULE sharing
 #include "coordination/controlhosts.h"
+#include "coordination/replybudget.h"
 #include "coordination/sharing.h"
 #include "coordination/staleness.h"
 #include "livestate.h"
@@ -108,6 +109,81 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(Lists)
+
+// A control host with a link of 100 Mbit/s, which all lists on their way share.
+struct ListSender {
+    struct Transfer {
+        size_t router;
+        double bytesLeft;
+        Time deadline;
+    };
+    ReplyBudget budget{MaxListBytesPerSecond};
+    std::vector<Transfer> transfers;
+};
+
+// Returns how long it takes until all routers have a list: `routers` have lost their control host and know `serving` hosts that serve,
+// and two that are cut off and refer them.
+Millis timeUntilAllHaveAList(size_t routers, size_t serving, double listBytes)
+{
+    constexpr double LinkBytesPerMs = 12500;
+    constexpr Millis Limit{20000};
+    std::vector<std::string> known;
+    for (size_t n = 0; n < serving + 2; ++n)
+        known.push_back(address(int(n)));
+    std::vector<ListSender> hosts(serving);
+    std::vector<ControlHosts> sessions(routers, ControlHosts({known.back()}, 0));
+    std::vector<Time> nextPollAt(routers, Now);
+    std::mt19937_64 random(7);
+    for (size_t n = 0; n < routers; ++n) {
+        std::shuffle(known.begin(), known.end(), random);
+        sessions[n].named(known, Now);
+        nextPollAt[n] += Millis(random() % uint64_t(SyncInterval.count()));
+    }
+    size_t waiting = routers;
+    for (Time now = Now; now < Now + Limit; now += Millis(1)) {
+        for (ListSender &host : hosts) {
+            const double share = LinkBytesPerMs / double(std::max<size_t>(1, host.transfers.size()));
+            std::erase_if(host.transfers, [&](ListSender::Transfer &it) {
+                it.bytesLeft -= share;
+                waiting -= it.bytesLeft <= 0 ? 1 : 0;
+                if (it.bytesLeft > 0 && now >= it.deadline)
+                    nextPollAt[it.router] = now + SyncIntervalWhileWaiting;
+                return it.bytesLeft <= 0 || now >= it.deadline;
+            });
+        }
+        if (waiting == 0)
+            return now - Now;
+        for (size_t n = 0; n < routers; ++n) {
+            if (now < nextPollAt[n])
+                continue;
+            const std::string host = sessions[n].next(now);
+            const size_t index = size_t(
+                std::find_if(hosts.begin(), hosts.end(), [&](const ListSender &it) { return address(int(&it - hosts.data())) == host; })
+                - hosts.begin());
+            nextPollAt[n] = now + SyncRetryInterval;
+            if (index == hosts.size() || !hosts[index].budget.available(now))
+                continue;
+            hosts[index].budget.record(size_t(listBytes), now);
+            hosts[index].transfers.push_back({n, listBytes, now + SyncTimeout});
+            nextPollAt[n] = Time::max();
+        }
+    }
+    return Limit;
+}
+
+// Guards against routers that come to the remaining control hosts at once after a split and get no list, because all lists are sent at
+// the same time and none arrives within the time limit of a poll.
+BOOST_DATA_TEST_CASE(routersThatComeAtOnceAllGetAList, bdata::make({60u, 180u, 300u}), routers)
+{
+    constexpr double ListBytes = 150e3; // 245 endpoints and 300 routers
+    // The time in which the links could carry all lists, twice for the half of them that lists may use, and a round of polls.
+    const Millis carried(int64_t(ListBytes * routers / 3 / 12500));
+    BOOST_TEST((timeUntilAllHaveAList(routers, 3, ListBytes) < 2 * carried + SyncInterval + 5 * SyncRetryInterval + SyncTimeout));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Peers)
 
 // Pattern: five control hosts in each of many availability zones. If all had sessions with all others, each change would
