Hosts of the build before learn again that an endpoint leaves

advice_test buildBeforeLearnsThatAnEndpointLeaves does not compile on the code before, which has no such field.

--- a/src/coordination/endpointadvice.cpp
+++ b/src/coordination/endpointadvice.cpp
@@ -140,27 +140,30 @@
     return entry == nullptr ? KnownCapacity{} : KnownCapacity{entry->capacity, entry->capacityAt};
 }
 
-std::vector<pb::EndpointAdvice> EndpointAdvice::reports(Time now)
+void EndpointAdvice::addReports(pb::RouterState &state, Time now)
 {
     std::erase_if(m_entries, [now](const std::pair<const std::string, Entry> &it) {
         const bool left = !it.second.leaving || now > it.second.recordedAt + LeavingRetention;
         return left && now > it.second.pausedUntil && now > it.second.capacityAt + CapacityRetention;
     });
-    std::vector<pb::EndpointAdvice> reports;
     for (const std::pair<const std::string, Entry> &it : m_entries) {
         const Entry &entry = it.second;
         const bool leaving = entry.leaving && now <= entry.recordedAt + LeavingReportTime;
         const bool capacity = entry.capacityOwn && now <= entry.capacityAt + CapacityReportTime;
         if (!leaving && !capacity)
             continue;
-        pb::EndpointAdvice &report = reports.emplace_back();
+        pb::EndpointAdvice &report = *state.add_advice();
         report.set_endpoint(it.first);
         report.set_born_ms(entry.startedAtMs);
         report.set_leaving(leaving);
         if (capacity)
             *report.mutable_capacity() = toProto(entry.capacity, entry.capacityAt, now);
+        if (!leaving)
+            continue;
+        pb::LeavingReport &earlierForm = *state.add_leaving();
+        earlierForm.set_endpoint(it.first);
+        earlierForm.set_born_ms(entry.startedAtMs);
     }
-    return reports;
 }
 
 } // namespace roserail
--- a/src/coordination/endpointadvice.h
+++ b/src/coordination/endpointadvice.h
@@ -61,8 +61,8 @@
     // Returns the capacity that the endpoint named last.
     KnownCapacity capacity(const std::string &endpoint, uint64_t startedAtMs) const;
 
-    // Returns what other routers need to know, to be reported to the control hosts, and forgets what was recorded long ago.
-    std::vector<pb::EndpointAdvice> reports(Time now);
+    // Adds what other routers need to know to the state that is reported to the control hosts, and forgets what was recorded long ago.
+    void addReports(pb::RouterState &state, Time now);
 
 private:
     struct Entry {
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -253,6 +253,11 @@
 
 void Registry::applyAdvice(const pb::RouterState &state, Time sentAt)
 {
+    for (const pb::LeavingReport &it : state.leaving()) {
+        const auto known = m_endpoints.find(it.endpoint());
+        if (known != m_endpoints.end() && known->second.announcement.born_ms() == it.born_ms())
+            markLeaving(known->second, sentAt, "");
+    }
     for (const pb::EndpointAdvice &it : state.advice()) {
         const auto known = m_endpoints.find(it.endpoint());
         if (known == m_endpoints.end() || known->second.announcement.born_ms() != it.born_ms())
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -201,8 +201,7 @@
     for (pb::CrashReport &it : m_crashes.reports(monotonicNow()))
         *state.add_crashes() = std::move(it);
     m_crashingParts.addReports(state, monotonicNow());
-    for (pb::EndpointAdvice &it : m_balancer.advice().reports(monotonicNow()))
-        *state.add_advice() = std::move(it);
+    m_balancer.advice().addReports(state, monotonicNow());
     request.set_epoch(m_epoch);
     request.set_version(m_version);
     request.set_configuration(m_configuration.version());
--- a/tests/advice_test.cpp
+++ b/tests/advice_test.cpp
@@ -134,10 +134,38 @@
     EndpointAdvice advice;
     advice.recordLeaving("e0", 10, Now);
     advice.recordPause("e1", 10, Millis(1000), Now);
-    const std::vector<pb::EndpointAdvice> reports = advice.reports(Now + Millis(1000));
-    BOOST_REQUIRE(reports.size() == 1u);
-    BOOST_TEST(reports[0].endpoint() == "e0");
-    BOOST_TEST(reports[0].leaving());
-    BOOST_TEST(advice.reports(Now + tunables::LeavingReportTime + Millis(1)).empty());
+    pb::RouterState state;
+    advice.addReports(state, Now + Millis(1000));
+    BOOST_REQUIRE(state.advice_size() == 1);
+    BOOST_TEST(state.advice(0).endpoint() == "e0");
+    BOOST_TEST(state.advice(0).leaving());
+    pb::RouterState later;
+    advice.addReports(later, Now + tunables::LeavingReportTime + Millis(1));
+    BOOST_TEST(later.advice_size() == 0);
     BOOST_TEST(advice.leaving("e0", 10));
 }
+
+// Guards against hosts of two builds that do not tell each other that an endpoint leaves: the build before EndpointAdvice sends and
+// reads LeavingReport only.
+BOOST_AUTO_TEST_CASE(buildBeforeLearnsThatAnEndpointLeaves)
+{
+    EndpointAdvice advice;
+    advice.recordLeaving("e0", 10, Now);
+    advice.recordCapacity("e1", 10, EndpointCapacity{5.0, std::nullopt}, Now, Now);
+    pb::RouterState state;
+    advice.addReports(state, Now);
+    BOOST_REQUIRE(state.leaving_size() == 1);
+    BOOST_TEST(state.leaving(0).endpoint() == "e0");
+    BOOST_TEST(state.leaving(0).born_ms() == 10u);
+
+    pb::RouterState fromBuildBefore;
+    fromBuildBefore.set_router("r");
+    fromBuildBefore.set_incarnation(1);
+    fromBuildBefore.set_sequence(1);
+    fromBuildBefore.set_accepting(true);
+    *fromBuildBefore.mutable_leaving() = state.leaving();
+    Router router;
+    router.registry.merge(fromBuildBefore, Now);
+    BOOST_TEST(router.registry.endpoints().at("e0").announcement.leaving());
+    BOOST_TEST(!router.registry.endpoints().at("e1").announcement.leaving());
+}
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -70,8 +70,7 @@
     void poll(Registry &control, Time now)
     {
         pb::RouterState state = routerState(id, incarnation, ++sequence);
-        for (pb::EndpointAdvice &it : balancer->advice().reports(now))
-            *state.add_advice() = std::move(it);
+        balancer->advice().addReports(state, now);
         control.merge(state, now);
         pb::SyncReply reply;
         control.routerChangesSince(version, now, reply);
