One exchange for endpoints and other routers; one place that applies a capacity; one loopback address for tests

Forwarder::exchangeOn serves attempts at endpoints and by way of another router, closeOnCancel is written once; Balancer::applyCapacity serves what an answer and what another router said; capacity_test steps both of its systems alike.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -80,10 +80,17 @@
     const uint64_t startedAtMs = endpoint.announcement.born_ms();
     const bool limited = limit(id, startedAtMs).has_value();
     m_advice.recordShared(id, startedAtMs, endpoint.capacity, endpoint.capacityAt);
-    if (endpoint.capacity.maxRefusals)
-        recordBrittle(endpoint.announcement.service(), endpoint.capacityAt);
-    if (!limited && endpoint.capacity.requestsPerSecond)
-        m_limitShare.recordSend(id, endpoint.capacityAt);
+    applyCapacity(endpoint.announcement, endpoint.capacity, limited, endpoint.capacityAt);
+}
+
+void Balancer::applyCapacity(const pb::Announcement &endpoint, const EndpointCapacity &capacity, bool wasLimited, Time toldAt)
+{
+    if (!wasLimited && limit(endpoint.endpoint(), endpoint.born_ms()))
+        m_limitShare.recordSend(endpoint.endpoint(), toldAt);
+    if (!capacity.maxRefusals)
+        return;
+    Time &until = m_brittleUntil[endpoint.service()];
+    until = std::max(until, toldAt + CapacityConfirmTime);
 }
 
 bool Balancer::hasUsableEndpoint(const EndpointRequirements &requirements) const
@@ -218,12 +225,6 @@
     return it != m_brittleUntil.end() && now < it->second;
 }
 
-void Balancer::recordBrittle(const std::string &service, Time toldAt)
-{
-    Time &until = m_brittleUntil[service];
-    until = std::max(until, toldAt + CapacityConfirmTime);
-}
-
 bool Balancer::accepts(const EndpointChoice &choice, Time now) const
 {
     if (m_advice.leaving(choice.endpoint, choice.startedAtMs) || now < m_advice.pausedUntil(choice.endpoint, choice.startedAtMs))
@@ -266,11 +267,9 @@
 {
     const bool limited = limit(choice.endpoint, choice.startedAtMs).has_value();
     const bool changed = m_advice.recordCapacity(choice.endpoint, choice.startedAtMs, capacity, sentAt, now);
-    if (changed && !limited && capacity.requestsPerSecond)
-        m_limitShare.recordSend(choice.endpoint, now);
     const auto endpoint = m_endpoints.find(choice.endpoint);
-    if (capacity.maxRefusals && endpoint != m_endpoints.end())
-        recordBrittle(endpoint->second.announcement.service(), now);
+    if (endpoint != m_endpoints.end())
+        applyCapacity(endpoint->second.announcement, capacity, limited, now);
     return changed;
 }
 
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -176,7 +176,8 @@
         return m_advice.capacity(endpoint, startedAtMs).capacity.requestsPerSecond;
     }
     void updateCapacity(const LiveEndpoint &endpoint);
-    void recordBrittle(const std::string &service, Time toldAt);
+    // Applies a capacity that was told at `toldAt` to this router's share. `wasLimited`: the endpoint had a limit before.
+    void applyCapacity(const pb::Announcement &endpoint, const EndpointCapacity &capacity, bool wasLimited, Time toldAt);
     // Returns whether the endpoint belongs to the service and has the software version that the request requires.
     static bool matches(const Endpoint &endpoint, const EndpointRequirements &requirements);
     // Returns whether the endpoint can serve the request once its pause, if it asked for one, is over.
--- a/src/coordination/endpointadvice.cpp
+++ b/src/coordination/endpointadvice.cpp
@@ -59,8 +59,10 @@
     Entry &entry = m_entries[endpoint];
     if (startedAtMs < entry.startedAtMs)
         return nullptr;
-    if (startedAtMs > entry.startedAtMs)
-        entry = Entry{startedAtMs, false, Time(), Time(), {}, Time(), false};
+    if (startedAtMs > entry.startedAtMs) {
+        entry = Entry();
+        entry.startedAtMs = startedAtMs;
+    }
     return &entry;
 }
 
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -133,10 +133,10 @@
     known.announcement = std::move(next);
     known.announcement.clear_capacity();
     known.lastSeenAt = std::max(known.lastSeenAt, lastSeenAt);
-    if (!sameIncarnation)
-        known.capacityAt = Time();
-    if (!sameIncarnation)
+    if (!sameIncarnation) {
         known.capacity = EndpointCapacity();
+        known.capacityAt = Time();
+    }
     recordChange(known, changed, lastSeenAt, from);
     mergeAdvice(known, announcement, lastSeenAt, from);
     if (first) {
@@ -371,9 +371,8 @@
 {
     for (const std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
         const LiveEndpoint &endpoint = it.second;
-        if (selected(filter, filter.all ? endpoint.version : endpoint.sharedVersion, endpoint.from)) {
+        if (selected(filter, filter.all ? endpoint.version : endpoint.sharedVersion, endpoint.from))
             *out.add_endpoints() = announcementNow(endpoint, now);
-        }
         if (selected(filter, endpoint.holdingsVersion, endpoint.holdingsFrom))
             *out.add_holdings() = endpoint.holdingsNow(now);
     }
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -470,15 +470,9 @@
     m_balancer.attemptStarted(request.requirements, choice, monotonicNow());
     ++request.progress.sends;
     ++request.progress.runs;
-    request.cancellation->cancelPending = [&socket = connection->socket] {
-        ErrorCode ec;
-        socket.close(ec);
-    };
-    bool reusable = false;
     if (request.eventRelay.events() == 0)
         request.software = choice.software;
-    const AttemptEnd end = co_await exchange(request, choice, *connection, reusable);
-    request.cancellation->cancelPending = nullptr;
+    const AttemptEnd end = co_await exchangeOn(request, choice, std::move(connection));
     AttemptOutcome outcome = AttemptOutcome::Failed;
     if (end == AttemptEnd::Completed)
         outcome = AttemptOutcome::Answered;
@@ -494,10 +488,6 @@
     }
     if (end == AttemptEnd::RefusedNotRun)
         --request.progress.runs;
-    if (end == AttemptEnd::Completed)
-        m_crashes.recordAnswer(request.fingerprint);
-    if (end == AttemptEnd::Completed && request.status / 100 == 2)
-        m_crashingParts.recordAnswer(request.sharedParts, monotonicNow());
     if (end == AttemptEnd::Interrupted && !request.cancellation->cancelled()) {
         const bool crashedBefore = m_crashes.crashCount(request.fingerprint, monotonicNow()) > 0;
         Task<> crashCheck = checkForCrash(interruptedRequest(request), choice);
@@ -509,6 +499,29 @@
     }
     if (end != AttemptEnd::Completed && outcome != AttemptOutcome::NotHeld)
         request.requirements.avoid.insert(choice.endpoint);
+    co_return end;
+}
+
+// Closes the connection if the caller disconnects or the deadline passes, until `cancelPending` is cleared.
+void Forwarder::closeOnCancel(Request &request, EndpointConnection &connection)
+{
+    request.cancellation->cancelPending = [&socket = connection.socket] {
+        ErrorCode ec;
+        socket.close(ec);
+    };
+}
+
+// Runs the exchange with an endpoint, or another router, on a connection, and records what an answer shows about the request.
+Task<AttemptEnd> Forwarder::exchangeOn(Request &request, const EndpointChoice &choice, EndpointConnectionPtr connection)
+{
+    closeOnCancel(request, *connection);
+    bool reusable = false;
+    const AttemptEnd end = co_await exchange(request, choice, *connection, reusable);
+    request.cancellation->cancelPending = nullptr;
+    if (end == AttemptEnd::Completed)
+        m_crashes.recordAnswer(request.fingerprint);
+    if (end == AttemptEnd::Completed && request.status / 100 == 2)
+        m_crashingParts.recordAnswer(request.sharedParts, monotonicNow());
     if (request.eventRelay.events() > 0)
         request.requirements.software = request.software;
     if (reusable && connection->socket.is_open())
@@ -520,10 +533,7 @@
 // an endpoint may have restarted with other software under its id and address, and its heartbeat be late.
 Task<bool> Forwarder::confirmIncarnation(Request &request, const EndpointChoice &choice, EndpointConnection &connection)
 {
-    request.cancellation->cancelPending = [&socket = connection.socket] {
-        ErrorCode ec;
-        socket.close(ec);
-    };
+    closeOnCancel(request, connection);
     bool reusable = false;
     const std::optional<CallAnswer> answer
         = co_await callOnConnection(connection, "GET", m_codec.reportPath(), {}, "", EndpointConnectTimeout, reusable);
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -106,6 +106,8 @@
     Task<> probeEndpoints();
     bool selectVersion(Request &request);
     Task<bool> confirmIncarnation(Request &request, const EndpointChoice &choice, EndpointConnection &connection);
+    static void closeOnCancel(Request &request, EndpointConnection &connection);
+    Task<AttemptEnd> exchangeOn(Request &request, const EndpointChoice &choice, EndpointConnectionPtr connection);
     Task<AttemptEnd> exchange(Request &request, const EndpointChoice &choice, EndpointConnection &connection, bool &reusable);
     Task<bool> processEnded(std::string address);
     Task<bool> reachesOtherEndpoint(std::string endpoint);
--- a/src/transport/forwarderrelay.cpp
+++ b/src/transport/forwarderrelay.cpp
@@ -88,24 +88,10 @@
     // The other router may use all attempts that are left.
     request.runsBeforeRelay = request.progress.runs;
     request.progress.runs = request.progress.maxRuns;
-    request.cancellation->cancelPending = [&socket = connection->socket] {
-        ErrorCode ec;
-        socket.close(ec);
-    };
-    bool reusable = false;
-    const AttemptEnd end = co_await exchange(request, choice, *connection, reusable);
-    request.cancellation->cancelPending = nullptr;
+    const AttemptEnd end = co_await exchangeOn(request, choice, std::move(connection));
     m_peers->ended(choice.router);
     if (end == AttemptEnd::RefusedNotRun)
         request.progress.runs = request.runsBeforeRelay;
-    if (end == AttemptEnd::Completed)
-        m_crashes.recordAnswer(request.fingerprint);
-    if (end == AttemptEnd::Completed && request.status / 100 == 2)
-        m_crashingParts.recordAnswer(request.sharedParts, monotonicNow());
-    if (request.eventRelay.events() > 0)
-        request.requirements.software = request.software;
-    if (reusable && connection->socket.is_open())
-        m_pool.putIdle(std::move(connection), monotonicNow());
     co_return end;
 }
 
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -83,6 +83,34 @@
     }
 };
 
+// Starts routers that know of each other and of all endpoints.
+std::deque<Router> startRouters(int n, Registry &control, Time now)
+{
+    std::deque<Router> routers;
+    for (int i = 0; i < n; ++i)
+        routers.emplace_back(i);
+    for (int round = 0; round < 2; ++round) {
+        for (Router &it : routers)
+            it.poll(control, now);
+    }
+    return routers;
+}
+
+// One step of 10 ms: each router polls every 250 ms, at a phase of its own, and requests arrive at random routers, `perSecond`
+// in all.
+template <typename Request>
+void step(std::deque<Router> &routers, Registry &control, Time now, double perSecond, std::mt19937_64 &random, Request request)
+{
+    for (size_t n = 0; n < routers.size(); ++n) {
+        if ((size_t(toMillis(now)) / 10 + n) % 25 == 0)
+            routers[n].poll(control, now);
+    }
+    for (double due = perSecond / 100; due > 0; due -= 1) {
+        if (due >= 1 || double(random() % 1000) < due * 1000)
+            request(random() % routers.size());
+    }
+}
+
 // Routers that poll one control host every 250 ms, and one endpoint, whose only service is requested all the time.
 struct System {
     Registry control{ExpiryTimes, Now};
@@ -96,12 +124,7 @@
     explicit System(int n)
     {
         control.merge(announcement("e", StartedAtMs, 1), now);
-        for (int i = 0; i < n; ++i)
-            routers.emplace_back(i);
-        for (int round = 0; round < 2; ++round) {
-            for (Router &it : routers)
-                it.poll(control, now);
-        }
+        routers = startRouters(n, control, now);
     }
     // One request at a router, which the endpoint answers at once.
     void request(Router &router)
@@ -121,20 +144,11 @@
         if (limit && router.toldAt == Time::max())
             router.toldAt = now;
     }
-    // Requests arrive at random routers, `perSecond` in all, for a while. Each router polls at a phase of its own.
     void run(Millis time, double perSecond, std::mt19937_64 &random)
     {
         const Time end = now + time;
-        for (; now < end; now += Millis(10)) {
-            for (size_t n = 0; n < routers.size(); ++n) {
-                if ((size_t(toMillis(now)) / 10 + n) % 25 == 0)
-                    routers[n].poll(control, now);
-            }
-            for (double due = perSecond / 100; due > 0; due -= 1) {
-                if (due >= 1 || double(random() % 1000) < due * 1000)
-                    request(routers[random() % routers.size()]);
-            }
-        }
+        for (; now < end; now += Millis(10))
+            step(routers, control, now, perSecond, random, [this](size_t n) { request(routers[n]); });
     }
 };
 
@@ -218,7 +232,6 @@
     std::map<std::string, uint64_t> startedAtMs;
     uint32_t maxRefusals;
     int falls = 0;
-    size_t served = 0;
 
     BrittleSystem(int routerCount, int endpoints, uint32_t slotsOfEach, uint32_t refusalsInASecond)
         : slots(slotsOfEach)
@@ -228,12 +241,7 @@
             startedAtMs["e" + std::to_string(i)] = StartedAtMs;
             announce("e" + std::to_string(i));
         }
-        for (int i = 0; i < routerCount; ++i)
-            routers.emplace_back(i);
-        for (int round = 0; round < 2; ++round) {
-            for (Router &it : routers)
-                it.poll(control, now);
-        }
+        routers = startRouters(routerCount, control, now);
     }
     void announce(const std::string &id)
     {
@@ -276,7 +284,6 @@
         std::erase_if(runs, [&](const Run &it) {
             if (now < it.endsAt)
                 return false;
-            ++served;
             routers[it.router].balancer->attemptEnded(plainRequest(), it.choice, AttemptOutcome::Answered, now);
             return true;
         });
@@ -286,14 +293,7 @@
         const Time end = now + time;
         for (; now < end; now += Millis(10)) {
             endRuns();
-            for (size_t n = 0; n < routers.size(); ++n) {
-                if ((size_t(toMillis(now)) / 10 + n) % 25 == 0)
-                    routers[n].poll(control, now);
-            }
-            for (double due = perSecond / 100; due > 0; due -= 1) {
-                if (due >= 1 || double(random() % 1000) < due * 1000)
-                    request(random() % routers.size());
-            }
+            step(routers, control, now, perSecond, random, [this](size_t n) { request(n); });
         }
     }
 };
--- a/tests/cutproxy.cpp
+++ b/tests/cutproxy.cpp
@@ -1,11 +1,11 @@
 #include "cutproxy.h"
 
-#include <arpa/inet.h>
+#include "loopback.h"
+
 #include <array>
 #include <chrono>
 #include <fcntl.h>
 #include <fmt/format.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -20,15 +20,6 @@
 constexpr int QueueLength = 1; // of the listener, so that few connections fill it
 constexpr int Fillers = 4; // more than the queue holds
 
-sockaddr_in loopback(int port)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(uint16_t(port));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
-}
-
 int connectTo(int port, int flags)
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | flags, 0);
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -2,6 +2,7 @@
 // that disconnect, requests that crash runners.
 #define BOOST_TEST_MODULE fleet_faults
 #include "fleet.h"
+#include "loopback.h"
 #include "rawendpoint.h"
 
 #include <atomic>
@@ -10,7 +11,6 @@
 #include <csignal>
 #include <fmt/format.h>
 #include <future>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -184,10 +184,7 @@
     const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
     const int window = 4096;
     ::setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(uint16_t(fleet.entryPort(1)));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const sockaddr_in address = loopback(fleet.entryPort(1));
     BOOST_REQUIRE(::connect(caller, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
     const std::string request = "POST /e/events/100000000/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: unread\r\n"
                                 "X-Deadline-Ms: 14000\r\nX-Model: m1\r\nContent-Length: 0\r\n\r\n";
--- a/tests/rawendpoint.cpp
+++ b/tests/rawendpoint.cpp
@@ -1,8 +1,9 @@
 #include "rawendpoint.h"
 
+#include "loopback.h"
+
 #include <utility>
 
-#include <arpa/inet.h>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -20,15 +21,6 @@
 
 constexpr std::chrono::seconds CallTimeout{10};
 
-sockaddr_in loopback(int port)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(uint16_t(port));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
-}
-
 std::string headerValue(const std::string &request, const std::string &name)
 {
     const size_t at = request.find("\r\n" + name + ": ");
--- a/tests/standin/runner_main.cpp
+++ b/tests/standin/runner_main.cpp
@@ -236,11 +236,11 @@
             m_leaving = true;
         if (m_leaving)
             response.set_header("Server-Leaving", "1");
-        if (m_options.id == fmt::format("i-{}", pathNumber(request.path, "full", 0))) {
-            const std::string after = request.path.substr(request.path.find("/full/") + 6);
+        const int fullMs = ownPathNumber(request.path, "full", -1);
+        if (fullMs >= 0) {
             response.status = 503;
             response.set_header("X-Not-Executed", "1");
-            response.set_header("Retry-After", fmt::format("{:.3f}", std::atof(after.c_str() + after.find('/') + 1) / 1000));
+            response.set_header("Retry-After", fmt::format("{:.3f}", double(fullMs) / 1000));
             return;
         }
         const std::string artifact = request.get_header_value("X-Model");
