Control hosts limit all that they send to routers, not only whole lists

Change: every reply counts against the budget; a part of the configuration waits only for 100 ms of it, a whole list for all.

--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -45,7 +45,7 @@
     // A router without a configuration takes an old one rather than none.
     const bool current = m_disk && !(m_table.isolated(now) && request->configuration() > 0);
     const bool wholeList = request->epoch() != m_epoch;
-    const bool serves = current && (!wholeList || mayStartList(now));
+    const bool serves = current && (!wholeList || maySend(now, Millis(0)));
     // Hosts of the router's own availability zone come first; otherwise routers use different ones.
     std::set<std::tuple<bool, size_t, std::string>> control;
     if (m_disk)
@@ -63,32 +63,33 @@
                 control.emplace(it.second.state.zone() != request->router().zone(), spread(request->router().router(), it.first), it.first);
         }
     });
-    if (serves && wholeList)
-        recordList(reply->ByteSizeLong(), now);
     reply->set_epoch(serves ? m_epoch : 0);
     reply->set_busy(current && !serves);
     reply->set_state_age_ms(uint64_t(m_table.stateAge(now).count()));
-    m_table.addConfigurationSince(request->configuration(), request->has_progress() ? &request->progress() : nullptr, *reply);
+    if (request->configuration() < m_table.configurationVersion() && maySend(now, MaxPieceBacklog))
+        m_table.addConfigurationSince(request->configuration(), request->has_progress() ? &request->progress() : nullptr, *reply);
     for (const std::tuple<bool, size_t, std::string> &it : control)
         reply->add_control(std::get<std::string>(it));
     if (control.empty())
         reply->mutable_control()->Add(m_seeds.begin(), m_seeds.end());
+    recordReply(reply->ByteSizeLong(), now);
     return grpc::Status::OK;
 }
 
-bool MeshService::mayStartList(Time now)
+bool MeshService::maySend(Time now, Millis backlog)
 {
-    static Counter &postponed = metrics().counter("roserail_lists_postponed_total");
+    static Counter &postponed = metrics().counter("roserail_replies_postponed_total");
     const std::lock_guard lock(m_mutex);
-    if (!m_lists.available(now))
+    const bool available = m_replies.available(now, backlog);
+    if (!available)
         postponed.add();
-    return m_lists.available(now);
+    return available;
 }
 
-void MeshService::recordList(size_t bytes, Time now)
+void MeshService::recordReply(size_t bytes, Time now)
 {
     const std::lock_guard lock(m_mutex);
-    m_lists.record(bytes, now);
+    m_replies.record(bytes, now);
 }
 
 grpc::Status MeshService::Share(grpc::ServerContext *, const pb::ShareRequest *request, pb::ShareReply *reply)
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -27,8 +27,8 @@
 
 private:
     void addKeepers(const Registry &registry, Time now, pb::ShareReply &reply) const;
-    bool mayStartList(Time now);
-    void recordList(size_t bytes, Time now);
+    bool maySend(Time now, Millis backlog);
+    void recordReply(size_t bytes, Time now);
 
     LiveTable &m_table;
     std::string m_self; // internal address
@@ -36,7 +36,7 @@
     bool m_disk;
     uint64_t m_epoch; // identifies this process
     std::mutex m_mutex;
-    ReplyBudget m_lists{tunables::MaxListBytesPerSecond}; // under m_mutex
+    ReplyBudget m_replies{tunables::MaxReplyBytesPerSecond}; // under m_mutex
 };
 
 // A router's session with the control hosts: a thread that polls one of them at a time.
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -118,7 +118,7 @@
         double bytesLeft;
         Time deadline;
     };
-    ReplyBudget budget{MaxListBytesPerSecond};
+    ReplyBudget budget{MaxReplyBytesPerSecond};
     std::vector<Transfer> transfers;
 };
 
