--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -74,7 +74,8 @@
     spawn(id, {ROSERAIL_BUILD "/roserail-entry", writeFile(id + ".yaml", text)});
 }
 
-void Fleet::startRunner(int n, const std::string &service, const std::string &models, bool refuseOrders, const std::string &copies)
+void Fleet::startRunner(int n, const std::string &service, const std::string &models, bool refuseOrders, const std::string &copies,
+                        const std::string &software)
 {
     std::vector<std::string> command{ROSERAIL_BUILD "/tests/standin-runner",
                                      "--id",
@@ -87,6 +88,8 @@
                                      models,
                                      "--copies",
                                      copies,
+                                     "--software",
+                                     software,
                                      "--control"};
     std::string control;
     for (int i = 1; i <= KeeperCount; ++i)
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -22,7 +22,7 @@
     void startEntry(int n);
     // `copies`: models that are not loaded, but of which the runner has a copy in host memory and on disk.
     void startRunner(int n, const std::string &service, const std::string &models, bool refuseOrders = false,
-                     const std::string &copies = "");
+                     const std::string &copies = "", const std::string &software = "v1");
     // Deletes the data folder of a control host that is not running.
     void wipe(int keeper);
 
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -394,3 +394,49 @@
     for (const char *name : {"keeper-1", "keeper-2", "keeper-3", "entry-1", "entry-2"})
         BOOST_TEST(fleet.running(name));
 }
+
+namespace
+{
+
+// Begins a stream on an endpoint of version v1, and kills all hosts while an endpoint of v2 serves as well, or while v1 has just left.
+// Then starts the hosts again and continues the stream. Returns the status of the continuation.
+int continueAfterAKillOfAllHosts(Fleet &fleet, bool firstVersionLeft)
+{
+    startHosts(fleet, {1});
+    fleet.startRunner(1, "engines", "m1", true);
+    BOOST_REQUIRE(configure(fleet, {1}));
+    BOOST_REQUIRE(eventually([&] {
+        const httplib::Result result = fleet.sendRequest(1, "/e/events/2/", "first", "m1");
+        return result && result->status == 200;
+    }));
+    fleet.startRunner(2, "engines", "m1", true, "", "v2");
+    BOOST_REQUIRE(fleet.waitForEndpoints({1}, 2));
+    for (const char *name : {"keeper-1", "keeper-2", "keeper-3", "entry-1"})
+        fleet.kill(name);
+    if (firstVersionLeft)
+        fleet.kill("runner-1");
+    for (const int n : {1, 2, 3})
+        fleet.startKeeper(n, false);
+    fleet.startEntry(1);
+    BOOST_REQUIRE(fleet.waitUntilReady({1}));
+    BOOST_REQUIRE(fleet.waitForEndpoints({1}, firstVersionLeft ? 1 : 2));
+    const httplib::Result result = fleet.sendRequest(1, "/e/events/5/", "second", "m1", {{"Last-Event-Id", "2"}, {"Resumes", "first"}});
+    return result ? result->status : 0;
+}
+
+} // namespace
+
+// Guards against a stream that is joined from two versions of the endpoints' software because no host remembers which one began it.
+BOOST_AUTO_TEST_CASE(streamIsNotJoinedAfterAKillOfAllHosts)
+{
+    Fleet fleet("faults-joined", FirstPort + 1500);
+    BOOST_TEST(continueAfterAKillOfAllHosts(fleet, true) != 200);
+    BOOST_TEST(fleet.requestRecord(2, "second").is_null());
+}
+
+// Guards against callers who can't continue their streams although endpoints of the version that began them serve.
+BOOST_AUTO_TEST_CASE(streamGoesOnAfterAKillOfAllHosts)
+{
+    Fleet fleet("faults-goes-on", FirstPort + 1600);
+    BOOST_TEST(continueAfterAKillOfAllHosts(fleet, false) == 200);
+}
--- a/tests/standin/runner_main.cpp
+++ b/tests/standin/runner_main.cpp
@@ -40,6 +40,7 @@
     std::vector<std::string> control;
     bool refuseOrders = false;
     std::vector<std::string> copies; // models of which it has a copy from before a restart
+    std::string software; // its version
 };
 
 class Runner
@@ -86,7 +87,7 @@
             Json body{{"service", m_options.service},
                       {"address", fmt::format("127.0.0.1:{}", m_options.port)},
                       {"zone", "z1"},
-                      {"version", "v1"},
+                      {"version", m_options.software},
                       {"slots", Slots},
                       {"state", "ready"},
                       {"cold_remaining_ms", 0},
@@ -336,7 +337,8 @@
     options.add_options()("id", "", cxxopts::value<std::string>())("port", "", cxxopts::value<int>())(
         "service", "", cxxopts::value<std::string>())("control", "", cxxopts::value<std::vector<std::string>>())(
         "models", "", cxxopts::value<std::vector<std::string>>()->default_value(""))("refuse-orders", "")(
-        "copies", "", cxxopts::value<std::vector<std::string>>()->default_value(""));
+        "copies", "", cxxopts::value<std::vector<std::string>>()->default_value(""))("software", "",
+                                                                                     cxxopts::value<std::string>()->default_value("v1"));
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
     std::vector<std::string> models = arguments["models"].as<std::vector<std::string>>();
     std::erase(models, "");
@@ -344,7 +346,8 @@
     std::erase(copies, "");
     std::signal(SIGPIPE, SIG_IGN);
     Runner runner(Options{arguments["id"].as<std::string>(), arguments["port"].as<int>(), arguments["service"].as<std::string>(),
-                          arguments["control"].as<std::vector<std::string>>(), arguments.count("refuse-orders") != 0, copies},
+                          arguments["control"].as<std::vector<std::string>>(), arguments.count("refuse-orders") != 0, copies,
+                          arguments["software"].as<std::string>()},
                   models);
     runner.serve();
     return 0;
