Streams are not continued by another software version after a kill of all hosts

Reported by operators: text joined from two versions, answered 200, after all hosts were killed while or after a version was replaced (ORDER). Shown here by fleet_faults_test streamIsNotJoinedAfterAKillOfAllHosts.

Cause: a continuation whose beginning is not known was sent on whenever this process knew of one version only. After a kill nobody knows that another one has just served; the same holds once the last endpoint of a version has left, and at a host that has just started. Class: the absence of news taken as proof.

While there are several, a continuation goes on only where its own version is known, otherwise it is refused at once. One version only: a checksum of 8 bytes a poll.

Its check of the endpoint's record was wrong (requestRecord answers with an empty object) and asks for the id now.

--- a/src/state/machine.cpp
+++ b/src/state/machine.cpp
@@ -80,6 +80,7 @@
         Row{pb::Command::kReleaseSlot, &StateMachine::releaseSlot},
         Row{pb::Command::kReportCrash, &StateMachine::reportCrash},
         Row{pb::Command::kPutConfiguration, &StateMachine::putConfiguration},
+        Row{pb::Command::kRecordSoftware, &StateMachine::recordSoftware},
     };
     m_clock = std::max(m_clock, WallTime(Millis(int64_t(command.wall_ms()))));
     m_claims.expire(m_clock);
@@ -222,6 +223,12 @@
 }
 
 // Keeps the highest version. Any other version changes nothing, so that a change can safely be sent again.
+pb::CommandResult StateMachine::recordSoftware(const pb::Command &command)
+{
+    m_software = command.record_software();
+    return pb::CommandResult();
+}
+
 pb::CommandResult StateMachine::putConfiguration(const pb::Command &command)
 {
     const pb::WholeConfiguration &sent = command.put_configuration().configuration();
@@ -242,6 +249,7 @@
     for (const std::string &it : m_changeOrder)
         *state.add_changes() = m_changes.at(it);
     *state.mutable_configuration() = m_configuration;
+    *state.mutable_software() = m_software;
     m_ledger.save(state);
     m_claims.save(state);
     m_quarantine.save(state);
@@ -270,6 +278,7 @@
         m_changeOrder.push_back(it.change_id());
     }
     m_configuration = state.configuration();
+    m_software = state.software();
     m_ledger.restore(state);
     m_claims.restore(state);
     m_quarantine.restore(state);
--- a/src/state/machine.h
+++ b/src/state/machine.h
@@ -40,6 +40,11 @@
     {
         return m_configuration;
     }
+    // The versions of endpoints' software that serve, or served a short time ago.
+    const pb::RecordSoftware &software() const
+    {
+        return m_software;
+    }
     const Ledger &ledger() const
     {
         return m_ledger;
@@ -70,6 +75,7 @@
     pb::CommandResult releaseSlot(const pb::Command &command);
     pb::CommandResult reportCrash(const pb::Command &command);
     pb::CommandResult putConfiguration(const pb::Command &command);
+    pb::CommandResult recordSoftware(const pb::Command &command);
     // Records the result of a change, so that a repetition of it gets the same result.
     void recordChange(const pb::ChangeDocument &change, const pb::CommandResult &result);
 
@@ -81,6 +87,7 @@
     std::map<std::string, pb::ChangeRecord> m_changes; // by change id
     std::deque<std::string> m_changeOrder; // oldest first
     pb::WholeConfiguration m_configuration;
+    pb::RecordSoftware m_software;
     Ledger m_ledger;
     Claims m_claims;
     Quarantine m_quarantine;
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -14,6 +14,7 @@
 namespace
 {
 
+constexpr Millis SoftwareRetryInterval{1000}; // of a proposal that was not committed
 constexpr Millis PeerUpdateInterval{100}; // bounds the delay until a change of leader or configuration is propagated
 
 // Creates the cluster with these hosts as its first members. Each of them does so independently, in any order.
@@ -104,17 +105,43 @@
     m_node->setSeedAddresses(std::move(replicaAddresses));
     const ReplicaStatus status = m_node->status();
     const uint64_t known = m_table.configurationVersion();
+    pb::RecordSoftware software;
     m_node->withMachine([&](const StateMachine &machine) {
+        software = machine.software();
         if (machine.configuration().version() > known)
             m_table.mergeConfiguration(machine.configuration());
     });
+    m_table.setSoftware(software);
     // The status was read first: the configuration is at least as new.
     m_table.confirmByLog(status.currentAt);
     logIsolation(status, now);
+    recordSoftware(status, software, now);
     if (m_bootstrapView.mayFound && status.clusterId == 0)
         bootstrapIfDue();
 }
 
+// As the leader, keeps the list of software versions in the replicated log. What an earlier leader recorded counts as seen when this one
+// takes over.
+void ControlPeers::recordSoftware(const ReplicaStatus &status, const pb::RecordSoftware &recorded, Time now)
+{
+    m_table.read([&](const Registry &registry) { m_software.record(registry, now); });
+    if (!status.leads(now))
+        return;
+    if (m_softwareTerm != status.term)
+        m_software.record(recorded, now);
+    m_softwareTerm = status.term;
+    pb::Command command;
+    *command.mutable_record_software() = m_software.list(now);
+    const uint64_t checksum = softwareChecksum(command.record_software());
+    const bool proposed = checksum == m_proposedSoftware && now < m_softwareRetryAt;
+    if (checksum == softwareChecksum(recorded) || proposed)
+        return;
+    m_proposedSoftware = checksum;
+    m_softwareRetryAt = now + SoftwareRetryInterval;
+    logEvent("software_versions", {{"term", status.term}, {"versions", command.record_software().uses_size()}});
+    m_node->propose(std::move(command), [](const Result<pb::CommandResult> &) {});
+}
+
 void ControlPeers::logIsolation(const ReplicaStatus &status, Time now)
 {
     const bool isolated = m_table.isolated(now);
--- a/src/transport/controlpeers.h
+++ b/src/transport/controlpeers.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include "coordination/bootstrap.h"
+#include "coordination/softwareseen.h"
 #include "protocol/hostsettings.h"
+#include "state/tunables.h"
 #include "transport/http.h"
 #include "transport/meshsharer.h"
 #include "transport/replicanode.h"
@@ -34,6 +36,7 @@
     void announceState(const std::set<std::string> &unreachable, Time now);
     void logIsolation(const ReplicaStatus &status, Time now);
     void bootstrapIfDue();
+    void recordSoftware(const ReplicaStatus &status, const pb::RecordSoftware &recorded, Time now);
 
     net::io_context &m_io;
     LiveTable &m_table;
@@ -42,6 +45,10 @@
     pb::KeeperState m_state;
     Time m_nextAnnounceAt{};
     bool m_isolated = false; // as logged last
+    SoftwareSeen m_software{tunables::StreamVersionRetention};
+    uint64_t m_softwareTerm = 0; // in which the list of the log was taken over
+    uint64_t m_proposedSoftware = 0; // checksum of the list proposed last
+    Time m_softwareRetryAt{};
     MeshSharer m_sharer;
 };
 
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -205,6 +205,7 @@
     request.set_epoch(m_epoch);
     request.set_version(m_version);
     request.set_configuration(m_configuration.version());
+    request.set_software(softwareChecksum(m_software));
     *request.mutable_progress() = m_configurationReceiver.progress();
     m_meshClient->setWaiting(m_balancer.hasWaitingRequests() || !m_forwarder.table() || m_configurationReceiver.receiving());
     return request;
@@ -213,6 +214,8 @@
 void EntryApi::applySync(const pb::SyncReply &reply)
 {
     const Time now = monotonicNow();
+    if (reply.has_software())
+        m_software = reply.software();
     applyConfigurationOf(reply);
     if (reply.busy())
         return;
@@ -246,6 +249,8 @@
     m_retries.setShare(m_settings.retrySlack, std::max<size_t>(1, m_registry.routers().size()));
     m_meshClient->setMinInterval(minSyncInterval(m_registry.routers().size(), size_t(reply.control_size())));
     m_synced = true;
+    m_forwarder.software().record(m_software, now);
+    m_forwarder.software().record(m_registry, now);
     m_forwarder.recordSync(reply.version(), now, now - Millis(reply.state_age_ms()));
     m_forwarder.setOrdersAllowedAt(now + Millis(reply.orders_in_ms()));
     logRefusedParts();
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -43,6 +43,7 @@
     EntrySettings m_settings;
     const PlatformCodec &m_codec;
     Registry m_registry; // as received from control hosts
+    pb::RecordSoftware m_software; // as the control hosts listed it last
     Balancer m_balancer;
     RetryLimits m_retries;
     CrashWatch m_crashes;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -81,6 +81,7 @@
     , m_pool(io)
     , m_bufferQuota(MaxBufferedBytes)
     , m_streamVersions(StreamVersionRetention, MaxStreamVersions)
+    , m_software(StreamVersionRetention)
 {
 }
 
@@ -217,7 +218,7 @@
 }
 
 // Requires the software version that began the stream which the request continues, if it continues one. Returns false if
-// that version is not known and several serve.
+// that version is not known and several serve, or served a short time ago.
 bool Forwarder::selectVersion(Request &request)
 {
     static Counter &unknown = metrics().counter("roserail_continuations_of_unknown_version_total");
@@ -227,7 +228,9 @@
         request.requirements.software = SoftwareVersion(std::string(request.caller.header(RelaySoftware)));
     else
         request.requirements.software = m_streamVersions.find(request.metadata.resumes, monotonicNow());
-    if (request.requirements.software || !m_balancer.hasSeveralSoftwareVersions(request.requirements.service))
+    const ServiceId &service = request.requirements.service;
+    const bool several = m_balancer.hasSeveralSoftwareVersions(service) || m_software.several(service.value(), monotonicNow());
+    if (request.requirements.software || !several)
         return true;
     unknown.add();
     request.cause = "this host does not know which software version began the stream; begin a new one";
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -8,6 +8,7 @@
 #include "coordination/peerrouters.h"
 #include "coordination/retry.h"
 #include "coordination/retrywindow.h"
+#include "coordination/softwareseen.h"
 #include "coordination/streamversions.h"
 #include "transport/endpointpool.h"
 
@@ -34,6 +35,11 @@
     }
     // Wakes the requests that wait for a configuration or a model, after a change of the configuration or the registry.
     void wakeWaitingRequests();
+    // The software versions that began the streams that callers may continue.
+    SoftwareSeen &software()
+    {
+        return m_software;
+    }
     // Records a sync with a control host for the log: its version of the registry, the time, and when the configuration was
     // known to be the newest.
     void recordSync(uint64_t version, Time now, Time currentAt)
@@ -151,6 +157,7 @@
     std::map<ServiceId, size_t> m_waitingForCapacity; // requests
     BufferQuota m_bufferQuota;
     StreamVersions m_streamVersions;
+    SoftwareSeen m_software;
     PeerRouters *m_peers = nullptr; // null: requests are not passed on
     std::string m_self;
     size_t m_active = 0;
--- a/src/transport/livetable.h
+++ b/src/transport/livetable.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/registry.h"
+#include "coordination/softwareseen.h"
 #include "coordination/staleness.h"
 #include "protocol/log.h"
 #include "state/configurationtransfer.h"
@@ -106,6 +107,20 @@
         if (configuration && m_configuration.merge(*configuration))
             logEvent("configuration", {{"version", delta.version()}, {"base", delta.base()}});
     }
+    // The versions of endpoints' software, as the replicated log lists them.
+    void setSoftware(const pb::RecordSoftware &software)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_software = software;
+        m_softwareChecksum = softwareChecksum(software);
+    }
+    // Sets the list in a reply to a process that has another one.
+    void addSoftwareUnless(uint64_t known, pb::SyncReply &out) const
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_softwareChecksum != known)
+            *out.mutable_software() = m_software;
+    }
     // The latest term in which this process is or was the leader, and from when on it may send orders in that term.
     struct OrderPermission {
         uint64_t term = 0;
@@ -158,6 +173,8 @@
     ConfigurationReceiver m_receiver;
     OrderPermission m_orderPermission;
     StalenessWatch m_staleness;
+    pb::RecordSoftware m_software;
+    uint64_t m_softwareChecksum = 0;
 
     static constexpr Millis ExpiryInterval{100};
 };
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -72,6 +72,7 @@
         reply->add_control(std::get<std::string>(it));
     if (control.empty())
         reply->mutable_control()->Add(m_seeds.begin(), m_seeds.end());
+    m_table.addSoftwareUnless(request->software(), *reply);
     recordReply(reply->ByteSizeLong(), now);
     return grpc::Status::OK;
 }
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -431,7 +431,7 @@
 {
     Fleet fleet("faults-joined", FirstPort + 1500);
     BOOST_TEST(continueAfterAKillOfAllHosts(fleet, true) != 200);
-    BOOST_TEST(fleet.requestRecord(2, "second").is_null());
+    BOOST_TEST(!fleet.requestRecords(2).contains("second"));
 }
 
 // Guards against callers who can't continue their streams although endpoints of the version that began them serve.
--- a/tests/streamversions_test.cpp
+++ b/tests/streamversions_test.cpp
@@ -1,18 +1,20 @@
 // Unit tests of the memory of which software version began a stream. Load: streams break while endpoints are replaced by a
 // newer version, and their callers come back.
 #define BOOST_TEST_MODULE streamversions
+#include "coordination/softwareseen.h"
 #include "coordination/streamversions.h"
+#include "livestate.h"
 
 #include <boost/test/included/unit_test.hpp>
 #include <map>
 #include <rapidcheck.h>
 
 using namespace roserail;
+using namespace roserail::test;
 
 namespace
 {
 
-const Time Now{Millis(1000000)};
 constexpr Millis Retention{1000};
 constexpr size_t MaxStreams = 5;
 
@@ -49,3 +51,53 @@
         BOOST_TEST(streams.find(std::to_string(n), Now).has_value() == (n >= 3));
     BOOST_TEST(!streams.find("7", Now + Retention).has_value());
 }
+
+namespace
+{
+
+pb::Announcement endpointOf(const std::string &id, const std::string &software, uint64_t sequence = 1)
+{
+    pb::Announcement it = announcement(id, 10, sequence, "10.0.0.1:" + id.substr(1));
+    it.set_software(software);
+    return it;
+}
+
+} // namespace
+
+// Guards against a version that is taken for the only one although the endpoints of another one have just left.
+BOOST_AUTO_TEST_CASE(versionCountsForAWhileAfterItsLastEndpointHasLeft)
+{
+    Registry registry(ExpiryTimes, Now);
+    registry.merge(endpointOf("e1", "v1"), Now);
+    SoftwareSeen seen(Retention);
+    seen.record(registry, Now);
+    BOOST_TEST(!seen.several("s", Now));
+    registry.merge(endpointOf("e2", "v2"), Now);
+    registry.withdraw("e1", Now);
+    seen.record(registry, Now + Millis(10));
+    BOOST_TEST(seen.several("s", Now + Millis(10)));
+    BOOST_TEST(!seen.several("other", Now + Millis(10)));
+    BOOST_TEST(seen.several("s", Now + Retention));
+    BOOST_TEST(!seen.several("s", Now + Retention + Millis(1)));
+    seen.record(registry, Now + Retention + Millis(1));
+    BOOST_TEST(seen.list(Now + Retention + Millis(1)).uses_size() == 1);
+}
+
+// Guards against a list that ends with the processes: a leader that takes over counts what an earlier one recorded as seen.
+BOOST_AUTO_TEST_CASE(listOfAnEarlierLeaderIsTakenOver)
+{
+    Registry registry(ExpiryTimes, Now);
+    registry.merge(endpointOf("e1", "v1"), Now);
+    SoftwareSeen before(Retention);
+    before.record(registry, Now);
+    const pb::RecordSoftware listed = before.list(Now);
+    Registry restarted(ExpiryTimes, Now);
+    restarted.merge(endpointOf("e2", "v2"), Now);
+    SoftwareSeen after(Retention);
+    after.record(listed, Now + Millis(500));
+    after.record(restarted, Now + Millis(500));
+    BOOST_TEST(after.several("s", Now + Millis(500)));
+    BOOST_TEST(after.list(Now + Millis(500)).uses_size() == 2);
+    BOOST_TEST(softwareChecksum(after.list(Now + Millis(500))) != softwareChecksum(listed));
+    BOOST_TEST(softwareChecksum(pb::RecordSoftware()) == 0u);
+}
