--- a/src/coordination/replybudget.h
+++ b/src/coordination/replybudget.h
@@ -19,7 +19,7 @@
     {
     }
     // Returns whether more may be sent now: what was sent before has left, or leaves within `backlog`.
-    bool available(Time now, Millis backlog = Millis(0)) const
+    bool available(Time now, Millis backlog) const
     {
         return now + backlog >= m_sentAt;
     }
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -74,8 +74,8 @@
 constexpr size_t MaxKnownControlHosts = 16; // seven with a disk tolerate three losses; each replaced one stays for a minute
 // Of an update of the configuration in one message. 60 routers that fetch it over one link of 100 Mbit/s receive it in 240 ms.
 constexpr size_t MaxConfigurationPieceBytes = 48u << 10;
-constexpr double MaxReplyBytesPerSecond = 6e6; // of one control host to routers; half of a link of 100 Mbit/s
-constexpr Millis MaxPieceBacklog{100}; // behind which a control host still sends a part of the configuration; a heartbeat may wait as long
+constexpr double MaxReplyBytesPerSecond = 8e6; // of one control host to routers; two thirds of a link of 100 Mbit/s
+constexpr Millis MaxReplyBacklog{100}; // behind which a control host still sends large replies; a heartbeat may wait as long
 constexpr Millis SyncRetryInterval{100}; // of a router, while no control host that it knows serves it
 constexpr Millis SyncTimeout{600}; // a round trip takes 3 ms; after a time-out another control host is asked
 constexpr Millis ShareTimeout{600};
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -45,7 +45,7 @@
     // A router without a configuration takes an old one rather than none.
     const bool current = m_disk && !(m_table.isolated(now) && request->configuration() > 0);
     const bool wholeList = request->epoch() != m_epoch;
-    const bool serves = current && (!wholeList || maySend(now, Millis(0)));
+    const bool serves = current && (!wholeList || maySend(now));
     // Hosts of the router's own availability zone come first; otherwise routers use different ones.
     std::set<std::tuple<bool, size_t, std::string>> control;
     if (m_disk)
@@ -66,7 +66,7 @@
     reply->set_epoch(serves ? m_epoch : 0);
     reply->set_busy(current && !serves);
     reply->set_state_age_ms(uint64_t(m_table.stateAge(now).count()));
-    if (request->configuration() < m_table.configurationVersion() && maySend(now, MaxPieceBacklog))
+    if (request->configuration() < m_table.configurationVersion() && maySend(now))
         m_table.addConfigurationSince(request->configuration(), request->has_progress() ? &request->progress() : nullptr, *reply);
     for (const std::tuple<bool, size_t, std::string> &it : control)
         reply->add_control(std::get<std::string>(it));
@@ -77,11 +77,11 @@
     return grpc::Status::OK;
 }
 
-bool MeshService::maySend(Time now, Millis backlog)
+bool MeshService::maySend(Time now)
 {
     static Counter &postponed = metrics().counter("roserail_replies_postponed_total");
     const std::lock_guard lock(m_mutex);
-    const bool available = m_replies.available(now, backlog);
+    const bool available = m_replies.available(now, MaxReplyBacklog);
     if (!available)
         postponed.add();
     return available;
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -27,7 +27,7 @@
 
 private:
     void addKeepers(const Registry &registry, Time now, pb::ShareReply &reply) const;
-    bool maySend(Time now, Millis backlog);
+    bool maySend(Time now);
     void recordReply(size_t bytes, Time now);
 
     LiveTable &m_table;
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -162,7 +162,7 @@
                 std::find_if(hosts.begin(), hosts.end(), [&](const ListSender &it) { return address(int(&it - hosts.data())) == host; })
                 - hosts.begin());
             nextPollAt[n] = now + SyncRetryInterval;
-            if (index == hosts.size() || !hosts[index].budget.available(now))
+            if (index == hosts.size() || !hosts[index].budget.available(now, MaxReplyBacklog))
                 continue;
             hosts[index].budget.record(size_t(listBytes), now);
             hosts[index].transfers.push_back({n, listBytes, now + SyncTimeout});
@@ -177,7 +177,7 @@
 BOOST_DATA_TEST_CASE(routersThatComeAtOnceAllGetAList, bdata::make({60u, 180u, 300u}), routers)
 {
     constexpr double ListBytes = 150e3; // 245 endpoints and 300 routers
-    // The time in which the links could carry all lists, twice for the half of them that lists may use, and a round of polls.
+    // The time in which the links could carry all lists, twice as they are not left to lists alone, and a round of polls.
     const Millis carried(int64_t(ListBytes * routers / 3 / 12500));
     BOOST_TEST((timeUntilAllHaveAList(routers, 3, ListBytes) < 2 * carried + SyncInterval + 5 * SyncRetryInterval + SyncTimeout));
 }
