Names of models may hold any text; only bytes that are no UTF-8 are replaced

Read in the diff: names with letters beyond ASCII would no longer have matched the configuration. platform_test namesOfACallerAreText has both.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -190,8 +190,12 @@
 {
     const RequestMetadata metadata
         = Codec.requestMetadata([](std::string_view name) -> std::string_view { return name == "X-Model" ? "m\xff/a\xc3\x28" : ""; });
-    BOOST_TEST(metadata.model == "m?");
-    BOOST_TEST(metadata.adapter == "a?(");
+    BOOST_TEST(metadata.model == "m\uFFFD");
+    BOOST_TEST(metadata.adapter == "a\uFFFD(");
+    const RequestMetadata named
+        = Codec.requestMetadata([](std::string_view name) -> std::string_view { return name == "X-Model" ? "mod\u00E8le/\u00E4" : ""; });
+    BOOST_TEST(named.model == "mod\u00E8le");
+    BOOST_TEST(named.adapter == "\u00E4");
 }
 
 struct NestedBody {
