--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -356,9 +356,9 @@
 // good, because the messages with the entry could not be read.
 BOOST_AUTO_TEST_CASE(oddEntriesStopNoHost)
 {
-    constexpr size_t Depth = 1000000;
-    constexpr int OddPort = FirstPort + 1400;
-    Fleet fleet("faults-odd-entries", OddPort);
+    constexpr size_t depth = 1000000;
+    constexpr int oddPort = FirstPort + 1400;
+    Fleet fleet("faults-odd-entries", oddPort);
     startHosts(fleet, {1, 2});
     fleet.startRunner(1, "engines", "m1");
     BOOST_REQUIRE(configure(fleet, {1, 2}));
@@ -371,9 +371,9 @@
     const std::string sequence = R"(,"sequence":4)";
     const std::vector<std::string> entries{
         putEntry("i-\xff\xfe", heartbeatText(address + sequence)),
-        putEntry("deep", heartbeatText(address + sequence + R"(,"unread":)" + std::string(Depth, '[') + std::string(Depth, ']'))),
+        putEntry("deep", heartbeatText(address + sequence + R"(,"unread":)" + std::string(depth, '[') + std::string(depth, ']'))),
         putEntry("deep-models",
-                 R"({"service":"engines","state":"ready","sequence":1,"address":"127.0.0.1:9","models":)" + std::string(Depth, '[') + "}"),
+                 R"({"service":"engines","state":"ready","sequence":1,"address":"127.0.0.1:9","models":)" + std::string(depth, '[') + "}"),
         putEntry("large", heartbeatText(address + R"(,"sequence":1e400)")),
         putEntry("large-2", heartbeatText(address + R"(,"sequence":99999999999999999999)")),
         putEntry("i-1", heartbeatText(address + R"(,"sequence":9e15)")),
@@ -382,7 +382,7 @@
         putEntry("port-2", heartbeatText(R"(,"address":"127.0.0.1:-1")" + sequence)),
     };
     for (const std::string &it : entries)
-        BOOST_TEST(callRaw(OddPort + 1, it).status / 100 == 4u);
+        BOOST_TEST(callRaw(oddPort + 1, it).status / 100 == 4u);
     // A caller's header, which reaches the control hosts with the demand for models.
     callRaw(fleet.entryPort(1),
             "POST /s/events/1/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: odd\r\nX-Deadline-Ms: 300\r\nX-Model: m2/\xff\r\n"
--- a/tests/meshclient_test.cpp
+++ b/tests/meshclient_test.cpp
@@ -131,7 +131,7 @@
 // Guards against routers that all come to the same control host when those of their availability zone are cut off.
 BOOST_AUTO_TEST_CASE(routersWithoutAHostInTheirZoneUseDifferentOnes)
 {
-    constexpr int Routers = 90;
+    constexpr int routers = 90;
     LiveTable table(HeartbeatTimeouts{Millis(9000), Millis(5000)}, monotonicNow());
     for (int n = 0; n < 3; ++n) {
         pb::KeeperState state;
@@ -144,7 +144,7 @@
     }
     MeshService service(table, "10.0.9.1:7380", {"10.0.0.1:7380"}, false, 1);
     std::map<std::string, int> firstChoice;
-    for (int n = 0; n < Routers; ++n) {
+    for (int n = 0; n < routers; ++n) {
         pb::SyncRequest request;
         request.mutable_router()->set_router(fmt::format("router-{}", n));
         request.mutable_router()->set_zone("z9");
@@ -155,5 +155,5 @@
     }
     BOOST_TEST(firstChoice.size() == 3u);
     for (const std::pair<const std::string, int> &it : firstChoice)
-        BOOST_TEST(it.second >= Routers / 6);
+        BOOST_TEST(it.second >= routers / 6);
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -212,13 +212,13 @@
 // Guards against a deeply nested body, which took a hundred times its size in memory while it was decoded: 8 MB ended a process.
 BOOST_DATA_TEST_CASE(deeplyNestedBodyIsRefusedWithLittleMemory, bdata::make(NestedBodies), nested)
 {
-    constexpr size_t BodyBytes = 8u << 20; // the limit of a body
-    constexpr long MaxGrowthKilobytes = 64 << 10; // less than half of the memory of the smallest hosts
+    constexpr size_t bodyBytes = 8u << 20; // the limit of a body
+    constexpr long maxGrowthKilobytes = 64 << 10; // less than half of the memory of the smallest hosts
     std::string value;
-    for (size_t n = 0; n < BodyBytes / (nested.open.size() + 1); ++n)
+    for (size_t n = 0; n < bodyBytes / (nested.open.size() + 1); ++n)
         value += nested.open;
     value += nested.open == "[" ? "" : "0";
-    for (size_t n = 0; n < BodyBytes / (nested.open.size() + 1) && !nested.close.empty(); ++n)
+    for (size_t n = 0; n < bodyBytes / (nested.open.size() + 1) && !nested.close.empty(); ++n)
         value += nested.close;
     std::string body = heartbeat().dump();
     body.insert(1, "\"unread\":" + value + ",");
@@ -229,7 +229,7 @@
     BOOST_TEST(Codec.decodeConfiguration(body).has_error());
     BOOST_TEST(Codec.decodeReport(body).has_error());
     ::getrusage(RUSAGE_SELF, &after);
-    BOOST_TEST(after.ru_maxrss - before.ru_maxrss < MaxGrowthKilobytes);
+    BOOST_TEST(after.ru_maxrss - before.ru_maxrss < maxGrowthKilobytes);
 }
 
 // Brackets inside of texts are no nesting.
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -303,19 +303,19 @@
 // follower that lacked several large configurations got none of them, and the leader's memory grew until its process was ended.
 BOOST_DATA_TEST_CASE(followerThatLacksLargeEntriesCatchesUpOnASlowLink, bdata::make({3u, 5u}), replicas)
 {
-    constexpr double BytesPerMs = 12500; // 100 Mbit/s
-    constexpr size_t EntryBytes = 500000;
-    constexpr size_t Entries = 24; // 12 MB, which the link takes in 1 s
+    constexpr double bytesPerMs = 12500; // 100 Mbit/s
+    constexpr size_t entryBytes = 500000;
+    constexpr size_t entries = 24; // 12 MB, which the link takes in 1 s
     Cluster cluster(replicas, 11);
     cluster.run(Millis(2000));
     const uint64_t behind = cluster.leader()->self().id % replicas + 1;
     cluster.cutOff(behind);
-    for (size_t i = 0; i < Entries; ++i) {
-        cluster.propose(std::string(EntryBytes, 'x'));
+    for (size_t i = 0; i < entries; ++i) {
+        cluster.propose(std::string(entryBytes, 'x'));
         cluster.run(Millis(50));
     }
     cluster.run(Millis(500));
-    cluster.bytesPerMs = BytesPerMs;
+    cluster.bytesPerMs = bytesPerMs;
     cluster.callTimeout = Millis(400);
     cluster.heal();
     const uint64_t term = cluster.leader()->term();
@@ -323,13 +323,13 @@
     BOOST_REQUIRE(cluster.leader() != nullptr);
     BOOST_TEST(cluster.leader()->term() <= term + 1); // the returning replica may cause one election
     BOOST_TEST(cluster.nodes().at(behind).appliedIndex == cluster.leader()->lastIndex());
-    BOOST_TEST(cluster.peakLinkBytes < 4 * EntryBytes);
+    BOOST_TEST(cluster.peakLinkBytes < 4 * entryBytes);
 }
 
 // Guards against a leader whose messages to a replica that does not answer grow without bound.
 BOOST_AUTO_TEST_CASE(replicaThatDoesNotAnswerIsSentFewBytes)
 {
-    constexpr size_t EntryBytes = 500000;
+    constexpr size_t entryBytes = 500000;
     Cluster cluster(3, 12);
     cluster.run(Millis(2000));
     const uint64_t silent = cluster.leader()->self().id % 3 + 1;
@@ -341,7 +341,7 @@
     for (Time now = cluster.now(); now < end; now += Millis(20)) {
         Actions actions;
         pb::Command command;
-        command.mutable_put_configuration()->mutable_configuration()->set_content(std::string(EntryBytes, 'x'));
+        command.mutable_put_configuration()->mutable_configuration()->set_content(std::string(entryBytes, 'x'));
         if (toMillis(now) % 500 == 0)
             raft.propose(command, actions);
         raft.tick(now, actions);
@@ -366,7 +366,7 @@
         }
     }
     BOOST_TEST(raft.isLeader());
-    BOOST_TEST(bytes < 2 * EntryBytes);
+    BOOST_TEST(bytes < 2 * entryBytes);
 }
 
 BOOST_AUTO_TEST_CASE(twoVotersAreNeverChangedAtOnce)
--- a/tests/replicanode_test.cpp
+++ b/tests/replicanode_test.cpp
@@ -66,7 +66,7 @@
 // Guards against a log that is bounded in entries only: with large configurations it filled a disk of 64 MB, and memory.
 BOOST_AUTO_TEST_CASE(logOfLargeConfigurationsIsShortened)
 {
-    constexpr size_t MaxLogBytes = 16u << 20; // a quarter of the smallest disk
+    constexpr size_t maxLogBytes = 16u << 20; // a quarter of the smallest disk
     const Folder folder;
     Result<std::unique_ptr<Storage>> storage = Storage::open(folder.path, 1, 1);
     BOOST_REQUIRE(storage.has_value());
@@ -85,10 +85,11 @@
         pb::Command command;
         command.mutable_put_configuration()->mutable_configuration()->set_version(version);
         command.mutable_put_configuration()->mutable_configuration()->set_content(std::string(1u << 20, char('a' + version % 20)));
-        BOOST_REQUIRE(node.execute(std::move(command), Millis(5000)).has_value());
+        const bool stored = node.execute(std::move(command), Millis(5000)).has_value();
+        BOOST_REQUIRE(stored);
     }
     std::this_thread::sleep_for(Millis(200));
-    BOOST_TEST(node.status().logBytes < MaxLogBytes);
+    BOOST_TEST(node.status().logBytes < maxLogBytes);
     BOOST_TEST(node.withMachine([](const StateMachine &machine) { return machine.configuration().version(); }) == 30u);
 }
 
--- a/tests/sharing_test.cpp
+++ b/tests/sharing_test.cpp
@@ -126,8 +126,8 @@
 // and two that are cut off and refer them.
 Millis timeUntilAllHaveAList(size_t routers, size_t serving, double listBytes)
 {
-    constexpr double LinkBytesPerMs = 12500;
-    constexpr Millis Limit{20000};
+    constexpr double linkBytesPerMs = 12500;
+    constexpr Millis limit{20000};
     std::vector<std::string> known;
     for (size_t n = 0; n < serving + 2; ++n)
         known.push_back(address(int(n)));
@@ -141,9 +141,9 @@
         nextPollAt[n] += Millis(random() % uint64_t(SyncInterval.count()));
     }
     size_t waiting = routers;
-    for (Time now = Now; now < Now + Limit; now += Millis(1)) {
+    for (Time now = Now; now < Now + limit; now += Millis(1)) {
         for (ListSender &host : hosts) {
-            const double share = LinkBytesPerMs / double(std::max<size_t>(1, host.transfers.size()));
+            const double share = linkBytesPerMs / double(std::max<size_t>(1, host.transfers.size()));
             std::erase_if(host.transfers, [&](ListSender::Transfer &it) {
                 it.bytesLeft -= share;
                 waiting -= it.bytesLeft <= 0 ? 1 : 0;
@@ -169,17 +169,17 @@
             nextPollAt[n] = Time::max();
         }
     }
-    return Limit;
+    return limit;
 }
 
 // Guards against routers that come to the remaining control hosts at once after a split and get no list, because all lists are sent at
 // the same time and none arrives within the time limit of a poll.
 BOOST_DATA_TEST_CASE(routersThatComeAtOnceAllGetAList, bdata::make({60u, 180u, 300u}), routers)
 {
-    constexpr double ListBytes = 150e3; // 245 endpoints and 300 routers
+    constexpr double listBytes = 150e3; // 245 endpoints and 300 routers
     // The time in which the links could carry all lists, twice as they are not left to lists alone, and a round of polls.
-    const Millis carried(int64_t(ListBytes * routers / 3 / 12500));
-    BOOST_TEST((timeUntilAllHaveAList(routers, 3, ListBytes) < 2 * carried + SyncInterval + 5 * SyncRetryInterval + SyncTimeout));
+    const Millis carried(int64_t(listBytes * routers / 3 / 12500));
+    BOOST_TEST((timeUntilAllHaveAList(routers, 3, listBytes) < 2 * carried + SyncInterval + 5 * SyncRetryInterval + SyncTimeout));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
