Whole lists fit into a poll of a router on a slow link

Their links carry 10 Mbit/s, 750 KB within the 600 ms of a poll; the state of each router in the list repeated all that endpoints had told it (some 2 KB each by reading, while dozens of endpoints leave), though the control host has already applied it to the announcements.

Change: lists for routers are without it, and the first poll of a host has 2 s, once a connection is established within 600 ms.

advice_test routersGetAdviceWithTheEndpointsOnly: one report in the list before (by reading: not cleared), none after.

--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -414,6 +414,9 @@
         pb::RouterState &state = *out.add_routers();
         state = it.second.state;
         state.clear_demands();
+        // Applied to the announcements here.
+        state.clear_advice();
+        state.clear_leaving();
         state.set_age_ms(ageMs(it.second.lastSeenAt, now));
     }
 }
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -77,6 +77,7 @@
 constexpr double MaxReplyBytesPerSecond = 8e6; // of one control host to routers; two thirds of a link of 100 Mbit/s
 constexpr Millis MaxReplyBacklog{100}; // behind which a control host still sends large replies; a heartbeat may wait as long
 constexpr Millis SyncRetryInterval{100}; // of a router, while no control host that it knows serves it
+constexpr Millis ListTimeout{2000}; // of a poll that brings a whole list: 2.5 MB on a link of 10 Mbit/s
 constexpr Millis SyncTimeout{600}; // a round trip takes 3 ms; after a time-out another control host is asked
 constexpr Millis ShareTimeout{600};
 constexpr Millis MaxShareInterval{1000}; // without changes, to detect that the peer has restarted
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -173,12 +173,18 @@
 
 bool MeshClient::syncOnce()
 {
-    if (!m_channel)
+    const bool first = !m_channel;
+    if (first)
         connect();
     const pb::SyncRequest request = m_buildRequest();
     const std::shared_ptr<grpc::Channel> channel = m_channel->get();
+    // The first reply of a host brings the whole list. A host that can't be connected to gets no more time than another poll.
+    if (first && !channel->WaitForConnected(std::chrono::system_clock::now() + SyncTimeout)) {
+        m_channel.reset();
+        return false;
+    }
     grpc::ClientContext context;
-    setDeadline(context, SyncTimeout);
+    setDeadline(context, first ? ListTimeout : SyncTimeout);
     pb::SyncReply reply;
     const grpc::Status status = pb::Mesh::NewStub(channel)->Sync(&context, request, &reply);
     if (!status.ok()) {
--- a/tests/advice_test.cpp
+++ b/tests/advice_test.cpp
@@ -145,6 +145,28 @@
     BOOST_TEST(advice.leaving("e0", 10));
 }
 
+// Guards against whole lists that do not fit into a poll of a router on a link of 10 Mbit/s: 300 routers that each report dozens of
+// leaving endpoints.
+BOOST_AUTO_TEST_CASE(routersGetAdviceWithTheEndpointsOnly)
+{
+    Router router;
+    pb::RouterState state;
+    state.set_router("r");
+    state.set_incarnation(1);
+    state.set_sequence(1);
+    state.set_accepting(true);
+    EndpointAdvice advice;
+    advice.recordLeaving("e0", 10, Now);
+    advice.addReports(state, Now);
+    router.registry.merge(state, Now);
+    pb::SyncReply reply;
+    router.registry.routerChangesSince(0, Now, reply);
+    BOOST_REQUIRE(reply.routers_size() == 1);
+    BOOST_TEST(reply.routers(0).advice_size() == 0);
+    BOOST_TEST(reply.routers(0).leaving_size() == 0);
+    BOOST_TEST(reply.endpoints(0).leaving());
+}
+
 // Guards against hosts of two builds that do not tell each other that an endpoint leaves: the build before EndpointAdvice sends and
 // reads LeavingReport only.
 BOOST_AUTO_TEST_CASE(buildBeforeLearnsThatAnEndpointLeaves)
