--- a/src/state/machine.cpp
+++ b/src/state/machine.cpp
@@ -222,13 +222,13 @@
     return m_quarantine.report(command.report_crash(), m_clock);
 }
 
-// Keeps the highest version. Any other version changes nothing, so that a change can safely be sent again.
 pb::CommandResult StateMachine::recordSoftware(const pb::Command &command)
 {
     m_software = command.record_software();
     return pb::CommandResult();
 }
 
+// Keeps the highest version. Any other version changes nothing, so that a change can safely be sent again.
 pb::CommandResult StateMachine::putConfiguration(const pb::Command &command)
 {
     const pb::WholeConfiguration &sent = command.put_configuration().configuration();
