--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -86,18 +86,6 @@
     return address;
 }
 
-Result<HostPort> parseHostPort(const std::string &text)
-{
-    const size_t colon = text.rfind(':');
-    if (colon == std::string::npos || colon == 0)
-        return Error{ErrorKind::BadRequest, fmt::format("'{}' is not host:port", text)};
-    char *end = nullptr;
-    const long port = std::strtol(text.c_str() + colon + 1, &end, 10);
-    if (*end != '\0' || port < 1 || port > 65535)
-        return Error{ErrorKind::BadRequest, fmt::format("'{}' has no port from 1 to 65535", text)};
-    return HostPort{text.substr(0, colon), int(port)};
-}
-
 Result<ControlSettings> parseControlSettings(const std::string &text, const std::string &file)
 {
     return readFile(text, file, ErrorKind::BadSettings, readControl);
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -2,6 +2,7 @@
 // Unknown keys and invalid values are errors.
 #pragma once
 
+#include "state/address.h"
 #include "state/errors.h"
 #include "state/yamlreader.h"
 
@@ -44,13 +45,6 @@
 std::string toYaml(const ControlSettings &settings);
 std::string toYaml(const RouterSettings &settings);
 
-// Splits "host:port".
-struct HostPort {
-    std::string host;
-    int port = 0;
-};
-Result<HostPort> parseHostPort(const std::string &text);
-
 // Reads a required "host:port" value; `what` names the mapping in the error message.
 std::string readAddress(const YAML::Node &parent, const char *key, const char *what);
 
--- a/src/state/address.cpp
+++ b/src/state/address.cpp
@@ -2,32 +2,32 @@
 
 #include <arpa/inet.h>
 #include <charconv>
+#include <fmt/format.h>
 
 namespace roserail
 {
 
-SocketAddress splitAddress(const std::string &text)
+Result<HostPort> parseHostPort(const std::string &text)
 {
     const size_t colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return {};
-    SocketAddress address;
+    if (colon == std::string::npos || colon == 0)
+        return Error{ErrorKind::BadRequest, fmt::format("'{}' is not host:port", text)};
+    uint16_t port = 0;
     const char *end = text.data() + text.size();
-    const std::from_chars_result parsed = std::from_chars(text.data() + colon + 1, end, address.port);
-    if (parsed.ec != std::errc() || parsed.ptr != end)
-        return {};
-    address.ip = text.substr(0, colon);
-    if (address.ip.size() >= 2 && address.ip.front() == '[' && address.ip.back() == ']')
-        address.ip = address.ip.substr(1, address.ip.size() - 2);
-    return address;
+    const std::from_chars_result parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (parsed.ec != std::errc() || parsed.ptr != end || port == 0)
+        return Error{ErrorKind::BadRequest, fmt::format("'{}' has no port from 1 to 65535", text)};
+    return HostPort{text.substr(0, colon), port};
 }
 
 bool isSocketAddress(const std::string &text)
 {
-    const SocketAddress address = splitAddress(text);
-    in6_addr parsed{};
-    const bool ip = ::inet_pton(AF_INET, address.ip.c_str(), &parsed) == 1 || ::inet_pton(AF_INET6, address.ip.c_str(), &parsed) == 1;
-    return ip && address.port != 0;
+    const Result<HostPort> parts = parseHostPort(text);
+    if (parts.has_error())
+        return false;
+    in6_addr ip{};
+    const char *host = parts.value().host.c_str();
+    return ::inet_pton(AF_INET, host, &ip) == 1 || ::inet_pton(AF_INET6, host, &ip) == 1;
 }
 
 } // namespace roserail
--- a/src/state/address.h
+++ b/src/state/address.h
@@ -1,20 +1,20 @@
-// Addresses of the form "IP:PORT", as processes and endpoints state them.
+// Addresses of the form "HOST:PORT", as settings, processes and endpoints state them.
 #pragma once
 
-#include <cstdint>
+#include "state/errors.h"
+
 #include <string>
 
 namespace roserail
 {
 
-// The parts of an address.
-struct SocketAddress {
-    std::string ip;
-    uint16_t port = 0; // 0: the text is not an address
+// Splits "host:port".
+struct HostPort {
+    std::string host;
+    int port = 0;
 };
-
-// Splits "IP:PORT" or "[IP]:PORT". The port must be a number from 1 to 65535, without anything before or behind it.
-SocketAddress splitAddress(const std::string &text);
+// The port must be a number from 1 to 65535, without anything before or behind it. Errors are BadRequest.
+Result<HostPort> parseHostPort(const std::string &text);
 
 // Returns whether the text is an IP address and a port.
 bool isSocketAddress(const std::string &text);
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -43,12 +43,12 @@
 
 Result<tcp::endpoint> parseEndpoint(const std::string &text)
 {
-    const SocketAddress parts = splitAddress(text);
+    BOOST_OUTCOME_TRY(parts, parseHostPort(text));
     ErrorCode ec;
-    const net::ip::address address = net::ip::make_address(parts.ip, ec);
-    if (ec || parts.port == 0)
+    const net::ip::address address = net::ip::make_address(parts.host, ec);
+    if (ec)
         return Error{ErrorKind::BadRequest, fmt::format("'{}' is not an IP address and a port", text), 0};
-    return tcp::endpoint(address, parts.port);
+    return tcp::endpoint(address, uint16_t(parts.port));
 }
 
 void configureSocket(tcp::socket &socket)
