Twins of this change made one: entries in flight, known hosts, an endpoint's incarnation, a test's refusal

No functional change. Progress::clearInFlight and largeInFlight, ControlHosts::find for hosts and seeds, Registry::incarnation for both forms of advice. raft_test, sharing_test, advice_test, capacity_test, meshclient_test, replicanode_test and forwarder_test pass.

--- a/src/coordination/controlhosts.cpp
+++ b/src/coordination/controlhosts.cpp
@@ -19,16 +19,16 @@
 {
     std::vector<Host> next;
     for (std::string &it : seeds) {
-        const auto known = std::find_if(m_seeds.begin(), m_seeds.end(), [&](const Host &host) { return host.address == it; });
-        next.push_back(known == m_seeds.end() ? Host{std::move(it), Time(), Time()} : *known);
+        const Host *known = find(m_seeds, it);
+        next.push_back(known == nullptr ? Host{std::move(it), Time(), Time()} : *known);
     }
     m_seeds = std::move(next);
 }
 
-ControlHosts::Host *ControlHosts::find(const std::string &address)
+ControlHosts::Host *ControlHosts::find(std::vector<Host> &hosts, const std::string &address)
 {
-    const auto it = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const Host &host) { return host.address == address; });
-    return it == m_hosts.end() ? nullptr : &*it;
+    const auto it = std::find_if(hosts.begin(), hosts.end(), [&](const Host &host) { return host.address == address; });
+    return it == hosts.end() ? nullptr : &*it;
 }
 
 std::string ControlHosts::next(Time now)
@@ -36,7 +36,7 @@
     Host *best = nullptr;
     for (std::vector<Host> *list : {&m_hosts, &m_seeds}) {
         for (Host &it : *list) {
-            if (list == &m_seeds && find(it.address) != nullptr)
+            if (list == &m_seeds && find(m_hosts, it.address) != nullptr)
                 continue;
             if (best == nullptr || it.triedAt < best->triedAt)
                 best = &it;
@@ -50,11 +50,11 @@
 {
     std::vector<Host> next;
     for (const std::string &it : hosts) {
-        const Host *known = find(it);
+        const Host *known = find(m_hosts, it);
         next.push_back(Host{it, now, known == nullptr ? Time() : known->triedAt});
     }
     for (const Host &it : m_hosts) {
-        if (now < it.namedAt + ControlHostRetention && std::find(hosts.begin(), hosts.end(), it.address) == hosts.end())
+        if (now < it.namedAt + ControlHostRetention && find(next, it.address) == nullptr)
             next.push_back(it);
     }
     if (next.size() > MaxKnownControlHosts)
@@ -70,7 +70,7 @@
 
 void ControlHosts::preferNext(const std::string &host)
 {
-    Host *known = find(host);
+    Host *known = find(m_hosts, host);
     if (known != nullptr)
         known->triedAt = Time();
 }
--- a/src/coordination/controlhosts.h
+++ b/src/coordination/controlhosts.h
@@ -40,7 +40,7 @@
         Time namedAt{};
         Time triedAt{};
     };
-    Host *find(const std::string &address);
+    static Host *find(std::vector<Host> &hosts, const std::string &address);
 
     std::vector<Host> m_hosts; // as named last, then those that were named before
     std::vector<Host> m_seeds;
--- a/src/coordination/raft.cpp
+++ b/src/coordination/raft.cpp
@@ -368,6 +368,11 @@
 {
     probing = true;
     next = first;
+    clearInFlight();
+}
+
+void Raft::Progress::clearInFlight()
+{
     bytesInFlight = 0;
     largeUntil = Time::max();
 }
@@ -375,7 +380,7 @@
 void Raft::sendFailed(const Replica &to)
 {
     const auto it = m_progress.find(to);
-    if (it != m_progress.end() && it->second.largeUntil != Time::max())
+    if (it != m_progress.end() && it->second.largeInFlight())
         it->second.probe(it->second.match + 1);
 }
 
@@ -412,7 +417,7 @@
     if (now >= progress.largeUntil)
         progress.probe(progress.match + 1);
     const bool behind = sendSnapshotIfBehind(to, progress, now, out);
-    const uint64_t confirmed = progress.largeUntil == Time::max() ? progress.next - 1 : std::max(progress.match, m_snapIndex);
+    const uint64_t confirmed = progress.largeInFlight() ? std::max(progress.match, m_snapIndex) : progress.next - 1;
     out.messages.push_back(appendAfter(behind ? lastIndex() : confirmed, to, now));
 }
 
@@ -423,7 +428,7 @@
     if (progress.probing || progress.next > lastIndex() || sendSnapshotIfBehind(to, progress, now, out))
         return;
     const size_t limit = progress.bytesInFlight == 0 ? MaxBytesPerAppend : MaxSmallAppendBytes;
-    if (progress.largeUntil != Time::max() || progress.bytesInFlight >= MaxBytesInFlight
+    if (progress.largeInFlight() || progress.bytesInFlight >= MaxBytesInFlight
         || (progress.bytesInFlight > 0 && entry(progress.next).ByteSizeLong() > limit))
         return;
     pb::RaftMessage msg = appendAfter(progress.next - 1, to, now);
@@ -626,10 +631,8 @@
         progress.retryAt = now;
     }
     progress.next = std::max(progress.next, progress.match + 1);
-    if (progress.next == progress.match + 1) {
-        progress.bytesInFlight = 0;
-        progress.largeUntil = Time::max();
-    }
+    if (progress.next == progress.match + 1)
+        progress.clearInFlight();
     advanceCommit(out);
     sendEntries(from, progress, now, out);
 }
--- a/src/coordination/raft.h
+++ b/src/coordination/raft.h
@@ -160,6 +160,11 @@
         size_t bytesInFlight = 0; // of entries sent and not acknowledged
         Time largeUntil = Time::max(); // large entries are in flight, and count as lost from then on; max: there are none
 
+        bool largeInFlight() const
+        {
+            return largeUntil != Time::max();
+        }
+        void clearInFlight();
         // Sends nothing but heartbeats until the replica has confirmed that its log matches up to `next` - 1.
         void probe(uint64_t first);
     };
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -254,21 +254,25 @@
 void Registry::applyAdvice(const pb::RouterState &state, Time sentAt)
 {
     for (const pb::LeavingReport &it : state.leaving()) {
-        const auto known = m_endpoints.find(it.endpoint());
-        if (known != m_endpoints.end() && known->second.announcement.born_ms() == it.born_ms())
-            markLeaving(known->second, sentAt, "");
+        LiveEndpoint *known = incarnation(it.endpoint(), it.born_ms());
+        if (known != nullptr)
+            markLeaving(*known, sentAt, "");
     }
     for (const pb::EndpointAdvice &it : state.advice()) {
-        const auto known = m_endpoints.find(it.endpoint());
-        if (known == m_endpoints.end() || known->second.announcement.born_ms() != it.born_ms())
-            continue;
-        if (it.leaving())
-            markLeaving(known->second, sentAt, "");
-        if (it.has_capacity())
-            mergeCapacity(known->second, it.capacity(), sentAt - Millis(it.capacity().age_ms()), sentAt, "");
+        LiveEndpoint *known = incarnation(it.endpoint(), it.born_ms());
+        if (known != nullptr && it.leaving())
+            markLeaving(*known, sentAt, "");
+        if (known != nullptr && it.has_capacity())
+            mergeCapacity(*known, it.capacity(), sentAt - Millis(it.capacity().age_ms()), sentAt, "");
     }
 }
 
+LiveEndpoint *Registry::incarnation(const std::string &endpoint, uint64_t startedAtMs)
+{
+    const auto it = m_endpoints.find(endpoint);
+    return it != m_endpoints.end() && it->second.announcement.born_ms() == startedAtMs ? &it->second : nullptr;
+}
+
 pb::Announcement Registry::announcementNow(const LiveEndpoint &endpoint, Time now)
 {
     pb::Announcement announcement = endpoint.announcement;
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -125,6 +125,8 @@
     bool mergeCapacity(LiveEndpoint &endpoint, const pb::EndpointCapacity &message, Time at, Time now, const std::string &from);
     bool mergeAdvice(LiveEndpoint &endpoint, const pb::Announcement &announcement, Time lastSeenAt, const std::string &from);
     void applyAdvice(const pb::RouterState &state, Time sentAt);
+    // Returns the endpoint if it is known by this start of it, else null.
+    LiveEndpoint *incarnation(const std::string &endpoint, uint64_t startedAtMs);
     // Returns the announcement as it is sent to other processes, with all ages as of `now`.
     static pb::Announcement announcementNow(const LiveEndpoint &endpoint, Time now);
     void resolveAddressConflict(const LiveEndpoint &updated, Time now);
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -440,7 +440,7 @@
     std::atomic<RawEndpoint *> self = nullptr;
     RawEndpoint endpoint([&](const std::string &) {
         if (++received == 1)
-            return RawAnswer{"HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: r1\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+            return RawAnswer{fmt::format(fmt::runtime(Refusal), "X-Request-Id: r1\r\n")};
         const bool kept = self.load()->connections() == 1;
         return RawAnswer{(kept ? fmt::format(fmt::runtime(Refusal), repetition.header) : "") + Success};
     });
