Logs: why a router has no control host, and what control hosts send to routers

control_lost names the cause, control_search (once a second) and control_regained count how polls ended; control hosts log, for each second in which they sent whole lists or sent routers on, the number and bytes of their replies. No change of behaviour.

--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -19,6 +19,16 @@
 namespace
 {
 
+constexpr Millis ReplyCountInterval{1000}; // of the log line with the counts of replies to routers
+constexpr Millis MaxLoggedInterval = std::chrono::hours(1);
+constexpr Millis SearchLogInterval{1000}; // of a router that has no control host
+
+std::string_view toString(PollOutcome outcome)
+{
+    static constexpr std::array<std::string_view, PollOutcomes> names{"served", "busy", "referred", "not_connected", "no_reply"};
+    return names[size_t(outcome)];
+}
+
 // Returns a number by which a router orders control hosts that are equally near.
 size_t spread(const std::string &router, const std::string &host)
 {
@@ -73,7 +83,7 @@
     if (control.empty())
         reply->mutable_control()->Add(m_seeds.begin(), m_seeds.end());
     m_table.addSoftwareUnless(request->software(), *reply);
-    recordReply(reply->ByteSizeLong(), now);
+    recordReply(*reply, serves && wholeList, now);
     return grpc::Status::OK;
 }
 
@@ -82,15 +92,37 @@
     static Counter &postponed = metrics().counter("roserail_replies_postponed_total");
     const std::lock_guard lock(m_mutex);
     const bool available = m_replies.available(now, MaxReplyBacklog);
-    if (!available)
+    if (!available) {
         postponed.add();
+        ++m_counts.postponed;
+    }
     return available;
 }
 
-void MeshService::recordReply(size_t bytes, Time now)
+// Counts a reply, and logs the counts of a second in which routers came to this host or were sent on.
+void MeshService::recordReply(const pb::SyncReply &reply, bool wholeList, Time now)
 {
+    const size_t bytes = reply.ByteSizeLong();
     const std::lock_guard lock(m_mutex);
     m_replies.record(bytes, now);
+    ++m_counts.replies;
+    m_counts.bytes += bytes;
+    m_counts.lists += wholeList ? 1 : 0;
+    m_counts.listBytes += wholeList ? bytes : 0;
+    m_counts.referred += reply.epoch() == 0 && !reply.busy() ? 1 : 0;
+    if (now < m_countedSince + ReplyCountInterval)
+        return;
+    if (m_counts.lists + m_counts.postponed + m_counts.referred > 0)
+        logEvent("replies_to_routers",
+                 {{"replies", m_counts.replies},
+                  {"bytes", m_counts.bytes},
+                  {"lists", m_counts.lists},
+                  {"list_bytes", m_counts.listBytes},
+                  {"postponed", m_counts.postponed},
+                  {"referred", m_counts.referred},
+                  {"in_ms", std::min<int64_t>((now - m_countedSince).count(), MaxLoggedInterval.count())}});
+    m_counts = ReplyCounts();
+    m_countedSince = now;
 }
 
 grpc::Status MeshService::Share(grpc::ServerContext *, const pb::ShareRequest *request, pb::ShareReply *reply)
@@ -171,7 +203,7 @@
     m_channel = std::make_unique<Channel>(m_hosts.next(monotonicNow()));
 }
 
-bool MeshClient::syncOnce()
+PollOutcome MeshClient::syncOnce()
 {
     const bool first = !m_channel;
     if (first)
@@ -181,7 +213,7 @@
     // The first reply of a host brings the whole list. A host that can't be connected to gets no more time than another poll.
     if (first && !channel->WaitForConnected(std::chrono::system_clock::now() + SyncTimeout)) {
         m_channel.reset();
-        return false;
+        return PollOutcome::NotConnected;
     }
     grpc::ClientContext context;
     setDeadline(context, first ? ListTimeout : SyncTimeout);
@@ -189,7 +221,7 @@
     const grpc::Status status = pb::Mesh::NewStub(channel)->Sync(&context, request, &reply);
     if (!status.ok()) {
         m_channel.reset();
-        return false;
+        return PollOutcome::NoReply;
     }
     {
         const std::lock_guard lock(m_mutex);
@@ -199,7 +231,7 @@
         if (reply.busy())
             m_handleReply(reply);
         m_channel.reset();
-        return false;
+        return reply.busy() ? PollOutcome::Busy : PollOutcome::Referred;
     }
     if (m_servedBy != m_channel->address()) {
         m_servedBy = m_channel->address();
@@ -207,7 +239,7 @@
     }
     m_handleReply(reply);
     retryNearestHost();
-    return true;
+    return PollOutcome::Served;
 }
 
 // Reconnects to the nearest host, at intervals, if the session is with another one.
@@ -224,14 +256,37 @@
     m_channel.reset();
 }
 
+// Logs when the router loses its control host and finds one again, and meanwhile how the polls of the hosts that it knows ended.
+void MeshClient::logOutcome(PollOutcome outcome)
+{
+    const Time now = monotonicNow();
+    const bool ok = outcome == PollOutcome::Served;
+    if (m_failures == 0 && !ok) {
+        m_outcomes = {};
+        m_lostSince = now;
+        m_nextSearchLogAt = now + SearchLogInterval;
+        logEvent("control_lost", {{"host", m_servedBy}, {"hosts", m_hosts.size()}, {"cause", toString(outcome)}});
+    }
+    ++m_outcomes[size_t(outcome)];
+    if (m_failures == 0 || (!ok && now < m_nextSearchLogAt))
+        return;
+    m_nextSearchLogAt = now + SearchLogInterval;
+    logEvent(ok ? "control_regained" : "control_search",
+             {{"host", m_servedBy},
+              {"hosts", m_hosts.size()},
+              {"lost_ms", (now - m_lostSince).count()},
+              {"busy", m_outcomes[size_t(PollOutcome::Busy)]},
+              {"referred", m_outcomes[size_t(PollOutcome::Referred)]},
+              {"not_connected", m_outcomes[size_t(PollOutcome::NotConnected)]},
+              {"no_reply", m_outcomes[size_t(PollOutcome::NoReply)]}});
+}
+
 void MeshClient::run()
 {
-    bool reachable = true;
     while (!m_stop) {
-        const bool ok = syncOnce();
-        if (ok != reachable)
-            logEvent(ok ? "control_regained" : "control_lost", {{"host", m_servedBy}, {"hosts", m_hosts.size()}});
-        reachable = ok;
+        const PollOutcome outcome = syncOnce();
+        const bool ok = outcome == PollOutcome::Served;
+        logOutcome(outcome);
         m_failures = ok ? 0 : m_failures + 1;
         // Limits the rate of polls, regardless of how often the thread is woken.
         const Millis interval = m_failures > m_hosts.size() ? std::max<Millis>(m_minInterval, SyncRetryInterval) : Millis(m_minInterval);
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -8,6 +8,7 @@
 #include "transport/channel.h"
 #include "transport/livetable.h"
 
+#include <array>
 #include <atomic>
 #include <condition_variable>
 #include <functional>
@@ -26,9 +27,18 @@
     grpc::Status Share(grpc::ServerContext *context, const pb::ShareRequest *request, pb::ShareReply *reply) override;
 
 private:
+    // Replies to routers within an interval.
+    struct ReplyCounts {
+        size_t replies = 0;
+        size_t bytes = 0;
+        size_t lists = 0; // whole lists of the live state
+        size_t listBytes = 0;
+        size_t postponed = 0; // because of the limit of bytes
+        size_t referred = 0; // to other control hosts
+    };
     void addKeepers(const Registry &registry, Time now, pb::ShareReply &reply) const;
     bool maySend(Time now);
-    void recordReply(size_t bytes, Time now);
+    void recordReply(const pb::SyncReply &reply, bool wholeList, Time now);
 
     LiveTable &m_table;
     std::string m_self; // internal address
@@ -37,8 +47,20 @@
     uint64_t m_epoch; // identifies this process
     std::mutex m_mutex;
     ReplyBudget m_replies{tunables::MaxReplyBytesPerSecond}; // under m_mutex
+    ReplyCounts m_counts; // since m_countedSince, under m_mutex
+    Time m_countedSince{};
 };
 
+// How a poll of a control host ended.
+enum class PollOutcome {
+    Served,
+    Busy, // the host serves, but not yet this router
+    Referred, // the host can't show that it is up to date
+    NotConnected,
+    NoReply
+};
+constexpr size_t PollOutcomes = 5;
+
 // A router's session with the control hosts: a thread that polls one of them at a time.
 class MeshClient
 {
@@ -67,7 +89,8 @@
 
 private:
     void run();
-    bool syncOnce();
+    PollOutcome syncOnce();
+    void logOutcome(PollOutcome outcome);
     void connect();
     void retryNearestHost();
 
@@ -75,6 +98,9 @@
     HandleReply m_handleReply;
     ControlHosts m_hosts; // under m_mutex
     size_t m_failures = 0; // consecutive polls without a host that serves
+    std::array<size_t, PollOutcomes> m_outcomes{}; // of these polls
+    Time m_lostSince{};
+    Time m_nextSearchLogAt{};
     Time m_nearestRetryAt{};
     std::unique_ptr<Channel> m_channel;
     std::string m_servedBy; // control host of the latest reply
