Control replicas count as up to date once they have applied what is committed

Seen: a replica that has just restarted published 'up to date' with its commit index, before it applied the entries; control hosts could serve routers what they had before and vouch for it. replicaIsCurrentOnceItHasAppliedWhatIsCommitted, before: 91, 14 and 70 of 4,000 commands applied at that moment (three runs); after: all, five runs.

Change: the time at which the replica was known to be up to date is published only while all committed entries are applied.

--- a/src/transport/replicanode.cpp
+++ b/src/transport/replicanode.cpp
@@ -423,7 +423,8 @@
     status.leader = m_raft->leader();
     status.membership = m_raft->membership();
     status.leaseUntil = m_raft->leaseEnd(now);
-    status.currentAt = m_raft->currentAt(now);
+    // What is committed is applied after the status is published.
+    status.currentAt = m_applied >= m_raft->commitIndex() ? m_raft->currentAt(now) : m_status.currentAt;
     status.votes = m_raft->votes();
     status.termCommitted = m_raft->isLeader() && m_applied >= m_raft->termStart();
     status.syncs = m_storage->syncs();
--- a/tests/replicanode_test.cpp
+++ b/tests/replicanode_test.cpp
@@ -26,6 +26,32 @@
     }
 };
 
+// Opens the only replica of a cluster in the folder.
+std::unique_ptr<ReplicaNode> openNode(const Folder &folder)
+{
+    Result<std::unique_ptr<Storage>> storage = Storage::open(folder.path, 1, 1);
+    BOOST_REQUIRE(storage.has_value());
+    pb::Member self;
+    self.set_peer_address("127.0.0.1:1");
+    return std::make_unique<ReplicaNode>(std::move(storage.value()), self, std::map<uint64_t, std::string>(),
+                                         tunables::SnapshotEveryEntries, 1);
+}
+
+// Makes the replica the only member of a new cluster, and waits until it leads.
+void bootstrap(ReplicaNode &node)
+{
+    pb::Membership membership;
+    pb::Member &member = *membership.add_members();
+    member.set_peer_address("127.0.0.1:1");
+    member.set_voter(true);
+    *member.mutable_identity() = toProto(Replica{1, 1});
+    BOOST_REQUIRE(node.bootstrap(7, membership).has_value());
+    const Time end = monotonicNow() + Millis(5000);
+    while (!node.status().leads(monotonicNow()) && monotonicNow() < end)
+        std::this_thread::sleep_for(Millis(10));
+    BOOST_REQUIRE(node.status().leads(monotonicNow()));
+}
+
 // A replica whose calls with entries take long, as on a slow link, and others no time.
 class SlowReplica final : public pb::Peer::Service
 {
@@ -68,19 +94,9 @@
 {
     constexpr size_t maxLogBytes = 16u << 20; // a quarter of the smallest disk
     const Folder folder;
-    Result<std::unique_ptr<Storage>> storage = Storage::open(folder.path, 1, 1);
-    BOOST_REQUIRE(storage.has_value());
-    pb::Member self;
-    self.set_peer_address("127.0.0.1:1");
-    ReplicaNode node(std::move(storage.value()), self, {}, tunables::SnapshotEveryEntries, 1);
-    pb::Membership membership;
-    *membership.add_members() = self;
-    membership.mutable_members(0)->set_voter(true);
-    *membership.mutable_members(0)->mutable_identity() = toProto(Replica{1, 1});
-    BOOST_REQUIRE(node.bootstrap(7, membership).has_value());
-    const Time end = monotonicNow() + Millis(5000);
-    while (!node.status().leads(monotonicNow()) && monotonicNow() < end)
-        std::this_thread::sleep_for(Millis(10));
+    const std::unique_ptr<ReplicaNode> owned = openNode(folder);
+    ReplicaNode &node = *owned;
+    bootstrap(node);
     for (uint64_t version = 1; version <= 30; ++version) {
         pb::Command command;
         command.mutable_put_configuration()->mutable_configuration()->set_version(version);
@@ -93,6 +109,36 @@
     BOOST_TEST(node.withMachine([](const StateMachine &machine) { return machine.configuration().version(); }) == 30u);
 }
 
+// Guards against a replica that has restarted and counts as up to date before it has applied its log: control hosts served routers
+// a list of software versions without the one that had begun the callers' streams.
+BOOST_AUTO_TEST_CASE(replicaIsCurrentOnceItHasAppliedWhatIsCommitted)
+{
+    constexpr uint64_t commands = 4000;
+    const Folder folder;
+    {
+        const std::unique_ptr<ReplicaNode> node = openNode(folder);
+        bootstrap(*node);
+        std::atomic<uint64_t> stored = 0;
+        for (uint64_t n = 1; n <= commands; ++n) {
+            pb::Command command;
+            command.mutable_put_configuration()->mutable_configuration()->set_version(n);
+            node->propose(std::move(command), [&](const Result<pb::CommandResult> &result) { stored += result.has_value() ? 1 : 0; });
+        }
+        const Time end = monotonicNow() + Millis(10000);
+        while (stored < commands && monotonicNow() < end)
+            std::this_thread::sleep_for(Millis(10));
+        BOOST_REQUIRE(stored == commands);
+    }
+    const Time restartedAt = monotonicNow();
+    const std::unique_ptr<ReplicaNode> node = openNode(folder);
+    const Time end = monotonicNow() + Millis(5000);
+    while (node->status().currentAt < restartedAt && monotonicNow() < end)
+        std::this_thread::yield();
+    const uint64_t version = node->withMachine([](const StateMachine &machine) { return machine.configuration().version(); });
+    BOOST_TEST((node->status().currentAt >= restartedAt));
+    BOOST_TEST(version == commands);
+}
+
 // Guards against heartbeats that wait behind large entries for the same replica, so that it takes its leader for lost.
 BOOST_AUTO_TEST_CASE(heartbeatsDoNotWaitForLargeEntries)
 {
