Streams begin at software versions that the replicated log lists, and continue once the list is known

Also possible, by reading: a router asks a control host that has restarted and not yet read its log.

Change: a stream that callers may continue begins only at an endpoint whose version the log lists, or has not listed for 2 s, as without a majority. Control hosts say whether their list is the recorded one, and a continuation of unknown origin waits for such a list before one version is taken for the only one. Builds that keep no list are told apart by their leader's announcement, so that nothing waits for them.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -47,6 +47,7 @@
             continue;
         Endpoint &endpoint = m_endpoints[it.first];
         if (endpoint.announcement.born_ms() != it.second.announcement.born_ms()) {
+            endpoint.announcedAt = it.second.lastSeenAt;
             endpoint.cachedParts.clear();
             endpoint.failedUntil = Time();
             m_reachability.forget(it.first);
@@ -72,6 +73,20 @@
     });
 }
 
+void Balancer::setRecordedSoftware(const pb::RecordSoftware &list, bool kept)
+{
+    m_softwareKept = kept;
+    m_recordedSoftware.clear();
+    for (const pb::SoftwareUse &it : list.uses())
+        m_recordedSoftware.emplace(it.service(), it.version());
+}
+
+bool Balancer::softwareRecorded(const Endpoint &endpoint, Time now) const
+{
+    return !m_softwareKept || m_recordedSoftware.count({endpoint.announcement.service(), endpoint.announcement.software()}) != 0
+        || now >= endpoint.announcedAt + UnrecordedSoftwareWait;
+}
+
 void Balancer::updateCapacity(const LiveEndpoint &endpoint)
 {
     if (endpoint.capacityAt == Time())
@@ -277,6 +292,8 @@
 {
     if (!matches(endpoint, requirements) || !usable(endpoint) || requirements.avoid.count(endpoint.announcement.endpoint()) != 0)
         return false;
+    if (requirements.recordedSoftware && !softwareRecorded(endpoint, now))
+        return false;
     if (requirements.model.empty())
         return true;
     const auto model = endpoint.held.find(requirements.model);
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -27,6 +27,7 @@
     uint32_t promptTokens = 0;
     std::set<std::string> avoid; // endpoints that were tried already
     std::optional<SoftwareVersion> software; // of the endpoint that began the stream, if this continues one
+    bool recordedSoftware = false; // the endpoint's software version must be in the replicated log, as others may continue the stream
 };
 
 // The values behind a choice, for the log.
@@ -71,6 +72,8 @@
 
     // Updates endpoints from the registry.
     void update(const Registry &registry);
+    // Sets the software versions that the replicated log lists. `kept`: the leader keeps that list.
+    void setRecordedSoftware(const pb::RecordSoftware &list, bool kept);
     // Returns the endpoint of lowest cost that can serve the request, if there is one. One that this router can't connect to is
     // returned only as a last resort.
     std::optional<EndpointChoice> choose(const EndpointRequirements &requirements, Time now, bool lastResort = true) const;
@@ -140,6 +143,7 @@
     struct Endpoint {
         pb::Announcement announcement;
         bool usable = false;
+        Time announcedAt{}; // this incarnation for the first time
         std::map<std::string, std::set<std::string>> held; // adapters by model
         std::set<std::string> copies; // models in the memory or on the disk of its host
         std::map<std::string, Time> loading; // from the weight store, with the expected end
@@ -180,6 +184,9 @@
     void applyCapacity(const pb::Announcement &endpoint, const EndpointCapacity &capacity, bool wasLimited, Time toldAt);
     // Returns whether the endpoint belongs to the service and has the software version that the request requires.
     static bool matches(const Endpoint &endpoint, const EndpointRequirements &requirements);
+    // Returns whether all hosts will know of the endpoint's software version, even after a loss of all processes; or may, since the
+    // log has not listed it for long.
+    bool softwareRecorded(const Endpoint &endpoint, Time now) const;
     // Returns whether the endpoint can serve the request once its pause, if it asked for one, is over.
     bool canServe(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const;
     double cost(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const;
@@ -194,6 +201,8 @@
     EndpointReachability m_reachability;
     LimitShare m_limitShare;
     std::map<std::string, Time> m_brittleUntil; // by service
+    std::set<std::pair<std::string, std::string>> m_recordedSoftware; // services and versions
+    bool m_softwareKept = false;
     std::map<ArtifactKey, Demand> m_demands;
 };
 
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -316,15 +316,21 @@
     return true;
 }
 
-Time Registry::ordersAllowedAt() const
+const LiveKeeper *Registry::leader() const
 {
-    const LiveKeeper *leader = nullptr;
+    const LiveKeeper *result = nullptr;
     for (const std::pair<const std::string, LiveKeeper> &it : m_keepers) {
         const uint64_t term = it.second.state.term();
-        if (term > 0 && (leader == nullptr || term > leader->state.term()))
-            leader = &it.second;
+        if (term > 0 && (result == nullptr || term > result->state.term()))
+            result = &it.second;
     }
-    return leader == nullptr ? Time() : leader->lastSeenAt + Millis(leader->state.orders_in_ms());
+    return result;
+}
+
+Time Registry::ordersAllowedAt() const
+{
+    const LiveKeeper *known = leader();
+    return known == nullptr ? Time() : known->lastSeenAt + Millis(known->state.orders_in_ms());
 }
 
 std::vector<std::string> Registry::expire(Time now)
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -223,6 +223,8 @@
 constexpr size_t MaxBufferedBytes = 32u << 20; // of all answers of one router: a fifth of the memory of the smallest hosts
 constexpr size_t MaxReportBytes = 1u << 20; // of an endpoint's heartbeat or report; some 100 bytes for each model
 constexpr Millis StreamVersionRetention = std::chrono::minutes(1); // exceeds the longest stream and its caller's retries
+// For a new software version to be listed in the replicated log before a stream begins there; covers an election.
+constexpr Millis UnrecordedSoftwareWait{2000};
 constexpr size_t MaxStreamVersions = 8192; // some 100 bytes each
 constexpr int MaxSkippedAnswers = 2; // late answers to earlier requests, on one connection
 constexpr int MaxInterimAnswers = 8; // to one request
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -64,6 +64,7 @@
     m_state.set_zone(settings.host.zone);
     m_state.set_disk(m_bootstrapView.disk);
     m_state.set_may_found(m_bootstrapView.mayFound);
+    m_state.set_keeps_software(true);
 }
 
 void ControlPeers::applySettings(const KeeperSettings &settings)
@@ -111,8 +112,8 @@
         if (machine.configuration().version() > known)
             m_table.mergeConfiguration(machine.configuration());
     });
-    m_table.setSoftware(software);
-    // The status was read first: the configuration is at least as new.
+    // The status was read first: the list and the configuration are at least as new.
+    m_table.setSoftware(software, status.currentAt >= m_bootstrapView.startedAt);
     m_table.confirmByLog(status.currentAt);
     logIsolation(status, now);
     recordSoftware(status, software, now);
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -214,8 +214,12 @@
 void EntryApi::applySync(const pb::SyncReply &reply)
 {
     const Time now = monotonicNow();
-    if (reply.has_software())
-        m_software = reply.software();
+    if (reply.has_software() || reply.software_list() != m_softwareList) {
+        m_software = reply.has_software() ? reply.software() : m_software;
+        m_softwareList = reply.software_list();
+        m_balancer.setRecordedSoftware(m_software, m_softwareList != pb::SOFTWARE_LIST_NOT_KEPT);
+        m_forwarder.wakeWaitingRequests();
+    }
     applyConfigurationOf(reply);
     if (reply.busy())
         return;
@@ -223,6 +227,8 @@
     m_version = reply.version();
     const uint64_t previousVersion = m_registry.version();
     m_forwarder.software().record(m_software, now);
+    if (m_softwareList != pb::SOFTWARE_LIST_INCOMPLETE)
+        m_forwarder.setSoftwareKnown();
     // Versions are remembered as of each change of the endpoints: those that are about to leave, and those that come.
     const bool endpointsChange = reply.full() || reply.endpoints_size() > 0;
     if (endpointsChange)
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -44,6 +44,7 @@
     const PlatformCodec &m_codec;
     Registry m_registry; // as received from control hosts
     pb::RecordSoftware m_software; // as the control hosts listed it last
+    pb::SoftwareList m_softwareList = pb::SOFTWARE_LIST_NOT_KEPT;
     Balancer m_balancer;
     RetryLimits m_retries;
     CrashWatch m_crashes;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -148,6 +148,16 @@
 
 // Waits for the first configuration: a host that has just started receives it shortly after its first requests.
 Task<> Forwarder::waitForConfiguration(Request &request)
+{
+    const std::function<bool()> known = [this] {
+        return m_table != nullptr;
+    };
+    co_await waitUntil(request, known);
+    request.table = m_table;
+}
+
+// Waits until the condition holds, which a message of a control host may cause, but only for a part of the caller's time.
+Task<> Forwarder::waitUntil(Request &request, const std::function<bool()> &condition)
 {
     const Time until = request.caller.arrivedAt() + configurationWait(request.metadata.timeout);
     net::steady_timer timer(m_io, until - monotonicNow());
@@ -155,13 +165,12 @@
         timer.cancel();
     };
     m_waitTimers.insert(&timer);
-    while (!m_table && !request.cancellation->cancelled() && monotonicNow() < std::min(until, m_waitDeadline)) {
+    while (!condition() && !request.cancellation->cancelled() && monotonicNow() < std::min(until, m_waitDeadline)) {
         ErrorCode ec;
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
     }
     m_waitTimers.erase(&timer);
     request.cancellation->cancelPending = nullptr;
-    request.table = m_table;
 }
 
 // Detects a caller that closes its connection while its request is in progress.
@@ -186,13 +195,14 @@
     request.requirements.adapter = request.metadata.adapter;
     request.requirements.prompt = request.metadata.prompt;
     request.requirements.promptTokens = request.metadata.promptTokens;
+    request.requirements.recordedSoftware = route.retryPolicy == RetryPolicy::Resume;
     request.fingerprint = fingerprintOf(request.caller.request(), request.metadata);
     request.sharedParts = sharedParts(request.metadata);
     request.progress.retryPolicy = route.retryPolicy;
     request.progress.maxRuns = std::min(route.attempts, request.attemptsLeft.value_or(route.attempts));
     if (request.relayedFrom.empty()) // else it counts where it came from
         m_retries.requestStarted(request.requirements.service, monotonicNow());
-    const bool mayContinue = selectVersion(request);
+    const bool mayContinue = co_await selectVersion(request);
     while (true) {
         std::optional<EndpointChoice> choice;
         if (mayContinue)
@@ -218,24 +228,30 @@
 }
 
 // Requires the software version that began the stream which the request continues, if it continues one. Returns false if
-// that version is not known and several serve, or served a short time ago.
-bool Forwarder::selectVersion(Request &request)
+// that version is not known and several serve, or served a short time ago, or may have.
+Task<bool> Forwarder::selectVersion(Request &request)
 {
     static Counter &unknown = metrics().counter("roserail_continuations_of_unknown_version_total");
     if (request.route->retryPolicy != RetryPolicy::Resume || request.caller.header(LastEventId).empty())
-        return true;
+        co_return true;
     if (!request.relayedFrom.empty() && !request.caller.header(RelaySoftware).empty())
         request.requirements.software = SoftwareVersion(std::string(request.caller.header(RelaySoftware)));
     else
         request.requirements.software = m_streamVersions.find(request.metadata.resumes, monotonicNow());
+    const std::function<bool()> known = [this] {
+        return m_softwareKnown;
+    };
+    if (!request.requirements.software)
+        co_await waitUntil(request, known);
     const ServiceId &service = request.requirements.service;
-    const bool several = m_balancer.hasSeveralSoftwareVersions(service) || m_software.several(service.value(), monotonicNow());
+    const bool several
+        = !m_softwareKnown || m_balancer.hasSeveralSoftwareVersions(service) || m_software.several(service.value(), monotonicNow());
     if (request.requirements.software || !several)
-        return true;
+        co_return true;
     unknown.add();
     request.cause = "this host does not know which software version began the stream; begin a new one";
     request.retryDelay = Millis(0);
-    return false;
+    co_return false;
 }
 
 Task<std::optional<EndpointChoice>> Forwarder::findEndpoint(Request &request)
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -13,6 +13,7 @@
 #include "transport/endpointpool.h"
 
 #include <memory>
+#include <utility>
 
 namespace roserail
 {
@@ -40,6 +41,13 @@
     {
         return m_software;
     }
+    // Called once a control host has shown that its list of software versions is complete. Until then, versions that this router
+    // has not heard of may have begun a stream.
+    void setSoftwareKnown()
+    {
+        if (!std::exchange(m_softwareKnown, true))
+            wakeWaitingRequests();
+    }
     // Records a sync with a control host for the log: its version of the registry, the time, and when the configuration was
     // known to be the newest.
     void recordSync(uint64_t version, Time now, Time currentAt)
@@ -98,6 +106,7 @@
     Task<> run(Request &request);
     Task<> serve(Request &request);
     Task<> waitForConfiguration(Request &request);
+    Task<> waitUntil(Request &request, const std::function<bool()> &condition);
     Task<> forward(Request &request);
     Task<std::optional<EndpointChoice>> findEndpoint(Request &request);
     Task<std::optional<EndpointChoice>> waitForModel(Request &request);
@@ -110,7 +119,7 @@
     Task<EndpointConnectionPtr> connect(std::string endpoint, std::string address);
     Task<> probe(std::string endpoint, std::string address);
     Task<> probeEndpoints();
-    bool selectVersion(Request &request);
+    Task<bool> selectVersion(Request &request);
     Task<bool> confirmIncarnation(Request &request, const EndpointChoice &choice, EndpointConnection &connection);
     static void closeOnCancel(Request &request, EndpointConnection &connection);
     Task<AttemptEnd> exchangeOn(Request &request, const EndpointChoice &choice, EndpointConnectionPtr connection);
@@ -158,6 +167,7 @@
     BufferQuota m_bufferQuota;
     StreamVersions m_streamVersions;
     SoftwareSeen m_software;
+    bool m_softwareKnown = false;
     PeerRouters *m_peers = nullptr; // null: requests are not passed on
     std::string m_self;
     size_t m_active = 0;
--- a/src/transport/livetable.h
+++ b/src/transport/livetable.h
@@ -107,17 +107,19 @@
         if (configuration && m_configuration.merge(*configuration))
             logEvent("configuration", {{"version", delta.version()}, {"base", delta.base()}});
     }
-    // The versions of endpoints' software, as the replicated log lists them.
-    void setSoftware(const pb::RecordSoftware &software)
+    // The versions of endpoints' software, as the replicated log lists them. `complete`: the log was current since this process started.
+    void setSoftware(const pb::RecordSoftware &software, bool complete)
     {
         const std::lock_guard lock(m_mutex);
         m_software = software;
         m_softwareChecksum = softwareChecksum(software);
+        m_softwareComplete = complete;
     }
-    // Sets the list in a reply to a process that has another one.
+    // Sets the list in a reply to a process that has another one, and whether it may lack versions.
     void addSoftwareUnless(uint64_t known, pb::SyncReply &out) const
     {
         const std::lock_guard lock(m_mutex);
+        out.set_software_list(softwareList());
         if (m_softwareChecksum != known)
             *out.mutable_software() = m_software;
     }
@@ -165,6 +167,14 @@
     }
 
 private:
+    pb::SoftwareList softwareList() const
+    {
+        if (!m_softwareComplete)
+            return pb::SOFTWARE_LIST_INCOMPLETE;
+        const LiveKeeper *leader = m_registry.leader();
+        return leader == nullptr || leader->state.keeps_software() ? pb::SOFTWARE_LIST_COMPLETE : pb::SOFTWARE_LIST_NOT_KEPT;
+    }
+
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     Registry m_registry;
@@ -175,6 +185,7 @@
     StalenessWatch m_staleness;
     pb::RecordSoftware m_software;
     uint64_t m_softwareChecksum = 0;
+    bool m_softwareComplete = false;
 
     static constexpr Millis ExpiryInterval{100};
 };
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -51,7 +51,8 @@
 class Router
 {
 public:
-    explicit Router(const std::vector<Known> &endpoints)
+    // `softwareKnown`: a control host has shown that its list of software versions is complete.
+    explicit Router(const std::vector<Known> &endpoints, bool softwareKnown = true)
         : m_server(m_io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
     {
         RouteTable table;
@@ -68,6 +69,8 @@
         }
         m_balancer.update(registry);
         m_retries.setShare(100, 1);
+        if (softwareKnown)
+            m_forwarder.setSoftwareKnown();
         BOOST_REQUIRE(m_server.listen(fmt::format("127.0.0.1:{}", Port)).has_value());
         m_thread = std::thread([this] { m_io.run(); });
     }
@@ -78,6 +81,12 @@
     }
     Router(const Router &) = delete;
     Router &operator=(const Router &) = delete;
+    // Runs `change` on the forwarder after a time.
+    void after(Millis delay, std::function<void(Forwarder &)> change)
+    {
+        std::shared_ptr<net::steady_timer> timer = std::make_shared<net::steady_timer>(m_io, delay);
+        timer->async_wait([this, timer, change = std::move(change)](const ErrorCode &) { change(m_forwarder); });
+    }
 
 private:
     net::io_context m_io{1};
@@ -395,6 +404,46 @@
         BOOST_TEST(endpoints.back().requests().size() == 0u);
 }
 
+struct ListArrival {
+    std::string name;
+    Millis after{0}; // the request began
+    std::vector<std::string> listed; // versions
+    unsigned status = 200;
+};
+
+std::ostream &operator<<(std::ostream &out, const ListArrival &it)
+{
+    return out << it.name;
+}
+
+const std::vector<ListArrival> ListArrivals{
+    {"never", Millis(10000), {}, 503},
+    {"with another version", Millis(100), {"v1", "v2"}, 503},
+    {"with the only version", Millis(100), {"v2"}, 200},
+};
+
+// Guards against a stream that is joined from two versions by a router that has just started: the control host that it asked did
+// not know the version either that began the stream, and the one that serves looked like the only one.
+BOOST_DATA_TEST_CASE(streamIsContinuedOnceAllVersionsAreKnown, bdata::make(ListArrivals), arrival)
+{
+    std::deque<RawEndpoint> endpoints;
+    const std::vector<VersionedEndpoint> versions{{"v2", "v2"}};
+    Router router(startEndpoints(endpoints, versions), false);
+    router.after(arrival.after, [&](Forwarder &forwarder) {
+        pb::RecordSoftware list;
+        for (const std::string &it : arrival.listed) {
+            pb::SoftwareUse &use = *list.add_uses();
+            use.set_service("s");
+            use.set_version(it);
+        }
+        forwarder.software().record(list, monotonicNow());
+        forwarder.setSoftwareKnown();
+    });
+    const ReceivedAnswer answer = call("/resume/x", "1.1", "X-Request-Id: r2\r\nLast-Event-Id: 2\r\nResumes: r1\r\n");
+    BOOST_TEST(answer.status == arrival.status);
+    BOOST_TEST(endpoints.front().requests().size() == (arrival.status == 200 ? 1u : 0u));
+}
+
 // Guards against a check that costs something although all endpoints run one version.
 BOOST_AUTO_TEST_CASE(singleVersionIsNotChecked)
 {
--- a/tests/streamversions_test.cpp
+++ b/tests/streamversions_test.cpp
@@ -1,10 +1,12 @@
 // Unit tests of the memory of which software version began a stream. Load: streams break while endpoints are replaced by a
 // newer version, and their callers come back.
 #define BOOST_TEST_MODULE streamversions
+#include "coordination/balancer.h"
 #include "coordination/softwareseen.h"
 #include "coordination/streamversions.h"
 #include "livestate.h"
 
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
 #include <map>
 #include <rapidcheck.h>
@@ -101,3 +103,47 @@
     BOOST_TEST(softwareChecksum(after.list(Now + Millis(500))) != softwareChecksum(listed));
     BOOST_TEST(softwareChecksum(pb::RecordSoftware()) == 0u);
 }
+
+struct RecordedVersion {
+    std::string name;
+    std::vector<std::string> listed; // versions of the service, in the replicated log
+    bool kept = true; // the leader's build keeps the list
+    Millis announcedFor{0};
+    bool chosen = false;
+};
+
+std::ostream &operator<<(std::ostream &out, const RecordedVersion &it)
+{
+    return out << it.name;
+}
+
+const std::vector<RecordedVersion> RecordedVersions{
+    {"not listed", {}, true, Millis(500), false},
+    {"another one is listed", {"v2"}, true, Millis(500), false},
+    {"listed", {"v1", "v2"}, true, Millis(0), true},
+    {"not listed for long, as without a majority of the control hosts", {}, true, Millis(2000), true},
+    {"the leader keeps no list", {}, false, Millis(0), true},
+};
+
+// Guards against a stream that begins at a software version of which only processes know that may all be killed at once: with no
+// trace of it, the stream is then continued by another version.
+BOOST_DATA_TEST_CASE(streamBeginsAtAVersionThatTheLogLists, boost::unit_test::data::make(RecordedVersions), version)
+{
+    Registry registry(ExpiryTimes, Now);
+    registry.merge(endpointOf("e", "v1"), Now);
+    Balancer balancer("z");
+    balancer.update(registry);
+    pb::RecordSoftware list;
+    for (const std::string &it : version.listed) {
+        pb::SoftwareUse &use = *list.add_uses();
+        use.set_service("s");
+        use.set_version(it);
+    }
+    balancer.setRecordedSoftware(list, version.kept);
+    EndpointRequirements requirements;
+    requirements.service = ServiceId("s");
+    // What no other endpoint may continue goes anywhere.
+    BOOST_TEST(balancer.choose(requirements, Now + version.announcedFor).has_value());
+    requirements.recordedSoftware = true;
+    BOOST_TEST(balancer.choose(requirements, Now + version.announcedFor).has_value() == version.chosen);
+}
