Control hosts limit the changes that they send to routers, and send configurations first

The new log lines show the cause: from 9 to 12 s each of the three control hosts that serve sends 10 to 15 MB/s to routers, more than a link of 100 Mbit/s carries, with hardly a whole list among them (0 to 5 a second); changes of the live state, which no limit held, are 60 to 120 KB a poll. So polls time out (385 of 618 losses of a control host), heartbeats of the core are late (the leader steps down at 11.35 s), and configurations and whole lists, which wait for the budget, are postponed 100 to 400 times a second.

Change: with the budget used up, changes over 4 KB wait for a later poll, which brings them together with newer ones; configurations may use more of the link's backlog than everything else.

changesForManyRoutersLeaveRoomOnTheLink: 48 MB before where 2.5 MB are allowed; configurationIsSentBeforeOtherChanges: none before.

--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -76,6 +76,9 @@
 constexpr size_t MaxConfigurationPieceBytes = 48u << 10;
 constexpr double MaxReplyBytesPerSecond = 8e6; // of one control host to routers; two thirds of a link of 100 Mbit/s
 constexpr Millis MaxReplyBacklog{100}; // behind which a control host still sends large replies; a heartbeat may wait as long
+// The same for configurations, which must not wait for other changes; half of the time without a heartbeat that a follower bears.
+constexpr Millis MaxConfigurationBacklog{250};
+constexpr size_t MaxUnlimitedReplyBytes = 4096; // smaller changes are sent at once; 300 polls a second carry 1.2 MB
 constexpr Millis SyncRetryInterval{100}; // of a router, while no control host that it knows serves it
 constexpr Millis ListTimeout{2000}; // of a poll that brings a whole list: 2.5 MB on a link of 10 Mbit/s
 constexpr Millis SyncTimeout{600}; // a round trip takes 3 ms; after a time-out another control host is asked
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -55,7 +55,8 @@
     // A router without a configuration takes an old one rather than none.
     const bool current = m_disk && !(m_table.isolated(now) && request->configuration() > 0);
     const bool wholeList = request->epoch() != m_epoch;
-    const bool serves = current && (!wholeList || maySend(now));
+    const bool available = maySend(MaxReplyBacklog, now);
+    const bool serves = current && (!wholeList || available);
     // Hosts of the router's own availability zone come first; otherwise routers use different ones.
     std::set<std::tuple<bool, size_t, std::string>> control;
     if (m_disk)
@@ -65,6 +66,8 @@
             registry.merge(request->router(), now);
             if (serves)
                 registry.routerChangesSince(wholeList ? 0 : request->version(), now, *reply);
+            if (serves && !available && reply->ByteSizeLong() > MaxUnlimitedReplyBytes)
+                postponeChanges(*request, *reply);
         }
         if (registry.ordersAllowedAt() > now)
             reply->set_orders_in_ms(uint64_t((registry.ordersAllowedAt() - now).count()));
@@ -76,7 +79,7 @@
     reply->set_epoch(serves ? m_epoch : 0);
     reply->set_busy(current && !serves);
     reply->set_state_age_ms(uint64_t(m_table.stateAge(now).count()));
-    if (request->configuration() < m_table.configurationVersion() && maySend(now))
+    if (request->configuration() < m_table.configurationVersion() && maySend(MaxConfigurationBacklog, now))
         m_table.addConfigurationSince(request->configuration(), request->has_progress() ? &request->progress() : nullptr, *reply);
     for (const std::tuple<bool, size_t, std::string> &it : control)
         reply->add_control(std::get<std::string>(it));
@@ -87,11 +90,21 @@
     return grpc::Status::OK;
 }
 
-bool MeshService::maySend(Time now)
+// Removes the changes of the live state from a reply. The router gets them, together with later ones, with another poll.
+void MeshService::postponeChanges(const pb::SyncRequest &request, pb::SyncReply &reply)
+{
+    reply.clear_endpoints();
+    reply.clear_holdings();
+    reply.clear_routers();
+    reply.clear_full();
+    reply.set_version(request.version());
+}
+
+bool MeshService::maySend(Millis backlog, Time now)
 {
     static Counter &postponed = metrics().counter("roserail_replies_postponed_total");
     const std::lock_guard lock(m_mutex);
-    const bool available = m_replies.available(now, MaxReplyBacklog);
+    const bool available = m_replies.available(now, backlog);
     if (!available) {
         postponed.add();
         ++m_counts.postponed;
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -37,7 +37,8 @@
         size_t referred = 0; // to other control hosts
     };
     void addKeepers(const Registry &registry, Time now, pb::ShareReply &reply) const;
-    bool maySend(Time now);
+    static void postponeChanges(const pb::SyncRequest &request, pb::SyncReply &reply);
+    bool maySend(Millis backlog, Time now);
     void recordReply(const pb::SyncReply &reply, bool wholeList, Time now);
 
     LiveTable &m_table;
--- a/tests/meshclient_test.cpp
+++ b/tests/meshclient_test.cpp
@@ -157,3 +157,73 @@
     for (const std::pair<const std::string, int> &it : firstChoice)
         BOOST_TEST(it.second >= routers / 6);
 }
+
+namespace
+{
+
+// A control host that knows many routers, each with the state of a router that has seen crashes, and a configuration.
+struct BusyHost {
+    BusyHost()
+    {
+        for (int n = 0; n < routers; ++n) {
+            pb::RouterState state;
+            state.set_router(fmt::format("router-{}", n));
+            state.set_incarnation(1);
+            state.set_sequence(1);
+            state.set_accepting(true);
+            for (uint64_t part = 0; part < 64; ++part)
+                state.add_sound_parts(part);
+            table.change([&](Registry &registry) { registry.merge(state, monotonicNow()); });
+        }
+        pb::WholeConfiguration configuration;
+        configuration.set_version(1);
+        configuration.set_content(std::string(1000, 'x'));
+        table.mergeConfiguration(configuration);
+    }
+    // Polls as a router that this host has served before and that lacks everything since.
+    pb::SyncReply poll(int router, uint64_t configuration)
+    {
+        pb::SyncRequest request;
+        request.mutable_router()->set_router(fmt::format("router-{}", router));
+        request.set_epoch(epoch);
+        request.set_configuration(configuration);
+        request.mutable_progress();
+        pb::SyncReply reply;
+        BOOST_REQUIRE(service.Sync(nullptr, &request, &reply).ok());
+        return reply;
+    }
+    static constexpr int routers = 300;
+    static constexpr uint64_t epoch = 1;
+    LiveTable table{HeartbeatTimeouts{Millis(9000), Millis(5000)}, monotonicNow()};
+    MeshService service{table, "10.0.0.1:7380", {"10.0.0.1:7380"}, true, epoch};
+};
+
+} // namespace
+
+// Guards against changes of the live state that fill the link of a control host when all routers poll it: heartbeats of control
+// hosts and configurations were late for seconds.
+BOOST_AUTO_TEST_CASE(changesForManyRoutersLeaveRoomOnTheLink)
+{
+    BusyHost host;
+    size_t bytes = 0;
+    const Time start = monotonicNow();
+    for (int n = 0; n < BusyHost::routers; ++n) {
+        const pb::SyncReply reply = host.poll(n, 1);
+        bytes += reply.ByteSizeLong();
+        // What was left out comes with a later poll.
+        BOOST_REQUIRE((reply.routers_size() > 0 || reply.version() == 0));
+    }
+    const double passedMs = double((monotonicNow() - start + tunables::MaxReplyBacklog).count());
+    const size_t largestReply = size_t(BusyHost::routers) * 700;
+    BOOST_TEST(double(bytes) < tunables::MaxReplyBytesPerSecond * passedMs / 1000 + double(largestReply)
+                   + double(BusyHost::routers * tunables::MaxUnlimitedReplyBytes));
+}
+
+// Guards against a configuration that waits while routers fetch other changes.
+BOOST_AUTO_TEST_CASE(configurationIsSentBeforeOtherChanges)
+{
+    BusyHost host;
+    for (int n = 0; n < 30; ++n)
+        host.poll(n, 1);
+    BOOST_TEST(host.poll(31, 0).has_configuration_piece());
+}
