Any host can continue a stream while several software versions serve, also after a kill of all hosts

Change: while there are several versions, routers report the streams of the last 5 s with their polls, as hashes of their ids; the leader keeps them in the replicated log. A router that does not know a stream asks its control host with its polls, and the request waits for the answer for a part of its time. With one version nothing is sent or kept. A stream that began some 0.3 s before a kill is not in the log yet and is refused.

--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -391,8 +391,10 @@
             continue;
         pb::RouterState &state = *out.add_routers();
         state = it.second.state;
-        if (!filter.all)
+        if (!filter.all) {
             state.clear_demands();
+            state.clear_begun_streams();
+        }
         state.set_age_ms(ageMs(it.second.lastSeenAt, now));
     }
 }
@@ -424,6 +426,7 @@
         pb::RouterState &state = *out.add_routers();
         state = it.second.state;
         state.clear_demands();
+        state.clear_begun_streams();
         // Applied to the announcements here.
         state.clear_advice();
         state.clear_leaving();
--- a/src/coordination/softwareseen.cpp
+++ b/src/coordination/softwareseen.cpp
@@ -1,5 +1,6 @@
 #include "coordination/softwareseen.h"
 
+#include <algorithm>
 #include <xxhash.h>
 
 namespace roserail
@@ -40,6 +41,12 @@
     return n > 1;
 }
 
+bool SoftwareSeen::severalOfAny(Time now) const
+{
+    return std::any_of(m_seenAt.begin(), m_seenAt.end(),
+                       [&](const std::pair<const Use, Time> &it) { return several(it.first.first, now); });
+}
+
 uint64_t softwareChecksum(const pb::RecordSoftware &listed)
 {
     const std::string bytes = listed.SerializeAsString();
--- a/src/coordination/softwareseen.h
+++ b/src/coordination/softwareseen.h
@@ -29,6 +29,8 @@
     pb::RecordSoftware list(Time now);
     // Returns whether several versions of the service were seen within the retention time.
     bool several(const std::string &service, Time now) const;
+    // Returns whether that holds for any service.
+    bool severalOfAny(Time now) const;
 
 private:
     using Use = std::pair<std::string, std::string>; // service and version
--- a/src/coordination/streamversions.h
+++ b/src/coordination/streamversions.h
@@ -1,14 +1,14 @@
-// Software versions of the endpoints that began this router's recent streams, by the id of the request, so that a caller
+// Software versions of the endpoints that began this router's recent streams, and of those that it has asked about, so that a caller
 // who continues a stream in a new request gets no events of another version.
 //
 // Load pattern: streams break while the endpoints of a service are replaced by a newer version, and their callers come back.
 #pragma once
 
-#include "state/types.h"
+#include "mesh.pb.h"
+#include "state/recordedstreams.h"
 
 #include <deque>
 #include <optional>
-#include <string>
 #include <unordered_map>
 
 namespace roserail
@@ -24,9 +24,11 @@
     {
     }
     // Records the version that began a stream. The first record of an id holds.
-    void record(const std::string &requestId, const SoftwareVersion &version, Time now);
+    void record(StreamId stream, const SoftwareVersion &version, Time now);
     // Returns the version that began the stream, if it is known.
-    std::optional<SoftwareVersion> find(const std::string &requestId, Time now) const;
+    std::optional<SoftwareVersion> find(StreamId stream, Time now) const;
+    // Adds the streams that were recorded within `window`, the latest first, to this router's state.
+    void addReports(pb::RouterState &state, Millis window, size_t maxStreams, Time now) const;
 
 private:
     struct Entry {
@@ -35,8 +37,8 @@
     };
     Millis m_retention;
     size_t m_maxStreams;
-    std::unordered_map<std::string, Entry> m_entries;
-    std::deque<std::string> m_order; // ids, oldest first
+    std::unordered_map<StreamId, Entry> m_entries;
+    std::deque<StreamId> m_order; // oldest first
 };
 
 } // namespace roserail
--- a/src/keeper.cpp
+++ b/src/keeper.cpp
@@ -75,6 +75,10 @@
     }
     LiveTable table(HeartbeatTimeouts{tunables::EndpointLivenessTimeout, tunables::RouterLivenessTimeout}, monotonicNow());
     MeshService meshService(table, internal, internalSeeds(settings.host), node != nullptr, randomNumber());
+    if (node)
+        meshService.setStreams([&node](StreamId stream) {
+            return node->withMachine([stream](const StateMachine &machine) { return machine.streams().find(stream); });
+        });
     services.push_back(&meshService);
     const std::unique_ptr<grpc::Server> server = startGrpcServer(internal, services);
     if (!server)
--- a/src/state/machine.cpp
+++ b/src/state/machine.cpp
@@ -81,6 +81,7 @@
         Row{pb::Command::kReportCrash, &StateMachine::reportCrash},
         Row{pb::Command::kPutConfiguration, &StateMachine::putConfiguration},
         Row{pb::Command::kRecordSoftware, &StateMachine::recordSoftware},
+        Row{pb::Command::kRecordStreams, &StateMachine::recordStreams},
     };
     m_clock = std::max(m_clock, WallTime(Millis(int64_t(command.wall_ms()))));
     m_claims.expire(m_clock);
@@ -228,6 +229,12 @@
     return pb::CommandResult();
 }
 
+pb::CommandResult StateMachine::recordStreams(const pb::Command &command)
+{
+    m_streams.apply(command.record_streams());
+    return pb::CommandResult();
+}
+
 // Keeps the highest version. Any other version changes nothing, so that a change can safely be sent again.
 pb::CommandResult StateMachine::putConfiguration(const pb::Command &command)
 {
@@ -250,6 +257,7 @@
         *state.add_changes() = m_changes.at(it);
     *state.mutable_configuration() = m_configuration;
     *state.mutable_software() = m_software;
+    m_streams.save(state);
     m_ledger.save(state);
     m_claims.save(state);
     m_quarantine.save(state);
@@ -279,6 +287,7 @@
     }
     m_configuration = state.configuration();
     m_software = state.software();
+    m_streams.restore(state);
     m_ledger.restore(state);
     m_claims.restore(state);
     m_quarantine.restore(state);
--- a/src/state/machine.h
+++ b/src/state/machine.h
@@ -5,6 +5,7 @@
 #include "state/document.h"
 #include "state/ledger.h"
 #include "state/quarantine.h"
+#include "state/recordedstreams.h"
 
 #include <deque>
 
@@ -40,6 +41,11 @@
     {
         return m_configuration;
     }
+    // The versions that began recent streams.
+    const RecordedStreams &streams() const
+    {
+        return m_streams;
+    }
     // The versions of endpoints' software that serve, or served a short time ago.
     const pb::RecordSoftware &software() const
     {
@@ -76,6 +82,7 @@
     pb::CommandResult reportCrash(const pb::Command &command);
     pb::CommandResult putConfiguration(const pb::Command &command);
     pb::CommandResult recordSoftware(const pb::Command &command);
+    pb::CommandResult recordStreams(const pb::Command &command);
     // Records the result of a change, so that a repetition of it gets the same result.
     void recordChange(const pb::ChangeDocument &change, const pb::CommandResult &result);
 
@@ -88,6 +95,7 @@
     std::deque<std::string> m_changeOrder; // oldest first
     pb::WholeConfiguration m_configuration;
     pb::RecordSoftware m_software;
+    RecordedStreams m_streams;
     Ledger m_ledger;
     Claims m_claims;
     Quarantine m_quarantine;
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -229,6 +229,11 @@
 // For a new software version to be listed in the replicated log before a stream begins there; covers an election.
 constexpr Millis UnrecordedSoftwareWait{2000};
 constexpr size_t MaxStreamVersions = 8192; // some 100 bytes each
+constexpr size_t MaxRecordedStreams = 32768; // of all routers: a minute of 300 routers; 0.3 MB of a snapshot
+constexpr Millis StreamReportTime{
+    5000}; // of the beginning of a stream to the control hosts; several polls, also of a router cut off for seconds
+constexpr size_t MaxStreamsPerReport = 256; // 8 bytes each
+constexpr size_t MaxWantedStreams = 64; // in one poll
 constexpr int MaxSkippedAnswers = 2; // late answers to earlier requests, on one connection
 constexpr int MaxInterimAnswers = 8; // to one request
 constexpr size_t MaxFailedRequestsPerConnection = 64; // 8 bytes each; then a new connection is opened
--- a/src/state/types.h
+++ b/src/state/types.h
@@ -40,6 +40,7 @@
 using Fence = Id<struct FenceTag, uint64_t>;
 using Fingerprint = Id<struct FingerprintTag, uint64_t>;
 using PromptPartId = Id<struct PromptPartTag, uint64_t>;
+using StreamId = Id<struct StreamTag, uint64_t>; // hash of the id of the request that began it
 using SoftwareVersion = Id<struct SoftwareVersionTag>; // of an endpoint's software, not of model weights; empty: not stated
 using Revision = Id<struct RevisionTag, uint64_t>;
 
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -1,6 +1,7 @@
 #include "transport/controlpeers.h"
 
 #include "protocol/log.h"
+#include "state/recordedstreams.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
 
@@ -117,6 +118,7 @@
     m_table.confirmByLog(status.currentAt);
     logIsolation(status, now);
     recordSoftware(status, software, now);
+    recordStreams(status, now);
     if (m_bootstrapView.mayFound && status.clusterId == 0)
         bootstrapIfDue();
 }
@@ -143,6 +145,38 @@
     m_node->propose(std::move(command), [](const Result<pb::CommandResult> &) {});
 }
 
+// As the leader, records the streams that routers have reported, while there are several software versions.
+void ControlPeers::recordStreams(const ReplicaStatus &status, Time now)
+{
+    if (!status.leads(now) || *m_recordingStreams)
+        return;
+    const bool several = m_software.severalOfAny(now);
+    std::map<StreamId, SoftwareVersion> reported;
+    if (several) {
+        m_table.read([&](const Registry &registry) {
+            for (const std::pair<const std::string, LiveRouter> &router : registry.routers()) {
+                for (const pb::BegunStreams &group : router.second.state.begun_streams()) {
+                    for (const uint64_t it : group.streams())
+                        reported.emplace(StreamId(it), SoftwareVersion(group.version()));
+                }
+            }
+        });
+    }
+    pb::Command command;
+    m_node->withMachine([&](const StateMachine &machine) {
+        for (const std::pair<const StreamId, SoftwareVersion> &it : reported) {
+            if (!machine.streams().find(it.first))
+                addStream(*command.mutable_record_streams()->mutable_begun(), it.second, it.first);
+        }
+        if (!several && !machine.streams().empty())
+            command.mutable_record_streams()->set_forget_earlier(true);
+    });
+    if (!command.has_record_streams())
+        return;
+    *m_recordingStreams = true;
+    m_node->propose(std::move(command), [recording = m_recordingStreams](const Result<pb::CommandResult> &) { *recording = false; });
+}
+
 void ControlPeers::logIsolation(const ReplicaStatus &status, Time now)
 {
     const bool isolated = m_table.isolated(now);
--- a/src/transport/controlpeers.h
+++ b/src/transport/controlpeers.h
@@ -37,6 +37,7 @@
     void logIsolation(const ReplicaStatus &status, Time now);
     void bootstrapIfDue();
     void recordSoftware(const ReplicaStatus &status, const pb::RecordSoftware &recorded, Time now);
+    void recordStreams(const ReplicaStatus &status, Time now);
 
     net::io_context &m_io;
     LiveTable &m_table;
@@ -49,6 +50,8 @@
     uint64_t m_softwareTerm = 0; // in which the list of the log was taken over
     uint64_t m_proposedSoftware = 0; // checksum of the list proposed last
     Time m_softwareRetryAt{};
+    // Whether a proposal of streams has no result yet. Shared with its callback, which may run after this object has gone.
+    std::shared_ptr<std::atomic<bool>> m_recordingStreams = std::make_shared<std::atomic<bool>>(false);
     MeshSharer m_sharer;
 };
 
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -202,12 +202,14 @@
         *state.add_crashes() = std::move(it);
     m_crashingParts.addReports(state, monotonicNow());
     m_balancer.advice().addReports(state, monotonicNow());
+    m_forwarder.addStreams(request, monotonicNow());
     request.set_epoch(m_epoch);
     request.set_version(m_version);
     request.set_configuration(m_configuration.version());
     request.set_software(softwareChecksum(m_software));
     *request.mutable_progress() = m_configurationReceiver.progress();
-    m_meshClient->setWaiting(m_balancer.hasWaitingRequests() || !m_forwarder.table() || m_configurationReceiver.receiving());
+    m_meshClient->setWaiting(m_balancer.hasWaitingRequests() || m_forwarder.wantsStreams() || !m_forwarder.table()
+                             || m_configurationReceiver.receiving());
     return request;
 }
 
@@ -221,6 +223,7 @@
         m_forwarder.wakeWaitingRequests();
     }
     applyConfigurationOf(reply);
+    m_forwarder.recordFoundStreams(reply, now);
     if (reply.busy())
         return;
     m_epoch = reply.epoch();
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "coordination/admission.h"
 #include "protocol/log.h"
 #include "protocol/metrics.h"
+#include "state/recordedstreams.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
 #include "transport/forwarderrequest.h"
@@ -237,7 +238,7 @@
     if (!request.relayedFrom.empty() && !request.caller.header(RelaySoftware).empty())
         request.requirements.software = SoftwareVersion(std::string(request.caller.header(RelaySoftware)));
     else
-        request.requirements.software = m_streamVersions.find(request.metadata.resumes, monotonicNow());
+        request.requirements.software = m_streamVersions.find(streamId(request.metadata.resumes), monotonicNow());
     const std::function<bool()> known = [this] {
         return m_softwareKnown;
     };
@@ -246,14 +247,55 @@
     const ServiceId &service = request.requirements.service;
     const bool several
         = !m_softwareKnown || m_balancer.hasSeveralSoftwareVersions(service) || m_software.several(service.value(), monotonicNow());
+    if (!request.requirements.software && several && !request.metadata.resumes.empty())
+        co_await askForVersion(request);
     if (request.requirements.software || !several)
         co_return true;
     unknown.add();
-    request.cause = "this host does not know which software version began the stream; begin a new one";
+    request.cause = "it is not known which software version began the stream; begin a new one";
     request.retryDelay = Millis(0);
     co_return false;
 }
 
+// Waits for a control host to name the version that began the stream. The stream may have begun at another host, or before this process.
+Task<> Forwarder::askForVersion(Request &request)
+{
+    const StreamId stream = streamId(request.metadata.resumes);
+    ++m_wantedStreams[stream];
+    if (m_onWait)
+        m_onWait();
+    const std::function<bool()> found = [this, stream] {
+        return m_streamVersions.find(stream, monotonicNow()).has_value();
+    };
+    co_await waitUntil(request, found);
+    if (--m_wantedStreams[stream] == 0)
+        m_wantedStreams.erase(stream);
+    request.requirements.software = m_streamVersions.find(stream, monotonicNow());
+    const std::string version = request.requirements.software ? request.requirements.software->value() : "unknown";
+    logDecision("stream_version",
+                {{"id", request.metadata.id}, {"resumes", request.metadata.resumes}, {"software", version}, {"known", m_registryVersion}});
+}
+
+void Forwarder::addStreams(pb::SyncRequest &request, Time now) const
+{
+    if (m_software.severalOfAny(now))
+        m_streamVersions.addReports(*request.mutable_router(), StreamReportTime, MaxStreamsPerReport, now);
+    for (const std::pair<const StreamId, size_t> &it : m_wantedStreams) {
+        if (size_t(request.wanted_streams_size()) < MaxWantedStreams)
+            request.add_wanted_streams(it.first.value());
+    }
+}
+
+void Forwarder::recordFoundStreams(const pb::SyncReply &reply, Time now)
+{
+    for (const pb::BegunStreams &group : reply.found_streams()) {
+        for (const uint64_t it : group.streams())
+            m_streamVersions.record(StreamId(it), SoftwareVersion(group.version()), now);
+    }
+    if (reply.found_streams_size() > 0)
+        wakeWaitingRequests();
+}
+
 Task<std::optional<EndpointChoice>> Forwarder::findEndpoint(Request &request)
 {
     if (request.route->stream && monotonicNow() > m_streamStartDeadline) {
@@ -289,6 +331,11 @@
         choice = m_balancer.choose(request.requirements, monotonicNow());
     if (choice)
         co_return choice;
+    if (lacksRecordOnly(request.requirements)) {
+        if (m_onWait)
+            m_onWait();
+        co_return co_await waitForChoice(request, monotonicNow() + UnrecordedSoftwareWait);
+    }
     if (request.requirements.model.empty())
         co_return co_await waitForCapacity(request);
     if (refuseIfPaused(request) || !m_balancer.hasUsableEndpoint(request.requirements))
@@ -301,6 +348,16 @@
     co_return co_await waitForModel(request);
 }
 
+// Returns whether endpoints could serve the request, but their software version is not yet in the replicated log.
+bool Forwarder::lacksRecordOnly(const EndpointRequirements &requirements) const
+{
+    if (!requirements.recordedSoftware)
+        return false;
+    EndpointRequirements any = requirements;
+    any.recordedSoftware = false;
+    return m_balancer.choose(any, monotonicNow()).has_value();
+}
+
 // If all endpoints that can serve the request have asked for a pause, sets the refusal and returns true.
 bool Forwarder::refuseIfPaused(Request &request)
 {
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -48,6 +48,15 @@
         if (!std::exchange(m_softwareKnown, true))
             wakeWaitingRequests();
     }
+    // Adds this router's recent streams to its state while there are several software versions, and the streams to a poll whose versions
+    // it wants to know.
+    void addStreams(pb::SyncRequest &request, Time now) const;
+    // Records the versions of streams that a control host has found.
+    void recordFoundStreams(const pb::SyncReply &reply, Time now);
+    bool wantsStreams() const
+    {
+        return !m_wantedStreams.empty();
+    }
     // Records a sync with a control host for the log: its version of the registry, the time, and when the configuration was
     // known to be the newest.
     void recordSync(uint64_t version, Time now, Time currentAt)
@@ -120,6 +129,7 @@
     Task<> probe(std::string endpoint, std::string address);
     Task<> probeEndpoints();
     Task<bool> selectVersion(Request &request);
+    Task<> askForVersion(Request &request);
     Task<bool> confirmIncarnation(Request &request, const EndpointChoice &choice, EndpointConnection &connection);
     static void closeOnCancel(Request &request, EndpointConnection &connection);
     Task<AttemptEnd> exchangeOn(Request &request, const EndpointChoice &choice, EndpointConnectionPtr connection);
@@ -131,6 +141,7 @@
     Task<> checkForCrash(InterruptedRequest request, EndpointChoice choice);
     void recordAdvice(const Request &request, const EndpointChoice &choice, const struct EndpointAnswer &answer);
     void recordCapacity(const Request &request, const EndpointChoice &choice, const struct EndpointAnswer &answer, Time now);
+    bool lacksRecordOnly(const EndpointRequirements &requirements) const;
     bool refuseIfPaused(Request &request);
     static void refuseRestricted(Request &request, const Restriction &restriction, Time now);
     Task<std::optional<EndpointChoice>> waitForCapacity(Request &request);
@@ -168,6 +179,7 @@
     StreamVersions m_streamVersions;
     SoftwareSeen m_software;
     bool m_softwareKnown = false;
+    std::map<StreamId, size_t> m_wantedStreams; // with the number of requests that continue each
     PeerRouters *m_peers = nullptr; // null: requests are not passed on
     std::string m_self;
     size_t m_active = 0;
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -308,7 +308,7 @@
 {
     const bool chunked = request.caller.request().version() >= 11;
     if (!request.progress.delivered && request.route->retryPolicy == RetryPolicy::Resume)
-        m_streamVersions.record(request.metadata.id, request.software, monotonicNow());
+        m_streamVersions.record(streamId(request.metadata.id), request.software, monotonicNow());
     if (!request.progress.delivered && !chunked)
         request.caller.beginUnframed();
     std::string bytes;
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/log.h"
 #include "protocol/metrics.h"
+#include "state/recordedstreams.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
 #include "transport/program.h"
@@ -86,10 +87,36 @@
     if (control.empty())
         reply->mutable_control()->Add(m_seeds.begin(), m_seeds.end());
     m_table.addSoftwareUnless(request->software(), *reply);
+    addFoundStreams(*request, *reply);
     recordReply(*reply, serves && wholeList, now);
     return grpc::Status::OK;
 }
 
+// Adds the versions of the streams that a router wants to know, from the log, or as routers have reported them since.
+void MeshService::addFoundStreams(const pb::SyncRequest &request, pb::SyncReply &reply) const
+{
+    std::set<StreamId> missing;
+    for (const uint64_t it : request.wanted_streams()) {
+        const std::optional<SoftwareVersion> version = m_findStream ? m_findStream(StreamId(it)) : std::nullopt;
+        if (version)
+            addStream(*reply.mutable_found_streams(), *version, StreamId(it));
+        else
+            missing.emplace(it);
+    }
+    if (missing.empty())
+        return;
+    m_table.read([&](const Registry &registry) {
+        for (const std::pair<const std::string, LiveRouter> &router : registry.routers()) {
+            for (const pb::BegunStreams &group : router.second.state.begun_streams()) {
+                for (const uint64_t it : group.streams()) {
+                    if (missing.count(StreamId(it)) != 0)
+                        addStream(*reply.mutable_found_streams(), SoftwareVersion(group.version()), StreamId(it));
+                }
+            }
+        }
+    });
+}
+
 // Removes the changes of the live state from a reply. The router gets them, together with later ones, with another poll.
 void MeshService::postponeChanges(const pb::SyncRequest &request, pb::SyncReply &reply)
 {
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -23,6 +23,12 @@
 public:
     // Without a disk, Sync only refers routers to other control hosts.
     MeshService(LiveTable &table, std::string self, std::vector<std::string> seeds, bool disk, uint64_t epoch);
+    // Sets the look-up of streams in the replicated log. To be called before the first poll.
+    using FindStream = std::function<std::optional<SoftwareVersion>(StreamId)>;
+    void setStreams(FindStream findStream)
+    {
+        m_findStream = std::move(findStream);
+    }
     grpc::Status Sync(grpc::ServerContext *context, const pb::SyncRequest *request, pb::SyncReply *reply) override;
     grpc::Status Share(grpc::ServerContext *context, const pb::ShareRequest *request, pb::ShareReply *reply) override;
 
@@ -38,6 +44,7 @@
     };
     void addKeepers(const Registry &registry, Time now, pb::ShareReply &reply) const;
     static void postponeChanges(const pb::SyncRequest &request, pb::SyncReply &reply);
+    void addFoundStreams(const pb::SyncRequest &request, pb::SyncReply &reply) const;
     bool maySend(Millis backlog, Time now);
     void recordReply(const pb::SyncReply &reply, bool wholeList, Time now);
 
@@ -46,6 +53,7 @@
     std::vector<std::string> m_seeds; // internal addresses
     bool m_disk;
     uint64_t m_epoch; // identifies this process
+    FindStream m_findStream;
     std::mutex m_mutex;
     ReplyBudget m_replies{tunables::MaxReplyBytesPerSecond}; // under m_mutex
     ReplyCounts m_counts; // since m_countedSince, under m_mutex
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -440,3 +440,79 @@
     Fleet fleet("faults-goes-on", FirstPort + 1600);
     BOOST_TEST(continueAfterAKillOfAllHosts(fleet, false) == 200);
 }
+
+namespace
+{
+
+struct Continuation {
+    std::string name;
+    int ports = 0; // from FirstPort on
+    int entry = 1; // to which the callers come back
+    bool killAllHosts = false; // before they do
+};
+
+std::ostream &operator<<(std::ostream &out, const Continuation &it)
+{
+    return out << it.name;
+}
+
+const std::vector<Continuation> Continuations{
+    {"at another host", 1700, 2, false},
+    {"at the same host after a kill of all hosts", 1800, 1, true},
+    {"at another host after a kill of all hosts", 1900, 2, true},
+};
+
+constexpr int ContinuedStreams = 12;
+
+// Returns the runner that ran the request; 0 if none did.
+int runnerOf(Fleet &fleet, const std::string &id)
+{
+    for (const int n : {1, 2}) {
+        if (fleet.requestRecords(n).contains(id))
+            return n;
+    }
+    return 0;
+}
+
+} // namespace
+
+// Guards against streams that no host but the one where they began can continue while two software versions serve, or no host after
+// a kill of all: most go on, and none at the other version.
+BOOST_DATA_TEST_CASE(mostStreamsGoOnWhileTwoVersionsServe, bdata::make(Continuations), continuation)
+{
+    Fleet fleet(fmt::format("faults-continue-{}", continuation.ports), FirstPort + continuation.ports);
+    startHosts(fleet, {1, 2});
+    fleet.startRunner(1, "engines", "m1", true);
+    fleet.startRunner(2, "engines", "m1", true, "", "v2");
+    BOOST_REQUIRE(configure(fleet, {1, 2}));
+    BOOST_REQUIRE(fleet.waitForEndpoints({1, 2}, 2));
+    std::map<std::string, int> began;
+    for (int n = 0; n < ContinuedStreams; ++n) {
+        const std::string id = fmt::format("stream-{}", n);
+        const httplib::Result result = fleet.sendRequest(1, "/e/events/2/", id, "m1");
+        BOOST_REQUIRE(result);
+        BOOST_TEST(result->status == 200);
+        began[id] = runnerOf(fleet, id);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    if (continuation.killAllHosts) {
+        for (const char *name : {"keeper-1", "keeper-2", "keeper-3", "entry-1", "entry-2"})
+            fleet.kill(name);
+        for (const int n : {1, 2, 3})
+            fleet.startKeeper(n, false);
+        for (const int n : {1, 2})
+            fleet.startEntry(n);
+        BOOST_REQUIRE(fleet.waitUntilReady({1, 2}));
+        BOOST_REQUIRE(fleet.waitForEndpoints({1, 2}, 2));
+    }
+    int continued = 0;
+    for (const std::pair<const std::string, int> &it : began) {
+        const std::string id = "continues-" + it.first;
+        const httplib::Result result
+            = fleet.sendRequest(continuation.entry, "/e/events/5/", id, "m1", {{"Last-Event-Id", "2"}, {"Resumes", it.first}});
+        continued += result && result->status == 200 ? 1 : 0;
+        const int runner = runnerOf(fleet, id);
+        BOOST_TEST((runner == 0 || runner == it.second));
+    }
+    BOOST_TEST(2 * continued >= ContinuedStreams);
+}
--- a/tests/streamversions_test.cpp
+++ b/tests/streamversions_test.cpp
@@ -5,6 +5,8 @@
 #include "coordination/softwareseen.h"
 #include "coordination/streamversions.h"
 #include "livestate.h"
+#include "state/recordedstreams.h"
+#include "state/tunables.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
@@ -27,11 +29,11 @@
 {
     BOOST_TEST(rc::check([](const std::vector<std::tuple<uint8_t, uint8_t, uint8_t>> &steps) {
         StreamVersions streams(Retention, MaxStreams);
-        std::map<std::string, std::pair<SoftwareVersion, Time>> first; // since the last time that the id was not known
+        std::map<StreamId, std::pair<SoftwareVersion, Time>> first; // since the last time that the id was not known
         Time now = Now;
         for (const auto &[id, version, pause] : steps) {
             now += Millis(pause);
-            const std::string request = std::to_string(id % 12);
+            const StreamId request = streamId(std::to_string(id % 12));
             const std::optional<SoftwareVersion> known = streams.find(request, now);
             RC_ASSERT(!known || (*known == first[request].first && now < first[request].second + Retention));
             const SoftwareVersion software("v" + std::to_string(version % 3));
@@ -48,10 +50,10 @@
 {
     StreamVersions streams(Retention, MaxStreams);
     for (int n = 0; n < 8; ++n)
-        streams.record(std::to_string(n), SoftwareVersion("v1"), Now);
+        streams.record(streamId(std::to_string(n)), SoftwareVersion("v1"), Now);
     for (int n = 0; n < 8; ++n)
-        BOOST_TEST(streams.find(std::to_string(n), Now).has_value() == (n >= 3));
-    BOOST_TEST(!streams.find("7", Now + Retention).has_value());
+        BOOST_TEST(streams.find(streamId(std::to_string(n)), Now).has_value() == (n >= 3));
+    BOOST_TEST(!streams.find(streamId("7"), Now + Retention).has_value());
 }
 
 namespace
@@ -147,3 +149,66 @@
     requirements.recordedSoftware = true;
     BOOST_TEST(balancer.choose(requirements, Now + version.announcedFor).has_value() == version.chosen);
 }
+
+namespace
+{
+
+pb::RecordStreams streamsOf(const std::string &version, uint64_t from, uint64_t to, bool forgetEarlier = false)
+{
+    pb::RecordStreams command;
+    command.set_forget_earlier(forgetEarlier);
+    for (uint64_t n = from; n < to; ++n)
+        addStream(*command.mutable_begun(), SoftwareVersion(version), StreamId(n));
+    return command;
+}
+
+} // namespace
+
+// Guards against a version that is recorded twice and differs, and against one that a snapshot loses.
+BOOST_AUTO_TEST_CASE(recordedStreamsSurviveSnapshots)
+{
+    RecordedStreams streams;
+    streams.apply(streamsOf("v1", 0, 10));
+    streams.apply(streamsOf("v2", 5, 15));
+    streams.apply(streamsOf("v1", 15, 20));
+    pb::MachineState state;
+    streams.save(state);
+    BOOST_TEST(state.streams_size() == 3);
+    RecordedStreams restored;
+    restored.restore(state);
+    for (uint64_t n = 0; n < 20; ++n)
+        BOOST_TEST((restored.find(StreamId(n)) == SoftwareVersion(n < 10 || n >= 15 ? "v1" : "v2")));
+    BOOST_TEST(!restored.find(StreamId(20)).has_value());
+    restored.apply(streamsOf("v2", 30, 31, true));
+    BOOST_TEST(!restored.find(StreamId(1)).has_value());
+    BOOST_TEST(restored.find(StreamId(30)).has_value());
+}
+
+// Guards against a log state that grows with the streams of a long release.
+BOOST_AUTO_TEST_CASE(oldestRecordedStreamsAreForgottenFirst)
+{
+    RecordedStreams streams;
+    const uint64_t all = tunables::MaxRecordedStreams + 100;
+    streams.apply(streamsOf("v1", 0, all));
+    BOOST_TEST(!streams.find(StreamId(99)).has_value());
+    BOOST_TEST(streams.find(StreamId(100)).has_value());
+    BOOST_TEST(streams.find(StreamId(all - 1)).has_value());
+}
+
+// Load pattern: a router reports its streams of the last seconds with each poll, and no others.
+BOOST_AUTO_TEST_CASE(recentStreamsAreReported)
+{
+    constexpr Millis window{300};
+    StreamVersions streams(Retention, MaxStreams);
+    for (int n = 0; n < 5; ++n)
+        streams.record(StreamId(uint64_t(n)), SoftwareVersion(n % 2 == 0 ? "v1" : "v2"), Now + n * Millis(100));
+    pb::RouterState state;
+    streams.addReports(state, window, 10, Now + Millis(400));
+    BOOST_REQUIRE(state.begun_streams_size() == 3);
+    BOOST_TEST(state.begun_streams(0).streams(0) == 4u);
+    BOOST_TEST(state.begun_streams(0).version() == "v1");
+    BOOST_TEST(state.begun_streams(2).streams(0) == 2u);
+    state.Clear();
+    streams.addReports(state, window, 1, Now + Millis(400));
+    BOOST_TEST(state.begun_streams_size() == 1);
+}
