--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -58,40 +58,58 @@
     const bool wholeList = request->epoch() != m_epoch;
     const bool available = maySend(MaxReplyBacklog, now);
     const bool serves = current && (!wholeList || available);
-    // Hosts of the router's own availability zone come first; otherwise routers use different ones.
-    std::set<std::tuple<bool, size_t, std::string>> control;
+    bool postponed = current && !serves;
     if (m_disk)
         m_table.expire(now);
     m_table.change([&](Registry &registry) {
-        if (m_disk) {
+        if (m_disk)
             registry.merge(request->router(), now);
-            if (serves)
-                registry.routerChangesSince(wholeList ? 0 : request->version(), now, *reply);
-            if (serves && !available && reply->ByteSizeLong() > MaxUnlimitedReplyBytes)
-                postponeChanges(*request, *reply);
-        }
+        if (serves)
+            registry.routerChangesSince(wholeList ? 0 : request->version(), now, *reply);
         if (registry.ordersAllowedAt() > now)
             reply->set_orders_in_ms(uint64_t((registry.ordersAllowedAt() - now).count()));
-        for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
-            if (it.second.state.disk() && (current || it.first != m_self) && now < it.second.lastSeenAt + KeeperStateMaxAge)
-                control.emplace(it.second.state.zone() != request->router().zone(), spread(request->router().router(), it.first), it.first);
-        }
+        addControlHosts(registry, request->router(), current, now, *reply);
     });
+    if (serves && !available && reply->ByteSizeLong() > MaxUnlimitedReplyBytes) {
+        postponeChanges(*request, *reply);
+        postponed = true;
+    }
     reply->set_epoch(serves ? m_epoch : 0);
     reply->set_busy(current && !serves);
     reply->set_state_age_ms(uint64_t(m_table.stateAge(now).count()));
-    if (request->configuration() < m_table.configurationVersion() && maySend(MaxConfigurationBacklog, now))
-        m_table.addConfigurationSince(request->configuration(), request->has_progress() ? &request->progress() : nullptr, *reply);
-    for (const std::tuple<bool, size_t, std::string> &it : control)
-        reply->add_control(std::get<std::string>(it));
-    if (control.empty())
-        reply->mutable_control()->Add(m_seeds.begin(), m_seeds.end());
+    postponed |= !addConfiguration(*request, now, *reply);
     m_table.addSoftwareUnless(request->software(), *reply);
     addFoundStreams(*request, *reply);
-    recordReply(*reply, serves && wholeList, now);
+    recordReply(*reply, serves && wholeList, postponed, now);
     return grpc::Status::OK;
 }
 
+// Adds the control hosts that serve routers: those of the router's own availability zone first; otherwise routers use different ones.
+void MeshService::addControlHosts(const Registry &registry, const pb::RouterState &router, bool current, Time now,
+                                  pb::SyncReply &reply) const
+{
+    std::set<std::tuple<bool, size_t, std::string>> control;
+    for (const std::pair<const std::string, LiveKeeper> &it : registry.keepers()) {
+        if (it.second.state.disk() && (current || it.first != m_self) && now < it.second.lastSeenAt + KeeperStateMaxAge)
+            control.emplace(it.second.state.zone() != router.zone(), spread(router.router(), it.first), it.first);
+    }
+    for (const std::tuple<bool, size_t, std::string> &it : control)
+        reply.add_control(std::get<std::string>(it));
+    if (control.empty())
+        reply.mutable_control()->Add(m_seeds.begin(), m_seeds.end());
+}
+
+// Adds the next part of the configuration if the router's is older. Returns false if that must wait.
+bool MeshService::addConfiguration(const pb::SyncRequest &request, Time now, pb::SyncReply &reply)
+{
+    if (request.configuration() >= m_table.configurationVersion())
+        return true;
+    if (!maySend(MaxConfigurationBacklog, now))
+        return false;
+    m_table.addConfigurationSince(request.configuration(), request.has_progress() ? &request.progress() : nullptr, reply);
+    return true;
+}
+
 // Adds the versions of the streams that a router wants to know, from the log, or as routers have reported them since.
 void MeshService::addFoundStreams(const pb::SyncRequest &request, pb::SyncReply &reply) const
 {
@@ -129,24 +147,22 @@
 
 bool MeshService::maySend(Millis backlog, Time now)
 {
-    static Counter &postponed = metrics().counter("roserail_replies_postponed_total");
     const std::lock_guard lock(m_mutex);
-    const bool available = m_replies.available(now, backlog);
-    if (!available) {
-        postponed.add();
-        ++m_counts.postponed;
-    }
-    return available;
+    return m_replies.available(now, backlog);
 }
 
 // Counts a reply, and logs the counts of a second in which routers came to this host or were sent on.
-void MeshService::recordReply(const pb::SyncReply &reply, bool wholeList, Time now)
+void MeshService::recordReply(const pb::SyncReply &reply, bool wholeList, bool postponed, Time now)
 {
+    static Counter &allPostponed = metrics().counter("roserail_replies_postponed_total");
+    if (postponed)
+        allPostponed.add();
     const size_t bytes = reply.ByteSizeLong();
     const std::lock_guard lock(m_mutex);
     m_replies.record(bytes, now);
     ++m_counts.replies;
     m_counts.bytes += bytes;
+    m_counts.postponed += postponed ? 1 : 0;
     m_counts.lists += wholeList ? 1 : 0;
     m_counts.listBytes += wholeList ? bytes : 0;
     m_counts.referred += reply.epoch() == 0 && !reply.busy() ? 1 : 0;
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -43,10 +43,12 @@
         size_t referred = 0; // to other control hosts
     };
     void addKeepers(const Registry &registry, Time now, pb::ShareReply &reply) const;
+    void addControlHosts(const Registry &registry, const pb::RouterState &router, bool current, Time now, pb::SyncReply &reply) const;
+    bool addConfiguration(const pb::SyncRequest &request, Time now, pb::SyncReply &reply);
     static void postponeChanges(const pb::SyncRequest &request, pb::SyncReply &reply);
     void addFoundStreams(const pb::SyncRequest &request, pb::SyncReply &reply) const;
     bool maySend(Millis backlog, Time now);
-    void recordReply(const pb::SyncReply &reply, bool wholeList, Time now);
+    void recordReply(const pb::SyncReply &reply, bool wholeList, bool postponed, Time now);
 
     LiveTable &m_table;
     std::string m_self; // internal address
