Tests: hosts are replaced in turn, by another build on request

Streams that routers report are collected by one function for both users of them (no functional change).

--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -327,6 +327,18 @@
     return result;
 }
 
+std::map<StreamId, SoftwareVersion> Registry::begunStreams() const
+{
+    std::map<StreamId, SoftwareVersion> result;
+    for (const std::pair<const std::string, LiveRouter> &router : m_routers) {
+        for (const pb::BegunStreams &group : router.second.state.begun_streams()) {
+            for (const uint64_t it : group.streams())
+                result.emplace(StreamId(it), SoftwareVersion(group.version()));
+        }
+    }
+    return result;
+}
+
 Time Registry::ordersAllowedAt() const
 {
     const LiveKeeper *known = leader();
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -98,6 +98,8 @@
     // Collects changes after a version that routers need.
     void routerChangesSince(uint64_t version, Time now, pb::SyncReply &out) const;
 
+    // Returns the streams that routers report to have begun in the last seconds, with their software versions.
+    std::map<StreamId, SoftwareVersion> begunStreams() const;
     // Returns the control host that announced itself as the leader of the highest term; null if none is known.
     const LiveKeeper *leader() const;
     // Returns the time from which engines may be sent orders, according to the leader of the highest known term.
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -152,16 +152,8 @@
         return;
     const bool several = m_software.severalOfAny(now);
     std::map<StreamId, SoftwareVersion> reported;
-    if (several) {
-        m_table.read([&](const Registry &registry) {
-            for (const std::pair<const std::string, LiveRouter> &router : registry.routers()) {
-                for (const pb::BegunStreams &group : router.second.state.begun_streams()) {
-                    for (const uint64_t it : group.streams())
-                        reported.emplace(StreamId(it), SoftwareVersion(group.version()));
-                }
-            }
-        });
-    }
+    if (several)
+        reported = m_table.read([](const Registry &registry) { return registry.begunStreams(); });
     pb::Command command;
     m_node->withMachine([&](const StateMachine &machine) {
         for (const std::pair<const StreamId, SoftwareVersion> &it : reported) {
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -113,26 +113,18 @@
 // Adds the versions of the streams that a router wants to know, from the log, or as routers have reported them since.
 void MeshService::addFoundStreams(const pb::SyncRequest &request, pb::SyncReply &reply) const
 {
-    std::set<StreamId> missing;
+    std::map<StreamId, SoftwareVersion> reported;
+    if (request.wanted_streams_size() > 0)
+        reported = m_table.read([](const Registry &registry) { return registry.begunStreams(); });
     for (const uint64_t it : request.wanted_streams()) {
-        const std::optional<SoftwareVersion> version = m_findStream ? m_findStream(StreamId(it)) : std::nullopt;
+        const StreamId stream(it);
+        const auto known = reported.find(stream);
+        std::optional<SoftwareVersion> version = m_findStream ? m_findStream(stream) : std::nullopt;
+        if (!version && known != reported.end())
+            version = known->second;
         if (version)
-            addStream(*reply.mutable_found_streams(), *version, StreamId(it));
-        else
-            missing.emplace(it);
+            addStream(*reply.mutable_found_streams(), *version, stream);
     }
-    if (missing.empty())
-        return;
-    m_table.read([&](const Registry &registry) {
-        for (const std::pair<const std::string, LiveRouter> &router : registry.routers()) {
-            for (const pb::BegunStreams &group : router.second.state.begun_streams()) {
-                for (const uint64_t it : group.streams()) {
-                    if (missing.count(StreamId(it)) != 0)
-                        addStream(*reply.mutable_found_streams(), SoftwareVersion(group.version()), StreamId(it));
-                }
-            }
-        }
-    });
 }
 
 // Removes the changes of the live state from a reply. The router gets them, together with later ones, with another poll.
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -44,9 +44,15 @@
 Fleet::Fleet(const std::string &name, int firstPort)
     : Processes(name)
     , m_firstPort(firstPort)
+    , m_programs(ROSERAIL_BUILD)
 {
 }
 
+void Fleet::setBuild(const std::string &programs)
+{
+    m_programs = programs.empty() ? ROSERAIL_BUILD : programs;
+}
+
 std::string Fleet::settings(const std::string &id, const std::string &address) const
 {
     std::string seeds;
@@ -61,7 +67,7 @@
     const std::string text = settings(id, keeperAddress(n)) + fmt::format("metrics: \"{}:{}\"\n", keeperAddress(n), m_firstPort + 60)
         + fmt::format("listen: \"{}:{}\"\ndataFolder: \"{}\"\nmayFound: {}\norderLease: {}ms\n", keeperAddress(n), m_firstPort + 1,
                       (folder() / ("data-" + id)).string(), mayFound, orderLeaseMs);
-    spawn(id, {ROSERAIL_BUILD "/roserail-keeper", writeFile(id + ".yaml", text)});
+    spawn(id, {m_programs + "/roserail-keeper", writeFile(id + ".yaml", text)});
 }
 
 void Fleet::startEntry(int n)
@@ -71,7 +77,7 @@
         + fmt::format("firstStart: true\nlisten: \"127.0.0.1:{}\"\nready: \"127.0.0.1:{}\"\ndirectory: \"127.0.0.1:{}\"\n", entryPort(n),
                       m_firstPort + 20 + n, m_firstPort + 30 + n)
         + fmt::format("relay: \"127.0.0.1:{}\"\n", m_firstPort + 70 + n);
-    spawn(id, {ROSERAIL_BUILD "/roserail-entry", writeFile(id + ".yaml", text)});
+    spawn(id, {m_programs + "/roserail-entry", writeFile(id + ".yaml", text)});
 }
 
 void Fleet::startRunner(int n, const std::string &service, const std::string &models, bool refuseOrders, const std::string &copies,
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -18,6 +18,8 @@
     // The system uses ports from `firstPort` on. Control host N has the address 127.0.0.N.
     Fleet(const std::string &name, int firstPort);
 
+    // Sets the folder of the programs of the hosts that are started from now on; empty: those of this build.
+    void setBuild(const std::string &programs);
     void startKeeper(int n, bool mayFound, int orderLeaseMs = 300);
     void startEntry(int n);
     // `copies`: models that are not loaded, but of which the runner has a copy in host memory and on disk.
@@ -73,6 +75,7 @@
 private:
     std::string settings(const std::string &id, const std::string &address) const;
     int m_firstPort;
+    std::string m_programs;
 };
 
 } // namespace roserail::test
