--- /dev/null
+++ b/review/lib/system.h
@@ -0,0 +1,445 @@
+// A small deployment on loopback for the scripts of this review: machines with an entry and a keeper process each, started with the
+// commands of the deploy file, and runners as the platform's pages describe them. Machine N has the address 127.0.0.N.
+#pragma once
+
+#include "processes.h"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <cstdarg>
+#include <csignal>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <fstream>
+#include <httplib.h>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace review
+{
+
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+using Ms = std::chrono::milliseconds;
+
+inline const Clock::time_point Begin = Clock::now();
+
+inline int64_t nowMs()
+{
+    return std::chrono::duration_cast<Ms>(Clock::now() - Begin).count();
+}
+
+inline void sleepMs(int64_t ms)
+{
+    std::this_thread::sleep_for(Ms(ms));
+}
+
+// Writes lines with the time since the start to record.txt.
+class Record
+{
+public:
+    explicit Record(const std::string &path)
+        : m_out(path)
+    {
+    }
+    void line(const std::string &text)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_out << fmt::format("{:9.3f} s  {}\n", double(nowMs()) / 1000, text) << std::flush;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::ofstream m_out;
+};
+
+inline bool troubleWanted()
+{
+    const char *value = std::getenv("TROUBLE");
+    return value == nullptr || std::string(value) != "0";
+}
+
+inline httplib::Client clientFor(const std::string &host, int port, Ms timeout = Ms(1000))
+{
+    httplib::Client client(host, port);
+    client.set_connection_timeout(timeout);
+    client.set_read_timeout(timeout);
+    client.set_write_timeout(timeout);
+    client.set_keep_alive(false);
+    return client;
+}
+
+// Returns a port from which on `count` ports are free on the addresses of all machines.
+inline int findFreePorts(int machines, int count)
+{
+    for (int base = 20000 + int(::getpid()) % 5000; base < 32000; base += count) {
+        bool free = true;
+        for (int n = 1; free && n <= machines; ++n) {
+            for (int port = base; free && port < base + count; ++port) {
+                const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+                sockaddr_in address{};
+                address.sin_family = AF_INET;
+                address.sin_port = htons(uint16_t(port));
+                ::inet_pton(AF_INET, fmt::format("127.0.0.{}", n).c_str(), &address.sin_addr);
+                free = ::bind(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+                ::close(fd);
+            }
+        }
+        if (free)
+            return base;
+    }
+    return 0;
+}
+
+// The project's own programs. Machines 1 to 3 have a disk and are the seeds; the others have none.
+class Deployment : public roserail::test::Processes
+{
+public:
+    static constexpr int Disks = 3;
+    static constexpr int PortsPerMachine = 60;
+
+    Deployment(const std::string &name, int machines, Record &record)
+        : Processes(name)
+        , m_machines(machines)
+        , m_base(findFreePorts(machines, PortsPerMachine))
+        , m_record(record)
+    {
+    }
+    static std::string address(int machine)
+    {
+        return fmt::format("127.0.0.{}", machine);
+    }
+    static std::string entry(int machine)
+    {
+        return fmt::format("entry-{}", machine);
+    }
+    static std::string keeper(int machine)
+    {
+        return fmt::format("keeper-{}", machine);
+    }
+    int controlPort() const
+    {
+        return m_base + 1;
+    }
+    int listenPort() const
+    {
+        return m_base + 4;
+    }
+    int runnerPort(int runner) const
+    {
+        return m_base + 20 + runner;
+    }
+    int machines() const
+    {
+        return m_machines;
+    }
+    bool hasPorts() const
+    {
+        return m_base != 0;
+    }
+    void startKeeper(int n, bool bootstrap)
+    {
+        std::string text = host(n, 3) + fmt::format("listen: \"{}:{}\"\n", address(n), controlPort());
+        if (n <= Disks)
+            text += fmt::format("dataFolder: \"{}\"\n", (folder() / fmt::format("data-{}", n)).string());
+        text += fmt::format("mayFound: {}\nlossesToBear: 1\norderLease: 3000ms\n", bootstrap);
+        spawn(keeper(n), {"target/roserail-keeper", writeFile(keeper(n) + ".yaml", text)});
+    }
+    void startEntry(int n, bool bootstrap)
+    {
+        const std::string text = host(n, 8)
+            + fmt::format("listen: \"{0}:{1}\"\nready: \"{0}:{2}\"\ndirectory: \"{0}:{3}\"\nrelay: \"{0}:{4}\"\n", address(n), m_base + 4,
+                          m_base + 5, m_base + 6, m_base + 7)
+            + fmt::format("retryRatio: 0.2\nretrySlack: 60\nretryWindow: 10s\nfirstStart: {}\n", bootstrap);
+        spawn(entry(n), {"target/roserail-entry", writeFile(entry(n) + ".yaml", text)});
+    }
+    void startAll()
+    {
+        for (int n = 1; n <= m_machines; ++n) {
+            startKeeper(n, true);
+            startEntry(n, true);
+        }
+    }
+    // Sends a configuration as the operator does, to one node after another, and follows redirects. Returns whether it is acknowledged.
+    bool putConfiguration(const Json &configuration)
+    {
+        const std::string body = configuration.dump();
+        return roserail::test::eventually(
+            [&] {
+                for (int n = 1; n <= m_machines; ++n) {
+                    httplib::Client client = clientFor(address(n), controlPort(), Ms(2000));
+                    client.set_follow_location(true);
+                    const httplib::Result result = client.Put("/api/config", body, "application/json");
+                    if (result && result->status == 200) {
+                        m_record.line(fmt::format("operator: version {} acknowledged", configuration["version"].get<int>()));
+                        return true;
+                    }
+                }
+                return false;
+            },
+            Ms(15000));
+    }
+    bool ready(int n)
+    {
+        const httplib::Result result = clientFor(address(n), m_base + 5).Get("/api/readyz");
+        return result && result->status == 200;
+    }
+    bool waitUntilReady()
+    {
+        return roserail::test::eventually(
+            [&] {
+                for (int n = 1; n <= m_machines; ++n) {
+                    if (!ready(n))
+                        return false;
+                }
+                return true;
+            },
+            Ms(15000));
+    }
+
+private:
+    std::string host(int n, int metrics) const
+    {
+        std::string seeds;
+        for (int i = 1; i <= Disks; ++i)
+            seeds += fmt::format("{}\"{}:{}\"", i == 1 ? "" : ", ", address(i), controlPort());
+        return fmt::format("id: machine-{0}\nzone: z{1}\naddress: {2}\nseeds: [{3}]\ninternalPort: {4}\nmetrics: \"{2}:{5}\"\ngrace: 8s\n", n,
+                           (n - 1) % 3 + 1, address(n), seeds, m_base + 2, m_base + metrics);
+    }
+
+    int m_machines;
+    int m_base;
+    Record &m_record;
+};
+
+// A configuration with routes to one engine service and one plain service, with the values of the pages' example.
+inline Json configuration(int version)
+{
+    Json models = Json::array();
+    for (const char *name : {"m1", "m2"})
+        models.push_back(Json{{"name", name},
+                              {"weights_mb", 42700.0},
+                              {"load_time_s", 6.0},
+                              {"adapters", 0},
+                              {"adapter_size_mb", 66.0},
+                              {"warm_s", 0.44},
+                              {"disk_load_s", 0.57}});
+    const Json engine{{"slots", 64},          {"kv_capacity", 166161}, {"kv_bytes", 163840}, {"models", models}, {"weights_mb", 200000.0},
+                      {"adapter_slots", 8}, {"loads_per_s", 4.3}};
+    const Json services = Json::array({Json{{"name", "taalhulp"},
+                                            {"health_path", "/healthz"},
+                                            {"max_connections", 380},
+                                            {"protocol", "h1"},
+                                            {"tls", false},
+                                            {"engine", engine}},
+                                       Json{{"name", "dossier"},
+                                            {"health_path", "/healthz"},
+                                            {"max_connections", 120},
+                                            {"protocol", "h1"},
+                                            {"tls", false}}});
+    const auto route = [](const char *name, const char *prefix, const char *type, int timeoutMs, int targetMs, const char *service,
+                          int attempts) {
+        return Json{{"name", name},
+                    {"host", "h.example"},
+                    {"path_prefix", prefix},
+                    {"type", type},
+                    {"timeout_ms", timeoutMs},
+                    {"target_latency_ms", targetMs},
+                    {"priority", 0},
+                    {"service", service},
+                    {"max_attempts", attempts}};
+    };
+    Json guide = route("stap-gids", "/guide/", "streaming", 25000, 2500, "taalhulp", 2);
+    guide["session_affinity"] = true;
+    guide["resumable"] = true;
+    guide["gap_target_ms"] = 250;
+    const Json routes = Json::array({guide, route("reset-actie", "/reset/", "unsafe", 1000, 100, "dossier", 1),
+                                     route("status-lees", "/status/", "safe", 1000, 100, "dossier", 2)});
+    return Json{{"version", version},
+                {"routes", routes},
+                {"services", services},
+                {"limits",
+                 {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}}};
+}
+
+struct RunnerOptions {
+    std::string id;
+    std::string service;
+    std::string software = "v1";
+    int port = 0;
+    std::set<std::string> models;
+    std::vector<std::string> control; // addresses of nodes that serve control; the first is called until a call fails
+    int controlPort = 0;
+    int events = 40; // of a stream
+    int eventPauseMs = 150;
+    int workMs = 15; // of a plain answer
+};
+
+// A runner: sends heartbeats, runs plain requests and streams, refuses requests meant for another runner or a model that it lacks.
+// It accepts no orders to load, as if one were always in progress.
+class Runner
+{
+public:
+    struct Arrival {
+        int64_t atMs = 0;
+        std::string id;
+        std::string lastEventId;
+    };
+
+    Runner(RunnerOptions options, Record &record)
+        : m_options(std::move(options))
+        , m_record(record)
+    {
+        m_server.new_task_queue = [] {
+            return new httplib::ThreadPool(64);
+        };
+        m_server.Get("/api/report", [this](const httplib::Request &, httplib::Response &response) {
+            response.set_content(describe(0).dump(), "application/json");
+        });
+        m_server.Post("/api/order", [](const httplib::Request &, httplib::Response &response) { response.status = 409; });
+        const auto handler = [this](const httplib::Request &request, httplib::Response &response) {
+            run(request, response);
+        };
+        m_server.Get("/.*", handler);
+        m_server.Post("/.*", handler);
+        m_serving = std::thread([this] { m_server.listen("127.0.0.1", m_options.port); });
+        while (!m_server.is_running())
+            sleepMs(1);
+        m_beating = std::thread([this] { beat(); });
+    }
+    ~Runner()
+    {
+        m_stopBeating = true;
+        m_beating.join();
+        exit();
+    }
+    void stopHeartbeats()
+    {
+        m_stopBeating = true;
+    }
+    // Says that it leaves: DELETE, without having reported `draining` before. Returns whether the node has acknowledged it.
+    bool withdraw(const std::string &controlAddress)
+    {
+        const httplib::Result result
+            = clientFor(controlAddress, m_options.controlPort).Delete("/api/instances/" + m_options.id, "", "application/json");
+        return result && result->status / 100 == 2;
+    }
+    // Ends the runner: its port is closed.
+    void exit()
+    {
+        m_server.stop();
+        if (m_serving.joinable())
+            m_serving.join();
+    }
+    std::vector<Arrival> arrivals()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_arrivals;
+    }
+    const RunnerOptions &options() const
+    {
+        return m_options;
+    }
+
+private:
+    Json describe(int64_t sequence)
+    {
+        Json models = Json::array();
+        for (const std::string &it : m_options.models)
+            models.push_back(Json{{"name", it}, {"version", 1}, {"adapters", Json::array()}});
+        return Json{{"service", m_options.service},
+                    {"address", fmt::format("127.0.0.1:{}", m_options.port)},
+                    {"zone", "z1"},
+                    {"version", m_options.software},
+                    {"slots", m_options.models.empty() ? 6 : 64},
+                    {"state", "ready"},
+                    {"cold_remaining_ms", 0},
+                    {"stage", "combined"},
+                    {"models", models},
+                    {"available", {{"in_memory", m_options.models}, {"on_disk", m_options.models}}},
+                    {"busy", false},
+                    {"queued", 0},
+                    {"active", 0},
+                    {"kv_used", 0},
+                    {"kv_total", 166161},
+                    {"handles", 0},
+                    {"pending", Json::array()},
+                    {"born", m_born},
+                    {"sequence", sequence}};
+    }
+    void beat()
+    {
+        size_t node = 0;
+        int64_t sequence = 0;
+        while (!m_stopBeating) {
+            const std::string body = describe(++sequence).dump();
+            for (size_t i = 0; i < m_options.control.size(); ++i) {
+                const httplib::Result result = clientFor(m_options.control[node], m_options.controlPort)
+                                                   .Put("/api/instances/" + m_options.id, body, "application/json");
+                if (result && result->status / 100 == 2)
+                    break;
+                node = (node + 1) % m_options.control.size();
+            }
+            for (int waited = 0; waited < 1200 && !m_stopBeating; waited += 10)
+                sleepMs(10);
+        }
+    }
+    void run(const httplib::Request &request, httplib::Response &response)
+    {
+        const std::string id = request.get_header_value("X-Request-Id");
+        response.set_header("X-Request-Id", id);
+        const std::string expected = request.get_header_value("X-Expect-Instance");
+        const std::string model = request.get_header_value("X-Model");
+        if ((!expected.empty() && expected != m_options.id) || (!model.empty() && m_options.models.count(model) == 0)) {
+            response.status = 421;
+            response.set_header("X-Not-Executed", "1");
+            return;
+        }
+        const std::string lastEventId = request.get_header_value("Last-Event-Id");
+        {
+            const std::lock_guard lock(m_mutex);
+            m_arrivals.push_back(Arrival{nowMs(), id, lastEventId});
+        }
+        m_record.line(fmt::format("runner {} ({}) runs {} {}", m_options.id, m_options.software, id,
+                                  lastEventId.empty() ? "" : "from Last-Event-Id " + lastEventId));
+        if (!m_options.models.empty())
+            ++m_running;
+        response.set_header("X-Server-Seal", fmt::format("{}.{}", m_options.id, id));
+        response.set_header("X-Server-Load", m_options.models.empty() ? "1,0,6" : fmt::format("{},0,64", int(m_running)));
+        if (m_options.models.empty()) {
+            sleepMs(m_options.workMs);
+            response.set_content("answer of " + m_options.id, "text/plain");
+            return;
+        }
+        response.set_header("X-Weight-Versions", "1");
+        const std::shared_ptr<void> running(nullptr, [this](void *) { --m_running; });
+        response.set_chunked_content_provider("text/event-stream", [this, running, n = std::atoi(lastEventId.c_str())](size_t, httplib::DataSink &sink) mutable {
+            ++n;
+            const std::string event = fmt::format("id: {}\ndata: {} {}\n\n", n, m_options.id, m_options.software);
+            if (!sink.write(event.data(), event.size()))
+                return false;
+            if (n >= m_options.events)
+                sink.done();
+            else
+                sleepMs(m_options.eventPauseMs);
+            return true;
+        });
+    }
+
+    RunnerOptions m_options;
+    Record &m_record;
+    httplib::Server m_server;
+    std::thread m_serving;
+    std::thread m_beating;
+    std::atomic<bool> m_stopBeating{false};
+    std::mutex m_mutex;
+    std::vector<Arrival> m_arrivals;
+    std::atomic<int> m_running{0}; // streams
+    int64_t m_born = std::chrono::duration_cast<Ms>(std::chrono::system_clock::now().time_since_epoch()).count();
+};
+
+} // namespace review
