--- a/review/lib/system.h
+++ b/review/lib/system.h
@@ -14,6 +14,7 @@
 #include <httplib.h>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <sys/socket.h>
 #include <thread>
@@ -183,6 +184,31 @@
             },
             Ms(15000));
     }
+    // Returns the memory of a process as the platform counts it, without the pages of its program and libraries; 0 if it doesn't run.
+    int64_t memoryKb(const std::string &process)
+    {
+        int &pid = m_pidsByName[process];
+        if (pid == 0) {
+            const std::string file = (folder() / (process + ".yaml")).string();
+            for (const std::filesystem::directory_entry &it : std::filesystem::directory_iterator("/proc")) {
+                std::ifstream in(it.path() / "cmdline");
+                const std::string command((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+                if (command.find(file) != std::string::npos && command.rfind("target/", 0) == 0)
+                    pid = std::atoi(it.path().filename().c_str());
+            }
+        }
+        std::ifstream in(fmt::format("/proc/{}/status", pid));
+        for (std::string line; std::getline(in, line);) {
+            if (line.rfind("RssAnon:", 0) == 0)
+                return std::atoll(line.c_str() + 8);
+        }
+        pid = 0;
+        return 0;
+    }
+    void forgetPid(const std::string &process)
+    {
+        m_pidsByName[process] = 0;
+    }
     bool ready(int n)
     {
         const httplib::Result result = clientFor(address(n), m_base + 5).Get("/api/readyz");
@@ -214,6 +240,7 @@
     int m_machines;
     int m_base;
     Record &m_record;
+    std::map<std::string, int> m_pidsByName;
 };
 
 // A configuration with routes to one engine service and one plain service, with the values of the pages' example.
@@ -257,7 +284,11 @@
     guide["session_affinity"] = true;
     guide["resumable"] = true;
     guide["gap_target_ms"] = 250;
-    const Json routes = Json::array({guide, route("reset-actie", "/reset/", "unsafe", 1000, 100, "dossier", 1),
+    Json chat = route("chat-reply", "/chat/", "streaming", 12000, 300, "taalhulp", 1);
+    chat["session_affinity"] = true;
+    chat["resumable"] = false;
+    chat["gap_target_ms"] = 250;
+    const Json routes = Json::array({guide, chat, route("reset-actie", "/reset/", "unsafe", 1000, 100, "dossier", 1),
                                      route("status-lees", "/status/", "safe", 1000, 100, "dossier", 2)});
     return Json{{"version", version},
                 {"routes", routes},
@@ -277,10 +308,13 @@
     int events = 40; // of a stream
     int eventPauseMs = 150;
     int workMs = 15; // of a plain answer
+    std::set<std::string> diskCopies{}; // models that its disk has beside those it holds
+    bool acceptsOrders = false;
+    int heartbeatDelayMs = 0; // by which its heartbeats arrive late
 };
 
 // A runner: sends heartbeats, runs plain requests and streams, refuses requests meant for another runner or a model that it lacks.
-// It accepts no orders to load, as if one were always in progress.
+// Unless it accepts orders to load, it answers them as if one were always in progress.
 class Runner
 {
 public:
@@ -298,9 +332,10 @@
             return new httplib::ThreadPool(64);
         };
         m_server.Get("/api/report", [this](const httplib::Request &, httplib::Response &response) {
-            response.set_content(describe(0).dump(), "application/json");
+            const std::lock_guard lock(m_mutex);
+            response.set_content(describe(m_orders).dump(), "application/json");
         });
-        m_server.Post("/api/order", [](const httplib::Request &, httplib::Response &response) { response.status = 409; });
+        m_server.Post("/api/order", [this](const httplib::Request &request, httplib::Response &response) { order(request, response); });
         const auto handler = [this](const httplib::Request &request, httplib::Response &response) {
             run(request, response);
         };
@@ -328,6 +363,13 @@
             = clientFor(controlAddress, m_options.controlPort).Delete("/api/instances/" + m_options.id, "", "application/json");
         return result && result->status / 100 == 2;
     }
+    // Ends the runner at once: its answers are broken off, and its port is closed.
+    void crash()
+    {
+        m_crashed = true;
+        m_stopBeating = true;
+        exit();
+    }
     // Ends the runner: its port is closed.
     void exit()
     {
@@ -346,8 +388,34 @@
     }
 
 private:
+    // Carries out an order after its load time, if it was planned for the number of orders accepted so far.
+    void order(const httplib::Request &request, httplib::Response &response)
+    {
+        const std::lock_guard lock(m_mutex);
+        finishOrder();
+        const Json body = Json::parse(request.body);
+        response.status = 409;
+        const bool expected = body.value("expect", m_orders) == m_orders;
+        if (m_options.acceptsOrders && !m_ordered && expected && body.value("operation", "") == "load") {
+            ++m_orders;
+            m_ordered = body["model"].get<std::string>();
+            m_orderDoneAt = nowMs() + 570;
+            response.status = 202;
+        }
+        m_record.line(fmt::format("runner {} ({}) answers {} to the order {}", m_options.id, m_options.software, response.status, request.body));
+    }
+    void finishOrder()
+    {
+        if (!m_ordered || nowMs() < m_orderDoneAt)
+            return;
+        m_options.models.insert(*m_ordered);
+        m_ordered.reset();
+    }
     Json describe(int64_t sequence)
     {
+        finishOrder();
+        std::set<std::string> copies = m_options.diskCopies;
+        copies.insert(m_options.models.begin(), m_options.models.end());
         Json models = Json::array();
         for (const std::string &it : m_options.models)
             models.push_back(Json{{"name", it}, {"version", 1}, {"adapters", Json::array()}});
@@ -355,13 +423,13 @@
                     {"address", fmt::format("127.0.0.1:{}", m_options.port)},
                     {"zone", "z1"},
                     {"version", m_options.software},
-                    {"slots", m_options.models.empty() ? 6 : 64},
+                    {"slots", m_options.service == "dossier" ? 6 : 64},
                     {"state", "ready"},
                     {"cold_remaining_ms", 0},
                     {"stage", "combined"},
                     {"models", models},
-                    {"available", {{"in_memory", m_options.models}, {"on_disk", m_options.models}}},
-                    {"busy", false},
+                    {"available", {{"in_memory", m_options.models}, {"on_disk", copies}}},
+                    {"busy", m_ordered.has_value()},
                     {"queued", 0},
                     {"active", 0},
                     {"kv_used", 0},
@@ -376,7 +444,12 @@
         size_t node = 0;
         int64_t sequence = 0;
         while (!m_stopBeating) {
-            const std::string body = describe(++sequence).dump();
+            const std::string body = [&] {
+                const std::lock_guard lock(m_mutex);
+                return describe(++sequence).dump();
+            }();
+            for (int waited = 0; waited < m_options.heartbeatDelayMs && !m_stopBeating; waited += 10)
+                sleepMs(10);
             for (size_t i = 0; i < m_options.control.size(); ++i) {
                 const httplib::Result result = clientFor(m_options.control[node], m_options.controlPort)
                                                    .Put("/api/instances/" + m_options.id, body, "application/json");
@@ -394,7 +467,13 @@
         response.set_header("X-Request-Id", id);
         const std::string expected = request.get_header_value("X-Expect-Instance");
         const std::string model = request.get_header_value("X-Model");
-        if ((!expected.empty() && expected != m_options.id) || (!model.empty() && m_options.models.count(model) == 0)) {
+        const bool engine = !model.empty();
+        const bool holds = [&] {
+            const std::lock_guard lock(m_mutex);
+            finishOrder();
+            return model.empty() || m_options.models.count(model) != 0;
+        }();
+        if ((!expected.empty() && expected != m_options.id) || !holds) {
             response.status = 421;
             response.set_header("X-Not-Executed", "1");
             return;
@@ -406,11 +485,11 @@
         }
         m_record.line(fmt::format("runner {} ({}) runs {} {}", m_options.id, m_options.software, id,
                                   lastEventId.empty() ? "" : "from Last-Event-Id " + lastEventId));
-        if (!m_options.models.empty())
+        if (engine)
             ++m_running;
         response.set_header("X-Server-Seal", fmt::format("{}.{}", m_options.id, id));
-        response.set_header("X-Server-Load", m_options.models.empty() ? "1,0,6" : fmt::format("{},0,64", int(m_running)));
-        if (m_options.models.empty()) {
+        response.set_header("X-Server-Load", !engine ? "1,0,6" : fmt::format("{},0,64", int(m_running)));
+        if (!engine) {
             sleepMs(m_options.workMs);
             response.set_content("answer of " + m_options.id, "text/plain");
             return;
@@ -420,7 +499,7 @@
         response.set_chunked_content_provider("text/event-stream", [this, running, n = std::atoi(lastEventId.c_str())](size_t, httplib::DataSink &sink) mutable {
             ++n;
             const std::string event = fmt::format("id: {}\ndata: {} {}\n\n", n, m_options.id, m_options.software);
-            if (!sink.write(event.data(), event.size()))
+            if (m_crashed || !sink.write(event.data(), event.size()))
                 return false;
             if (n >= m_options.events)
                 sink.done();
@@ -439,6 +518,10 @@
     std::mutex m_mutex;
     std::vector<Arrival> m_arrivals;
     std::atomic<int> m_running{0}; // streams
+    std::atomic<bool> m_crashed{false};
+    int64_t m_orders = 0; // accepted
+    std::optional<std::string> m_ordered; // model that is being loaded
+    int64_t m_orderDoneAt = 0;
     int64_t m_born = std::chrono::duration_cast<Ms>(std::chrono::system_clock::now().time_since_epoch()).count();
 };
 
