--- a/review/lib/streams.h
+++ b/review/lib/streams.h
@@ -23,20 +23,22 @@
 };
 
 // Sends a request of a resumable stream and adds the events of the answer. Returns how the answer ended.
-inline std::string tryStream(Deployment &deployment, int machine, const std::string &id, const std::string &resumes, int maxPieces, Stream &stream,
-                             const std::string &model = "m1")
+inline std::string tryStream(Deployment &deployment, int machine, const std::string &id, const std::string &resumes, int maxPieces,
+                             Stream &stream, const std::string &model = "m1")
 {
     httplib::Request request;
     request.method = "POST";
     request.path = "/guide/x";
     request.body = "prompt of " + stream.id;
-    request.headers = {{"Host", "h.example"},
-                       {"X-Request-Id", id},
-                       {"X-Deadline-Ms", "25000"},
-                       {"X-Model", model},
-                       {"X-Token-Count", "826,290"},
-                       {"X-Prefix-Hash", fmt::format("{:x}:198,{:x}:628", std::hash<std::string>()(stream.id), std::hash<std::string>()(stream.id + "session"))},
-                       {"Content-Type", "application/json"}};
+    request.headers
+        = {{"Host", "h.example"},
+           {"X-Request-Id", id},
+           {"X-Deadline-Ms", "25000"},
+           {"X-Model", model},
+           {"X-Token-Count", "826,290"},
+           {"X-Prefix-Hash",
+            fmt::format("{:x}:198,{:x}:628", std::hash<std::string>()(stream.id), std::hash<std::string>()(stream.id + "session"))},
+           {"Content-Type", "application/json"}};
     if (!resumes.empty()) {
         request.headers.emplace("Last-Event-Id", std::to_string(stream.pieces.back().id));
         request.headers.emplace("Resumes", resumes);
--- a/review/lib/system.h
+++ b/review/lib/system.h
@@ -6,8 +6,8 @@
 
 #include <arpa/inet.h>
 #include <atomic>
-#include <cstdarg>
 #include <csignal>
+#include <cstdarg>
 #include <cstdlib>
 #include <fmt/format.h>
 #include <fstream>
@@ -77,7 +77,10 @@
 // Returns a port from which on `count` ports are free on the addresses of all machines.
 inline int findFreePorts(int machines, int count)
 {
-    for (int base = 20000 + int(::getpid()) % 5000; base < 32000; base += count) {
+    // Processes that start at the same time begin at different ports.
+    const int first = int(::getpid()) % 190;
+    for (int i = 0; i < 190; ++i) {
+        const int base = 20000 + (first + i) % 190 * count;
         bool free = true;
         for (int n = 1; free && n <= machines; ++n) {
             for (int port = base; free && port < base + count; ++port) {
@@ -233,8 +236,8 @@
         std::string seeds;
         for (int i = 1; i <= Disks; ++i)
             seeds += fmt::format("{}\"{}:{}\"", i == 1 ? "" : ", ", address(i), controlPort());
-        return fmt::format("id: machine-{0}\nzone: z{1}\naddress: {2}\nseeds: [{3}]\ninternalPort: {4}\nmetrics: \"{2}:{5}\"\ngrace: 8s\n", n,
-                           (n - 1) % 3 + 1, address(n), seeds, m_base + 2, m_base + metrics);
+        return fmt::format("id: machine-{0}\nzone: z{1}\naddress: {2}\nseeds: [{3}]\ninternalPort: {4}\nmetrics: \"{2}:{5}\"\ngrace: 8s\n",
+                           n, (n - 1) % 3 + 1, address(n), seeds, m_base + 2, m_base + metrics);
     }
 
     int m_machines;
@@ -244,10 +247,10 @@
 };
 
 // A configuration with routes to one engine service and one plain service, with the values of the pages' example.
-inline Json configuration(int version)
+inline Json configuration(int version, const std::vector<std::string> &modelNames = {"m1", "m2"})
 {
     Json models = Json::array();
-    for (const char *name : {"m1", "m2"})
+    for (const std::string &name : modelNames)
         models.push_back(Json{{"name", name},
                               {"weights_mb", 42700.0},
                               {"load_time_s", 6.0},
@@ -255,31 +258,22 @@
                               {"adapter_size_mb", 66.0},
                               {"warm_s", 0.44},
                               {"disk_load_s", 0.57}});
-    const Json engine{{"slots", 64},          {"kv_capacity", 166161}, {"kv_bytes", 163840}, {"models", models}, {"weights_mb", 200000.0},
+    const Json engine{{"slots", 64},        {"kv_capacity", 166161}, {"kv_bytes", 163840}, {"models", models}, {"weights_mb", 200000.0},
                       {"adapter_slots", 8}, {"loads_per_s", 4.3}};
-    const Json services = Json::array({Json{{"name", "taalhulp"},
-                                            {"health_path", "/healthz"},
-                                            {"max_connections", 380},
-                                            {"protocol", "h1"},
-                                            {"tls", false},
-                                            {"engine", engine}},
-                                       Json{{"name", "dossier"},
-                                            {"health_path", "/healthz"},
-                                            {"max_connections", 120},
-                                            {"protocol", "h1"},
-                                            {"tls", false}}});
-    const auto route = [](const char *name, const char *prefix, const char *type, int timeoutMs, int targetMs, const char *service,
-                          int attempts) {
-        return Json{{"name", name},
-                    {"host", "h.example"},
-                    {"path_prefix", prefix},
-                    {"type", type},
-                    {"timeout_ms", timeoutMs},
-                    {"target_latency_ms", targetMs},
-                    {"priority", 0},
-                    {"service", service},
-                    {"max_attempts", attempts}};
-    };
+    const Json services = Json::array(
+        {Json{{"name", "taalhulp"},
+              {"health_path", "/healthz"},
+              {"max_connections", 380},
+              {"protocol", "h1"},
+              {"tls", false},
+              {"engine", engine}},
+         Json{{"name", "dossier"}, {"health_path", "/healthz"}, {"max_connections", 120}, {"protocol", "h1"}, {"tls", false}}});
+    const auto route
+        = [](const char *name, const char *prefix, const char *type, int timeoutMs, int targetMs, const char *service, int attempts) {
+              return Json{{"name", name},  {"host", "h.example"},     {"path_prefix", prefix},
+                          {"type", type},  {"timeout_ms", timeoutMs}, {"target_latency_ms", targetMs},
+                          {"priority", 0}, {"service", service},      {"max_attempts", attempts}};
+          };
     Json guide = route("stap-gids", "/guide/", "streaming", 25000, 2500, "taalhulp", 2);
     guide["session_affinity"] = true;
     guide["resumable"] = true;
@@ -290,11 +284,11 @@
     chat["gap_target_ms"] = 250;
     const Json routes = Json::array({guide, chat, route("reset-actie", "/reset/", "unsafe", 1000, 100, "dossier", 1),
                                      route("status-lees", "/status/", "safe", 1000, 100, "dossier", 2)});
-    return Json{{"version", version},
-                {"routes", routes},
-                {"services", services},
-                {"limits",
-                 {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}}};
+    return Json{
+        {"version", version},
+        {"routes", routes},
+        {"services", services},
+        {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}}};
 }
 
 struct RunnerOptions {
@@ -311,6 +305,8 @@
     std::set<std::string> diskCopies{}; // models that its disk has beside those it holds
     bool acceptsOrders = false;
     int heartbeatDelayMs = 0; // by which its heartbeats arrive late
+    bool keepsConnections = false; // open for 15 s and any number of requests, otherwise for 5 s and 5 requests
+    int announcedPort = 0; // of a proxy before it; 0: its own port
 };
 
 // A runner: sends heartbeats, runs plain requests and streams, refuses requests meant for another runner or a model that it lacks.
@@ -331,6 +327,10 @@
         m_server.new_task_queue = [] {
             return new httplib::ThreadPool(64);
         };
+        if (m_options.keepsConnections) {
+            m_server.set_keep_alive_timeout(15);
+            m_server.set_keep_alive_max_count(10000);
+        }
         m_server.Get("/api/report", [this](const httplib::Request &, httplib::Response &response) {
             const std::lock_guard lock(m_mutex);
             response.set_content(describe(m_orders).dump(), "application/json");
@@ -356,6 +356,22 @@
     {
         m_stopBeating = true;
     }
+    // Sends no heartbeats until it is called with false.
+    void pauseHeartbeats(bool pause)
+    {
+        m_pauseBeating = pause;
+    }
+    struct Order {
+        int64_t atMs = 0;
+        uint64_t fence = 0;
+        std::string holder;
+        int status = 0;
+    };
+    std::vector<Order> orders()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_orderLog;
+    }
     // Says that it leaves: DELETE, without having reported `draining` before. Returns whether the node has acknowledged it.
     bool withdraw(const std::string &controlAddress)
     {
@@ -402,7 +418,9 @@
             m_orderDoneAt = nowMs() + 570;
             response.status = 202;
         }
-        m_record.line(fmt::format("runner {} ({}) answers {} to the order {}", m_options.id, m_options.software, response.status, request.body));
+        m_orderLog.push_back(Order{nowMs(), body.value("fencing_token", uint64_t(0)), body.value("holder", ""), response.status});
+        m_record.line(
+            fmt::format("runner {} ({}) answers {} to the order {}", m_options.id, m_options.software, response.status, request.body));
     }
     void finishOrder()
     {
@@ -420,7 +438,7 @@
         for (const std::string &it : m_options.models)
             models.push_back(Json{{"name", it}, {"version", 1}, {"adapters", Json::array()}});
         return Json{{"service", m_options.service},
-                    {"address", fmt::format("127.0.0.1:{}", m_options.port)},
+                    {"address", fmt::format("127.0.0.1:{}", m_options.announcedPort == 0 ? m_options.port : m_options.announcedPort)},
                     {"zone", "z1"},
                     {"version", m_options.software},
                     {"slots", m_options.service == "dossier" ? 6 : 64},
@@ -457,7 +475,7 @@
                     break;
                 node = (node + 1) % m_options.control.size();
             }
-            for (int waited = 0; waited < 1200 && !m_stopBeating; waited += 10)
+            for (int waited = 0; (waited < 1200 || m_pauseBeating) && !m_stopBeating; waited += 10)
                 sleepMs(10);
         }
     }
@@ -496,17 +514,18 @@
         }
         response.set_header("X-Weight-Versions", "1");
         const std::shared_ptr<void> running(nullptr, [this](void *) { --m_running; });
-        response.set_chunked_content_provider("text/event-stream", [this, running, n = std::atoi(lastEventId.c_str())](size_t, httplib::DataSink &sink) mutable {
-            ++n;
-            const std::string event = fmt::format("id: {}\ndata: {} {}\n\n", n, m_options.id, m_options.software);
-            if (m_crashed || !sink.write(event.data(), event.size()))
-                return false;
-            if (n >= m_options.events)
-                sink.done();
-            else
-                sleepMs(m_options.eventPauseMs);
-            return true;
-        });
+        response.set_chunked_content_provider(
+            "text/event-stream", [this, running, n = std::atoi(lastEventId.c_str())](size_t, httplib::DataSink &sink) mutable {
+                ++n;
+                const std::string event = fmt::format("id: {}\ndata: {} {}\n\n", n, m_options.id, m_options.software);
+                if (m_crashed || !sink.write(event.data(), event.size()))
+                    return false;
+                if (n >= m_options.events)
+                    sink.done();
+                else
+                    sleepMs(m_options.eventPauseMs);
+                return true;
+            });
     }
 
     RunnerOptions m_options;
@@ -519,6 +538,8 @@
     std::vector<Arrival> m_arrivals;
     std::atomic<int> m_running{0}; // streams
     std::atomic<bool> m_crashed{false};
+    std::atomic<bool> m_pauseBeating{false};
+    std::vector<Order> m_orderLog; // all that arrived
     int64_t m_orders = 0; // accepted
     std::optional<std::string> m_ordered; // model that is being loaded
     int64_t m_orderDoneAt = 0;
