--- a/review/lib/system.h
+++ b/review/lib/system.h
@@ -415,7 +415,7 @@
         if (m_options.acceptsOrders && !m_ordered && expected && body.value("operation", "") == "load") {
             ++m_orders;
             m_ordered = body["model"].get<std::string>();
-            m_orderDoneAt = nowMs() + 570;
+            m_orderDoneAt = nowMs() + (m_options.diskCopies.count(*m_ordered) != 0 ? 570 : 6000); // disk_load_s, load_time_s
             response.status = 202;
         }
         m_orderLog.push_back(Order{nowMs(), body.value("fencing_token", uint64_t(0)), body.value("holder", ""), response.status});
