Stop of an entry host: connections by stage and the requests that it cuts are in the log

stop_begins and stop_ends count the connections by stage, request_cut names each request that ends with the process, with its age, the age of its last attempt and the time it had left; stopped says after how long; roserail_requests_cut_at_exit_total counts. A set of the requests in progress takes the place of the count. No change of what is served.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -45,11 +45,19 @@
             net::post(io, [&api, changed] { api.applySettings(changed); });
         });
     });
-    net::post(io, [&api] { api.drain(); });
+    const Time signalledAt = monotonicNow();
+    net::post(io, [&api] {
+        api.logConnections("stop_begins");
+        api.drain();
+    });
     drain(api, settings.host.grace);
-    io.stop();
+    net::post(io, [&api, &io] {
+        api.logConnections("stop_ends");
+        api.logCutRequests();
+        io.stop();
+    });
     ioThread.join();
-    logEvent("stopped");
+    logEvent("stopped", {{"after_ms", (monotonicNow() - signalledAt).count()}});
     std::_Exit(0); // without destructors: the mesh client's thread may be waiting for a reply from the joined thread
 }
 
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -109,6 +109,19 @@
     m_meshClient->wake();
 }
 
+void EntryApi::logConnections(std::string_view event) const
+{
+    const auto count = [this](ConnectionStage stage) {
+        return m_callerServer.connections(stage) + m_relayServer.connections(stage);
+    };
+    logEvent(event,
+             {{"active", m_forwarder.active()},
+              {"idle", count(ConnectionStage::Idle)},
+              {"reading", count(ConnectionStage::Reading)},
+              {"answering", count(ConnectionStage::Answering)},
+              {"closing", count(ConnectionStage::Closing)}});
+}
+
 std::string EntryApi::dump()
 {
     const Time now = monotonicNow();
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -19,6 +19,13 @@
     void applySettings(const EntrySettings &settings);
     // Stops listing this host's address; requests that still arrive are served.
     void drain();
+    // Logs the connections of callers and other routers by stage, and what is in progress. Must be called on the thread of `io`.
+    void logConnections(std::string_view event) const;
+    // Logs the requests that end with the process. Must be called on the thread of `io`.
+    void logCutRequests() const
+    {
+        m_forwarder.logCutRequests();
+    }
     // Returns the state of this process as JSON. Must be called on the thread of `io`.
     std::string dump();
     size_t active() const
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -109,9 +109,9 @@
     CallerConnection &caller = request.caller;
     request.metadata = m_codec.requestMetadata(caller.lookup());
     net::co_spawn(m_io, watchCaller(caller, request.cancellation), net::detached);
-    ++m_active;
+    m_inProgress.insert(&request);
     co_await serve(request);
-    --m_active;
+    m_inProgress.erase(&request);
     request.cancellation->finished = true;
     ErrorCode ec;
     caller.socket().cancel(ec);
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -94,8 +94,10 @@
     }
     size_t active() const
     {
-        return m_active;
+        return m_inProgress.size();
     }
+    // Logs the requests in progress, which end with the process and get no answer, or only part of one.
+    void logCutRequests() const;
     EndpointPool &pool()
     {
         return m_pool;
@@ -182,8 +184,8 @@
     std::map<StreamId, size_t> m_wantedStreams; // with the number of requests that continue each
     PeerRouters *m_peers = nullptr; // null: requests are not passed on
     std::string m_self;
-    size_t m_active = 0;
-    size_t m_activeRelayed = 0; // of those, passed on by other routers
+    std::set<Request *> m_inProgress;
+    size_t m_activeRelayed = 0; // requests in progress that other routers have passed on
     // Whether this router could connect to another endpoint than one that seems to have ended, at the last comparison.
     struct {
         bool running = false;
--- a/src/transport/forwarderlog.cpp
+++ b/src/transport/forwarderlog.cpp
@@ -90,4 +90,23 @@
                  {"cause", request.cause}});
 }
 
+void Forwarder::logCutRequests() const
+{
+    static Counter &cut = metrics().counter("roserail_requests_cut_at_exit_total");
+    const Time now = monotonicNow();
+    for (const Request *it : m_inProgress) {
+        cut.add();
+        logEvent("request_cut",
+                 {{"id", it->metadata.id},
+                  {"route", it->route == nullptr ? "" : it->route->name},
+                  {"endpoint", it->endpoint},
+                  {"relayed_from", it->relayedFrom},
+                  {"sends", it->progress.sends},
+                  {"delivered", it->progress.delivered},
+                  {"arrived_ms_ago", (now - it->caller.arrivedAt()).count()},
+                  {"sent_ms_ago", it->sentAt == Time() ? -1 : (now - it->sentAt).count()},
+                  {"left_ms", it->route == nullptr ? -1 : (it->deadline - now).count()}});
+    }
+}
+
 } // namespace roserail
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -6,6 +6,7 @@
 #include "state/tunables.h"
 #include "transport/clock.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
 #include <netinet/tcp.h>
@@ -170,6 +171,12 @@
     return boost::outcome_v2::success();
 }
 
+size_t HttpServer::connections(ConnectionStage stage) const
+{
+    return size_t(std::count_if(m_connections.begin(), m_connections.end(),
+                                [stage](const std::shared_ptr<CallerConnection> &it) { return it->m_stage == stage; }));
+}
+
 Task<> HttpServer::acceptConnections()
 {
     while (true) {
@@ -195,10 +202,12 @@
     const std::list<std::shared_ptr<CallerConnection>>::iterator position = m_connections.begin();
     while (co_await readRequest(*connection)) {
         connection->m_keepAlive = connection->m_request.keep_alive() && !m_draining;
+        connection->m_stage = ConnectionStage::Answering;
         co_await m_handler(*connection);
         if (!connection->m_keepAlive || connection->m_aborted)
             break;
     }
+    connection->m_stage = ConnectionStage::Closing;
     if (!connection->m_aborted)
         co_await lingeringClose(*connection);
     ErrorCode ec;
@@ -212,11 +221,13 @@
     ErrorCode ec;
     connection.m_buffer.max_size(m_limits.maxHeaderBytes + MaxUnparsedBytes);
     if (connection.m_buffer.size() == 0) {
+        connection.m_stage = ConnectionStage::Idle;
         connection.m_expiresAt = monotonicNow() + m_limits.idleTimeout;
         co_await connection.m_socket.async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
         if (ec)
             co_return false;
     }
+    connection.m_stage = ConnectionStage::Reading;
     connection.m_expiresAt = monotonicNow() + m_limits.headerTimeout;
     http::request_parser<http::string_body> parser;
     parser.header_limit(m_limits.maxHeaderBytes);
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -38,6 +38,14 @@
 // Returns whether the peer of an idle connection has closed it or sent bytes.
 bool hasUnexpectedInput(tcp::socket &socket);
 
+// What the server does with a connection.
+enum class ConnectionStage {
+    Idle, // waits for the first byte of a request
+    Reading,
+    Answering,
+    Closing, // waits for the caller to close its end
+};
+
 // A caller's connection and the request last read from it.
 class CallerConnection
 {
@@ -85,6 +93,7 @@
     tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
     http::request<http::string_body> m_request;
+    ConnectionStage m_stage = ConnectionStage::Idle;
     bool m_keepAlive = true;
     bool m_aborted = false;
     Time m_arrivedAt{};
@@ -109,6 +118,8 @@
     {
         m_draining = true;
     }
+    // Returns the number of connections at a stage.
+    size_t connections(ConnectionStage stage) const;
 
 private:
     Task<> acceptConnections();
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -58,7 +58,8 @@
     std::string seeds;
     for (int n = 1; n <= KeeperCount; ++n)
         seeds += fmt::format("{}\"{}:{}\"", n == 1 ? "" : ", ", keeperAddress(n), m_firstPort + 1);
-    return fmt::format("id: {}\nzone: z1\naddress: {}\nseeds: [{}]\ninternalPort: {}\ngrace: 4s\n", id, address, seeds, internalPort());
+    return fmt::format("id: {}\nzone: z1\naddress: {}\nseeds: [{}]\ninternalPort: {}\ngrace: {}ms\n", id, address, seeds, internalPort(),
+                       m_graceMs);
 }
 
 void Fleet::startKeeper(int n, bool mayFound, int orderLeaseMs)
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -20,6 +20,11 @@
 
     // Sets the folder of the programs of the hosts that are started from now on; empty: those of this build.
     void setBuild(const std::string &programs);
+    // Sets the grace period of the hosts that are started from now on.
+    void setGrace(int ms)
+    {
+        m_graceMs = ms;
+    }
     void startKeeper(int n, bool mayFound, int orderLeaseMs = 300);
     void startEntry(int n);
     // `copies`: models that are not loaded, but of which the runner has a copy in host memory and on disk.
@@ -75,6 +80,7 @@
 private:
     std::string settings(const std::string &id, const std::string &address) const;
     int m_firstPort;
+    int m_graceMs = 4000;
     std::string m_programs;
 };
 
