HTTP server: an orderly end of a server with callers

finish() stops listening after accepting what the kernel has queued, and closes connections that stay idle; stopReading() refuses the requests that have not arrived whole; connections() tells when the last one is closed. Idle connections are closed with a FIN and what arrives is read for a second, so that a request that crosses the close gets no reset.

--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -217,6 +217,7 @@
 constexpr Millis LingeringCloseTimeout{1000}; // for the caller to read the last answer
 constexpr size_t MaxLingeringBytes = 4u << 20; // discarded meanwhile; a body of the default limit
 constexpr Millis ConnectionSweepInterval{250}; // precision of idle and header timeouts
+constexpr Millis FinishIdleTimeout{200}; // once a server has stopped listening; requests that are on their way are still read
 constexpr Millis EndpointIdleTimeout{10000}; // of a pooled connection whose endpoint sends no Keep-Alive header
 constexpr Millis EndpointIdleTimeoutMargin{500}; // a pooled connection is closed this long before the endpoint closes it
 constexpr uint32_t MaxAnswerHeaderBytes = 64u << 10; // the usual limit of servers and proxies is 8 to 64 KiB
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -190,16 +190,49 @@
             co_await pause.async_wait(net::redirect_error(net::use_awaitable, ec));
             continue;
         }
-        configureSocket(socket);
-        const std::shared_ptr<CallerConnection> connection = std::make_shared<CallerConnection>(std::move(socket));
-        net::co_spawn(m_io, serve(connection), net::detached);
+        startServing(std::move(socket));
     }
 }
 
-Task<> HttpServer::serve(std::shared_ptr<CallerConnection> connection)
+void HttpServer::startServing(tcp::socket socket)
 {
-    m_connections.push_front(connection);
-    const std::list<std::shared_ptr<CallerConnection>>::iterator position = m_connections.begin();
+    configureSocket(socket);
+    m_connections.push_front(std::make_shared<CallerConnection>(std::move(socket)));
+    net::co_spawn(m_io, serve(m_connections.begin()), net::detached);
+}
+
+void HttpServer::finish()
+{
+    m_draining = true;
+    m_finishing = true;
+    ErrorCode ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec) {
+        tcp::socket socket(m_io);
+        m_acceptor.accept(socket, ec);
+        if (!ec)
+            startServing(std::move(socket));
+    }
+    m_acceptor.close(ec);
+    const Time idleUntil = monotonicNow() + FinishIdleTimeout;
+    for (const std::shared_ptr<CallerConnection> &it : m_connections) {
+        if (it->m_stage == ConnectionStage::Idle)
+            it->m_expiresAt = std::min(it->m_expiresAt, idleUntil);
+    }
+}
+
+void HttpServer::stopReading()
+{
+    ErrorCode ec;
+    for (const std::shared_ptr<CallerConnection> &it : m_connections) {
+        if (it->m_stage == ConnectionStage::Reading)
+            it->m_socket.cancel(ec);
+    }
+}
+
+Task<> HttpServer::serve(Connections::iterator position)
+{
+    const std::shared_ptr<CallerConnection> connection = *position;
     while (co_await readRequest(*connection)) {
         connection->m_keepAlive = connection->m_request.keep_alive() && !m_draining;
         connection->m_stage = ConnectionStage::Answering;
@@ -222,7 +255,7 @@
     connection.m_buffer.max_size(m_limits.maxHeaderBytes + MaxUnparsedBytes);
     if (connection.m_buffer.size() == 0) {
         connection.m_stage = ConnectionStage::Idle;
-        connection.m_expiresAt = monotonicNow() + m_limits.idleTimeout;
+        connection.m_expiresAt = monotonicNow() + (m_finishing ? FinishIdleTimeout : m_limits.idleTimeout);
         co_await connection.m_socket.async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
         if (ec)
             co_return false;
@@ -248,7 +281,8 @@
     co_return true;
 }
 
-// Answers a malformed or too large request with an error; after other errors the connection is only closed.
+// Answers a malformed or too large request, or one that stopReading() has ended, with an error; after other errors the connection is
+// only closed.
 Task<> HttpServer::refuse(CallerConnection &connection, const ErrorCode &ec)
 {
     unsigned status = 0;
@@ -256,6 +290,8 @@
         status = 431;
     else if (ec == http::error::body_limit)
         status = 413;
+    else if (ec == net::error::operation_aborted && !connection.m_aborted)
+        status = 503;
     else if (ec.category() == http::make_error_code(http::error::bad_target).category() && ec != http::error::end_of_stream
              && ec != http::error::partial_message)
         status = 400;
@@ -295,6 +331,10 @@
             if (now < it->m_expiresAt)
                 continue;
             it->m_expiresAt = Time::max();
+            if (it->m_stage == ConnectionStage::Idle) {
+                it->m_socket.cancel(ec); // the connection is then closed without a reset
+                continue;
+            }
             it->m_aborted = true;
             it->m_socket.close(ec);
         }
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -118,12 +118,25 @@
     {
         m_draining = true;
     }
+    // Stops listening, after accepting the connections that the kernel has queued, and closes connections that stay idle. Requests
+    // that arrive until then are handled.
+    void finish();
+    // Refuses the requests that have not arrived whole.
+    void stopReading();
+    // Returns the number of open connections.
+    size_t connections() const
+    {
+        return m_connections.size();
+    }
     // Returns the number of connections at a stage.
     size_t connections(ConnectionStage stage) const;
 
 private:
+    using Connections = std::list<std::shared_ptr<CallerConnection>>;
+
     Task<> acceptConnections();
-    Task<> serve(std::shared_ptr<CallerConnection> connection);
+    void startServing(tcp::socket socket);
+    Task<> serve(Connections::iterator position);
     Task<bool> readRequest(CallerConnection &connection);
     Task<> refuse(CallerConnection &connection, const ErrorCode &ec);
     Task<> lingeringClose(CallerConnection &connection);
@@ -135,7 +148,8 @@
     net::steady_timer m_sweepTimer;
     IngressLimits m_limits;
     bool m_draining = false;
-    std::list<std::shared_ptr<CallerConnection>> m_connections;
+    bool m_finishing = false;
+    Connections m_connections;
 };
 
 // Answers with the metrics of the process as text, or with the result of `dump` if the path is /dump.
