--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -2,7 +2,6 @@
 
 #include "platform/codec.h"
 #include "protocol/log.h"
-#include "state/tunables.h"
 #include "transport/clock.h"
 #include "transport/entryapi.h"
 #include "transport/program.h"
@@ -12,19 +11,6 @@
 
 using namespace roserail;
 
-constexpr Millis DrainPollInterval{20};
-constexpr Millis DrainExitMargin{300}; // of the grace period, so that the process exits before it is killed
-
-// Keeps serving until no caller can still have an address list that contains this host and all requests have ended, but
-// no longer than the grace period.
-void drain(EntryApi &api, Millis grace)
-{
-    const Time deadline = monotonicNow() + grace - DrainExitMargin;
-    const Time listsExpire = std::min(deadline, monotonicNow() + tunables::ResolveTtl * 3 + tunables::SyncInterval * 2);
-    while (monotonicNow() < deadline && (monotonicNow() < listsExpire || api.active() > 0))
-        std::this_thread::sleep_for(DrainPollInterval);
-}
-
 int serve(const EntrySettings &settings, const std::string &file)
 {
     net::io_context io(1);
@@ -46,16 +32,7 @@
         });
     });
     const Time signalledAt = monotonicNow();
-    net::post(io, [&api] {
-        api.logConnections("stop_begins");
-        api.drain();
-    });
-    drain(api, settings.host.grace);
-    net::post(io, [&api, &io] {
-        api.logConnections("stop_ends");
-        api.logCutRequests();
-        io.stop();
-    });
+    net::co_spawn(io, api.stop(signalledAt), [&io](std::exception_ptr) { io.stop(); });
     ioThread.join();
     logEvent("stopped", {{"after_ms", (monotonicNow() - signalledAt).count()}});
     std::_Exit(0); // without destructors: the mesh client's thread may be waiting for a reply from the joined thread
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -100,8 +100,10 @@
 constexpr double ColdWaitShare = 0.6; // of a caller's time limit; a longer limit leaves all but ColdFirstEventTime for the load
 constexpr Millis MaxConfigurationWait{800}; // of a request at a router that has just started; covers the election of a leader
 constexpr double ConfigurationWaitShare = 0.3; // of the caller's time limit, so that the caller can still retry on another host
-constexpr Millis DrainLoadWait{1500}; // on a stopping host, for models that are being loaded from a copy
-constexpr Millis DrainStreamCutoff{1000}; // streams that begin later last 6 s on busy engines and would not end in a grace period of 8 s
+constexpr Millis StopExitMargin{300}; // of the grace period, so that the process exits before it is killed
+constexpr Millis StopAnswerMargin{200}; // before the exit, in which callers read the last answers
+constexpr Millis StopFinishTime{700}; // from the end of listening to the exit: idle connections are found and closed
+constexpr Millis StopPollInterval{20};
 constexpr Millis RetryAfterBusy{1000}; // about the time of a load from a copy, after which the model may be available
 constexpr Millis EndpointConnectTimeout{500}; // a handshake takes 4 ms; a lost packet is retransmitted within this time
 constexpr Millis CrashConfirmTime{100}; // in which a process that is ending closes a connection it still accepted
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -100,13 +100,42 @@
               {"retry_slack", settings.retrySlack}});
 }
 
-void EntryApi::drain()
+std::array<HttpServer *, 4> EntryApi::servers()
 {
+    return {&m_callerServer, &m_relayServer, &m_readinessServer, &m_directoryServer};
+}
+
+Task<> EntryApi::stop(Time signalledAt)
+{
+    const StopSchedule schedule = stopSchedule(signalledAt, m_settings.host.grace);
+    const std::array<HttpServer *, 4> all = servers();
+    const auto connected = [&all] {
+        return std::any_of(all.begin(), all.end(), [](const HttpServer *it) { return it->connections() > 0; });
+    };
+    logConnections("stop_begins");
     m_draining = true;
-    m_callerServer.drain();
-    m_relayServer.drain();
-    m_forwarder.drain(monotonicNow());
+    for (HttpServer *it : all)
+        it->drain();
+    m_forwarder.drain(schedule);
     m_meshClient->wake();
+    ErrorCode ec;
+    net::steady_timer timer(m_io, schedule.finishAt - monotonicNow());
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    logConnections("stop_listening");
+    for (HttpServer *it : all)
+        it->finish();
+    for (bool answered = false; connected() && monotonicNow() < schedule.exitAt;) {
+        if (!answered && monotonicNow() >= schedule.answersBy) {
+            answered = true;
+            m_forwarder.endRequests();
+            for (HttpServer *it : all)
+                it->stopReading();
+        }
+        timer.expires_after(StopPollInterval);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    }
+    logConnections("stop_ends");
+    m_forwarder.logCutRequests();
 }
 
 void EntryApi::logConnections(std::string_view event) const
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -6,6 +6,8 @@
 #include "transport/forwarder.h"
 #include "transport/mesh.h"
 
+#include <array>
+
 namespace roserail
 {
 
@@ -17,23 +19,15 @@
     Result<void> listen();
     // Applies the settings that can change at run time: the seeds, the retry limits and the log detail.
     void applySettings(const EntrySettings &settings);
-    // Stops listing this host's address; requests that still arrive are served.
-    void drain();
-    // Logs the connections of callers and other routers by stage, and what is in progress. Must be called on the thread of `io`.
-    void logConnections(std::string_view event) const;
-    // Logs the requests that end with the process. Must be called on the thread of `io`.
-    void logCutRequests() const
-    {
-        m_forwarder.logCutRequests();
-    }
+    // Ends the service of this host: withdraws its address, serves until no caller can have an address list that contains it, and
+    // closes all connections once their requests have ended. Must run on the thread of `io`.
+    Task<> stop(Time signalledAt);
     // Returns the state of this process as JSON. Must be called on the thread of `io`.
     std::string dump();
-    size_t active() const
-    {
-        return m_forwarder.active();
-    }
 
 private:
+    std::array<HttpServer *, 4> servers();
+    void logConnections(std::string_view event) const;
     Task<> answerReady(CallerConnection &caller);
     Task<> answerResolve(CallerConnection &caller);
     Task<> closeExpiredConnections();
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -92,10 +92,21 @@
         it->cancel();
 }
 
-void Forwarder::drain(Time now)
+void Forwarder::drain(const StopSchedule &schedule)
 {
-    m_waitDeadline = now + DrainLoadWait;
-    m_streamStartDeadline = now + DrainStreamCutoff;
+    m_stop = schedule;
+    wakeWaitingRequests();
+}
+
+void Forwarder::endRequests()
+{
+    for (Request *it : m_inProgress)
+        it->cancellation->cancel(it->cancellation->hostStopping);
+}
+
+bool Forwarder::mayBegin(const Request &request) const
+{
+    return !m_stop || m_stop->mayBegin(request.deadline);
 }
 
 Task<> Forwarder::handle(CallerConnection &caller)
@@ -166,7 +177,7 @@
         timer.cancel();
     };
     m_waitTimers.insert(&timer);
-    while (!condition() && !request.cancellation->cancelled() && monotonicNow() < std::min(until, m_waitDeadline)) {
+    while (!condition() && !request.cancellation->cancelled() && mayBegin(request) && monotonicNow() < until) {
         ErrorCode ec;
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
     }
@@ -203,7 +214,7 @@
     request.progress.maxRuns = std::min(route.attempts, request.attemptsLeft.value_or(route.attempts));
     if (request.relayedFrom.empty()) // else it counts where it came from
         m_retries.requestStarted(request.requirements.service, monotonicNow());
-    const bool mayContinue = co_await selectVersion(request);
+    const bool mayContinue = !mayBegin(request) || co_await selectVersion(request);
     while (true) {
         std::optional<EndpointChoice> choice;
         if (mayContinue)
@@ -213,6 +224,8 @@
             end = co_await attempt(request, *choice);
         else
             request.cause = request.cause.empty() ? "no endpoint is available" : request.cause;
+        if (request.cancellation->hostStopping)
+            request.cause = "this host stops before the endpoint has answered";
         if (request.cancellation->cancelled())
             end = end == AttemptEnd::Completed ? end : AttemptEnd::Abandoned;
         const auto mayRetry = [&] {
@@ -298,8 +311,10 @@
 
 Task<std::optional<EndpointChoice>> Forwarder::findEndpoint(Request &request)
 {
-    if (request.route->stream && monotonicNow() > m_streamStartDeadline) {
+    if (request.progress.runs == 0 && !mayBegin(request)) {
         request.cause = "this host is stopping; another host can serve the request";
+        request.refusedByStop = true;
+        request.retryDelay = Millis(0);
         co_return std::nullopt;
     }
     const bool crashingPart = m_crashingParts.shouldRefuse(request.sharedParts);
@@ -409,7 +424,7 @@
         timer.cancel();
     };
     std::optional<EndpointChoice> choice;
-    while (!choice && !request.cancellation->cancelled() && monotonicNow() < std::min(until, m_waitDeadline)) {
+    while (!choice && !request.cancellation->cancelled() && mayBegin(request) && monotonicNow() < until) {
         ErrorCode ec;
         const Time now = monotonicNow();
         const std::optional<Restriction> restriction = m_balancer.restriction(request.requirements, 0, now);
@@ -721,7 +736,7 @@
         headers.push_back({"X-Request-Id", request.metadata.id});
     if (!request.relayedFrom.empty())
         headers.push_back(relayOutcome(request, error, status));
-    if (error.retryAfterMs > 0)
+    if (error.retryAfterMs > 0 || request.refusedByStop)
         headers.push_back({"Retry-After", retryAfterHeader(Millis(error.retryAfterMs))});
     request.cause = error.message;
     logRequest(request, traits(error.kind).name);
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -9,6 +9,7 @@
 #include "coordination/retry.h"
 #include "coordination/retrywindow.h"
 #include "coordination/softwareseen.h"
+#include "coordination/stopschedule.h"
 #include "coordination/streamversions.h"
 #include "transport/endpointpool.h"
 
@@ -83,9 +84,10 @@
     Task<> handle(CallerConnection &caller);
     // Serves a request that another router has passed on, which it is never passed on from here.
     Task<> handleRelayed(CallerConnection &caller);
-    // Prepares the end of the process: requests wait at most DrainLoadWait longer for models, and streams that begin more
-    // than DrainStreamCutoff after `now` are refused, because they might not end before the process does.
-    void drain(Time now);
+    // Refuses requests that no endpoint has run and that might not end before the process does, from now on.
+    void drain(const StopSchedule &schedule);
+    // Gives all requests in progress their final answers.
+    void endRequests();
     // Enables passing requests on to other routers. `self`: the id of this one.
     void setPeers(PeerRouters *peers, std::string self)
     {
@@ -118,6 +120,7 @@
     Task<> serve(Request &request);
     Task<> waitForConfiguration(Request &request);
     Task<> waitUntil(Request &request, const std::function<bool()> &condition);
+    bool mayBegin(const Request &request) const;
     Task<> forward(Request &request);
     Task<std::optional<EndpointChoice>> findEndpoint(Request &request);
     Task<std::optional<EndpointChoice>> waitForModel(Request &request);
@@ -197,8 +200,7 @@
     Time m_syncedAt{};
     Time m_currentAt{}; // of the configuration
     Time m_ordersAllowedAt{}; // no order is sent earlier, and thus no model loaded
-    Time m_waitDeadline = Time::max(); // no request waits for a configuration or a model after it
-    Time m_streamStartDeadline = Time::max(); // no stream begins after it
+    std::optional<StopSchedule> m_stop; // set once the host is stopping
 };
 
 } // namespace roserail
--- a/src/transport/forwarderrelay.cpp
+++ b/src/transport/forwarderrelay.cpp
@@ -56,7 +56,7 @@
 {
     if (status == 502 || status == 504)
         return {RelayOutcome, std::string(traits(error.kind).name)};
-    return {RelayOutcome, std::string(request.connectFailed ? UnreachableOutcome : NotRunOutcome)};
+    return {RelayOutcome, std::string(request.connectFailed || request.refusedByStop ? UnreachableOutcome : NotRunOutcome)};
 }
 
 // Passes the request on to another router, which then selects endpoints, and retries, as for its own callers.
--- a/src/transport/forwarderrequest.h
+++ b/src/transport/forwarderrequest.h
@@ -17,22 +17,24 @@
 constexpr const char *RelayAttempts = "Roserail-Attempts"; // endpoints that may still run the request
 constexpr const char *RelayOutcome = "Roserail-Outcome"; // the answer is the router's own; NotRunOutcome, or another kind of error
 constexpr std::string_view NotRunOutcome = "not_run";
-constexpr std::string_view UnreachableOutcome = "unreachable"; // not run, since that router can't connect to the endpoints either
+// Not run, since that router can't connect to the endpoints either, or is stopping; another router may serve the request.
+constexpr std::string_view UnreachableOutcome = "unreachable";
 
 inline std::string_view view(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
 }
 
-// Cancels the pending operation of a request when its caller disconnects or its deadline passes.
+// Cancels the pending operation of a request when its caller disconnects, its deadline passes or the process is about to end.
 struct Forwarder::Cancellation {
     bool callerDisconnected = false;
     bool deadlinePassed = false;
+    bool hostStopping = false; // the process ends before the deadline
     bool finished = false; // the request has ended; its state must no longer be accessed
     std::function<void()> cancelPending; // cancels the operation that the request waits for; may be empty
     bool cancelled() const
     {
-        return callerDisconnected || deadlinePassed;
+        return callerDisconnected || deadlinePassed || hostStopping;
     }
     void cancel(bool &reason)
     {
@@ -79,6 +81,7 @@
     uint32_t runsBeforeRelay = 0; // endpoints that may have run the request before it was passed on
     std::set<std::string> triedRouters; // that the request was passed to
     bool connectFailed = false; // the last attempt could not connect to its endpoint
+    bool refusedByStop = false; // the request might not end before the process does
     bool refusedByRouter = false; // the router that the request was passed to has refused it
     std::string endpoint; // of the last attempt
     unsigned status = 0; // of the latest answer
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -3,6 +3,7 @@
 #include "coordination/dispatcher.h"
 #include "coordination/keepwarm.h"
 #include "coordination/retry.h"
+#include "coordination/stopschedule.h"
 #include "protocol/callerrequest.h"
 #include "protocol/metrics.h"
 #include "protocol/sse.h"
@@ -355,3 +356,18 @@
         BOOST_TEST(estimate <= q * 10000 * 1.125 + 1);
     }
 }
+
+// Guards against a host that takes requests which outlast its process, or stops listening while callers still have its address.
+BOOST_AUTO_TEST_CASE(stopScheduleLeavesTimeForAnswers)
+{
+    for (const Millis grace : {Millis(3000), Millis(4000), Millis(8000), Millis(30000)}) {
+        const StopSchedule schedule = stopSchedule(Now, grace);
+        BOOST_TEST((schedule.exitAt < Now + grace));
+        BOOST_TEST((schedule.answersBy < schedule.exitAt));
+        BOOST_TEST((schedule.finishAt < schedule.answersBy));
+        BOOST_TEST(schedule.mayBegin(schedule.answersBy));
+        BOOST_TEST(!schedule.mayBegin(schedule.exitAt));
+        const bool listsExpire = schedule.finishAt >= Now + tunables::ResolveTtl * 3;
+        BOOST_TEST((listsExpire || grace < tunables::ResolveTtl * 3 + Millis(1500)));
+    }
+}
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -560,3 +560,51 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(PlannedStop)
+
+struct RequestAtStop {
+    std::string name;
+    std::string path;
+    Millis answersDue{0}; // from the stop, which comes 100 ms after the request
+    bool sentBefore = false; // the request reaches the endpoint before the stop
+    unsigned status = 0;
+};
+
+std::ostream &operator<<(std::ostream &out, const RequestAtStop &it)
+{
+    return out << it.name;
+}
+
+// The time limit of the requests is 4 s, and the endpoint answers after 1 s.
+const std::vector<RequestAtStop> RequestsAtStop{
+    {"ends in time", "/plain/x", Millis(5000), false, 200},
+    {"might end too late", "/plain/x", Millis(3500), false, 503},
+    {"stream that might end too late", "/once/x", Millis(3500), false, 503},
+    {"in progress, answered in time", "/plain/x", Millis(2000), true, 200},
+    {"in progress, not answered in time", "/plain/x", Millis(400), true, 502},
+    {"repeatable, not answered in time", "/read/x", Millis(400), true, 502},
+};
+
+// Guards against requests that a stopping host takes, or has in progress, and that end with its process, without an answer.
+BOOST_DATA_TEST_CASE(requestAtAStopGetsItsAnswer, bdata::make(RequestsAtStop), stopped)
+{
+    RawEndpoint endpoint([&](const std::string &) {
+        std::this_thread::sleep_for(Millis(1000));
+        return RawAnswer{RepeatedRefusals::Success};
+    });
+    Router router({{&endpoint}});
+    const Millis stopDelay(stopped.sentBefore ? 100 : 0);
+    const Time answersBy = monotonicNow() + stopDelay + stopped.answersDue;
+    router.after(stopDelay, [=](Forwarder &forwarder) { forwarder.drain(StopSchedule{answersBy, answersBy, answersBy}); });
+    router.after(stopDelay + stopped.answersDue, [](Forwarder &forwarder) { forwarder.endRequests(); });
+    if (!stopped.sentBefore)
+        std::this_thread::sleep_for(Millis(100));
+    const ReceivedAnswer answer = call(stopped.path);
+    BOOST_TEST(answer.complete);
+    BOOST_TEST(answer.status == stopped.status);
+    BOOST_TEST(endpoint.requests().size() == (stopped.status == 503 ? 0u : 1u));
+    BOOST_TEST((monotonicNow() <= answersBy + Millis(300)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
