A refused length of an endpoint's report is neither reserved nor read

An endpoint that answered a control host's request for a report with a huge Content-Length ended that control host, and the next leader after it. Without a leader no orders are sent: callers are refused models that would have to be loaded (by reading; not measured here).

Cause: the response parser of Beast 1.74, when it reads head and body at once, goes on after body_limit if bytes of the body have arrived with the head. It reserves the announced length and no longer applies the limit: a length of 1e11 throws bad_alloc out of the handler of the read, which is no coroutine, so it leaves io_context::run and ends the process; smaller lengths are read and kept whole.

callOnConnection, the only place that keeps a whole answer of Beast's response parser, reads the head on its own and the body only if its length is permitted.

--- a/src/transport/endpointpool.cpp
+++ b/src/transport/endpointpool.cpp
@@ -52,6 +52,21 @@
     return std::min(EndpointIdleTimeout, Millis(seconds * 1000) - EndpointIdleTimeoutMargin);
 }
 
+using AnswerParser = http::response_parser<http::string_body>;
+
+// Reads one complete answer within MaxAnswerHeaderBytes and MaxReportBytes. The head is read on its own: a parser that reads both at once
+// goes on after a refused length if bytes of the body have arrived, reserves that length, and applies no limit to the body.
+Task<ErrorCode> readAnswer(EndpointConnection &connection, AnswerParser &parser)
+{
+    ErrorCode ec;
+    parser.header_limit(MaxAnswerHeaderBytes);
+    parser.body_limit(MaxReportBytes);
+    co_await http::async_read_header(connection.socket, connection.buffer, parser, net::redirect_error(net::use_awaitable, ec));
+    if (!ec && !parser.is_done())
+        co_await http::async_read(connection.socket, connection.buffer, parser, net::redirect_error(net::use_awaitable, ec));
+    co_return ec;
+}
+
 } // namespace
 
 EndpointPool::EndpointPool(net::io_context &io)
@@ -137,14 +152,12 @@
         bytes += fmt::format("{}: {}\r\n", it.name, it.value);
     bytes += "\r\n" + body;
     ErrorCode ec;
-    http::response_parser<http::string_body> parser;
-    parser.header_limit(MaxAnswerHeaderBytes);
-    parser.body_limit(MaxReportBytes);
+    AnswerParser parser;
     {
         const SocketDeadline deadline(connection.socket, timeout);
         co_await net::async_write(connection.socket, net::buffer(bytes), net::redirect_error(net::use_awaitable, ec));
         if (!ec)
-            co_await http::async_read(connection.socket, connection.buffer, parser, net::redirect_error(net::use_awaitable, ec));
+            ec = co_await readAnswer(connection, parser);
     }
     if (ec)
         co_return std::nullopt;
--- /dev/null
+++ b/tests/endpointpool_test.cpp
@@ -0,0 +1,151 @@
+// Tests of a call to an endpoint on loopback whose answer is kept whole: what the caller makes of answers that do not end, or that
+// announce more than it accepts.
+#define BOOST_TEST_MODULE endpointpool
+#include "rawendpoint.h"
+#include "transport/clock.h"
+#include "transport/endpointpool.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/included/unit_test.hpp>
+#include <fmt/format.h>
+
+using namespace roserail;
+using namespace roserail::test;
+
+namespace bdata = boost::unit_test::data;
+
+namespace
+{
+
+constexpr Millis CallTimeout{1000};
+constexpr Millis MaxCallTime{2000};
+// What a call may keep, and what the sockets of both sides hold on top of it.
+constexpr size_t MaxSocketBytes = 16u << 20;
+constexpr size_t MaxAcceptedBytes = tunables::MaxReportBytes + tunables::MaxAnswerHeaderBytes + tunables::MaxUnparsedBytes + MaxSocketBytes;
+
+struct CallOutcome {
+    std::optional<CallAnswer> answer;
+    bool reusable = false;
+};
+
+// Calls an endpoint as a control host does for a report, on a connection of its own.
+Task<CallOutcome> callOnce(EndpointPool &pool, std::string address)
+{
+    CallOutcome outcome;
+    const EndpointConnectionPtr connection = co_await pool.connect(address, CallTimeout);
+    if (connection)
+        outcome.answer = co_await callOnConnection(*connection, "GET", "/x", {}, "", CallTimeout, outcome.reusable);
+    co_return outcome;
+}
+
+// Runs the call to its end. An exception of the call, or of an operation that it waits for, leaves this function.
+CallOutcome runCall(const RawEndpoint &endpoint)
+{
+    net::io_context io(1);
+    EndpointPool pool(io);
+    CallOutcome outcome;
+    net::co_spawn(io, callOnce(pool, endpoint.address()), [&outcome](const std::exception_ptr &exception, CallOutcome result) {
+        if (exception)
+            std::rethrow_exception(exception);
+        outcome = std::move(result);
+    });
+    io.run();
+    return outcome;
+}
+
+struct NamedAnswer {
+    std::string name;
+    RawAnswer answer;
+};
+
+std::ostream &operator<<(std::ostream &out, const NamedAnswer &it)
+{
+    return out << it.name;
+}
+
+const std::string StatusLine = "HTTP/1.1 200 OK\r\n";
+const std::string Chunked = StatusLine + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string Filler(4096, 'x');
+
+std::string chunk(const std::string &bytes)
+{
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+std::string headWithLength(const std::string &length)
+{
+    return StatusLine + "Content-Length: " + length + "\r\n\r\n";
+}
+
+// Returns an answer that announces a length and goes on without end. The head and the first bytes of the body are sent at once, so that
+// they are read together.
+RawAnswer announced(const std::string &length)
+{
+    return {headWithLength(length) + Filler, AnswerEnd::Endless, Filler};
+}
+
+const std::vector<NamedAnswer> EndlessAnswers{
+    {"bytes that are no head", {"", AnswerEnd::Endless, Filler}},
+    {"header line", {StatusLine + "X-A: ", AnswerEnd::Endless, Filler}},
+    {"header lines", {StatusLine, AnswerEnd::Endless, "X-A: " + Filler + "\r\n"}},
+    {"length above the limit", announced(std::to_string(tunables::MaxReportBytes + 1))},
+    {"length of 1e8", announced("100000000")},
+    {"length of 1e11", announced("100000000000")},
+    {"length of 1e18", announced("1000000000000000000")},
+    {"length of 2^63 - 1", announced("9223372036854775807")},
+    {"length of 2^64 - 1", announced("18446744073709551615")},
+    {"length of 1e11 without a body", {headWithLength("100000000000"), AnswerEnd::KeepOpen}},
+    {"unframed body", {StatusLine + "\r\n", AnswerEnd::Endless, Filler}},
+    {"chunks", {Chunked, AnswerEnd::Endless, chunk(Filler)}},
+    {"chunk of 1e18 bytes", {Chunked + "de0b6b3a7640000\r\n", AnswerEnd::Endless, Filler}},
+    {"chunk extension", {Chunked + "5;", AnswerEnd::Endless, Filler}},
+    {"trailers", {Chunked + chunk(Filler) + "0\r\n", AnswerEnd::Endless, "X-A: " + Filler + "\r\n"}},
+};
+
+const std::string LargestBody(tunables::MaxReportBytes, 'x');
+
+struct CompleteAnswer {
+    std::string name;
+    RawAnswer answer;
+    std::string body;
+};
+
+std::ostream &operator<<(std::ostream &out, const CompleteAnswer &it)
+{
+    return out << it.name;
+}
+
+const std::vector<CompleteAnswer> CompleteAnswers{
+    {"length", {headWithLength("4096") + Filler}, Filler},
+    {"largest length", {headWithLength(std::to_string(LargestBody.size())) + LargestBody}, LargestBody},
+    {"no body", {headWithLength("0")}, ""},
+    {"chunks", {Chunked + chunk(Filler) + chunk(Filler) + "0\r\n\r\n"}, Filler + Filler},
+    {"largest chunk", {Chunked + chunk(LargestBody) + "0\r\n\r\n"}, LargestBody},
+    {"end of the connection", {StatusLine + "\r\n" + Filler, AnswerEnd::Close}, Filler},
+};
+
+} // namespace
+
+// Guards against an endpoint whose bytes never end, or that announces more than memory holds: control hosts asked it for a report, and
+// ended.
+BOOST_DATA_TEST_CASE(answerWithoutEndIsNoAnswer, bdata::make(EndlessAnswers), endless)
+{
+    RawEndpoint endpoint([&](const std::string &) { return endless.answer; });
+    const Time start = monotonicNow();
+    CallOutcome outcome;
+    BOOST_REQUIRE_NO_THROW(outcome = runCall(endpoint));
+    BOOST_TEST(!outcome.answer.has_value());
+    BOOST_TEST(!outcome.reusable);
+    BOOST_TEST((monotonicNow() - start < MaxCallTime));
+    BOOST_TEST(endpoint.bytesSent() < MaxAcceptedBytes);
+}
+
+// Guards against limits that refuse complete answers.
+BOOST_DATA_TEST_CASE(completeAnswerIsRead, bdata::make(CompleteAnswers), complete)
+{
+    const RawEndpoint endpoint([&](const std::string &) { return complete.answer; });
+    const CallOutcome outcome = runCall(endpoint);
+    BOOST_REQUIRE(outcome.answer.has_value());
+    BOOST_TEST(outcome.answer->status == 200u);
+    BOOST_TEST((outcome.answer->body == complete.body));
+}
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -395,6 +395,39 @@
         BOOST_TEST(fleet.running(name));
 }
 
+// Guards against an endpoint whose report announces more bytes than memory holds: every control host that led and asked for it ended, and
+// the system had no leader.
+BOOST_AUTO_TEST_CASE(hugeReportsStopNoHost)
+{
+    constexpr int hugePort = FirstPort + 1500;
+    RawEndpoint faulty([](const std::string &) {
+        return RawAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 100000000000\r\n\r\n{", AnswerEnd::Endless, std::string(4096, 'x')};
+    });
+    Fleet fleet("faults-huge-report", hugePort);
+    startHosts(fleet, {1, 2});
+    fleet.startRunner(1, "engines", "m1");
+    BOOST_REQUIRE(configure(fleet, {1, 2}));
+    const auto served = [&](int entry, const std::string &id) {
+        const httplib::Result result = fleet.sendRequest(entry, "/s/events/1/", id, "m1");
+        return result && result->status == 200;
+    };
+    BOOST_REQUIRE(eventually([&] { return served(1, "before-1") && served(2, "before-2"); }));
+    BOOST_REQUIRE(fleet.waitForOrders());
+    const std::vector<std::string> hosts{"keeper-1", "keeper-2", "keeper-3", "entry-1", "entry-2"};
+    const auto allRunning = [&] {
+        return std::all_of(hosts.begin(), hosts.end(), [&](const std::string &it) { return fleet.running(it); });
+    };
+    for (int n = 1; n <= 20; ++n) {
+        const std::string changes = fmt::format(R"(,"address":"{}","sequence":{})", faulty.address(), n);
+        BOOST_TEST(callRaw(hugePort + 1, putEntry("faulty", heartbeatText(changes))).status == 200u);
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        BOOST_REQUIRE(allRunning());
+    }
+    BOOST_TEST(faulty.requests().size() >= 2u); // it was asked for reports, more than once
+    BOOST_TEST((served(1, "after-1") && served(2, "after-2")));
+    BOOST_TEST(allRunning());
+}
+
 namespace
 {
 
