The check whether an endpoint has ended, and orders, keep a bounded answer

A faulty endpoint that answered a router's GET /healthz (asked after an interrupted attempt) with bytes without end filled the router's memory until allocations failed; the requests of all other callers of this router end with it. An answer to an order of roserail-control was read by the same kind of call (by reading; no run).

Cause: these calls used the client of cpp-httplib 0.11, which keeps a body of any size and heads of any size; its time-out holds for one read, not for the call.

callBlocking runs callOnConnection, which has limits and a time-out for the whole call, on a loop of its own for threads that wait. endpointGone and Coordinator::sendOrder use it. The log event 'order' carries another text under 'error'.

Before, attempt_test endlessAnswerToTheCheckIsBrokenOff under a limit of 3 GB of address space: three endless bodies end in bad_alloc, three endless heads had not ended after 4 s when the run was stopped.

--- a/src/transport/attempt.cpp
+++ b/src/transport/attempt.cpp
@@ -3,6 +3,7 @@
 #include "protocol/metrics.h"
 #include "protocol/settings.h"
 #include "state/tunables.h"
+#include "transport/blockingcall.h"
 #include "transport/clock.h"
 
 #include <fmt/format.h>
@@ -209,18 +210,16 @@
 
 bool endpointGone(const std::string &address, uint64_t incarnation)
 {
-    const Result<HostPort> target = parseHostPort(address);
-    if (target.has_error())
+    if (parseHostPort(address).has_error())
         return false;
     for (int i = 0; i < ProbeAttempts; ++i) {
-        httplib::Client client(target.value().host, target.value().port);
-        configureClient(client, ProbeTimeout);
-        const httplib::Result result = client.Get("/healthz");
-        if (result) {
-            const std::string currentIncarnation = result->get_header_value("X-Incarnation");
+        const BlockingCall call = callBlocking(address, "GET", "/healthz", {{"Connection", "close"}}, "", ConnectTimeout, ProbeTimeout);
+        if (call.answer) {
+            const std::string currentIncarnation(call.answer->headers["X-Incarnation"]);
             return !currentIncarnation.empty() && currentIncarnation != std::to_string(incarnation);
         }
-        if (result.error() == httplib::Error::Connection)
+        // A connection that times out proves nothing.
+        if (call.connectError && call.connectError != net::error::operation_aborted && call.connectError != net::error::timed_out)
             return true;
     }
     return false;
--- a/src/transport/coordinator.cpp
+++ b/src/transport/coordinator.cpp
@@ -5,10 +5,10 @@
 #include "protocol/settings.h"
 #include "state/tunables.h"
 #include "transport/attempt.h"
+#include "transport/blockingcall.h"
 #include "transport/clock.h"
 
 #include <future>
-#include <httplib.h>
 
 namespace roserail
 {
@@ -243,21 +243,21 @@
     bool answered = true; // also if no byte was sent
     const bool maySend = target.has_value() && m_node.status().leads(monotonicNow());
     if (maySend) {
-        httplib::Client client(target.value().host, target.value().port);
-        client.set_connection_timeout(ConnectTimeout);
-        client.set_read_timeout(OrderTimeout);
-        client.set_write_timeout(OrderTimeout);
-        const httplib::Result result = client.Post("/v1/orders", encodeOrder(order), "application/json");
-        const bool notConnected = result.error() == httplib::Error::Connection || result.error() == httplib::Error::ConnectionTimeout;
-        answered = result || notConnected;
-        sequence = result ? parseOrderAnswer(result->body) : 0;
+        const BlockingCall call
+            = callBlocking(address, "POST", "/v1/orders", {{"Content-Type", "application/json"}, {"Connection", "close"}},
+                           encodeOrder(order), ConnectTimeout, OrderTimeout);
+        answered = call.answer || call.connectError;
+        sequence = call.answer ? parseOrderAnswer(call.answer->body) : 0;
         logEvent("order",
                  {{"kind", order.kind == OrderKind::Load ? "load" : "unload"},
                   {"endpoint", order.endpoint.value()},
                   {"artifact", order.artifact.value()},
                   {"fence", order.fence.value()},
-                  {"status", result ? result->status : 0},
-                  {"error", httplib::to_string(result.error())}});
+                  {"status", call.answer ? call.answer->status : 0},
+                  {"error",
+                   call.answer             ? "none"
+                       : call.connectError ? call.connectError.message()
+                                           : "no complete answer"}});
     }
     metrics().counter(answered ? "roserail_orders_total{answer=\"yes\"}" : "roserail_orders_total{answer=\"lost\"}").add();
     if (!answered)
--- a/src/transport/endpointpool.cpp
+++ b/src/transport/endpointpool.cpp
@@ -170,11 +170,11 @@
     }
     if (ec)
         co_return std::nullopt;
-    const http::response<http::string_body> response = parser->release();
+    http::response<http::string_body> response = parser->release();
     connection.keepAliveHeader = std::string(response[http::field::keep_alive]);
     connection.used = true;
     reusable = response.keep_alive() && connection.buffer.size() == 0;
-    co_return CallAnswer{response.result_int(), response.body()};
+    co_return CallAnswer{response.result_int(), std::move(response.body()), std::move(response.base())};
 }
 
 Task<std::optional<CallAnswer>> callEndpoint(EndpointPool &pool, std::string address, std::string method, std::string path,
--- a/src/transport/endpointpool.h
+++ b/src/transport/endpointpool.h
@@ -56,6 +56,7 @@
 struct CallAnswer {
     unsigned status = 0;
     std::string body;
+    http::fields headers;
 };
 
 // Sends one request on a connection that no other request uses, and reads the complete answer. Returns nothing if there
--- a/tests/attempt_test.cpp
+++ b/tests/attempt_test.cpp
@@ -2,6 +2,7 @@
 // by byte.
 #define BOOST_TEST_MODULE attempt
 #include "rawendpoint.h"
+#include "state/tunables.h"
 #include "transport/attempt.h"
 #include "transport/clock.h"
 
@@ -40,6 +41,19 @@
     {Head + "Transfer-Encoding: chunked\r\n\r\n", AnswerEnd::Endless, "1000\r\n" + Filler + "\r\n"},
 };
 
+// What the check whether an endpoint has ended accepts, and what the sockets of both sides hold on top of it.
+constexpr size_t MaxAcceptedCheckBytes
+    = tunables::MaxReportBytes + tunables::MaxAnswerHeaderBytes + tunables::MaxUnparsedBytes + (16u << 20);
+
+const std::vector<RawAnswer> EndlessCheckAnswers{
+    {Head + "\r\n", AnswerEnd::Endless, Filler},
+    {Head + "Transfer-Encoding: chunked\r\n\r\n", AnswerEnd::Endless, "1000\r\n" + Filler + "\r\n"},
+    {Head + "Content-Length: 100000000000\r\n\r\n", AnswerEnd::Endless, Filler},
+    {Head + "X-A: ", AnswerEnd::Endless, Filler},
+    {Head, AnswerEnd::Endless, "X-A: a\r\n"},
+    {"", AnswerEnd::Endless, "HTTP/1.1 100 Continue\r\n\r\n"},
+};
+
 const std::vector<RawAnswer> TruncatedAnswers{
     {Head + "Content-Length: 90\r\n\r\n" + "half", AnswerEnd::Close},
     {Head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", AnswerEnd::Close},
@@ -68,6 +82,47 @@
     BOOST_TEST(endpoint.bytesSent() < MaxAcceptedBytes);
 }
 
+// Guards against an endpoint that answers the check whether it has ended with bytes without end: the router kept them all. Each of the
+// check's connections is broken off.
+BOOST_DATA_TEST_CASE(endlessAnswerToTheCheckIsBrokenOff, bdata::make(EndlessCheckAnswers), endless)
+{
+    RawEndpoint endpoint([&](const std::string &) { return endless; });
+    const Time start = monotonicNow();
+    BOOST_TEST(!endpointGone(endpoint.address(), 1));
+    BOOST_TEST((monotonicNow() - start < MaxRunTime));
+    BOOST_TEST(endpoint.bytesSent() < endpoint.connections() * MaxAcceptedCheckBytes);
+}
+
+struct Incarnation {
+    std::string bytes;
+    bool gone = false;
+};
+
+std::ostream &operator<<(std::ostream &out, const Incarnation &it)
+{
+    return out << it.bytes;
+}
+
+const std::vector<Incarnation> Incarnations{
+    {"HTTP/1.1 200 OK\r\nX-Incarnation: 7\r\nContent-Length: 0\r\n\r\n", false},
+    {"HTTP/1.1 200 OK\r\nX-Incarnation: 8\r\nContent-Length: 0\r\n\r\n", true},
+    {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false},
+};
+
+// Guards against an endpoint that runs and is taken to have ended, or the opposite.
+BOOST_DATA_TEST_CASE(checkComparesTheIncarnation, bdata::make(Incarnations), incarnation)
+{
+    std::string address;
+    {
+        const RawEndpoint endpoint([&](const std::string &) { return RawAnswer{incarnation.bytes, AnswerEnd::Close}; });
+        address = endpoint.address();
+        BOOST_TEST(endpointGone(address, 7) == incarnation.gone);
+        BOOST_TEST(endpointGone("localhost" + address.substr(address.find(':')), 7) == incarnation.gone);
+    }
+    BOOST_TEST(endpointGone(address, 7));
+    BOOST_TEST(!endpointGone("no address", 7));
+}
+
 // Guards against a truncated answer that is taken for a complete one.
 BOOST_DATA_TEST_CASE(truncatedAnswerIsInterrupted, bdata::make(TruncatedAnswers), truncated)
 {
