A stream goes on at the only known version only if the list of versions is newer than the request

Cause: a router took its list of versions for complete once a control host had confirmed it, however long ago. With one version known, a continuation whose beginning was not known went anywhere, also after a poll that brought the second version.

Change: Confirmation stores the time as of which knowledge is confirmed: when the control host was asked, less the age of its list in the log (new field software_age_ms; older builds: state_age_ms). A continuation waits, as for the first list, for a confirmation as of a time after the request came, and then requires the only version; without one it is refused as not run. While it waits, its stream is asked for in the same polls. If the confirmation is older than MaxUncheckedAge, an endpoint is asked for its start before it continues a stream.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -117,17 +117,14 @@
     });
 }
 
-bool Balancer::hasSeveralSoftwareVersions(const ServiceId &service) const
+std::set<SoftwareVersion> Balancer::softwareVersions(const ServiceId &service) const
 {
-    const std::string *first = nullptr;
+    std::set<SoftwareVersion> versions;
     for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
-        if (it.second.announcement.service() != service.value())
-            continue;
-        if (first != nullptr && *first != it.second.announcement.software())
-            return true;
-        first = &it.second.announcement.software();
+        if (it.second.announcement.service() == service.value())
+            versions.emplace(it.second.announcement.software());
     }
-    return false;
+    return versions;
 }
 
 bool Balancer::matches(const Endpoint &endpoint, const EndpointRequirements &requirements)
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -88,8 +88,8 @@
     // Returns whether the service has an endpoint that is neither leaving, gone nor lost. If the request requires a software
     // version, the endpoint must have it and not have been tried.
     bool hasUsableEndpoint(const EndpointRequirements &requirements) const;
-    // Returns whether endpoints of several software versions are known for the service.
-    bool hasSeveralSoftwareVersions(const ServiceId &service) const;
+    // Returns the software versions of the service's known endpoints.
+    std::set<SoftwareVersion> softwareVersions(const ServiceId &service) const;
 
     void attemptStarted(const EndpointRequirements &requirements, const EndpointChoice &choice, Time now);
     void attemptEnded(const EndpointRequirements &requirements, const EndpointChoice &choice, AttemptOutcome end, Time now);
--- a/src/coordination/softwareseen.cpp
+++ b/src/coordination/softwareseen.cpp
@@ -33,12 +33,14 @@
     return result;
 }
 
-bool SoftwareSeen::several(const std::string &service, Time now) const
+std::set<SoftwareVersion> SoftwareSeen::versions(const std::string &service, Time now) const
 {
-    size_t n = 0;
-    for (auto it = m_seenAt.lower_bound({service, ""}); it != m_seenAt.end() && it->first.first == service; ++it)
-        n += now <= it->second + m_retention ? 1 : 0;
-    return n > 1;
+    std::set<SoftwareVersion> result;
+    for (auto it = m_seenAt.lower_bound({service, ""}); it != m_seenAt.end() && it->first.first == service; ++it) {
+        if (now <= it->second + m_retention)
+            result.emplace(it->first.second);
+    }
+    return result;
 }
 
 bool SoftwareSeen::severalOfAny(Time now) const
@@ -47,6 +49,13 @@
                        [&](const std::pair<const Use, Time> &it) { return several(it.first.first, now); });
 }
 
+std::optional<SoftwareVersion> onlyVersion(const std::set<SoftwareVersion> &versions, const Confirmation &listed, Time continuedAt)
+{
+    if (!listed.covers(continuedAt) || versions.size() != 1)
+        return std::nullopt;
+    return *versions.begin();
+}
+
 uint64_t softwareChecksum(const pb::RecordSoftware &listed)
 {
     const std::string bytes = listed.SerializeAsString();
--- a/src/coordination/softwareseen.h
+++ b/src/coordination/softwareseen.h
@@ -5,9 +5,12 @@
 // after. The leader keeps the list in the replicated log, so that hosts that come back do not take the remaining version for the only one.
 #pragma once
 
+#include "coordination/confirmation.h"
 #include "coordination/registry.h"
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace roserail
@@ -27,8 +30,13 @@
     void record(const pb::RecordSoftware &listed, Time now);
     // Returns the versions that were seen within the retention time, in order.
     pb::RecordSoftware list(Time now);
-    // Returns whether several versions of the service were seen within the retention time.
-    bool several(const std::string &service, Time now) const;
+    // Returns the versions of the service that were seen within the retention time.
+    std::set<SoftwareVersion> versions(const std::string &service, Time now) const;
+    // Returns whether there are several.
+    bool several(const std::string &service, Time now) const
+    {
+        return versions(service, now).size() > 1;
+    }
     // Returns whether that holds for any service.
     bool severalOfAny(Time now) const;
 
@@ -39,6 +47,10 @@
     std::map<Use, Time> m_seenAt;
 };
 
+// Returns the version that began a stream, by the versions of its service that this router knows: the only one, if others can't have begun
+// it. `listed`: how current they are. `continuedAt`: when the request to continue the stream came, and thus after its beginning.
+std::optional<SoftwareVersion> onlyVersion(const std::set<SoftwareVersion> &versions, const Confirmation &listed, Time continuedAt);
+
 // Returns a number by which lists are compared; 0 for an empty one.
 uint64_t softwareChecksum(const pb::RecordSoftware &listed);
 
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -228,6 +228,8 @@
 constexpr Millis StreamVersionRetention = std::chrono::minutes(1); // exceeds the longest stream and its caller's retries
 // For a new software version to be listed in the replicated log before a stream begins there; covers an election.
 constexpr Millis UnrecordedSoftwareWait{2000};
+// Of what a router knows of the endpoints' processes: if it is older, a process is asked before it continues a stream. Four polls.
+constexpr Millis MaxUncheckedAge{1000};
 constexpr size_t MaxStreamVersions = 8192; // some 100 bytes each
 constexpr size_t MaxRecordedStreams = 32768; // of all routers: a minute of 300 routers; 0.3 MB of a snapshot
 constexpr Millis StreamReportTime{
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -114,7 +114,7 @@
             m_table.mergeConfiguration(machine.configuration());
     });
     // The status was read first: the list and the configuration are at least as new.
-    m_table.setSoftware(software, status.currentAt >= m_bootstrapView.startedAt);
+    m_table.setSoftware(software, status.currentAt >= m_bootstrapView.startedAt, status.currentAt);
     m_table.confirmByLog(status.currentAt);
     logIsolation(status, now);
     recordSoftware(status, software, now);
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -78,8 +78,8 @@
         net::post(m_io, [this, &promise] { promise.set_value(buildSyncRequest()); });
         return request.get();
     };
-    const MeshClient::HandleReply handleReply = [this](const pb::SyncReply &reply) {
-        net::post(m_io, [this, reply] { applySync(reply); });
+    const MeshClient::HandleReply handleReply = [this](const pb::SyncReply &reply, Time askedAt) {
+        net::post(m_io, [this, reply, askedAt] { applySync(reply, askedAt); });
     };
     m_meshClient = std::make_unique<MeshClient>(internalSeeds(m_settings.host), buildRequest, handleReply);
     net::co_spawn(m_io, closeExpiredConnections(), net::detached);
@@ -208,12 +208,12 @@
     request.set_configuration(m_configuration.version());
     request.set_software(softwareChecksum(m_software));
     *request.mutable_progress() = m_configurationReceiver.progress();
-    m_meshClient->setWaiting(m_balancer.hasWaitingRequests() || m_forwarder.wantsStreams() || !m_forwarder.table()
+    m_meshClient->setWaiting(m_balancer.hasWaitingRequests() || m_forwarder.waitsForVersions() || !m_forwarder.table()
                              || m_configurationReceiver.receiving());
     return request;
 }
 
-void EntryApi::applySync(const pb::SyncReply &reply)
+void EntryApi::applySync(const pb::SyncReply &reply, Time askedAt)
 {
     const Time now = monotonicNow();
     if (reply.has_software() || reply.software_list() != m_softwareList) {
@@ -231,7 +231,7 @@
     const uint64_t previousVersion = m_registry.version();
     m_forwarder.software().record(m_software, now);
     if (m_softwareList != pb::SOFTWARE_LIST_INCOMPLETE)
-        m_forwarder.setSoftwareKnown();
+        m_forwarder.confirmSoftware(askedAt, Millis(reply.has_software_age_ms() ? reply.software_age_ms() : reply.state_age_ms()));
     // Versions are remembered as of each change of the endpoints: those that are about to leave, and those that come.
     const bool endpointsChange = reply.full() || reply.endpoints_size() > 0;
     if (endpointsChange)
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -31,7 +31,8 @@
     Task<> answerResolve(CallerConnection &caller);
     Task<> closeExpiredConnections();
     pb::SyncRequest buildSyncRequest();
-    void applySync(const pb::SyncReply &reply);
+    // `askedAt`: when the poll was sent.
+    void applySync(const pb::SyncReply &reply, Time askedAt);
     void applyConfigurationOf(const pb::SyncReply &reply);
     void applyConfiguration(const pb::WholeConfiguration &configuration);
     void logRefusedParts();
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -229,7 +229,7 @@
 }
 
 // Requires the software version that began the stream which the request continues, if it continues one. Returns false if
-// that version is not known and several serve, or served a short time ago, or may have.
+// that version is not known and several may have begun it.
 Task<bool> Forwarder::selectVersion(Request &request)
 {
     static Counter &unknown = metrics().counter("roserail_continuations_of_unknown_version_total");
@@ -239,17 +239,9 @@
         request.requirements.software = SoftwareVersion(std::string(request.caller.header(RelaySoftware)));
     else
         request.requirements.software = m_streamVersions.find(streamId(request.metadata.resumes), monotonicNow());
-    const std::function<bool()> known = [this] {
-        return m_softwareKnown;
-    };
     if (!request.requirements.software)
-        co_await waitUntil(request, known);
-    const ServiceId &service = request.requirements.service;
-    const bool several
-        = !m_softwareKnown || m_balancer.hasSeveralSoftwareVersions(service) || m_software.several(service.value(), monotonicNow());
-    if (!request.requirements.software && several && !request.metadata.resumes.empty())
         co_await askForVersion(request);
-    if (request.requirements.software || !several)
+    if (request.requirements.software)
         co_return true;
     unknown.add();
     request.cause = "it is not known which software version began the stream; begin a new one";
@@ -257,23 +249,38 @@
     co_return false;
 }
 
-// Waits for a control host to name the version that began the stream. The stream may have begun at another host, or before this process.
+// Waits for a control host to name the version that began the stream, or to show that only one can have. The stream may have begun at
+// another host, or before this process.
 Task<> Forwarder::askForVersion(Request &request)
 {
+    const bool named = !request.metadata.resumes.empty();
     const StreamId stream = streamId(request.metadata.resumes);
-    ++m_wantedStreams[stream];
+    std::optional<SoftwareVersion> &version = request.requirements.software;
+    const std::function<bool()> decided = [&, this] {
+        const Time now = monotonicNow();
+        const ServiceId &service = request.requirements.service;
+        std::set<SoftwareVersion> versions = m_balancer.softwareVersions(service);
+        versions.merge(m_software.versions(service.value(), now));
+        version = named ? m_streamVersions.find(stream, now) : std::nullopt;
+        if (!version)
+            version = onlyVersion(versions, m_softwareConfirmed, request.caller.arrivedAt());
+        return version || (!named && versions.size() > 1);
+    };
+    ++m_waitingForVersion;
+    if (named)
+        ++m_wantedStreams[stream];
     if (m_onWait)
         m_onWait();
-    const std::function<bool()> found = [this, stream] {
-        return m_streamVersions.find(stream, monotonicNow()).has_value();
-    };
-    co_await waitUntil(request, found);
-    if (--m_wantedStreams[stream] == 0)
+    co_await waitUntil(request, decided);
+    --m_waitingForVersion;
+    if (named && --m_wantedStreams[stream] == 0)
         m_wantedStreams.erase(stream);
-    request.requirements.software = m_streamVersions.find(stream, monotonicNow());
-    const std::string version = request.requirements.software ? request.requirements.software->value() : "unknown";
     logDecision("stream_version",
-                {{"id", request.metadata.id}, {"resumes", request.metadata.resumes}, {"software", version}, {"known", m_registryVersion}});
+                {{"id", request.metadata.id},
+                 {"resumes", request.metadata.resumes},
+                 {"software", version.value_or(SoftwareVersion("unknown")).value()},
+                 {"list_age_ms", m_softwareConfirmed.age(monotonicNow()).count()},
+                 {"known", m_registryVersion}});
 }
 
 void Forwarder::addStreams(pb::SyncRequest &request, Time now) const
@@ -534,8 +541,10 @@
         m_pool.putIdle(std::move(connection), monotonicNow());
         co_return AttemptEnd::NotSent;
     }
-    if (request.requirements.software && m_balancer.hasSeveralSoftwareVersions(request.requirements.service)
-        && !co_await confirmIncarnation(request, choice, *connection)) {
+    const bool recent = m_softwareConfirmed.covers(monotonicNow() - MaxUncheckedAge);
+    const bool several = m_balancer.softwareVersions(request.requirements.service).size() > 1;
+    const bool check = request.requirements.software && (!recent || several);
+    if (check && !co_await confirmIncarnation(request, choice, *connection)) {
         request.cause = "the endpoint did not confirm that it is the one whose software version is known";
         request.requirements.avoid.insert(choice.endpoint);
         co_return request.cancellation->cancelled() ? AttemptEnd::Abandoned : AttemptEnd::NotSent;
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -41,11 +41,12 @@
     {
         return m_software;
     }
-    // Called once a control host has shown that its list of software versions is complete. Until then, versions that this router
-    // has not heard of may have begun a stream.
-    void setSoftwareKnown()
+    // Called when a control host that was asked at `askedAt` has shown that its list of software versions was complete `age` before.
+    // Since then, versions that this router has not heard of may have begun a stream.
+    void confirmSoftware(Time askedAt, Millis age)
     {
-        if (!std::exchange(m_softwareKnown, true))
+        m_softwareConfirmed.record(askedAt, age);
+        if (waitsForVersions())
             wakeWaitingRequests();
     }
     // Adds this router's recent streams to its state while there are several software versions, and the streams to a poll whose versions
@@ -53,9 +54,9 @@
     void addStreams(pb::SyncRequest &request, Time now) const;
     // Records the versions of streams that a control host has found.
     void recordFoundStreams(const pb::SyncReply &reply, Time now);
-    bool wantsStreams() const
+    bool waitsForVersions() const
     {
-        return !m_wantedStreams.empty();
+        return m_waitingForVersion > 0;
     }
     // Records a sync with a control host for the log: its version of the registry, the time, and when the configuration was
     // known to be the newest.
@@ -178,7 +179,8 @@
     BufferQuota m_bufferQuota;
     StreamVersions m_streamVersions;
     SoftwareSeen m_software;
-    bool m_softwareKnown = false;
+    Confirmation m_softwareConfirmed; // of the lists of versions and endpoints, by control hosts
+    size_t m_waitingForVersion = 0; // requests that continue streams
     std::map<StreamId, size_t> m_wantedStreams; // with the number of requests that continue each
     PeerRouters *m_peers = nullptr; // null: requests are not passed on
     std::string m_self;
--- a/src/transport/livetable.h
+++ b/src/transport/livetable.h
@@ -2,6 +2,7 @@
 // changes and push them to peers.
 #pragma once
 
+#include "coordination/confirmation.h"
 #include "coordination/registry.h"
 #include "coordination/softwareseen.h"
 #include "coordination/staleness.h"
@@ -107,19 +108,22 @@
         if (configuration && m_configuration.merge(*configuration))
             logEvent("configuration", {{"version", delta.version()}, {"base", delta.base()}});
     }
-    // The versions of endpoints' software, as the replicated log lists them. `complete`: the log was current since this process started.
-    void setSoftware(const pb::RecordSoftware &software, bool complete)
+    // The versions of endpoints' software, as the replicated log lists them, and when the log was current. `complete`: it was since this
+    // process started.
+    void setSoftware(const pb::RecordSoftware &software, bool complete, Time currentAt)
     {
         const std::lock_guard lock(m_mutex);
         m_software = software;
         m_softwareChecksum = softwareChecksum(software);
         m_softwareComplete = complete;
+        m_softwareConfirmed.record(currentAt, Millis(0));
     }
-    // Sets the list in a reply to a process that has another one, and whether it may lack versions.
-    void addSoftwareUnless(uint64_t known, pb::SyncReply &out) const
+    // Sets the list in a reply to a process that has another one, its age, and whether it may lack versions.
+    void addSoftwareUnless(uint64_t known, Time now, pb::SyncReply &out) const
     {
         const std::lock_guard lock(m_mutex);
         out.set_software_list(softwareList());
+        out.set_software_age_ms(uint64_t(m_softwareConfirmed.age(now).count()));
         if (m_softwareChecksum != known)
             *out.mutable_software() = m_software;
     }
@@ -186,6 +190,7 @@
     pb::RecordSoftware m_software;
     uint64_t m_softwareChecksum = 0;
     bool m_softwareComplete = false;
+    Confirmation m_softwareConfirmed; // by the log
 
     static constexpr Millis ExpiryInterval{100};
 };
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -78,7 +78,7 @@
     reply->set_busy(current && !serves);
     reply->set_state_age_ms(uint64_t(m_table.stateAge(now).count()));
     postponed |= !addConfiguration(*request, now, *reply);
-    m_table.addSoftwareUnless(request->software(), *reply);
+    m_table.addSoftwareUnless(request->software(), now, *reply);
     addFoundStreams(*request, *reply);
     recordReply(*reply, serves && wholeList, postponed, now);
     return grpc::Status::OK;
@@ -266,6 +266,7 @@
     grpc::ClientContext context;
     setDeadline(context, first ? ListTimeout : SyncTimeout);
     pb::SyncReply reply;
+    const Time askedAt = monotonicNow();
     const grpc::Status status = pb::Mesh::NewStub(channel)->Sync(&context, request, &reply);
     if (!status.ok()) {
         m_channel.reset();
@@ -277,7 +278,7 @@
     }
     if (reply.epoch() == 0) {
         if (reply.busy())
-            m_handleReply(reply);
+            m_handleReply(reply, askedAt);
         m_channel.reset();
         return reply.busy() ? PollOutcome::Busy : PollOutcome::Referred;
     }
@@ -285,7 +286,7 @@
         m_servedBy = m_channel->address();
         logEvent("control_host", {{"host", m_servedBy}, {"state_age_ms", reply.state_age_ms()}});
     }
-    m_handleReply(reply);
+    m_handleReply(reply, askedAt);
     retryNearestHost();
     return PollOutcome::Served;
 }
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -76,9 +76,10 @@
 class MeshClient
 {
 public:
-    // `buildRequest` returns the request of a poll, `handleReply` receives the reply. Both run on the session's thread.
+    // `buildRequest` returns the request of a poll, `handleReply` receives the reply and when it was asked for. Both run on the session's
+    // thread.
     using BuildRequest = std::function<pb::SyncRequest()>;
-    using HandleReply = std::function<void(const pb::SyncReply &)>;
+    using HandleReply = std::function<void(const pb::SyncReply &, Time)>;
     MeshClient(std::vector<std::string> seeds, BuildRequest buildRequest, HandleReply handleReply);
     ~MeshClient();
     MeshClient(const MeshClient &) = delete;
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -53,10 +53,10 @@
     m_programs = programs.empty() ? ROSERAIL_BUILD : programs;
 }
 
-std::string Fleet::settings(const std::string &id, const std::string &address) const
+std::string Fleet::settings(const std::string &id, const std::string &address, const std::string &seed) const
 {
-    std::string seeds;
-    for (int n = 1; n <= KeeperCount; ++n)
+    std::string seeds = seed.empty() ? "" : fmt::format("\"{}:{}\"", seed, m_firstPort + 1);
+    for (int n = 1; n <= KeeperCount && seed.empty(); ++n)
         seeds += fmt::format("{}\"{}:{}\"", n == 1 ? "" : ", ", keeperAddress(n), m_firstPort + 1);
     return fmt::format("id: {}\nzone: z1\naddress: {}\nseeds: [{}]\ninternalPort: {}\ngrace: 4s\n", id, address, seeds, internalPort());
 }
@@ -70,10 +70,10 @@
     spawn(id, {m_programs + "/roserail-keeper", writeFile(id + ".yaml", text)});
 }
 
-void Fleet::startEntry(int n)
+void Fleet::startEntry(int n, const std::string &seed)
 {
     const std::string id = fmt::format("entry-{}", n);
-    const std::string text = settings(id, "127.0.0.1") + fmt::format("metrics: \"127.0.0.1:{}\"\n", m_firstPort + 60 + n)
+    const std::string text = settings(id, "127.0.0.1", seed) + fmt::format("metrics: \"127.0.0.1:{}\"\n", m_firstPort + 60 + n)
         + fmt::format("firstStart: true\nlisten: \"127.0.0.1:{}\"\nready: \"127.0.0.1:{}\"\ndirectory: \"127.0.0.1:{}\"\n", entryPort(n),
                       m_firstPort + 20 + n, m_firstPort + 30 + n)
         + fmt::format("relay: \"127.0.0.1:{}\"\n", m_firstPort + 70 + n);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -21,7 +21,8 @@
     // Sets the folder of the programs of the hosts that are started from now on; empty: those of this build.
     void setBuild(const std::string &programs);
     void startKeeper(int n, bool mayFound, int orderLeaseMs = 300);
-    void startEntry(int n);
+    // `seed`: address of the only control host that it is told, instead of all of them.
+    void startEntry(int n, const std::string &seed = "");
     // `copies`: models that are not loaded, but of which the runner has a copy in host memory and on disk.
     void startRunner(int n, const std::string &service, const std::string &models, bool refuseOrders = false,
                      const std::string &copies = "", const std::string &software = "v1");
@@ -73,7 +74,7 @@
     }
 
 private:
-    std::string settings(const std::string &id, const std::string &address) const;
+    std::string settings(const std::string &id, const std::string &address, const std::string &seed = "") const;
     int m_firstPort;
     std::string m_programs;
 };
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -51,8 +51,8 @@
 class Router
 {
 public:
-    // `softwareKnown`: a control host has shown that its list of software versions is complete.
-    explicit Router(const std::vector<Known> &endpoints, bool softwareKnown = true)
+    // `listedAt`: when a control host was asked whose list of software versions was complete; none: its list stays complete.
+    explicit Router(const std::vector<Known> &endpoints, std::optional<Time> listedAt = Time::max())
         : m_server(m_io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
     {
         RouteTable table;
@@ -69,8 +69,8 @@
         }
         m_balancer.update(registry);
         m_retries.setShare(100, 1);
-        if (softwareKnown)
-            m_forwarder.setSoftwareKnown();
+        if (listedAt)
+            m_forwarder.confirmSoftware(*listedAt, Millis(0));
         BOOST_REQUIRE(m_server.listen(fmt::format("127.0.0.1:{}", Port)).has_value());
         m_thread = std::thread([this] { m_io.run(); });
     }
@@ -409,6 +409,9 @@
     Millis after{0}; // the request began
     std::vector<std::string> listed; // versions
     unsigned status = 200;
+    Millis delay{0}; // of the reply with the list, since the control host was asked
+    Millis age{0}; // of the list, at the control host
+    std::optional<Millis> earlier; // an earlier list, with the version that serves, was asked for so long before the request
 };
 
 std::ostream &operator<<(std::ostream &out, const ListArrival &it)
@@ -420,15 +423,24 @@
     {"never", Millis(10000), {}, 503},
     {"with another version", Millis(100), {"v1", "v2"}, 503},
     {"with the only version", Millis(100), {"v2"}, 200},
+    {"with the only version, asked for before the request", Millis(100), {"v2"}, 503, Millis(300)},
+    {"with the only version, by a host whose list is older", Millis(100), {"v2"}, 503, Millis(0), Millis(300)},
+    {"with the only version, asked for and current since the request", Millis(200), {"v2"}, 200, Millis(50), Millis(50)},
+    {"with the only version, after an earlier one", Millis(100), {"v2"}, 200, Millis(0), Millis(0), Millis(500)},
+    {"with another version, after an earlier one", Millis(100), {"v1", "v2"}, 503, Millis(0), Millis(0), Millis(500)},
+    {"asked for before the request, after an earlier one", Millis(100), {"v2"}, 503, Millis(300), Millis(0), Millis(500)},
+    {"never, after an earlier one", Millis(10000), {}, 503, Millis(0), Millis(0), Millis(500)},
 };
 
-// Guards against a stream that is joined from two versions by a router that has just started: the control host that it asked did
-// not know the version either that began the stream, and the one that serves looked like the only one.
+// Guards against a stream that is joined from two versions by a router that has just started, stood still, or was cut off: the control
+// host that it asked did not know the version either that began the stream, or it asked too early, and the one that serves looked
+// like the only one.
 BOOST_DATA_TEST_CASE(streamIsContinuedOnceAllVersionsAreKnown, bdata::make(ListArrivals), arrival)
 {
     std::deque<RawEndpoint> endpoints;
     const std::vector<VersionedEndpoint> versions{{"v2", "v2"}};
-    Router router(startEndpoints(endpoints, versions), false);
+    const std::optional<Time> earlier = arrival.earlier ? std::optional(monotonicNow() - *arrival.earlier) : std::nullopt;
+    Router router(startEndpoints(endpoints, versions), earlier);
     router.after(arrival.after, [&](Forwarder &forwarder) {
         pb::RecordSoftware list;
         for (const std::string &it : arrival.listed) {
@@ -437,13 +449,25 @@
             use.set_version(it);
         }
         forwarder.software().record(list, monotonicNow());
-        forwarder.setSoftwareKnown();
+        forwarder.confirmSoftware(monotonicNow() - arrival.delay, arrival.age);
     });
     const ReceivedAnswer answer = call("/resume/x", "1.1", "X-Request-Id: r2\r\nLast-Event-Id: 2\r\nResumes: r1\r\n");
     BOOST_TEST(answer.status == arrival.status);
     BOOST_TEST(endpoints.front().requests().size() == (arrival.status == 200 ? 1u : 0u));
 }
 
+// Guards against an endpoint that has restarted with another version under its address, and continues a stream at a router whose list of
+// endpoints is an old one with a single version.
+BOOST_AUTO_TEST_CASE(endpointIsCheckedIfTheListIsOld)
+{
+    std::deque<RawEndpoint> endpoints;
+    const std::vector<VersionedEndpoint> versions{{"v1", "v1", 10, true}, {"v2", "v1", 11}};
+    const Router router(startEndpoints(endpoints, versions), monotonicNow() - Millis(3000));
+    const ReceivedAnswer answer = call("/resume/x");
+    BOOST_TEST(!answer.complete);
+    BOOST_TEST(answer.body == versionedEvents(1, 2, "v1"));
+}
+
 // Guards against a check that costs something although all endpoints run one version.
 BOOST_AUTO_TEST_CASE(singleVersionIsNotChecked)
 {
--- a/tests/meshclient_test.cpp
+++ b/tests/meshclient_test.cpp
@@ -93,7 +93,7 @@
         seeds.push_back(minority2.address());
     std::atomic<int> served = 0;
     MeshClient client(
-        seeds, [] { return pb::SyncRequest(); }, [&](const pb::SyncReply &) { ++served; });
+        seeds, [] { return pb::SyncRequest(); }, [&](const pb::SyncReply &, Time) { ++served; });
     BOOST_REQUIRE(becomes([&] { return served > 0; }, Millis(5000)));
     // The core is split, and the majority is without a leader for a while.
     for (ControlHost *it : {&minority1, &minority2}) {
@@ -117,7 +117,7 @@
     minority.list({majority.address(), minority.address()});
     std::atomic<int> served = 0;
     MeshClient client(
-        {minority.address()}, [] { return pb::SyncRequest(); }, [&](const pb::SyncReply &) { ++served; });
+        {minority.address()}, [] { return pb::SyncRequest(); }, [&](const pb::SyncReply &, Time) { ++served; });
     BOOST_REQUIRE(becomes([&] { return served > 0; }, Millis(5000)));
     majority.fails = true;
     minority.list({minority.address()});
--- a/tests/streamversions_test.cpp
+++ b/tests/streamversions_test.cpp
@@ -16,6 +16,8 @@
 using namespace roserail;
 using namespace roserail::test;
 
+namespace bdata = boost::unit_test::data;
+
 namespace
 {
 
@@ -106,6 +108,44 @@
     BOOST_TEST(softwareChecksum(pb::RecordSoftware()) == 0u);
 }
 
+struct ListAge {
+    std::string name;
+    std::set<SoftwareVersion> versions;
+    Millis askedAfter{0}; // the request to continue the stream came
+    Millis age{0}; // of the list, when the control host was asked
+    bool decided = false;
+};
+
+std::ostream &operator<<(std::ostream &out, const ListAge &it)
+{
+    return out << it.name;
+}
+
+const std::set<SoftwareVersion> One{SoftwareVersion("v1")};
+const std::set<SoftwareVersion> Two{SoftwareVersion("v1"), SoftwareVersion("v2")};
+const std::vector<ListAge> ListAges{
+    {"asked long before the request came", One, Millis(-3000), Millis(0), false},
+    {"asked just before", One, Millis(-1), Millis(0), false},
+    {"asked at the same time", One, Millis(0), Millis(0), false},
+    {"asked after", One, Millis(1), Millis(0), true},
+    {"asked after, of a host with an older list", One, Millis(50), Millis(50), false},
+    {"asked after, of a host with a list since", One, Millis(50), Millis(49), true},
+    {"several versions", Two, Millis(50), Millis(0), false},
+    {"no version", {}, Millis(50), Millis(0), false},
+};
+
+// Guards against a version that is taken for the only one by a list of before its stream was to be continued: others may have joined since.
+BOOST_DATA_TEST_CASE(onlyVersionNeedsAListOfAfterTheRequest, bdata::make(ListAges), list)
+{
+    Confirmation listed;
+    BOOST_TEST(!onlyVersion(list.versions, listed, Now).has_value());
+    listed.record(Now + list.askedAfter, list.age);
+    BOOST_TEST(onlyVersion(list.versions, listed, Now).has_value() == list.decided);
+    // A reply to an earlier question changes nothing.
+    listed.record(Now - Millis(5000), Millis(0));
+    BOOST_TEST(onlyVersion(list.versions, listed, Now).has_value() == list.decided);
+}
+
 struct RecordedVersion {
     std::string name;
     std::vector<std::string> listed; // versions of the service, in the replicated log
