--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -26,7 +26,8 @@
         m_graceMs = ms;
     }
     void startKeeper(int n, bool mayFound, int orderLeaseMs = 300);
-    void startEntry(int n);
+    // `seed`: address of the only control host that it is told, instead of all of them.
+    void startEntry(int n, const std::string &seed = "");
     // `copies`: models that are not loaded, but of which the runner has a copy in host memory and on disk.
     void startRunner(int n, const std::string &service, const std::string &models, bool refuseOrders = false,
                      const std::string &copies = "", const std::string &software = "v1");
@@ -78,7 +79,7 @@
     }
 
 private:
-    std::string settings(const std::string &id, const std::string &address) const;
+    std::string settings(const std::string &id, const std::string &address, const std::string &seed = "") const;
     int m_firstPort;
     int m_graceMs = 4000;
     std::string m_programs;
