--- a/tests/processes.cpp
+++ b/tests/processes.cpp
@@ -113,6 +113,13 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+siginfo_t Processes::waitWithoutReaping(const std::string &process)
+{
+    siginfo_t info{};
+    ::waitid(P_PID, id_t(m_pids.at(process)), &info, WEXITED | WNOWAIT);
+    return info;
+}
+
 bool Processes::running(const std::string &process)
 {
     return ::waitpid(m_pids.at(process), nullptr, WNOHANG) == 0;
--- a/tests/processes.h
+++ b/tests/processes.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <csignal>
 #include <filesystem>
 #include <functional>
 #include <map>
@@ -23,6 +24,8 @@
     void signal(const std::string &process, int number);
     void kill(const std::string &process); // sends SIGKILL and waits until the process has ended
     int wait(const std::string &process); // returns the exit code; -1 if a signal ended the process
+    // Waits until the process has ended and returns how; it can still be signalled until wait() or kill().
+    siginfo_t waitWithoutReaping(const std::string &process);
     bool running(const std::string &process);
     // Returns whether the process was started and has not been killed or waited for since.
     bool started(const std::string &process) const
--- a/tests/system.cpp
+++ b/tests/system.cpp
@@ -53,14 +53,15 @@
     spawn(fmt::format("control-{}", id), {ROSERAIL_BUILD "/roserail-control", path});
 }
 
-void System::startRouter(int id)
+void System::startRouter(int id, int graceMs)
 {
     const std::filesystem::path path = folder() / fmt::format("router-{}.yaml", id);
     writeFile(
         path,
         fmt::format(
-            "id: router-{}\nzone: zone-{}\nlisten: \"127.0.0.1:{}\"\ncontrol: [\"127.0.0.1:{}\", \"127.0.0.1:{}\", \"127.0.0.1:{}\"]\n", id,
-            id, routerPort(id), m_firstPort + 1, m_firstPort + 2, m_firstPort + 3));
+            "id: router-{}\nzone: zone-{}\nlisten: \"127.0.0.1:{}\"\ncontrol: [\"127.0.0.1:{}\", \"127.0.0.1:{}\", \"127.0.0.1:{}\"]\n{}",
+            id, id, routerPort(id), m_firstPort + 1, m_firstPort + 2, m_firstPort + 3,
+            graceMs == 0 ? "" : fmt::format("grace: {}ms\n", graceMs)));
     spawn(fmt::format("router-{}", id), {ROSERAIL_BUILD "/roserail-router", path});
 }
 
--- a/tests/system.h
+++ b/tests/system.h
@@ -30,7 +30,8 @@
     System(const std::string &name, int firstPort, int snapshotEvery = 20000);
 
     void startControl(int id);
-    void startRouter(int id);
+    // `graceMs`: setting `grace`; 0: its default.
+    void startRouter(int id, int graceMs = 0);
     void startEngine(int id, std::vector<std::string> options = {});
     void startService(int id);
     // Bootstraps the cluster and applies the document.
