--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -38,6 +38,14 @@
 // Returns whether the peer of an idle connection has closed it or sent bytes.
 bool hasUnexpectedInput(tcp::socket &socket);
 
+// What the server does with a connection.
+enum class ConnectionStage {
+    Idle, // waits for the first byte of a request
+    Reading,
+    Answering,
+    Closing, // waits for the caller to close its end
+};
+
 // A caller's connection and the request last read from it.
 class CallerConnection
 {
@@ -85,6 +93,7 @@
     tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
     http::request<http::string_body> m_request;
+    ConnectionStage m_stage = ConnectionStage::Idle;
     bool m_keepAlive = true;
     bool m_aborted = false;
     Time m_arrivedAt{};
@@ -109,10 +118,25 @@
     {
         m_draining = true;
     }
+    // Stops listening, after accepting the connections that the kernel has queued, and closes connections that stay idle. Requests
+    // that arrive until then are handled.
+    void finish();
+    // Refuses the requests that have not arrived whole.
+    void stopReading();
+    // Returns the number of open connections.
+    size_t connections() const
+    {
+        return m_connections.size();
+    }
+    // Returns the number of connections at a stage.
+    size_t connections(ConnectionStage stage) const;
 
 private:
+    using Connections = std::list<std::shared_ptr<CallerConnection>>;
+
     Task<> acceptConnections();
-    Task<> serve(std::shared_ptr<CallerConnection> connection);
+    void startServing(tcp::socket socket);
+    Task<> serve(Connections::iterator position);
     Task<bool> readRequest(CallerConnection &connection);
     Task<> refuse(CallerConnection &connection, const ErrorCode &ec);
     Task<> lingeringClose(CallerConnection &connection);
@@ -124,7 +148,8 @@
     net::steady_timer m_sweepTimer;
     IngressLimits m_limits;
     bool m_draining = false;
-    std::list<std::shared_ptr<CallerConnection>> m_connections;
+    bool m_finishing = false;
+    Connections m_connections;
 };
 
 // Answers with the metrics of the process as text, or with the result of `dump` if the path is /dump.
