Control host: calls that it has read are answered before it stops

Callers: operators and runners of a stopped control host lost their connection without an answer; an operator didn't know whether its configuration is in force. Cause: after the hand-over the thread that serves calls was stopped at once, with calls in progress. Change: the host takes calls until it has handed over its leadership, then closes its listener, answers what it has read and closes idle connections. A commit is waited for until 700 ms before the end of the grace period at most, then the answer is 503. A proposal that was not made, as the leader is changing, gets an error that an operator can act on. Evidence: fleet_stop_control_test.

--- a/src/keeper.cpp
+++ b/src/keeper.cpp
@@ -15,12 +15,18 @@
 #include "transport/ordersender.h"
 #include "transport/program.h"
 
+#include <algorithm>
+#include <atomic>
+
 namespace
 {
 
 using namespace roserail;
 
 constexpr uint64_t SnapshotIntervalEntries = 200; // of the log; a configuration takes 40 KB, and a disk has 64 MB
+constexpr Millis StopPollInterval{10};
+constexpr Millis StopExitMargin{500}; // of the grace period, for the internal protocol and the threads to end
+constexpr Millis StopAnswerTime{200}; // before the end of the connections, to send the answers to calls that still wait
 
 // Opens the replica of the log on a host that has a disk.
 Result<std::unique_ptr<ReplicaNode>> openReplica(const KeeperSettings &settings)
@@ -59,6 +65,42 @@
     return table.read([&](const Registry &registry) { return stateDump(std::move(process), registry, now); });
 }
 
+// Waits until `done` returns true, but no longer than the limit.
+Task<> pollUntil(net::io_context &io, std::function<bool()> done, Time limit)
+{
+    net::steady_timer timer(io);
+    while (!done() && monotonicNow() < limit) {
+        ErrorCode ec;
+        timer.expires_after(StopPollInterval);
+        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    }
+}
+
+// Takes calls of operators and runners until the leadership has been handed over, answers those that it has taken, and then stops
+// `io`, at the deadline at the latest.
+Task<> stopServing(net::io_context &io, std::vector<HttpServer *> servers, KeeperApi &api, const std::atomic<bool> &handedOver,
+                   Time deadline)
+{
+    const Time answersEnd = deadline - StopAnswerTime;
+    const std::function<bool()> idle = [&servers] {
+        return std::all_of(servers.begin(), servers.end(), [](const HttpServer *it) { return it->connections() == 0; });
+    };
+    const std::function<bool()> ledNoLonger = [&handedOver] {
+        return handedOver.load();
+    };
+    api.answerBy(answersEnd);
+    for (HttpServer *it : servers)
+        it->drain();
+    co_await pollUntil(io, ledNoLonger, answersEnd);
+    for (HttpServer *it : servers)
+        it->finish();
+    co_await pollUntil(io, idle, answersEnd);
+    for (HttpServer *it : servers)
+        it->stopReading();
+    co_await pollUntil(io, idle, deadline);
+    io.stop();
+}
+
 int serve(const KeeperSettings &settings, const std::string &file)
 {
     const std::string internal = internalAddress(settings);
@@ -115,9 +157,13 @@
             net::post(io, [&peers, changed] { peers.applySettings(changed); });
         });
     });
+    std::atomic<bool> handedOver = false;
+    const Time deadline = monotonicNow() + settings.host.grace - StopExitMargin;
+    const std::vector<HttpServer *> servers{&httpServer, &metricsServer};
+    net::co_spawn(io, stopServing(io, servers, api, handedOver, deadline), net::detached);
     if (node)
         node->handOverLeadership();
-    io.stop();
+    handedOver = true;
     ioThread.join();
     server->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(200));
     logEvent("stopped");
--- a/src/transport/keeperapi.cpp
+++ b/src/transport/keeperapi.cpp
@@ -94,6 +94,13 @@
     co_await caller.answer(307, std::move(headers), "");
 }
 
+void KeeperApi::answerBy(Time deadline)
+{
+    m_answerBy = deadline;
+    for (net::steady_timer *it : m_waits)
+        it->cancel();
+}
+
 // Proposes a command and waits for its result without blocking the thread.
 Task<Result<pb::CommandResult>> KeeperApi::propose(pb::Command command)
 {
@@ -106,17 +113,24 @@
         std::optional<Result<pb::CommandResult>> result;
     };
     const std::shared_ptr<Outcome> outcome = std::make_shared<Outcome>(m_io);
-    outcome->done.expires_after(ConfigurationCommitTimeout);
     m_node->propose(std::move(command), [&io = m_io, outcome](const Result<pb::CommandResult> &result) {
         net::post(io, [outcome, result] {
             outcome->result = result;
             outcome->done.cancel();
         });
     });
-    ErrorCode ec;
-    co_await outcome->done.async_wait(net::redirect_error(net::use_awaitable, ec));
+    const Time limit = monotonicNow() + ConfigurationCommitTimeout;
+    m_waits.insert(&outcome->done);
+    while (!outcome->result && monotonicNow() < std::min(limit, m_answerBy)) {
+        ErrorCode ec;
+        outcome->done.expires_after(std::min(limit, m_answerBy) - monotonicNow());
+        co_await outcome->done.async_wait(net::redirect_error(net::use_awaitable, ec));
+    }
+    m_waits.erase(&outcome->done);
     if (!outcome->result)
         co_return Error{ErrorKind::Unavailable, "no majority of control hosts answered in time; send the same configuration again", 0};
+    if (outcome->result->has_error() && outcome->result->error().kind == ErrorKind::NotLeader)
+        co_return Error{ErrorKind::Unavailable, "another control host becomes the leader; send the same configuration again", 0};
     co_return *outcome->result;
 }
 
--- a/src/transport/keeperapi.h
+++ b/src/transport/keeperapi.h
@@ -5,6 +5,8 @@
 #include "transport/livetable.h"
 #include "transport/replicanode.h"
 
+#include <set>
+
 namespace roserail
 {
 
@@ -14,6 +16,8 @@
     // `node` is null on a host without a disk.
     KeeperApi(net::io_context &io, const PlatformCodec &codec, LiveTable &table, ReplicaNode *node);
     Task<> handle(CallerConnection &caller);
+    // Ends waits for commits at this time at the latest, those in progress included.
+    void answerBy(Time deadline);
 
 private:
     Task<> putConfiguration(CallerConnection &caller);
@@ -34,6 +38,8 @@
     std::string redirectTarget() const;
 
     ReplicaNode *m_node;
+    Time m_answerBy = Time::max();
+    std::set<net::steady_timer *> m_waits; // for commits
 };
 
 } // namespace roserail
--- a/tests/fleet_stop_control_test.cpp
+++ b/tests/fleet_stop_control_test.cpp
@@ -27,7 +27,7 @@
 {
     const Json body{{"service", "plain"}, {"address", "127.0.0.1:1"}, {"zone", "z1"},         {"version", "v1"}, {"slots", 4},
                     {"state", "ready"},   {"cold_remaining_ms", 0},   {"sequence", sequence}, {"born", 1},       {"models", Json::array()}};
-    return requestText("PUT", "/api/instances/" + runner, body.dump());
+    return requestText("PUT", fmt::format("/api/instances/{}", runner), body.dump());
 }
 
 // Three control hosts with a disk and a configuration.
@@ -255,7 +255,7 @@
     std::set<std::string> acknowledged;
     for (int n = 0; n < Runners && connection.open(); ++n) {
         const std::string runner = fmt::format("r-{}", n);
-        if (connection.call(requestText("DELETE", "/api/instances/" + runner, ""), false).status == 200)
+        if (connection.call(requestText("DELETE", fmt::format("/api/instances/{}", runner), ""), false).status == 200)
             acknowledged.insert(runner);
         std::this_thread::sleep_for(Millis(1));
     }
