Router: a stop ends within a grace period, and no request is cut

Callers: a router that they went on using, or that waited for a silent endpoint or for a long stream, never ended after SIGTERM; the init system killed it, and all requests in progress were cut. Cause: the drain waited for all requests without a time limit, and went on taking new ones. Change: new optional setting 'grace' (60 s). After the address lists have expired, new requests are refused as not run with Retry-After; so are, from the signal on, those whose deadline is later than the end of requests. 3.3 s before the end of 'grace' connections to endpoints are ended and their callers get an error: outcome_unknown, or incomplete for a stream, which can be resumed at another router.

--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -59,7 +59,7 @@
 
 RouterSettings readRouter(const YAML::Node &root)
 {
-    checkKeys(root, "the settings", {"id", "zone", "listen", "address", "control", "announceTokenSha256"});
+    checkKeys(root, "the settings", {"id", "zone", "listen", "address", "control", "announceTokenSha256", "grace"});
     RouterSettings settings;
     settings.id = readName(root, "id", "the settings");
     settings.zone = readName(root, "zone", "the settings");
@@ -67,6 +67,11 @@
     settings.address = root["address"] ? readAddress(root, "address", "the settings") : settings.listen;
     settings.control = readNames(root, "control");
     settings.announceTokenSha256 = readOptionalHash(root, "announceTokenSha256");
+    settings.grace = readDuration(root, "grace", tunables::RouterGrace);
+    if (settings.grace < tunables::MinRouterGrace)
+        fail(root["grace"],
+             fmt::format("'grace' must be at least {} ms, in which no caller can still have an address list with this router",
+                         tunables::MinRouterGrace.count()));
     if (settings.control.empty())
         fail(root, "the settings need 'control': a list of the control replicas' peer addresses");
     for (const std::string &it : settings.control) {
@@ -107,9 +112,9 @@
 
 std::string toYaml(const RouterSettings &settings)
 {
-    return fmt::format("id: {}\nzone: {}\nlisten: \"{}\"\naddress: \"{}\"\ncontrol: [\"{}\"]\nannounceTokenSha256: \"{}\"\n", settings.id,
-                       settings.zone, settings.listen, settings.address, fmt::join(settings.control, "\", \""),
-                       settings.announceTokenSha256);
+    return fmt::format("id: {}\nzone: {}\nlisten: \"{}\"\naddress: \"{}\"\ncontrol: [\"{}\"]\nannounceTokenSha256: \"{}\"\ngrace: {}ms\n",
+                       settings.id, settings.zone, settings.listen, settings.address, fmt::join(settings.control, "\", \""),
+                       settings.announceTokenSha256, settings.grace.count());
 }
 
 Result<std::string> readTextFile(const std::string &path)
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -36,6 +36,7 @@
     std::string address; // host:port advertised to callers; defaults to `listen`
     std::vector<std::string> control; // peer addresses of control replicas
     std::string announceTokenSha256; // empty if endpoints need no token
+    Millis grace{0}; // from a stop signal to the exit of the process
 };
 
 Result<ControlSettings> parseControlSettings(const std::string &text, const std::string &file);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -5,24 +5,35 @@
 #include "transport/clock.h"
 #include "transport/program.h"
 
+#include <atomic>
+#include <cstdlib>
+
 namespace
 {
 
 using namespace roserail;
 
 constexpr Millis DrainPollInterval{20};
+constexpr Millis StopExitMargin{300}; // of the grace period, so that the process exits before it is killed
 
-// Withdraws this router from the address list, then keeps serving until no caller can still have a list that contains it
-// and all requests have ended.
-void drain(Router &router)
+// Withdraws this router from the address list and keeps serving until no caller can still have a list that contains it. Then
+// refuses new requests and waits for the others, which get an error if they haven't ended RouterStopAnswerTime before the deadline.
+void drain(Router &router, Time deadline)
 {
-    router.drain();
-    while (!router.drainAnnounced())
+    const Time requestsEnd = deadline - tunables::RouterStopAnswerTime;
+    router.drain(requestsEnd);
+    while (!router.drainAnnounced() && monotonicNow() < requestsEnd)
         std::this_thread::sleep_for(DrainPollInterval);
     // Other routers may return an old list until their lease ends, and callers cache it for up to AddressListTtl.
-    const Time addressListsExpire = monotonicNow() + tunables::RouterLease + tunables::AddressListTtl;
-    while (monotonicNow() < addressListsExpire || router.activeRequests() > 0)
+    const Time addressListsExpire = std::min(requestsEnd, monotonicNow() + tunables::RouterLease + tunables::AddressListTtl);
+    while (monotonicNow() < addressListsExpire)
+        std::this_thread::sleep_for(DrainPollInterval);
+    router.refuseRequests();
+    while (router.activeRequests() > 0 && monotonicNow() < deadline) {
+        if (monotonicNow() >= requestsEnd)
+            router.endRequests();
         std::this_thread::sleep_for(DrainPollInterval);
+    }
 }
 
 int serve(const RouterSettings &settings)
@@ -32,13 +43,23 @@
     if (!api.bind())
         return reportFatal(
             Error{ErrorKind::BadSettings, fmt::format("cannot listen on {}; free the port or change 'listen'", settings.listen)});
-    std::thread httpThread([&] { api.listen(); });
+    std::atomic<bool> listening = true;
+    std::thread httpThread([&] {
+        api.listen();
+        listening = false;
+    });
     logEvent("started", {{"version", ROSERAIL_VERSION}, {"listen", settings.listen}});
     waitForStopSignal();
-    drain(router);
+    const Time deadline = monotonicNow() + settings.grace - StopExitMargin;
+    drain(router, deadline);
     api.stop();
+    // Threads of kept connections end when these have been idle for some seconds.
+    while (listening && monotonicNow() < deadline)
+        std::this_thread::sleep_for(DrainPollInterval);
+    logEvent("stopped", {{"active", router.activeRequests()}});
+    if (listening)
+        std::_Exit(0);
     httpThread.join();
-    logEvent("stopped");
     return 0;
 }
 
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -42,6 +42,10 @@
 constexpr Millis RouterHeartbeatInterval{250};
 constexpr Millis RouterLease{3000};
 constexpr Millis AddressListTtl{5000}; // callers may cache the list of router addresses for this long
+// A stop of a router
+constexpr Millis RouterGrace = std::chrono::seconds(60); // twice DefaultDeadline; init systems kill after 90 s
+constexpr Millis RouterStopAnswerTime{3000}; // before the end of the grace period: two probes of an endpoint, and a stored outcome
+constexpr Millis MinRouterGrace = RouterLease + AddressListTtl + RouterStopAnswerTime;
 constexpr Millis ControlCallTimeout{1000};
 constexpr Millis RouterCommandTimeout{2500}; // to commit a claim or a crash report
 
--- a/src/transport/attempt.cpp
+++ b/src/transport/attempt.cpp
@@ -85,6 +85,30 @@
     return client;
 }
 
+// Lists a client among the connections of the request while it is used.
+class Listed
+{
+public:
+    Listed(const AttemptRequest &request, httplib::Client &client)
+        : m_connections(request.connections)
+        , m_client(client)
+    {
+        if (m_connections != nullptr)
+            m_connections->add(m_client);
+    }
+    ~Listed()
+    {
+        if (m_connections != nullptr)
+            m_connections->remove(m_client);
+    }
+    Listed(const Listed &) = delete;
+    Listed &operator=(const Listed &) = delete;
+
+private:
+    AttemptConnections *m_connections;
+    httplib::Client &m_client;
+};
+
 // Passes events of the attempt to the sink, in order and each once. The methods return false to stop reading.
 struct StreamReader {
     const AttemptRequest &request;
@@ -132,11 +156,31 @@
 
 } // namespace
 
+void AttemptConnections::close()
+{
+    const std::lock_guard lock(m_mutex);
+    for (httplib::Client *it : m_clients)
+        it->stop();
+}
+
+void AttemptConnections::add(httplib::Client &client)
+{
+    const std::lock_guard lock(m_mutex);
+    m_clients.insert(&client);
+}
+
+void AttemptConnections::remove(httplib::Client &client)
+{
+    const std::lock_guard lock(m_mutex);
+    m_clients.erase(&client);
+}
+
 AttemptResult runAttempt(const AttemptRequest &request)
 {
     std::optional<httplib::Client> client = makeClient(request, request.deadline - monotonicNow());
     if (!client)
         return AttemptResult{AttemptEnd::NotSent, {}, "the endpoint's address is not host:port"};
+    const Listed listed(request, *client);
     httplib::Request http = toHttp(request);
     std::string body;
     http.content_receiver = [&](const char *data, size_t n, uint64_t, uint64_t) {
@@ -164,6 +208,7 @@
     std::optional<httplib::Client> client = makeClient(request, StreamIdleTimeout);
     if (!client)
         return AttemptResult{AttemptEnd::NotSent, {}, "the endpoint's address is not host:port"};
+    const Listed listed(request, *client);
     httplib::Request http = toHttp(request);
     if (resume) {
         http.method = "GET";
--- a/src/transport/attempt.h
+++ b/src/transport/attempt.h
@@ -7,12 +7,28 @@
 
 #include <functional>
 #include <httplib.h>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace roserail
 {
 
+// Connections to endpoints that can be ended together.
+class AttemptConnections
+{
+public:
+    // Ends all connections that are open.
+    void close();
+    void add(httplib::Client &client);
+    void remove(httplib::Client &client);
+
+private:
+    std::mutex m_mutex;
+    std::set<httplib::Client *> m_clients;
+};
+
 // The request that is sent to an endpoint.
 struct AttemptRequest {
     std::string address; // host:port
@@ -23,6 +39,7 @@
     httplib::Headers headers;
     std::string body;
     Time deadline{};
+    AttemptConnections *connections = nullptr; // to which the attempt's connection is added; may be null
     bool engine = false; // a model engine must return the attempt's id in its answer; a plain service need not
 };
 
--- a/src/transport/callerapi.cpp
+++ b/src/transport/callerapi.cpp
@@ -115,6 +115,10 @@
     m_server.Get("/healthz", bind(&CallerApi::getHealth));
     m_server.Get("/metrics", bind(&CallerApi::getMetrics));
     m_server.Get("/dump", bind(&CallerApi::getDump));
+    m_server.set_post_routing_handler([this](const httplib::Request &, httplib::Response &response) {
+        if (m_router.refusesRequests())
+            response.set_header("Connection", "close");
+    });
     m_server.set_error_handler([](const httplib::Request &, httplib::Response &response) {
         if (!response.body.empty())
             return;
@@ -145,6 +149,7 @@
     out.queued.caller = caller.id;
     out.queued.requestClass = caller.requestClass;
     out.queued.deadline = monotonicNow() + allowed;
+    BOOST_OUTCOME_TRYV(m_router.admits(out.queued.deadline));
     out.method = request.method;
     out.headers = forwardedHeaders(request);
     out.headers.emplace("X-Priority", overnight ? "overnight" : "interactive");
@@ -299,6 +304,9 @@
     if (allowed.has_error())
         return answer(response, allowed.error());
     const Time deadline = monotonicNow() + allowed.value();
+    const Result<void> admitted = m_router.admits(deadline);
+    if (admitted.has_error())
+        return answer(response, admitted.error());
     answerStream([this, token = token.value(), deadline](StreamSink &sink) { return resumeStream(m_router, token, deadline, sink); },
                  response);
 }
--- a/src/transport/exchange.cpp
+++ b/src/transport/exchange.cpp
@@ -75,6 +75,7 @@
     attempt.request.body = m_request.body;
     attempt.request.deadline = m_request.queued.deadline;
     attempt.request.engine = !m_request.queued.service;
+    attempt.request.connections = &m_router.connections();
     attempt.grant = std::move(grant);
     ++m_state.attempts;
     m_state.resumes = 0;
@@ -219,7 +220,7 @@
         AttemptResult result{AttemptEnd::NotSent, {}, "this router's lease expired before the request was sent"};
         // The lease or the deadline may have passed since the grant, for example while the process was suspended.
         const Time now = monotonicNow();
-        if (m_router.hasLease(now) && now < m_request.queued.deadline)
+        if (m_router.hasLease(now) && now < m_router.requestsEnd(m_request.queued.deadline))
             result = runAttempt(attempt.request);
         if (result.end == AttemptEnd::Interrupted && attempt.request.engine && monotonicNow() < m_request.queued.deadline) {
             const AttemptResult fetched = fetchResult(attempt.request);
@@ -263,7 +264,7 @@
         ExchangeStep step = ExchangeStep::RetryElsewhere;
         bool resume = false;
         do {
-            const bool mayStart = m_router.hasLease(monotonicNow()) && monotonicNow() < m_request.queued.deadline;
+            const bool mayStart = m_router.hasLease(monotonicNow()) && monotonicNow() < m_router.requestsEnd(m_request.queued.deadline);
             if (resume || mayStart)
                 result = runStream(attempt.request, resume, progress, forward);
             // No byte was sent on this connection, but the request was sent on an earlier one and may have run.
@@ -295,6 +296,7 @@
     request.attempt = token.attempt;
     request.deadline = deadline;
     request.engine = true;
+    request.connections = &router.connections();
     StreamProgress progress{token.next, false};
     ResumeToken next = token;
     sink.granted();
--- a/src/transport/router.cpp
+++ b/src/transport/router.cpp
@@ -344,7 +344,9 @@
 ExchangeStep Router::nextExchangeStep(const ExchangeState &state, AttemptEnd end)
 {
     const std::lock_guard lock(m_budgetMutex);
-    return roserail::nextExchangeStep(state, end, monotonicNow(), m_budget);
+    ExchangeState bounded = state;
+    bounded.deadline = requestsEnd(state.deadline);
+    return roserail::nextExchangeStep(bounded, end, monotonicNow(), m_budget);
 }
 
 void Router::requestStarted()
@@ -364,8 +366,31 @@
     return m_active;
 }
 
-void Router::drain()
+void Router::refuseRequests()
 {
+    m_refusing = true;
+}
+
+Result<void> Router::admits(Time deadline) const
+{
+    if (!m_refusing && deadline <= timeFromMillis(m_requestsEndMs))
+        return boost::outcome_v2::success();
+    return Error{ErrorKind::NotRun, "this router stops; not run, use another address", MinRetryAfter.count()};
+}
+
+void Router::endRequests()
+{
+    for (Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (std::pair<const std::string, Dispatcher> &it : shard.dispatchers)
+            applyDecisions(shard, it.second, Time::max());
+    }
+    m_connections.close();
+}
+
+void Router::drain(Time requestsEnd)
+{
+    m_requestsEndMs = toMillis(requestsEnd);
     m_draining = true;
     wakeHeartbeat();
 }
--- a/src/transport/router.h
+++ b/src/transport/router.h
@@ -6,6 +6,7 @@
 #include "coordination/retry.h"
 #include "protocol/settings.h"
 #include "state/tunables.h"
+#include "transport/attempt.h"
 #include "transport/controlclient.h"
 
 #include <atomic>
@@ -56,7 +57,27 @@
     void requestEnded();
     size_t activeRequests() const;
     // Removes this router from the list of addresses that callers receive. Requests are still served.
-    void drain();
+    // Until `requestsEnd`, after which endRequests() is called.
+    void drain(Time requestsEnd);
+    // Refuses new requests from now on.
+    void refuseRequests();
+    bool refusesRequests() const
+    {
+        return m_refusing;
+    }
+    // Returns an error if a request with this deadline must be sent to another router, as this one stops.
+    Result<void> admits(Time deadline) const;
+    // Refuses the requests that wait for an endpoint and ends the connections to endpoints. To be repeated until no request is active.
+    void endRequests();
+    // Returns when a request with this deadline ends at the latest.
+    Time requestsEnd(Time deadline) const
+    {
+        return std::min(deadline, timeFromMillis(m_requestsEndMs));
+    }
+    AttemptConnections &connections()
+    {
+        return m_connections;
+    }
     // Returns whether the leader has answered a heartbeat that announced the drain, after which it removes this router from
     // the lists of all routers. True also without a lease.
     bool drainAnnounced() const;
@@ -100,6 +121,9 @@
     std::atomic<size_t> m_active{0};
     std::atomic<bool> m_draining{false};
     std::atomic<bool> m_drainAnnounced{false};
+    std::atomic<bool> m_refusing{false};
+    std::atomic<int64_t> m_requestsEndMs{INT64_MAX};
+    AttemptConnections m_connections;
     std::atomic<bool> m_stop{false};
 
     mutable std::mutex m_stateMutex; // guards the members up to the next mutex
