Stop of an entry host: waiting requests, connections and exceptions

Callers whose requests waited for a model, an endpoint or a version when the signal came were refused with the reason and the Retry-After of that wait, or sent to an endpoint although they might not end in time; callers whose answer was in progress kept a connection that was about to be closed. Cause: the stop was looked at before a wait, not after it, and a connection's end was decided before its handler ran.

The check now comes before each choice and right before each send; drain() also ends connections with an answer in progress. An accept that completes while the listener is closed ends its loop. Exceptions of a handler are caught and logged, so that no ended request or connection stays listed; before, they were dropped.

--- a/src/coordination/stopschedule.h
+++ b/src/coordination/stopschedule.h
@@ -11,7 +11,7 @@
 {
 
 struct StopSchedule {
-    Time finishAt{}; // the host stops listening: no caller can have an address list that contains it any more
+    Time finishAt{}; // the host stops listening: address lists that contain it have expired, if the grace period is long enough
     Time answersBy{}; // all requests have their final answers
     Time exitAt{}; // the process ends with what is left
     // Returns whether a request may begin: its caller's time ends before the answers are due.
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -32,7 +32,11 @@
         });
     });
     const Time signalledAt = monotonicNow();
-    net::co_spawn(io, api.stop(signalledAt), [&io](std::exception_ptr) { io.stop(); });
+    net::co_spawn(io, api.stop(signalledAt), [&io](const std::exception_ptr &exception) {
+        if (exception)
+            logEvent("stop_failed");
+        io.stop();
+    });
     ioThread.join();
     logEvent("stopped", {{"after_ms", (monotonicNow() - signalledAt).count()}});
     std::_Exit(0); // without destructors: the mesh client's thread may be waiting for a reply from the joined thread
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -124,7 +124,8 @@
     logConnections("stop_listening");
     for (HttpServer *it : all)
         it->finish();
-    for (bool answered = false; connected() && monotonicNow() < schedule.exitAt;) {
+    bool answered = false;
+    do {
         if (!answered && monotonicNow() >= schedule.answersBy) {
             answered = true;
             m_forwarder.endRequests();
@@ -133,7 +134,7 @@
         }
         timer.expires_after(StopPollInterval);
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
-    }
+    } while (connected() && monotonicNow() < schedule.exitAt);
     logConnections("stop_ends");
     m_forwarder.logCutRequests();
 }
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -104,9 +104,17 @@
         it->cancellation->cancel(it->cancellation->hostStopping);
 }
 
+// Returns whether the request may be sent to an endpoint: one may have run it before, or it ends before this process does.
 bool Forwarder::mayBegin(const Request &request) const
 {
-    return !m_stop || m_stop->mayBegin(request.deadline);
+    return !m_stop || request.progress.runs > 0 || m_stop->mayBegin(request.deadline);
+}
+
+void Forwarder::refuseByStop(Request &request)
+{
+    request.cause = "this host is stopping; another host can serve the request";
+    request.refusedByStop = true;
+    request.retryDelay = Millis(0);
 }
 
 Task<> Forwarder::handle(CallerConnection &caller)
@@ -121,7 +129,12 @@
     request.metadata = m_codec.requestMetadata(caller.lookup());
     net::co_spawn(m_io, watchCaller(caller, request.cancellation), net::detached);
     m_inProgress.insert(&request);
-    co_await serve(request);
+    try {
+        co_await serve(request);
+    } catch (const std::exception &ex) {
+        logEvent("request_failed", {{"id", request.metadata.id}, {"error", ex.what()}});
+        caller.abort();
+    }
     m_inProgress.erase(&request);
     request.cancellation->finished = true;
     ErrorCode ec;
@@ -217,8 +230,12 @@
     const bool mayContinue = !mayBegin(request) || co_await selectVersion(request);
     while (true) {
         std::optional<EndpointChoice> choice;
-        if (mayContinue)
+        if (mayContinue && mayBegin(request))
             choice = co_await findEndpoint(request);
+        if (!mayBegin(request)) { // also if the stop has begun meanwhile
+            choice.reset();
+            refuseByStop(request);
+        }
         AttemptEnd end = AttemptEnd::NotSent;
         if (choice)
             end = co_await attempt(request, *choice);
@@ -318,12 +335,6 @@
 
 Task<std::optional<EndpointChoice>> Forwarder::findEndpoint(Request &request)
 {
-    if (request.progress.runs == 0 && !mayBegin(request)) {
-        request.cause = "this host is stopping; another host can serve the request";
-        request.refusedByStop = true;
-        request.retryDelay = Millis(0);
-        co_return std::nullopt;
-    }
     const bool crashingPart = m_crashingParts.shouldRefuse(request.sharedParts);
     if (crashingPart || m_crashes.shouldRefuse(request.fingerprint, monotonicNow())) {
         request.cause = crashingPart ? "endpoints crashed while they ran requests with a part of this prompt"
@@ -564,6 +575,10 @@
         request.requirements.avoid.insert(choice.endpoint);
         co_return request.cancellation->cancelled() ? AttemptEnd::Abandoned : AttemptEnd::NotSent;
     }
+    if (!mayBegin(request)) { // the stop has begun meanwhile
+        m_pool.putIdle(std::move(connection), monotonicNow());
+        co_return AttemptEnd::NotSent;
+    }
     request.sentAt = monotonicNow();
     logSend(request, choice, request.sentAt);
     m_balancer.recordSend(choice, request.sentAt);
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -87,7 +87,7 @@
     Task<> handleRelayed(CallerConnection &caller);
     // Refuses requests that no endpoint has run and that might not end before the process does, from now on.
     void drain(const StopSchedule &schedule);
-    // Gives all requests in progress their final answers.
+    // Gives all requests in progress their final answers; streams that have begun are broken off.
     void endRequests();
     // Enables passing requests on to other routers. `self`: the id of this one.
     void setPeers(PeerRouters *peers, std::string self)
@@ -122,6 +122,7 @@
     Task<> waitForConfiguration(Request &request);
     Task<> waitUntil(Request &request, const std::function<bool()> &condition);
     bool mayBegin(const Request &request) const;
+    static void refuseByStop(Request &request);
     Task<> forward(Request &request);
     Task<std::optional<EndpointChoice>> findEndpoint(Request &request);
     Task<std::optional<EndpointChoice>> waitForModel(Request &request);
--- a/src/transport/forwarderrelay.cpp
+++ b/src/transport/forwarderrelay.cpp
@@ -75,6 +75,10 @@
         m_peers->failed(choice.router, monotonicNow());
         co_return AttemptEnd::NotSent;
     }
+    if (!mayBegin(request)) { // the stop has begun meanwhile
+        m_pool.putIdle(std::move(connection), monotonicNow());
+        co_return AttemptEnd::NotSent;
+    }
     logDecision("pass_on",
                 {{"id", request.metadata.id},
                  {"router", choice.router},
--- a/src/transport/forwarderrequest.h
+++ b/src/transport/forwarderrequest.h
@@ -70,7 +70,7 @@
     std::vector<PromptPartId> sharedParts; // of the prompt, which other requests may have as well
     EndpointRequirements requirements;
     SoftwareVersion software; // of the endpoint that began the answer
-    Time deadline{};
+    Time deadline = Time::max(); // set once the route is known
     Time sentAt{}; // of the last attempt
     RouteProgress progress;
     EventRelay eventRelay; // of a stream
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -179,10 +179,10 @@
 
 Task<> HttpServer::acceptConnections()
 {
-    while (true) {
+    while (m_acceptor.is_open()) {
         ErrorCode ec;
         tcp::socket socket = co_await m_acceptor.async_accept(net::redirect_error(net::use_awaitable, ec));
-        if (ec == net::error::operation_aborted)
+        if (ec && !m_acceptor.is_open())
             co_return;
         if (ec) {
             logEvent("accept_failed", {{"error", ec.message()}});
@@ -201,9 +201,16 @@
     net::co_spawn(m_io, serve(m_connections.begin()), net::detached);
 }
 
-void HttpServer::finish()
+void HttpServer::drain()
 {
     m_draining = true;
+    for (const std::shared_ptr<CallerConnection> &it : m_connections)
+        it->m_keepAlive = false; // of an answer in progress
+}
+
+void HttpServer::finish()
+{
+    drain();
     m_finishing = true;
     ErrorCode ec;
     m_acceptor.non_blocking(true, ec);
@@ -233,12 +240,17 @@
 Task<> HttpServer::serve(Connections::iterator position)
 {
     const std::shared_ptr<CallerConnection> connection = *position;
-    while (co_await readRequest(*connection)) {
-        connection->m_keepAlive = connection->m_request.keep_alive() && !m_draining;
-        connection->m_stage = ConnectionStage::Answering;
-        co_await m_handler(*connection);
-        if (!connection->m_keepAlive || connection->m_aborted)
-            break;
+    try {
+        while (co_await readRequest(*connection)) {
+            connection->m_keepAlive = connection->m_request.keep_alive() && !m_draining;
+            connection->m_stage = ConnectionStage::Answering;
+            co_await m_handler(*connection);
+            if (!connection->m_keepAlive || connection->m_aborted)
+                break;
+        }
+    } catch (const std::exception &ex) {
+        logEvent("connection_failed", {{"error", ex.what()}});
+        connection->abort();
     }
     connection->m_stage = ConnectionStage::Closing;
     if (!connection->m_aborted)
@@ -299,9 +311,13 @@
         connection.abort();
         co_return;
     }
+    connection.m_stage = ConnectionStage::Answering;
     connection.m_keepAlive = false;
     logEvent("request_unreadable", {{"status", status}, {"error", ec.message()}});
-    co_await connection.answer(status);
+    std::vector<HeaderField> headers;
+    if (status == 503)
+        headers.push_back({"Retry-After", "0"}); // another host can serve it
+    co_await connection.answer(status, std::move(headers), std::string());
 }
 
 // Discards input until the caller has closed the connection, LingeringCloseTimeout has passed or MaxLingeringBytes have
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -114,10 +114,7 @@
         m_limits = limits;
     }
     // Closes connections after their next answer from now on.
-    void drain()
-    {
-        m_draining = true;
-    }
+    void drain();
     // Stops listening, after accepting the connections that the kernel has queued, and closes connections that stay idle. Requests
     // that arrive until then are handled.
     void finish();
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -87,6 +87,15 @@
         std::shared_ptr<net::steady_timer> timer = std::make_shared<net::steady_timer>(m_io, delay);
         timer->async_wait([this, timer, change = std::move(change)](const ErrorCode &) { change(m_forwarder); });
     }
+    // To be used on the thread of the router only.
+    Balancer &balancer()
+    {
+        return m_balancer;
+    }
+    HttpServer &server()
+    {
+        return m_server;
+    }
 
 private:
     net::io_context m_io{1};
@@ -631,4 +640,58 @@
     BOOST_TEST((monotonicNow() <= answersBy + Millis(300)));
 }
 
+struct WaitingAtStop {
+    std::string name;
+    bool versionsListed = false; // else the request waits to learn which version began its stream
+    bool endpointAtStop = false; // an endpoint may be chosen from the moment of the stop on
+    std::string headers;
+};
+
+std::ostream &operator<<(std::ostream &out, const WaitingAtStop &it)
+{
+    return out << it.name;
+}
+
+const std::vector<WaitingAtStop> RequestsWaitingAtStop{
+    {"for the version of its stream", false, false, "Last-Event-Id: 3\r\n"},
+    {"for an endpoint", true, false, ""},
+    {"for an endpoint, which comes with the stop", true, true, ""},
+};
+
+// Guards against a request that waits when its host is stopped, and is sent too late to end, or refused for another reason: its caller
+// then waits a second, or gives up a stream that another host can continue.
+BOOST_DATA_TEST_CASE(waitingRequestIsRefusedAtOnce, bdata::make(RequestsWaitingAtStop), waiting)
+{
+    RawEndpoint endpoint([&](const std::string &) { return RawAnswer{RepeatedRefusals::Success}; });
+    Router router({{&endpoint}}, waiting.versionsListed ? std::optional(Time::max()) : std::nullopt);
+    router.after(Millis(0), [&](Forwarder &) { router.balancer().setRecordedSoftware({}, true); });
+    std::this_thread::sleep_for(Millis(50));
+    router.after(Millis(100), [&](Forwarder &forwarder) {
+        router.balancer().setRecordedSoftware({}, !waiting.endpointAtStop);
+        const Time answersBy = monotonicNow() + RouteTimeout / 2;
+        forwarder.drain(StopSchedule{answersBy, answersBy, answersBy});
+    });
+    const Time start = monotonicNow();
+    const ReceivedAnswer answer = call("/resume/x", "1.1", "X-Request-Id: r1\r\n" + waiting.headers);
+    BOOST_TEST(answer.status == 503u);
+    BOOST_TEST(answer.body.find("this host is stopping") != std::string::npos, answer.body);
+    BOOST_TEST((monotonicNow() - start < Millis(400)));
+    BOOST_TEST(endpoint.requests().empty());
+}
+
+// Guards against an answer of a stopping host that leaves its connection open: the caller's next request would be cut.
+BOOST_AUTO_TEST_CASE(answerInProgressEndsItsConnection)
+{
+    RawEndpoint endpoint([&](const std::string &) {
+        std::this_thread::sleep_for(Millis(300));
+        return RawAnswer{RepeatedRefusals::Success};
+    });
+    Router router({{&endpoint}});
+    BOOST_TEST(call("/plain/x").keepsConnection);
+    router.after(Millis(100), [&](Forwarder &) { router.server().drain(); });
+    const ReceivedAnswer answer = call("/plain/x", "1.1", "X-Request-Id: r2\r\n");
+    BOOST_TEST(answer.status == 200u);
+    BOOST_TEST(!answer.keepsConnection);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/rawendpoint.cpp
+++ b/tests/rawendpoint.cpp
@@ -169,6 +169,7 @@
     answer.complete = !result;
     if (parser.is_header_done())
         answer.status = parser.get().result_int();
+    answer.keepsConnection = answer.complete && parser.keep_alive();
     answer.body = parser.get().body();
     return answer;
 }
--- a/tests/rawendpoint.h
+++ b/tests/rawendpoint.h
@@ -70,6 +70,7 @@
 struct ReceivedAnswer {
     unsigned status = 0; // 0: no head was received
     bool complete = false; // the answer has ended as its framing says
+    bool keepsConnection = false; // the connection may carry another request
     std::string body;
 };
 
