--- a/src/keeper.cpp
+++ b/src/keeper.cpp
@@ -24,9 +24,6 @@
 using namespace roserail;
 
 constexpr uint64_t SnapshotIntervalEntries = 200; // of the log; a configuration takes 40 KB, and a disk has 64 MB
-constexpr Millis StopPollInterval{10};
-constexpr Millis StopExitMargin{500}; // of the grace period, for the internal protocol and the threads to end
-constexpr Millis StopAnswerTime{200}; // before the end of the connections, to send the answers to calls that still wait
 
 // Opens the replica of the log on a host that has a disk.
 Result<std::unique_ptr<ReplicaNode>> openReplica(const KeeperSettings &settings)
@@ -71,7 +68,7 @@
     net::steady_timer timer(io);
     while (!done() && monotonicNow() < limit) {
         ErrorCode ec;
-        timer.expires_after(StopPollInterval);
+        timer.expires_after(tunables::StopPollInterval);
         co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
     }
 }
@@ -81,7 +78,7 @@
 Task<> stopServing(net::io_context &io, std::vector<HttpServer *> servers, KeeperApi &api, const std::atomic<bool> &handedOver,
                    Time deadline)
 {
-    const Time answersEnd = deadline - StopAnswerTime;
+    const Time answersEnd = deadline - tunables::StopAnswerMargin;
     const std::function<bool()> idle = [&servers] {
         return std::all_of(servers.begin(), servers.end(), [](const HttpServer *it) { return it->connections() == 0; });
     };
@@ -158,7 +155,7 @@
         });
     });
     std::atomic<bool> handedOver = false;
-    const Time deadline = monotonicNow() + settings.host.grace - StopExitMargin;
+    const Time deadline = monotonicNow() + settings.host.grace - tunables::KeeperExitMargin;
     const std::vector<HttpServer *> servers{&httpServer, &metricsServer};
     net::co_spawn(io, stopServing(io, servers, api, handedOver, deadline), net::detached);
     if (node)
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -12,27 +12,25 @@
 {
 
 using namespace roserail;
-
-constexpr Millis DrainPollInterval{20};
-constexpr Millis StopExitMargin{300}; // of the grace period, so that the process exits before it is killed
+using namespace tunables;
 
 // Withdraws this router from the address list and keeps serving until no caller can still have a list that contains it. Then
 // refuses new requests and waits for the others, which get an error if they haven't ended RouterStopAnswerTime before the deadline.
 void drain(Router &router, Time deadline)
 {
-    const Time requestsEnd = deadline - tunables::RouterStopAnswerTime;
+    const Time requestsEnd = deadline - RouterStopAnswerTime;
     router.drain(requestsEnd);
     while (!router.drainAnnounced() && monotonicNow() < requestsEnd)
-        std::this_thread::sleep_for(DrainPollInterval);
+        std::this_thread::sleep_for(StopPollInterval);
     // Other routers may return an old list until their lease ends, and callers cache it for up to AddressListTtl.
-    const Time addressListsExpire = std::min(requestsEnd, monotonicNow() + tunables::RouterLease + tunables::AddressListTtl);
+    const Time addressListsExpire = std::min(requestsEnd, monotonicNow() + RouterLease + AddressListTtl);
     while (monotonicNow() < addressListsExpire)
-        std::this_thread::sleep_for(DrainPollInterval);
+        std::this_thread::sleep_for(StopPollInterval);
     router.refuseRequests();
     while (router.activeRequests() > 0 && monotonicNow() < deadline) {
         if (monotonicNow() >= requestsEnd)
             router.endRequests();
-        std::this_thread::sleep_for(DrainPollInterval);
+        std::this_thread::sleep_for(StopPollInterval);
     }
 }
 
@@ -55,7 +53,7 @@
     api.stop();
     // Threads of kept connections end when these have been idle for some seconds.
     while (listening && monotonicNow() < deadline)
-        std::this_thread::sleep_for(DrainPollInterval);
+        std::this_thread::sleep_for(StopPollInterval);
     logEvent("stopped", {{"active", router.activeRequests()}});
     if (listening)
         std::_Exit(0);
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -42,7 +42,13 @@
 constexpr Millis RouterHeartbeatInterval{250};
 constexpr Millis RouterLease{3000};
 constexpr Millis AddressListTtl{5000}; // callers may cache the list of router addresses for this long
-// A stop of a router
+
+// Planned stops
+constexpr Millis StopExitMargin{300}; // of the grace period, so that the process exits before it is killed
+constexpr Millis StopAnswerMargin{200}; // before the exit, in which callers read the last answers
+constexpr Millis StopFinishTime{700}; // from the end of listening to the exit: idle connections are found and closed
+constexpr Millis StopPollInterval{20};
+constexpr Millis KeeperExitMargin{500}; // of the grace period, for the internal protocol and the threads of a control host to end
 constexpr Millis RouterGrace = std::chrono::seconds(60); // twice DefaultDeadline; init systems kill after 90 s
 constexpr Millis RouterStopAnswerTime{3000}; // before the end of the grace period: two probes of an endpoint, and a stored outcome
 constexpr Millis MinRouterGrace = RouterLease + AddressListTtl + RouterStopAnswerTime;
@@ -104,10 +110,6 @@
 constexpr double ColdWaitShare = 0.6; // of a caller's time limit; a longer limit leaves all but ColdFirstEventTime for the load
 constexpr Millis MaxConfigurationWait{800}; // of a request at a router that has just started; covers the election of a leader
 constexpr double ConfigurationWaitShare = 0.3; // of the caller's time limit, so that the caller can still retry on another host
-constexpr Millis StopExitMargin{300}; // of the grace period, so that the process exits before it is killed
-constexpr Millis StopAnswerMargin{200}; // before the exit, in which callers read the last answers
-constexpr Millis StopFinishTime{700}; // from the end of listening to the exit: idle connections are found and closed
-constexpr Millis StopPollInterval{20};
 constexpr Millis RetryAfterBusy{1000}; // about the time of a load from a copy, after which the model may be available
 constexpr Millis EndpointConnectTimeout{500}; // a handshake takes 4 ms; a lost packet is retransmitted within this time
 constexpr Millis CrashConfirmTime{100}; // in which a process that is ending closes a connection it still accepted
--- a/src/transport/router.h
+++ b/src/transport/router.h
@@ -56,8 +56,8 @@
     void requestStarted();
     void requestEnded();
     size_t activeRequests() const;
-    // Removes this router from the list of addresses that callers receive. Requests are still served.
-    // Until `requestsEnd`, after which endRequests() is called.
+    // Removes this router from the list of addresses that callers receive. Requests that end before `requestsEnd` are still served; then
+    // endRequests() is called.
     void drain(Time requestsEnd);
     // Refuses new requests from now on.
     void refuseRequests();
