--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -42,6 +42,8 @@
 constexpr Millis RouterHeartbeatInterval{250};
 constexpr Millis RouterLease{3000};
 constexpr Millis AddressListTtl{5000}; // callers may cache the list of router addresses for this long
+constexpr Millis ControlCallTimeout{1000};
+constexpr Millis RouterCommandTimeout{2500}; // to commit a claim or a crash report
 
 // Planned stops
 constexpr Millis StopExitMargin{300}; // of the grace period, so that the process exits before it is killed
@@ -52,8 +54,6 @@
 constexpr Millis RouterGrace = std::chrono::seconds(60); // twice DefaultDeadline; init systems kill after 90 s
 constexpr Millis RouterStopAnswerTime{3000}; // before the end of the grace period: two probes of an endpoint, and a stored outcome
 constexpr Millis MinRouterGrace = RouterLease + AddressListTtl + RouterStopAnswerTime;
-constexpr Millis ControlCallTimeout{1000};
-constexpr Millis RouterCommandTimeout{2500}; // to commit a claim or a crash report
 
 // Endpoints
 constexpr Millis EndpointReportTimeout{3000}; // an endpoint without a report for this long leaves the directory
