--- a/tests/attempt_test.cpp
+++ b/tests/attempt_test.cpp
@@ -41,6 +41,16 @@
     {Head + "Transfer-Encoding: chunked\r\n\r\n", AnswerEnd::Endless, "1000\r\n" + Filler + "\r\n"},
 };
 
+// The endpoint ends them, so that a router which doesn't break them off fails the test and doesn't fill the memory.
+constexpr std::chrono::milliseconds EndlessHeadTime{3000};
+
+const std::vector<RawAnswer> EndlessHeads{
+    {Head + "X-A: ", AnswerEnd::Endless, Filler, EndlessHeadTime},
+    {Head, AnswerEnd::Endless, "X-A: a\r\n", EndlessHeadTime},
+    {"", AnswerEnd::Endless, "HTTP/1.1 100 Continue\r\n\r\n", EndlessHeadTime},
+    {Head + "Transfer-Encoding: chunked\r\n\r\n1;a=", AnswerEnd::Endless, Filler, EndlessHeadTime},
+};
+
 // What the check whether an endpoint has ended accepts, and what the sockets of both sides hold on top of it.
 constexpr size_t MaxAcceptedCheckBytes
     = tunables::MaxReportBytes + tunables::MaxAnswerHeaderBytes + tunables::MaxUnparsedBytes + (16u << 20);
@@ -82,6 +92,20 @@
     BOOST_TEST(endpoint.bytesSent() < MaxAcceptedBytes);
 }
 
+// Guards against an endpoint whose head, or head of a chunk, never ends: neither the request's time nor the router's memory may go with it.
+BOOST_DATA_TEST_CASE(headWithoutEndIsInterrupted, bdata::make({false, true}) * bdata::make(EndlessHeads), stream, endless)
+{
+    RawEndpoint endpoint([&](const std::string &) { return endless; });
+    const AttemptRequest request = requestTo(endpoint);
+    StreamProgress progress;
+    const Time start = monotonicNow();
+    const AttemptResult result
+        = stream ? runStream(request, false, progress, [](uint64_t, const std::string &) { return true; }) : runAttempt(request);
+    BOOST_TEST((result.end == AttemptEnd::Interrupted));
+    BOOST_TEST((monotonicNow() - start < MaxRunTime));
+    BOOST_TEST(endpoint.bytesSent() < MaxAcceptedBytes);
+}
+
 // Guards against an endpoint that answers the check whether it has ended with bytes without end: the router kept them all. Each of the
 // check's connections is broken off.
 BOOST_DATA_TEST_CASE(endlessAnswerToTheCheckIsBrokenOff, bdata::make(EndlessCheckAnswers), endless)
--- a/tests/rawendpoint.cpp
+++ b/tests/rawendpoint.cpp
@@ -129,8 +129,9 @@
         if (id != std::string::npos)
             answer.bytes.replace(id, 4, headerValue(request, "X-Request-Id"));
         end = answer.end;
+        const std::chrono::steady_clock::time_point endsAt = std::chrono::steady_clock::now() + answer.endsAfter;
         bool sent = send(connection, answer.bytes);
-        while (sent && end == AnswerEnd::Endless && !m_stop)
+        while (sent && end == AnswerEnd::Endless && !m_stop && std::chrono::steady_clock::now() < endsAt)
             sent = send(connection, answer.repeated);
     }
     if (end == AnswerEnd::Reset)
--- a/tests/rawendpoint.h
+++ b/tests/rawendpoint.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <list>
 #include <mutex>
@@ -25,6 +26,7 @@
     std::string bytes; // of the answer, head included; "{id}" is replaced by the id of the request
     AnswerEnd end = AnswerEnd::KeepOpen;
     std::string repeated{}; // the piece that an endless answer repeats
+    std::chrono::milliseconds endsAfter = std::chrono::hours(1); // the endpoint closes the connection if the other side doesn't
 };
 
 class RawEndpoint
