--- a/tests/fleet_stop_control_test.cpp
+++ b/tests/fleet_stop_control_test.cpp
@@ -238,22 +238,23 @@
 // would go on sending requests to the runner.
 BOOST_AUTO_TEST_CASE(withdrawalAcknowledgedByAStoppingControlHostIsKnownToTheOthers)
 {
-    constexpr int Runners = 400;
+    constexpr int runnerCount = 400;
     ControlSystem system;
     const int stopped = system.leadingHost() % 3 + 1;
     const std::vector<int> others{stopped % 3 + 1, (stopped + 1) % 3 + 1};
     Connection connection(ControlSystem::address(stopped), ControlSystem::port());
-    for (int n = 0; n < Runners; ++n)
+    for (int n = 0; n < runnerCount; ++n)
         BOOST_REQUIRE(connection.call(heartbeatText(fmt::format("r-{}", n), 1), false).status == 200);
-    BOOST_REQUIRE(eventually(
-        [&] { return std::all_of(others.begin(), others.end(), [&](int n) { return system.runnersAt(n).size() == size_t(Runners); }); }));
+    BOOST_REQUIRE(eventually([&] {
+        return std::all_of(others.begin(), others.end(), [&](int n) { return system.runnersAt(n).size() == size_t(runnerCount); });
+    }));
     const std::string process = fmt::format("keeper-{}", stopped);
     std::thread stop([&] {
         std::this_thread::sleep_for(Millis(100));
         system.signal(process, SIGTERM);
     });
     std::set<std::string> acknowledged;
-    for (int n = 0; n < Runners && connection.open(); ++n) {
+    for (int n = 0; n < runnerCount && connection.open(); ++n) {
         const std::string runner = fmt::format("r-{}", n);
         if (connection.call(requestText("DELETE", fmt::format("/api/instances/{}", runner), ""), false).status == 200)
             acknowledged.insert(runner);
@@ -262,7 +263,7 @@
     stop.join();
     BOOST_TEST(system.wait(process) == 0);
     BOOST_TEST(!acknowledged.empty());
-    BOOST_TEST(acknowledged.size() < size_t(Runners));
+    BOOST_TEST(acknowledged.size() < size_t(runnerCount));
     for (const int n : others) {
         const auto missing = [&] {
             const std::map<std::string, bool> runners = system.runnersAt(n);
