Forwarder: only continuations of streams look up the versions of a service

Each attempt built the set of versions over all known endpoints, also where no version is required. The lookup is now the last part of the condition. The result is the same; forwarder_test passes.

--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -568,8 +568,7 @@
         co_return AttemptEnd::NotSent;
     }
     const bool recent = m_softwareConfirmed.covers(monotonicNow() - MaxUncheckedAge);
-    const bool several = m_balancer.softwareVersions(request.requirements.service).size() > 1;
-    const bool check = request.requirements.software && (!recent || several);
+    const bool check = request.requirements.software && (!recent || m_balancer.softwareVersions(request.requirements.service).size() > 1);
     if (check && !co_await confirmIncarnation(request, choice, *connection)) {
         request.cause = "the endpoint did not confirm that it is the one whose software version is known";
         request.requirements.avoid.insert(choice.endpoint);
