--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -331,6 +331,8 @@
     size_t discardedBytes = 0;
     while (!ec && discardedBytes < MaxLingeringBytes)
         discardedBytes += co_await connection.m_socket.async_read_some(net::buffer(rest), net::redirect_error(net::use_awaitable, ec));
+    if (discardedBytes > 0)
+        logEvent("input_discarded", {{"bytes", discardedBytes}});
 }
 
 // Periodically closes connections whose idle or header time-out has passed.
