HTTP server: no request is read and dropped while its connection closes

Two causes of one class, bytes that are taken in after the server has decided to close: - drain() closed connections after an answer whose head had already told the caller to keep them. The decision is now fixed when the head is written. - The close of an idle connection, at a stop or after the idle time-out, read and dropped what arrived for a second. Without a last answer to protect, the connection is now closed at once: a request that crosses the close is reset, so that its caller knows that it did not run and may send it again. One that has arrived before is served.

--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -209,7 +209,7 @@
     }
     if (!request.relayedFrom.empty() && !request.software.value().empty())
         head += fmt::format("{}: {}\r\n", RelaySoftware, request.software.value());
-    if (!request.caller.keepAlive())
+    if (!request.caller.announceKeepAlive())
         head += "Connection: close\r\n";
     return head;
 }
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -112,7 +112,7 @@
     std::string bytes = fmt::format("HTTP/1.1 {} {}\r\n", status, view(http::obsolete_reason(http::status(status))));
     for (const HeaderField &it : headers)
         bytes += fmt::format("{}: {}\r\n", it.name, it.value);
-    bytes += fmt::format("Content-Length: {}\r\n{}\r\n", body.size(), m_keepAlive ? "" : "Connection: close\r\n");
+    bytes += fmt::format("Content-Length: {}\r\n{}\r\n", body.size(), announceKeepAlive() ? "" : "Connection: close\r\n");
     if (m_request.method() != http::verb::head)
         bytes += body;
     co_return co_await write(std::move(bytes));
@@ -204,8 +204,10 @@
 void HttpServer::drain()
 {
     m_draining = true;
-    for (const std::shared_ptr<CallerConnection> &it : m_connections)
-        it->m_keepAlive = false; // of an answer in progress
+    for (const std::shared_ptr<CallerConnection> &it : m_connections) {
+        if (!it->m_keepAliveAnnounced)
+            it->m_keepAlive = false;
+    }
 }
 
 void HttpServer::finish()
@@ -243,6 +245,7 @@
     try {
         while (co_await readRequest(*connection)) {
             connection->m_keepAlive = connection->m_request.keep_alive() && !m_draining;
+            connection->m_keepAliveAnnounced = false;
             connection->m_stage = ConnectionStage::Answering;
             co_await m_handler(*connection);
             if (!connection->m_keepAlive || connection->m_aborted)
@@ -252,8 +255,10 @@
         logEvent("connection_failed", {{"error", ex.what()}});
         connection->abort();
     }
+    // An idle connection is closed at once: the kernel then resets it if a request arrives, so that its caller knows that it did not run.
+    const bool idle = connection->m_stage == ConnectionStage::Idle;
     connection->m_stage = ConnectionStage::Closing;
-    if (!connection->m_aborted)
+    if (!connection->m_aborted && !idle)
         co_await lingeringClose(*connection);
     ErrorCode ec;
     connection->m_socket.close(ec);
@@ -269,7 +274,7 @@
         connection.m_stage = ConnectionStage::Idle;
         connection.m_expiresAt = monotonicNow() + (m_finishing ? FinishIdleTimeout : m_limits.idleTimeout);
         co_await connection.m_socket.async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
-        if (ec)
+        if (ec && !hasUnexpectedInput(connection.m_socket))
             co_return false;
     }
     connection.m_stage = ConnectionStage::Reading;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -77,8 +77,11 @@
     // the end of this process included, so that the caller recognizes the answer as incomplete.
     void beginUnframed();
     void endUnframed();
-    bool keepAlive() const
+    // Returns whether the connection is kept after the answer whose head is being written. Later calls of drain() don't change it: a
+    // caller may send the next request at once.
+    bool announceKeepAlive()
     {
+        m_keepAliveAnnounced = true;
         return m_keepAlive;
     }
     // Closes the connection when the handler returns, so that the caller recognizes the answer as incomplete.
@@ -95,6 +98,7 @@
     http::request<http::string_body> m_request;
     ConnectionStage m_stage = ConnectionStage::Idle;
     bool m_keepAlive = true;
+    bool m_keepAliveAnnounced = false; // the head of the answer in progress is written
     bool m_aborted = false;
     Time m_arrivedAt{};
     Time m_expiresAt = Time::max(); // when the server closes the connection
