Tasks: an exception in a coroutine is logged, and a loop goes on

Callers and operators would see: a process that serves on while a part of its work has stopped for good, without a log line.

Cause: net::detached discards the exception; no coroutine that was spawned so had a handler of its own.

Change: spawn() logs what a task throws (task_failed), counts it (roserail_tasks_failed_total) and removes what the task would have removed at its end; repeat() does the same for each iteration of a loop and goes on after LoopRetryDelay. All spawned coroutines use them: - The leader drops its plan, as after a lost lease, and begins with reports of the engines. An order or a request for a report that throws counts as unanswered, so that its engine is planned for again. - A connection is removed from its server's list, also if it can't be spawned; else a planned stop would wait for it. - A comparison of endpoints after a crash ends; else later crash checks wait for it for good. - A proposal of streams that could not be begun is no longer taken for one in progress. - The stop of a control host stops its io_context also if it throws.

No input from outside is known that throws in these coroutines.

--- a/src/keeper.cpp
+++ b/src/keeper.cpp
@@ -14,6 +14,7 @@
 #include "transport/mesh.h"
 #include "transport/ordersender.h"
 #include "transport/program.h"
+#include "transport/tasks.h"
 
 #include <algorithm>
 #include <atomic>
@@ -138,10 +139,10 @@
     std::unique_ptr<OrderSender> orders;
     if (node) {
         orders = std::make_unique<OrderSender>(io, platform::codec(), table, *node, settings.host.id, settings.orderLease);
-        net::co_spawn(io, orders->run(), net::detached);
+        spawn(io, "send_orders", orders->run());
     }
     ControlPeers peers(io, settings, table, node.get());
-    net::co_spawn(io, peers.run(), net::detached);
+    spawn(io, "update_peers", peers.run());
     std::thread ioThread([&io] { io.run(); });
     logEvent("started",
              {{"version", ROSERAIL_VERSION},
@@ -157,7 +158,7 @@
     std::atomic<bool> handedOver = false;
     const Time deadline = monotonicNow() + settings.host.grace - tunables::KeeperExitMargin;
     const std::vector<HttpServer *> servers{&httpServer, &metricsServer};
-    net::co_spawn(io, stopServing(io, servers, api, handedOver, deadline), net::detached);
+    spawn(io, "stop", stopServing(io, servers, api, handedOver, deadline), [&io] { io.stop(); });
     if (node)
         node->handOverLeadership();
     handedOver = true;
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -208,6 +208,9 @@
 constexpr double LogLinesPerSecond = 200; // per process; 10 times the rate of a router with some 7 requests/s and 3 lines for each
 constexpr double LogLinesBurst = 1000; // a change of leader or a burst of callers, over some seconds
 
+// Loops
+constexpr Millis LoopRetryDelay{100}; // after an iteration that threw; a fault that repeats takes a twentieth of LogLinesPerSecond
+
 // HTTP
 constexpr size_t MaxBodyBytes = 8u << 20;
 constexpr size_t MaxEventBytes = 1u << 20; // of one event of a stream
--- a/src/transport/controlpeers.cpp
+++ b/src/transport/controlpeers.cpp
@@ -4,6 +4,7 @@
 #include "state/recordedstreams.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
+#include "transport/tasks.h"
 
 #include <xxhash.h>
 
@@ -77,13 +78,19 @@
 
 Task<> ControlPeers::run()
 {
-    net::steady_timer timer(m_io);
-    while (true) {
-        updatePeers(monotonicNow());
-        ErrorCode ec;
-        timer.expires_after(PeerUpdateInterval);
-        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
-    }
+    const auto iteration = [this] {
+        return updateAndWait();
+    };
+    co_await repeat(m_io, "update_peers", iteration);
+}
+
+Task<bool> ControlPeers::updateAndWait()
+{
+    updatePeers(monotonicNow());
+    net::steady_timer timer(m_io, PeerUpdateInterval);
+    ErrorCode ec;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    co_return true;
 }
 
 void ControlPeers::updatePeers(Time now)
@@ -166,7 +173,12 @@
     if (!command.has_record_streams())
         return;
     *m_recordingStreams = true;
-    m_node->propose(std::move(command), [recording = m_recordingStreams](const Result<pb::CommandResult> &) { *recording = false; });
+    try {
+        m_node->propose(std::move(command), [recording = m_recordingStreams](const Result<pb::CommandResult> &) { *recording = false; });
+    } catch (...) {
+        *m_recordingStreams = false;
+        throw;
+    }
 }
 
 void ControlPeers::logIsolation(const ReplicaStatus &status, Time now)
--- a/src/transport/controlpeers.h
+++ b/src/transport/controlpeers.h
@@ -32,6 +32,7 @@
     Task<> run();
 
 private:
+    Task<bool> updateAndWait();
     void updatePeers(Time now);
     void announceState(const std::set<std::string> &unreachable, Time now);
     void logIsolation(const ReplicaStatus &status, Time now);
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -5,6 +5,7 @@
 #include "state/tunables.h"
 #include "transport/clock.h"
 #include "transport/program.h"
+#include "transport/tasks.h"
 
 #include <future>
 
@@ -82,7 +83,10 @@
         net::post(m_io, [this, reply, askedAt] { applySync(reply, askedAt); });
     };
     m_meshClient = std::make_unique<MeshClient>(internalSeeds(m_settings.host), buildRequest, handleReply);
-    net::co_spawn(m_io, closeExpiredConnections(), net::detached);
+    const auto iteration = [this] {
+        return closeExpiredConnections();
+    };
+    spawn(m_io, "close_expired", repeat(m_io, "close_expired", iteration));
     return boost::outcome_v2::success();
 }
 
@@ -216,15 +220,13 @@
     co_await caller.answer(200, std::move(headers), m_codec.encodeAddresses(chosen, ResolveTtl));
 }
 
-Task<> EntryApi::closeExpiredConnections()
+Task<bool> EntryApi::closeExpiredConnections()
 {
-    net::steady_timer timer(m_io);
-    while (true) {
-        ErrorCode ec;
-        timer.expires_after(ExpiryCheckInterval);
-        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
-        m_forwarder.pool().closeExpired(monotonicNow());
-    }
+    net::steady_timer timer(m_io, ExpiryCheckInterval);
+    ErrorCode ec;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    m_forwarder.pool().closeExpired(monotonicNow());
+    co_return true;
 }
 
 pb::SyncRequest EntryApi::buildSyncRequest()
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -30,7 +30,7 @@
     void logConnections(std::string_view event) const;
     Task<> answerReady(CallerConnection &caller);
     Task<> answerResolve(CallerConnection &caller);
-    Task<> closeExpiredConnections();
+    Task<bool> closeExpiredConnections();
     pb::SyncRequest buildSyncRequest();
     // `askedAt`: when the poll was sent.
     void applySync(const pb::SyncReply &reply, Time askedAt);
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -7,6 +7,7 @@
 #include "state/tunables.h"
 #include "transport/clock.h"
 #include "transport/forwarderrequest.h"
+#include "transport/tasks.h"
 
 #include <xxhash.h>
 
@@ -127,7 +128,7 @@
 {
     CallerConnection &caller = request.caller;
     request.metadata = m_codec.requestMetadata(caller.lookup());
-    net::co_spawn(m_io, watchCaller(caller, request.cancellation), net::detached);
+    spawn(m_io, "watch_caller", watchCaller(caller, request.cancellation));
     m_inProgress.insert(&request);
     try {
         co_await serve(request);
@@ -503,8 +504,12 @@
     } else if (m_balancer.recordConnectFailed(endpoint, now)) {
         logEvent("endpoint_unreachable", {{"endpoint", endpoint}, {"address", address}, {"error", ec.message()}});
     }
-    if (!connection && !m_probing)
-        net::co_spawn(m_io, probeEndpoints(), net::detached);
+    if (!connection && !m_probing) {
+        const auto iteration = [this] {
+            return probeEndpoints();
+        };
+        spawn(m_io, "probe_endpoints", repeat(m_io, "probe_endpoints", iteration));
+    }
     // A refused connection says nothing about open ones.
     if (!connection && ec != net::error::connection_refused)
         m_pool.closeIdle(address);
@@ -526,19 +531,18 @@
     wakeWaitingRequests();
 }
 
-// Probes the endpoints that this router can't connect to, until there are none.
-Task<> Forwarder::probeEndpoints()
+// Probes the endpoints that this router can't connect to. Returns false if there are none.
+Task<bool> Forwarder::probeEndpoints()
 {
-    m_probing = true;
-    net::steady_timer timer(m_io);
-    while (m_balancer.hasUnreachableEndpoint()) {
-        ErrorCode ec;
-        timer.expires_after(ReachabilityCheckInterval);
-        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
-        for (const std::pair<const std::string, std::string> &it : m_balancer.dueProbes(monotonicNow()))
-            net::co_spawn(m_io, probe(it.first, it.second), net::detached);
-    }
-    m_probing = false;
+    m_probing = m_balancer.hasUnreachableEndpoint();
+    if (!m_probing)
+        co_return false;
+    net::steady_timer timer(m_io, ReachabilityCheckInterval);
+    ErrorCode ec;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    for (const std::pair<const std::string, std::string> &it : m_balancer.dueProbes(monotonicNow()))
+        spawn(m_io, "probe", probe(it.first, it.second));
+    co_return true;
 }
 
 Task<AttemptEnd> Forwarder::attempt(Request &request, const EndpointChoice &choice)
@@ -609,7 +613,7 @@
         if (crashedBefore)
             co_await std::move(crashCheck);
         else
-            net::co_spawn(m_io, std::move(crashCheck), net::detached);
+            spawn(m_io, "check_for_crash", std::move(crashCheck));
     }
     if (end != AttemptEnd::Completed && outcome != AttemptOutcome::NotHeld)
         request.requirements.avoid.insert(choice.endpoint);
@@ -712,13 +716,18 @@
     m_comparison.running = true;
     m_comparison.startedAt = monotonicNow();
     m_comparison.connected = others.empty();
-    for (const std::pair<const std::string, std::string> &it : others) {
-        EndpointConnectionPtr connection = co_await connect(it.first, it.second);
-        if (!connection)
-            continue;
-        m_pool.putIdle(std::move(connection), monotonicNow());
-        m_comparison.connected = true;
-        break;
+    try {
+        for (const std::pair<const std::string, std::string> &it : others) {
+            EndpointConnectionPtr connection = co_await connect(it.first, it.second);
+            if (!connection)
+                continue;
+            m_pool.putIdle(std::move(connection), monotonicNow());
+            m_comparison.connected = true;
+            break;
+        }
+    } catch (...) {
+        m_comparison.running = false;
+        throw;
     }
     m_comparison.running = false;
 }
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -134,7 +134,7 @@
     static HeaderField relayOutcome(const Request &request, const Error &error, unsigned status);
     Task<EndpointConnectionPtr> connect(std::string endpoint, std::string address);
     Task<> probe(std::string endpoint, std::string address);
-    Task<> probeEndpoints();
+    Task<bool> probeEndpoints();
     Task<bool> selectVersion(Request &request);
     Task<> askForVersion(Request &request);
     Task<bool> confirmIncarnation(Request &request, const EndpointChoice &choice, EndpointConnection &connection);
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -5,6 +5,7 @@
 #include "state/address.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
+#include "transport/tasks.h"
 
 #include <algorithm>
 #include <array>
@@ -166,8 +167,14 @@
     if (ec)
         return Error{ErrorKind::BadSettings,
                      fmt::format("cannot listen on {}: {}; free the port or correct the address", address, ec.message()), 0};
-    net::co_spawn(m_io, acceptConnections(), net::detached);
-    net::co_spawn(m_io, sweep(), net::detached);
+    const auto accept = [this] {
+        return acceptConnection();
+    };
+    const auto closeExpired = [this] {
+        return sweep();
+    };
+    spawn(m_io, "accept", repeat(m_io, "accept", accept));
+    spawn(m_io, "sweep", repeat(m_io, "sweep", closeExpired));
     return boost::outcome_v2::success();
 }
 
@@ -177,28 +184,36 @@
                                 [stage](const std::shared_ptr<CallerConnection> &it) { return it->m_stage == stage; }));
 }
 
-Task<> HttpServer::acceptConnections()
-{
-    while (m_acceptor.is_open()) {
-        ErrorCode ec;
-        tcp::socket socket = co_await m_acceptor.async_accept(net::redirect_error(net::use_awaitable, ec));
-        if (ec && !m_acceptor.is_open())
-            co_return;
-        if (ec) {
-            logEvent("accept_failed", {{"error", ec.message()}});
-            net::steady_timer pause(m_io, AcceptRetryDelay);
-            co_await pause.async_wait(net::redirect_error(net::use_awaitable, ec));
-            continue;
-        }
+// Accepts one connection. Returns whether the server listens on.
+Task<bool> HttpServer::acceptConnection()
+{
+    if (!m_acceptor.is_open())
+        co_return false;
+    ErrorCode ec;
+    tcp::socket socket = co_await m_acceptor.async_accept(net::redirect_error(net::use_awaitable, ec));
+    if (ec && !m_acceptor.is_open())
+        co_return false;
+    if (ec) {
+        logEvent("accept_failed", {{"error", ec.message()}});
+        net::steady_timer pause(m_io, AcceptRetryDelay);
+        co_await pause.async_wait(net::redirect_error(net::use_awaitable, ec));
+    } else {
         startServing(std::move(socket));
     }
+    co_return m_acceptor.is_open();
 }
 
 void HttpServer::startServing(tcp::socket socket)
 {
     configureSocket(socket);
     m_connections.push_front(std::make_shared<CallerConnection>(std::move(socket)));
-    net::co_spawn(m_io, serve(m_connections.begin()), net::detached);
+    const Connections::iterator position = m_connections.begin();
+    try {
+        spawn(m_io, "connection", serve(position), [this, position] { remove(position); });
+    } catch (...) {
+        remove(position);
+        throw;
+    }
 }
 
 void HttpServer::drain()
@@ -260,8 +275,13 @@
     connection->m_stage = ConnectionStage::Closing;
     if (!connection->m_aborted && !idle)
         co_await lingeringClose(*connection);
+    remove(position);
+}
+
+void HttpServer::remove(Connections::iterator position)
+{
     ErrorCode ec;
-    connection->m_socket.close(ec);
+    (*position)->m_socket.close(ec);
     m_connections.erase(position);
 }
 
@@ -340,28 +360,27 @@
         logEvent("input_discarded", {{"bytes", discardedBytes}});
 }
 
-// Periodically closes connections whose idle or header time-out has passed.
-Task<> HttpServer::sweep()
-{
-    while (true) {
-        ErrorCode ec;
-        m_sweepTimer.expires_after(ConnectionSweepInterval);
-        co_await m_sweepTimer.async_wait(net::redirect_error(net::use_awaitable, ec));
-        if (ec)
-            co_return;
-        const Time now = monotonicNow();
-        for (const std::shared_ptr<CallerConnection> &it : m_connections) {
-            if (now < it->m_expiresAt)
-                continue;
-            it->m_expiresAt = Time::max();
-            if (it->m_stage == ConnectionStage::Idle) {
-                it->m_socket.cancel(ec); // the connection is then closed without a reset
-                continue;
-            }
-            it->m_aborted = true;
-            it->m_socket.close(ec);
+// Waits ConnectionSweepInterval, and closes connections whose idle or header time-out has passed.
+Task<bool> HttpServer::sweep()
+{
+    ErrorCode ec;
+    m_sweepTimer.expires_after(ConnectionSweepInterval);
+    co_await m_sweepTimer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    if (ec)
+        co_return false;
+    const Time now = monotonicNow();
+    for (const std::shared_ptr<CallerConnection> &it : m_connections) {
+        if (now < it->m_expiresAt)
+            continue;
+        it->m_expiresAt = Time::max();
+        if (it->m_stage == ConnectionStage::Idle) {
+            it->m_socket.cancel(ec); // the connection is then closed without a reset
+            continue;
         }
+        it->m_aborted = true;
+        it->m_socket.close(ec);
     }
+    co_return true;
 }
 
 } // namespace roserail
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -135,13 +135,14 @@
 private:
     using Connections = std::list<std::shared_ptr<CallerConnection>>;
 
-    Task<> acceptConnections();
+    Task<bool> acceptConnection();
     void startServing(tcp::socket socket);
     Task<> serve(Connections::iterator position);
+    void remove(Connections::iterator position);
     Task<bool> readRequest(CallerConnection &connection);
     Task<> refuse(CallerConnection &connection, const ErrorCode &ec);
     Task<> lingeringClose(CallerConnection &connection);
-    Task<> sweep();
+    Task<bool> sweep();
 
     net::io_context &m_io;
     HttpHandler m_handler;
--- a/src/transport/ordersender.cpp
+++ b/src/transport/ordersender.cpp
@@ -4,6 +4,7 @@
 #include "protocol/metrics.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
+#include "transport/tasks.h"
 
 namespace roserail
 {
@@ -24,14 +25,31 @@
 
 Task<> OrderSender::run()
 {
-    net::steady_timer timer(m_io);
-    while (true) {
-        ErrorCode ec;
-        timer.expires_after(PlacementInterval);
-        co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
-        planOnce(monotonicNow());
-        m_pool.closeExpired(monotonicNow());
-    }
+    const auto iteration = [this] {
+        return waitAndPlan();
+    };
+    const auto drop = [this] {
+        dropPlan();
+    };
+    co_await repeat(m_io, "send_orders", iteration, drop);
+}
+
+Task<bool> OrderSender::waitAndPlan()
+{
+    net::steady_timer timer(m_io, PlacementInterval);
+    ErrorCode ec;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ec));
+    planOnce(monotonicNow());
+    m_pool.closeExpired(monotonicNow());
+    co_return true;
+}
+
+// The next plan begins with reports of the engines, as after a lease that was lost.
+void OrderSender::dropPlan()
+{
+    if (m_residency)
+        m_lastNumbers = m_residency->lastNumbers();
+    m_residency.reset();
 }
 
 // Returns the configuration in force, decoded once per version; null if there is none yet.
@@ -70,11 +88,10 @@
 {
     const ReplicaStatus status = m_node.status();
     if (!status.leads(now)) {
-        if (m_residency) {
-            m_lastNumbers = m_residency->lastNumbers();
+        const bool planned = m_residency != nullptr;
+        dropPlan();
+        if (planned)
             logEvent("orders_stopped", {{"term", m_term}, {"last_fence", m_lastNumbers.fence}});
-        }
-        m_residency.reset();
         return;
     }
     if (!m_residency || m_term != status.term)
@@ -103,10 +120,19 @@
     }
     for (ArtifactOrder &it : plan.orders) {
         const std::string address = targets[it.endpoint].address;
-        net::co_spawn(m_io, sendOrder(std::move(it), address, m_term), net::detached);
+        const auto unanswered = [this, order = it, term = m_term] {
+            if (m_residency && m_term == term)
+                m_residency->orderAnswered(order, std::nullopt, monotonicNow());
+        };
+        spawn(m_io, "send_order", sendOrder(std::move(it), address, m_term), unanswered);
+    }
+    for (const std::string &it : plan.reportRequests) {
+        const auto unanswered = [this, endpoint = it, term = m_term] {
+            if (m_residency && m_term == term)
+                m_residency->reportFailed(endpoint, monotonicNow());
+        };
+        spawn(m_io, "request_report", requestReport(it, targets[it].address, targets[it].startedAtMs, m_term), unanswered);
     }
-    for (const std::string &it : plan.reportRequests)
-        net::co_spawn(m_io, requestReport(it, targets[it].address, targets[it].startedAtMs, m_term), net::detached);
 }
 
 Task<> OrderSender::sendOrder(ArtifactOrder order, std::string address, uint64_t term)
--- a/src/transport/ordersender.h
+++ b/src/transport/ordersender.h
@@ -18,6 +18,8 @@
     Task<> run();
 
 private:
+    Task<bool> waitAndPlan();
+    void dropPlan();
     void planOnce(Time now);
     void beginTerm(uint64_t term, Time now);
     std::shared_ptr<const RouteTable> routes();
