Endpoint pool: the idle time-out of a Keep-Alive header is read strictly

Callers would see: a request sent on a connection that its endpoint had closed, or a new connection for each request.

Text after the number was ignored, the name was case-sensitive, and "xtimeout=" was taken for it.

Change: the parameter is compared as a whole, N must be digits, and is limited before it is multiplied. If it is no number, the connection is not kept, since what the endpoint permits is not known.

--- a/src/transport/endpointpool.cpp
+++ b/src/transport/endpointpool.cpp
@@ -6,6 +6,8 @@
 #include "transport/clock.h"
 
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <charconv>
 #include <xxhash.h>
 
 namespace roserail
@@ -42,14 +44,35 @@
     std::shared_ptr<tcp::socket *> m_socket; // null once the deadline is destroyed: the handler may run later
 };
 
-// Returns for how long a connection may stay idle, by "timeout=N" of the endpoint's Keep-Alive header, N in seconds.
+std::string_view trimmed(std::string_view text)
+{
+    const size_t first = text.find_first_not_of(" \t");
+    return first == std::string_view::npos ? std::string_view() : text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+// Returns for how long a connection may stay idle, by "timeout=N" of the endpoint's Keep-Alive header, N in seconds. If N is no number,
+// what the endpoint permits is not known, and the connection is not kept.
 Millis idleTimeoutOf(std::string_view header)
 {
-    const size_t position = header.find("timeout=");
-    if (position == std::string_view::npos)
-        return EndpointIdleTimeout;
-    const long seconds = std::strtol(std::string(header.substr(position + 8)).c_str(), nullptr, 10);
-    return std::min(EndpointIdleTimeout, Millis(seconds * 1000) - EndpointIdleTimeoutMargin);
+    constexpr std::string_view name = "timeout=";
+    while (!header.empty()) {
+        const size_t end = std::min(header.find(','), header.size());
+        const std::string_view parameter = trimmed(header.substr(0, end));
+        header.remove_prefix(std::min(end + 1, header.size()));
+        const std::string_view begin = parameter.substr(0, name.size());
+        if (!boost::beast::iequals({begin.data(), begin.size()}, {name.data(), name.size()}))
+            continue;
+        const char *const textEnd = parameter.data() + parameter.size();
+        uint64_t seconds = 0;
+        const std::from_chars_result read = std::from_chars(parameter.data() + name.size(), textEnd, seconds);
+        if (read.ec == std::errc::invalid_argument || read.ptr != textEnd)
+            return Millis(0);
+        constexpr uint64_t maxSeconds = EndpointIdleTimeout / std::chrono::seconds(1) + 1; // any more has the same effect
+        if (read.ec == std::errc::result_out_of_range || seconds > maxSeconds)
+            seconds = maxSeconds;
+        return std::min(EndpointIdleTimeout, Millis(seconds * 1000) - EndpointIdleTimeoutMargin);
+    }
+    return EndpointIdleTimeout;
 }
 
 using AnswerParser = http::response_parser<http::string_body>;
--- a/tests/endpointpool_test.cpp
+++ b/tests/endpointpool_test.cpp
@@ -126,8 +126,76 @@
     {"end of the connection", {StatusLine + "\r\n" + Filler, AnswerEnd::Close}, Filler},
 };
 
+// A Keep-Alive header, and for how long an idle connection is kept by it; 0: it is closed.
+struct KeepAliveRow {
+    std::string header;
+    Millis kept;
+};
+
+std::ostream &operator<<(std::ostream &out, const KeepAliveRow &it)
+{
+    return out << fmt::format("'{}'", it.header);
+}
+
+const std::vector<KeepAliveRow> KeepAliveRows{
+    {"", tunables::EndpointIdleTimeout},
+    {"max=100", tunables::EndpointIdleTimeout},
+    {"timeout=5", Millis(4500)},
+    {"Timeout=5", Millis(4500)},
+    {"timeout=5, max=100", Millis(4500)},
+    {"max=100,\ttimeout=5 ", Millis(4500)},
+    {"timeout=10", Millis(9500)},
+    {"timeout=11", tunables::EndpointIdleTimeout},
+    {"timeout=86400", tunables::EndpointIdleTimeout},
+    {"timeout=0", Millis(0)},
+    // Multiplied by 1000 these don't fit into 64 bits.
+    {"timeout=9223372036854776", tunables::EndpointIdleTimeout},
+    {"timeout=9223372036854775807", tunables::EndpointIdleTimeout},
+    {"timeout=9223372036854775808", tunables::EndpointIdleTimeout},
+    {"timeout=18446744073709551616", tunables::EndpointIdleTimeout},
+    {"timeout=" + std::string(400, '9'), tunables::EndpointIdleTimeout},
+    {"timeout=-9223372036854775807", Millis(0)},
+    {"timeout=-18446744073709547", Millis(0)},
+    // No numbers.
+    {"timeout=", Millis(0)},
+    {"timeout=-1", Millis(0)},
+    {"timeout=+5", Millis(0)},
+    {"timeout= 5", Millis(0)},
+    {"timeout=5s", Millis(0)},
+    {"timeout=0x10", Millis(0)},
+    {"timeout=1e9", Millis(0)},
+    {"timeout=5 max=100", Millis(0)},
+    // Another parameter.
+    {"xtimeout=1", tunables::EndpointIdleTimeout},
+};
+
+// Returns whether a connection whose last answer had the header is still in the pool after it was idle for `idle`.
+bool isKept(const std::string &header, Millis idle)
+{
+    const RawEndpoint endpoint([](const std::string &) { return RawAnswer{}; });
+    net::io_context io(1);
+    EndpointPool pool(io);
+    EndpointConnectionPtr connection;
+    net::co_spawn(io, pool.connect(endpoint.address(), CallTimeout),
+                  [&connection](const std::exception_ptr &, EndpointConnectionPtr result) { connection = std::move(result); });
+    io.run();
+    BOOST_REQUIRE(connection);
+    connection->keepAliveHeader = header;
+    const Time now = monotonicNow();
+    pool.putIdle(std::move(connection), now);
+    return pool.takeIdle(endpoint.address(), now + idle) != nullptr;
+}
+
 } // namespace
 
+// Guards against an idle time-out that overflows: a connection was kept although the endpoint had named none, or closed too early.
+BOOST_DATA_TEST_CASE(idleTimeoutIsReadStrictly, bdata::make(KeepAliveRows), row)
+{
+    if (row.kept > Millis(0))
+        BOOST_TEST(isKept(row.header, row.kept - Millis(1)));
+    BOOST_TEST(!isKept(row.header, row.kept));
+}
+
 // Guards against an endpoint whose bytes never end, or that announces more than memory holds: control hosts asked it for a report, and
 // ended.
 BOOST_DATA_TEST_CASE(answerWithoutEndIsNoAnswer, bdata::make(EndlessAnswers), endless)
