A follower's state is current as of its last answered reply, not as of when it read a message

Callers could see: a stream joined from two software versions at a router whose control host had stood still, or was cut off together with an old leader: that control host called its list of versions current because it read a message that its leader had sent long before.

Cause: a follower set the time as of which it has all that is committed to the time at which it read an append that named nothing it lacks. After a freeze that message is an old one; and a leader that others have replaced goes on sending.

Change: a reply to an append carries a token of the follower's time, and the leader returns the latest one in its next append, only while it holds its lease and has committed an entry of its term. The follower then is current as of its own reply: the leader read it later, and nobody else could commit until then. No clocks of hosts are compared; a token is of use only to the process that made it, as a reboot starts another clock. An append without the field comes from an older build and counts as before. ReplicaNode reads the time after it has taken an event, not before: a freeze between them had messages count as read, and leases as confirmed, earlier than they were.

Evidence: the simulated cluster now checks after each step that no replica is current as of a time after the first commit that it lacks.

--- a/src/coordination/raft.cpp
+++ b/src/coordination/raft.cpp
@@ -64,7 +64,9 @@
     , m_snapMembership(disk.snapshot.membership())
     , m_snapshot(disk.snapshot)
     , m_commit(disk.snapshot.index())
+    , m_startedAt(now)
     , m_currentAt(DistantPast)
+    , m_tokenKey(std::mt19937_64(seed)())
     , m_random(seed)
 {
     if (!m_log.empty())
@@ -400,13 +402,14 @@
 }
 
 // Returns an append without entries.
-pb::RaftMessage Raft::appendAfter(uint64_t prev, const Replica &to, Time now) const
+pb::RaftMessage Raft::appendAfter(uint64_t prev, const Replica &to, const Progress &progress, Time now) const
 {
     pb::RaftMessage msg = message(pb::RaftMessage::APPEND, to);
     msg.set_log_index(prev);
     msg.set_log_term(termAt(prev));
     msg.set_commit(m_commit);
     msg.set_sent_at_ms(uint64_t(toMillis(now)));
+    msg.set_answered_token(canRead(now) ? progress.replyToken : 0);
     return msg;
 }
 
@@ -418,7 +421,7 @@
         progress.probe(progress.match + 1);
     const bool behind = sendSnapshotIfBehind(to, progress, now, out);
     const uint64_t confirmed = progress.largeInFlight() ? std::max(progress.match, m_snapIndex) : progress.next - 1;
-    out.messages.push_back(appendAfter(behind ? lastIndex() : confirmed, to, now));
+    out.messages.push_back(appendAfter(behind ? lastIndex() : confirmed, to, progress, now));
 }
 
 // Sends the next entries, or the snapshot, to a replica whose log is known to match up to them. The bytes in flight are limited,
@@ -431,7 +434,7 @@
     if (progress.largeInFlight() || progress.bytesInFlight >= MaxBytesInFlight
         || (progress.bytesInFlight > 0 && entry(progress.next).ByteSizeLong() > limit))
         return;
-    pb::RaftMessage msg = appendAfter(progress.next - 1, to, now);
+    pb::RaftMessage msg = appendAfter(progress.next - 1, to, progress, now);
     size_t bytes = 0;
     while (progress.next <= lastIndex() && size_t(msg.entries_size()) < MaxEntriesPerAppend) {
         const size_t size = entry(progress.next).ByteSizeLong();
@@ -555,11 +558,29 @@
         becomeLeader(now, out);
 }
 
+// Returns a reply with a token that means its time only to this process: a later one, after a reboot, has another clock.
+pb::RaftMessage Raft::appendReply(const pb::RaftMessage &msg, Time now) const
+{
+    pb::RaftMessage reply = message(pb::RaftMessage::APPEND_REPLY, fromProto(msg.from()));
+    reply.set_sent_at_ms(msg.sent_at_ms());
+    reply.set_reply_token(uint64_t(toMillis(now)) ^ m_tokenKey);
+    return reply;
+}
+
+// Returns the time as of which an append names all that is committed: that of the reply which the leader had read. The append itself may
+// be read much later than it was sent, by a replica that stood still.
+Time Raft::confirmedAt(const pb::RaftMessage &append, Time now) const
+{
+    if (!append.has_answered_token())
+        return now; // from an older build
+    const Time repliedAt = timeFromMillis(int64_t(append.answered_token() ^ m_tokenKey));
+    return repliedAt >= m_startedAt && repliedAt <= now ? repliedAt : DistantPast;
+}
+
 void Raft::onAppend(const pb::RaftMessage &msg, Time now, Actions &out)
 {
     const Replica from = fromProto(msg.from());
-    pb::RaftMessage reply = message(pb::RaftMessage::APPEND_REPLY, from);
-    reply.set_sent_at_ms(msg.sent_at_ms());
+    pb::RaftMessage reply = appendReply(msg, now);
     if (msg.term() < m_hard.term()) {
         out.messages.push_back(std::move(reply));
         return;
@@ -597,7 +618,7 @@
     commitTo(std::min(msg.commit(), last), out);
     // A new leader does not know yet what is committed until it has committed an entry of its own term.
     if (m_commit >= msg.commit() && termAt(m_commit) == msg.term())
-        m_currentAt = now;
+        m_currentAt = std::max(m_currentAt, confirmedAt(msg, now));
     reply.set_granted(true);
     reply.set_log_index(last);
     out.messages.push_back(std::move(reply));
@@ -615,6 +636,7 @@
     const Time sentAt = timeFromMillis(int64_t(msg.sent_at_ms()));
     progress.ackedSentAt = progress.everAcked ? std::max(progress.ackedSentAt, sentAt) : sentAt;
     progress.everAcked = true;
+    progress.replyToken = msg.reply_token();
     if (!msg.granted()) {
         const uint64_t next = std::max(progress.match, std::min(msg.log_index(), lastIndex())) + 1;
         // A repeated rejection is not answered: each duplicate would cause further duplicates.
@@ -640,8 +662,7 @@
 void Raft::onInstall(const pb::RaftMessage &msg, Time now, Actions &out)
 {
     const Replica from = fromProto(msg.from());
-    pb::RaftMessage reply = message(pb::RaftMessage::APPEND_REPLY, from);
-    reply.set_sent_at_ms(msg.sent_at_ms());
+    pb::RaftMessage reply = appendReply(msg, now);
     if (msg.term() < m_hard.term()) {
         out.messages.push_back(std::move(reply));
         return;
--- a/src/coordination/raft.h
+++ b/src/coordination/raft.h
@@ -108,9 +108,8 @@
     bool unresponsiveSince(const Replica &replica, Time since) const;
     // Returns until when this replica may act as leader if it receives no further reply.
     Time leaseEnd(Time now) const;
-    // Returns the latest time at which this replica had committed all that the leader had: for a leader, while a majority
-    // answered it; for others, when the last message of a leader arrived that named nothing they lack. The leader sent it up
-    // to two message time-outs earlier.
+    // Returns the latest time at which this replica is known to have committed all that any replica had: for a leader, while a majority
+    // answered it; for others, when it last replied to a leader that then, while it held its lease, named nothing they lack.
     Time currentAt(Time now) const;
     bool votes() const
     {
@@ -157,6 +156,7 @@
         Time retryAt{}; // earliest time to send the snapshot again
         bool probing = true; // the matching index is not confirmed yet: no entries are sent
         bool everAcked = false;
+        uint64_t replyToken = 0; // of the latest reply; 0: none
         size_t bytesInFlight = 0; // of entries sent and not acknowledged
         Time largeUntil = Time::max(); // large entries are in flight, and count as lost from then on; max: there are none
 
@@ -180,7 +180,7 @@
     void sendHeartbeat(const Replica &to, Progress &progress, Time now, Actions &out);
     void sendEntries(const Replica &to, Progress &progress, Time now, Actions &out);
     bool sendSnapshotIfBehind(const Replica &to, Progress &progress, Time now, Actions &out);
-    pb::RaftMessage appendAfter(uint64_t prev, const Replica &to, Time now) const;
+    pb::RaftMessage appendAfter(uint64_t prev, const Replica &to, const Progress &progress, Time now) const;
     void broadcast(Time now, Actions &out);
     void advanceCommit(Actions &out);
     void commitTo(uint64_t index, Actions &out);
@@ -189,6 +189,8 @@
     void saveHardState(Actions &out);
     pb::RaftMessage message(pb::RaftMessage::Kind kind, const Replica &to) const;
     void requestSnapshot(const pb::RaftMessage &msg, Actions &out) const;
+    pb::RaftMessage appendReply(const pb::RaftMessage &msg, Time now) const;
+    Time confirmedAt(const pb::RaftMessage &append, Time now) const;
     void onVote(const pb::RaftMessage &msg, Time now, Actions &out);
     void onVoteReply(const pb::RaftMessage &msg, Time now, Actions &out);
     void onAppend(const pb::RaftMessage &msg, Time now, Actions &out);
@@ -210,7 +212,9 @@
     Role m_role = Role::Follower;
     std::optional<Replica> m_leader;
     Time m_leaderContact{}; // last message from the leader, or the start of this replica
+    Time m_startedAt;
     Time m_currentAt; // as a follower; see currentAt()
+    uint64_t m_tokenKey; // of reply tokens
     Time m_electionDeadline{};
     Time m_heartbeatDue{};
     uint64_t m_termStart = 0; // index of the first entry of the leader's term
--- a/src/transport/replicanode.cpp
+++ b/src/transport/replicanode.cpp
@@ -148,11 +148,12 @@
     while (!m_stop) {
         Event event;
         m_events.pop(event);
-        const Time now = monotonicNow();
         Actions actions;
-        handle(event, now, actions);
+        // The time is read after each event was taken: what it reports happened before, also if the process stood still meanwhile.
+        handle(event, monotonicNow(), actions);
         for (size_t n = 1; n < EventsPerBatch && m_events.try_pop(event); ++n)
-            handle(event, now, actions);
+            handle(event, monotonicNow(), actions);
+        const Time now = monotonicNow();
         if (now >= m_nextTick) {
             m_nextTick = now + RaftTick;
             m_raft->tick(now, actions);
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -299,6 +299,73 @@
     BOOST_TEST((follower.currentAt(start + Millis(30)) == start + Millis(20)));
 }
 
+struct DelayedAppend {
+    std::string name;
+    bool frozen = false; // the follower; else it and the old leader are cut off from a majority that elects another
+    Millis delay{0}; // before the entry is committed that the append lacks
+};
+
+std::ostream &operator<<(std::ostream &out, const DelayedAppend &it)
+{
+    return out << it.name;
+}
+
+const std::vector<DelayedAppend> DelayedAppends{
+    {"read after standing still for a moment", true, Millis(0)},
+    {"read after standing still for a second", true, Millis(1000)},
+    {"of a leader that others have replaced", false, Millis(3000)},
+};
+
+// Guards against a replica that takes its state for current as of when it read a message of the leader: after it stood still, or if others
+// have replaced the leader, entries were committed between, and routers got a list of software versions that lacked one.
+BOOST_DATA_TEST_CASE(followerIsNotCurrentAsOfTheReadingOfAMessage, bdata::make(DelayedAppends), append)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        Cluster cluster(5, seed);
+        cluster.run(Millis(2000));
+        BOOST_REQUIRE(cluster.leader() != nullptr);
+        const uint64_t leader = cluster.leader()->self().id;
+        const uint64_t follower = leader % 5 + 1;
+        if (append.frozen) {
+            cluster.freeze(follower, true);
+        } else {
+            for (const uint64_t id : {1, 2, 3, 4, 5}) {
+                if (id == leader || id == follower)
+                    continue;
+                for (const uint64_t minority : {leader, follower}) {
+                    cluster.dropLink(id, minority);
+                    cluster.dropLink(minority, id);
+                }
+            }
+        }
+        const Raft &raft = *cluster.nodes().at(follower).raft;
+        for (const Time end = cluster.now() + append.delay; cluster.now() < end;)
+            cluster.advance(Millis(10));
+        const size_t before = cluster.committed();
+        for (int i = 0; i < 20 && cluster.committed() == before; ++i) {
+            cluster.propose();
+            cluster.run(Millis(100));
+        }
+        BOOST_TEST(cluster.committed() > before);
+        if (append.frozen)
+            cluster.freeze(follower, false);
+        cluster.run(Millis(1000)); // with the checks of Cluster
+        BOOST_TEST((raft.currentAt(cluster.now()) > cluster.now() - Millis(300)) == append.frozen);
+    }
+}
+
+// Guards against control hosts that refer all routers to one, because their state counts as older than it is.
+BOOST_AUTO_TEST_CASE(followersOfACalmClusterAreCurrent)
+{
+    Cluster cluster(3, 4);
+    cluster.run(Millis(2000));
+    for (int i = 0; i < 100; ++i) {
+        cluster.run(Millis(50));
+        for (const std::pair<const uint64_t, Node> &it : cluster.nodes())
+            BOOST_TEST((it.second.raft->currentAt(cluster.now()) >= cluster.now() - Millis(300)));
+    }
+}
+
 // Guards against a leader that sends the entries that a follower lacks again with each heartbeat: on a link of 100 Mbit/s a
 // follower that lacked several large configurations got none of them, and the leader's memory grew until its process was ended.
 BOOST_DATA_TEST_CASE(followerThatLacksLargeEntriesCatchesUpOnASlowLink, bdata::make({3u, 5u}), replicas)
--- a/tests/raftcluster.h
+++ b/tests/raftcluster.h
@@ -316,6 +316,7 @@
         const auto existing = m_committed.find(entry.index());
         invariant(existing == m_committed.end() || existing->second == bytes, "a committed entry never changes");
         m_committed[entry.index()] = bytes;
+        m_committedAt.emplace(entry.index(), m_now);
     }
 
     void send(uint64_t from, const pb::RaftMessage &message)
@@ -393,6 +394,9 @@
                 continue;
             const Raft &raft = *it.second.raft;
             leases += raft.holdsLease(m_now) ? 1 : 0;
+            const auto next = m_committedAt.find(raft.commitIndex() + 1);
+            invariant(next == m_committedAt.end() || raft.currentAt(m_now) <= next->second,
+                      "a replica counts its state as current only as of a time before the first commit that it lacks");
             if (!raft.isLeader())
                 continue;
             const auto existing = m_leaders.emplace(raft.term(), raft.self());
@@ -418,6 +422,7 @@
     std::set<std::pair<uint64_t, uint64_t>> m_droppedLinks;
     std::map<std::pair<uint64_t, uint64_t>, Time> m_linkFreeAt;
     std::map<uint64_t, std::string> m_committed; // by index
+    std::map<uint64_t, Time> m_committedAt; // by index: at the first replica
     std::map<uint64_t, Replica> m_leaders; // by term
     std::map<std::pair<Replica, uint64_t>, Replica> m_votes;
     uint64_t m_proposals = 0;
--- a/tests/replicanode_test.cpp
+++ b/tests/replicanode_test.cpp
@@ -87,6 +87,66 @@
     std::unique_ptr<grpc::Server> m_server;
 };
 
+// The leader of a replica, which keeps the replies that it gets.
+class LeadingReplica final : public pb::Peer::Service
+{
+public:
+    LeadingReplica()
+    {
+        grpc::ServerBuilder builder;
+        int port = 0;
+        builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+        builder.RegisterService(this);
+        m_server = builder.BuildAndStart();
+        address = fmt::format("127.0.0.1:{}", port);
+    }
+    ~LeadingReplica() override
+    {
+        m_server->Shutdown(std::chrono::system_clock::now());
+    }
+    grpc::Status Step(grpc::ServerContext *, const pb::RaftBatch *batch, pb::Ack *) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_replies.MergeFrom(*batch);
+        return grpc::Status::OK;
+    }
+    // Sends an append with the entry `index` of term 5, which is committed, to the replica, and returns its reply; nothing if it does not
+    // come.
+    std::optional<pb::RaftMessage> append(ReplicaNode &node, uint64_t index, uint64_t answeredToken)
+    {
+        pb::RaftBatch batch;
+        pb::RaftMessage &msg = *batch.add_messages();
+        msg.set_kind(pb::RaftMessage::APPEND);
+        msg.set_cluster_id(7);
+        *msg.mutable_from() = toProto(Replica{2, 1});
+        *msg.mutable_to() = toProto(Replica{1, 1});
+        msg.set_term(5);
+        msg.set_log_index(index - 1);
+        msg.set_log_term(index == 2 ? 1 : 5);
+        msg.set_commit(index);
+        msg.set_sent_at_ms(index);
+        msg.set_answered_token(answeredToken);
+        pb::Entry &entry = *msg.add_entries();
+        entry.set_index(index);
+        entry.set_term(5);
+        node.receive(std::move(batch));
+        for (const Time end = monotonicNow() + Millis(3000); monotonicNow() < end; std::this_thread::sleep_for(Millis(2))) {
+            const std::lock_guard lock(m_mutex);
+            for (const pb::RaftMessage &it : m_replies.messages()) {
+                if (it.kind() == pb::RaftMessage::APPEND_REPLY && it.granted() && it.log_index() == index)
+                    return it;
+            }
+        }
+        return std::nullopt;
+    }
+    std::string address;
+
+private:
+    std::mutex m_mutex;
+    pb::RaftBatch m_replies;
+    std::unique_ptr<grpc::Server> m_server;
+};
+
 } // namespace
 
 // Guards against a log that is bounded in entries only: with large configurations it filled a disk of 64 MB, and memory.
@@ -139,6 +199,38 @@
     BOOST_TEST(version == commands);
 }
 
+// Guards against a control host that stood still and calls its list of software versions current because it reads a message that its leader
+// sent before: only what the leader has answered counts, as of when it was asked.
+BOOST_AUTO_TEST_CASE(followerIsCurrentAsOfItsLastAnsweredReply)
+{
+    const Folder folder;
+    LeadingReplica leader;
+    const std::unique_ptr<ReplicaNode> node = openNode(folder);
+    pb::Membership membership;
+    for (const uint64_t id : {1, 2}) {
+        pb::Member &member = *membership.add_members();
+        member.set_peer_address(id == 1 ? "127.0.0.1:1" : leader.address);
+        member.set_voter(true);
+        *member.mutable_identity() = toProto(Replica{id, 1});
+    }
+    BOOST_REQUIRE(node->bootstrap(7, membership).has_value());
+    const Time startedAt = monotonicNow();
+    const std::optional<pb::RaftMessage> first = leader.append(*node, 2, 0);
+    BOOST_REQUIRE(first.has_value());
+    const Time answeredAt = monotonicNow();
+    BOOST_TEST((node->status().currentAt < startedAt));
+    std::this_thread::sleep_for(Millis(100));
+    const std::optional<pb::RaftMessage> second = leader.append(*node, 3, first->reply_token());
+    BOOST_REQUIRE(second.has_value());
+    std::this_thread::sleep_for(Millis(50)); // until it is applied
+    BOOST_TEST((node->status().currentAt >= startedAt));
+    BOOST_TEST((node->status().currentAt <= answeredAt));
+    // A token of another process, as of this replica before a reboot.
+    BOOST_REQUIRE(leader.append(*node, 4, second->reply_token() ^ 0x5a5a5a5a5a5a5a5au).has_value());
+    std::this_thread::sleep_for(Millis(50));
+    BOOST_TEST((node->status().currentAt <= answeredAt));
+}
+
 // Guards against heartbeats that wait behind large entries for the same replica, so that it takes its leader for lost.
 BOOST_AUTO_TEST_CASE(heartbeatsDoNotWaitForLargeEntries)
 {
