An endpoint is asked for its start also while only the log lists a second version

Callers could see: a stream that went on at an endpoint which had restarted with another version, at a router whose control host had postponed the change of that endpoint to limit its replies.

Cause: a poll whose changes of endpoints are postponed still brings the list of versions, and confirms it. The list itself is sound: it is in the same reply. But whether an endpoint is asked for its start before it continues a stream was decided by the versions of the endpoints that the router knew, all of the old label, and by the age of the list, which was recent.

Change: the decision counts the versions of the list as well.

--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -288,9 +288,7 @@
     std::optional<SoftwareVersion> &version = request.requirements.software;
     const std::function<bool()> decided = [&, this] {
         const Time now = monotonicNow();
-        const ServiceId &service = request.requirements.service;
-        std::set<SoftwareVersion> versions = m_balancer.softwareVersions(service);
-        versions.merge(m_software.versions(service.value(), now));
+        const std::set<SoftwareVersion> versions = softwareVersions(request.requirements.service, now);
         version = named ? m_streamVersions.find(stream, now) : std::nullopt;
         if (!version)
             version = onlyVersion(versions, m_softwareConfirmed, request.caller.arrivedAt());
@@ -313,6 +311,15 @@
                  {"known", m_registryVersion}});
 }
 
+// Returns the versions of the service's endpoints, and those that the log lists: endpoints whose changes a control host has postponed may
+// have them.
+std::set<SoftwareVersion> Forwarder::softwareVersions(const ServiceId &service, Time now) const
+{
+    std::set<SoftwareVersion> versions = m_balancer.softwareVersions(service);
+    versions.merge(m_software.versions(service.value(), now));
+    return versions;
+}
+
 void Forwarder::addStreams(pb::SyncRequest &request, Time now) const
 {
     if (m_software.severalOfAny(now))
@@ -568,7 +575,8 @@
         co_return AttemptEnd::NotSent;
     }
     const bool recent = m_softwareConfirmed.covers(monotonicNow() - MaxUncheckedAge);
-    const bool check = request.requirements.software && (!recent || m_balancer.softwareVersions(request.requirements.service).size() > 1);
+    const bool check
+        = request.requirements.software && (!recent || softwareVersions(request.requirements.service, monotonicNow()).size() > 1);
     if (check && !co_await confirmIncarnation(request, choice, *connection)) {
         request.cause = "the endpoint did not confirm that it is the one whose software version is known";
         request.requirements.avoid.insert(choice.endpoint);
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -137,6 +137,7 @@
     Task<> probeEndpoints();
     Task<bool> selectVersion(Request &request);
     Task<> askForVersion(Request &request);
+    std::set<SoftwareVersion> softwareVersions(const ServiceId &service, Time now) const;
     Task<bool> confirmIncarnation(Request &request, const EndpointChoice &choice, EndpointConnection &connection);
     static void closeOnCancel(Request &request, EndpointConnection &connection);
     Task<AttemptEnd> exchangeOn(Request &request, const EndpointChoice &choice, EndpointConnectionPtr connection);
@@ -185,7 +186,7 @@
     BufferQuota m_bufferQuota;
     StreamVersions m_streamVersions;
     SoftwareSeen m_software;
-    Confirmation m_softwareConfirmed; // of the lists of versions and endpoints, by control hosts
+    Confirmation m_softwareConfirmed; // of the list of versions, by control hosts
     size_t m_waitingForVersion = 0; // requests that continue streams
     std::map<StreamId, size_t> m_wantedStreams; // with the number of requests that continue each
     PeerRouters *m_peers = nullptr; // null: requests are not passed on
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -11,6 +11,7 @@
 #include <boost/test/included/unit_test.hpp>
 #include <deque>
 #include <fmt/format.h>
+#include <future>
 #include <thread>
 
 using namespace roserail;
@@ -477,6 +478,30 @@
     BOOST_TEST(answer.body == versionedEvents(1, 2, "v1"));
 }
 
+// Guards against an endpoint that has restarted with another version under its address, and continues a stream at a router that got the
+// recorded list with that version, but not yet the change of the endpoint, which its control host has postponed.
+BOOST_AUTO_TEST_CASE(endpointIsCheckedIfTheLogListsAnotherVersion)
+{
+    std::deque<RawEndpoint> endpoints;
+    const std::vector<VersionedEndpoint> versions{{"v1", "v1", 10, true}, {"v2", "v1", 11}};
+    Router router(startEndpoints(endpoints, versions));
+    std::promise<void> recorded;
+    router.after(Millis(0), [&](Forwarder &forwarder) {
+        pb::RecordSoftware list;
+        for (const char *it : {"v1", "v2"}) {
+            pb::SoftwareUse &use = *list.add_uses();
+            use.set_service("s");
+            use.set_version(it);
+        }
+        forwarder.software().record(list, monotonicNow());
+        recorded.set_value();
+    });
+    recorded.get_future().wait();
+    const ReceivedAnswer answer = call("/resume/x");
+    BOOST_TEST(!answer.complete);
+    BOOST_TEST(answer.body == versionedEvents(1, 2, "v1"));
+}
+
 // Guards against a check that costs something although all endpoints run one version.
 BOOST_AUTO_TEST_CASE(singleVersionIsNotChecked)
 {
