--- a/tests/fleet_stop_test.cpp
+++ b/tests/fleet_stop_test.cpp
@@ -1,128 +1,27 @@
 // Tests of planned stops of running processes: callers use a host until its process is gone, on open connections and new ones.
 #define BOOST_TEST_MODULE fleet_stop
 #include "fleet.h"
+#include "fleetcaller.h"
 
-#include <boost/asio.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
 #include <csignal>
 #include <fmt/format.h>
 #include <mutex>
-#include <optional>
 #include <thread>
 
 using namespace roserail::test;
 
 namespace bdata = boost::unit_test::data;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 
 namespace
 {
 
-using Clock = std::chrono::steady_clock;
-using Ms = std::chrono::milliseconds;
-
 constexpr int FirstPort = 30000;
 constexpr int GraceMs = 8000;
-constexpr Ms ReadSlack{200}; // after its last byte a request may still be closed unread
-constexpr Ms AnswerTimeout{12000};
-constexpr Ms RefusalPause{20}; // of a refused caller
 constexpr Ms StopDelay{300}; // requests are in progress when the signal comes
 
-// What callers send until the process is gone.
-struct Load {
-    const char *name;
-    std::string path;
-    const char *model; // empty: a request to the plain service
-    int deadlineMs; // that the caller states; 0: none
-    int callers;
-    int bodyPauseMs; // between the pieces of a body in chunks; 0: the body is sent whole
-    bool servedAfterSignal; // requests are short enough to be taken after the signal
-};
-
-std::ostream &operator<<(std::ostream &out, const Load &load)
-{
-    return out << load.name;
-}
-
-struct Outcome {
-    std::string id;
-    bool answered = false; // with a whole answer
-    unsigned status = 0;
-    Ms sinceSent{0}; // from the last byte of the request to the end
-    Ms sinceSignal{0}; // when the last byte was sent
-};
-
-// A caller with a connection of its own, which it keeps as long as the host does, or not at all.
-class Caller
-{
-public:
-    Caller(int port, bool keepsConnection)
-        : m_port(port)
-        , m_keepsConnection(keepsConnection)
-    {
-    }
-    // Returns false if the host can't be connected to.
-    bool connect()
-    {
-        if (m_connected)
-            return true;
-        beast::error_code ec;
-        m_buffer.clear();
-        m_stream.emplace(m_io);
-        m_stream->connect(boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), uint16_t(m_port)), ec);
-        m_connected = !ec;
-        return m_connected;
-    }
-    // Sends a request and reads its answer.
-    Outcome send(const Load &load, const std::string &id)
-    {
-        const std::string head
-            = fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {}\r\n{}{}{}", load.path, id,
-                          std::string(load.model).empty() ? "" : fmt::format("X-Model: {}\r\n", load.model),
-                          load.deadlineMs == 0 ? "" : fmt::format("X-Deadline-Ms: {}\r\n", load.deadlineMs),
-                          load.bodyPauseMs == 0 ? "Content-Length: 4\r\n\r\nbody" : "Transfer-Encoding: chunked\r\n\r\n");
-        Outcome outcome;
-        outcome.id = id;
-        beast::error_code ec;
-        boost::asio::write(m_stream->socket(), boost::asio::buffer(head), ec);
-        for (const char *piece : {"2\r\nbo\r\n", "2\r\ndy\r\n", "0\r\n\r\n"}) {
-            if (load.bodyPauseMs == 0 || ec)
-                break;
-            std::this_thread::sleep_for(Ms(load.bodyPauseMs));
-            boost::asio::write(m_stream->socket(), boost::asio::buffer(std::string(piece)), ec);
-        }
-        const Clock::time_point sentAt = Clock::now();
-        http::response_parser<http::string_body> parser;
-        beast::error_code result = boost::asio::error::timed_out;
-        m_stream->expires_after(AnswerTimeout);
-        http::async_read(*m_stream, m_buffer, parser, [&result](const beast::error_code &error, size_t) { result = error; });
-        m_io.restart();
-        m_io.run();
-        outcome.answered = !result;
-        outcome.status = parser.is_header_done() ? parser.get().result_int() : 0;
-        outcome.sinceSent = std::chrono::duration_cast<Ms>(Clock::now() - sentAt);
-        outcome.sinceSignal = std::chrono::duration_cast<Ms>(sentAt.time_since_epoch());
-        if (result || !parser.get().keep_alive() || !m_keepsConnection) {
-            m_connected = false;
-            m_stream->close();
-        }
-        return outcome;
-    }
-
-private:
-    int m_port;
-    bool m_keepsConnection;
-    bool m_connected = false;
-    boost::asio::io_context m_io;
-    std::optional<beast::tcp_stream> m_stream;
-    beast::flat_buffer m_buffer;
-};
-
 // Lets callers send to the first entry host until its process is gone; half of them keep their connections. The host gets SIGTERM
 // meanwhile.
 std::vector<Outcome> stopUnderLoad(Fleet &fleet, const Load &load)
@@ -158,7 +57,7 @@
     for (std::thread &it : threads)
         it.join();
     for (Outcome &it : outcomes)
-        it.sinceSignal -= signalledAt;
+        it.sentAt -= signalledAt;
     BOOST_TEST_MESSAGE(fmt::format("{}: ended after {} ms, {} requests", load.name, (endedAt - signalledAt).count(), outcomes.size()));
     BOOST_TEST((endedAt - signalledAt).count() < GraceMs);
     return outcomes;
@@ -205,13 +104,13 @@
     size_t served = 0;
     for (const Outcome &it : outcomes) {
         const bool hasRun = ran.count(it.id) != 0;
-        const std::string text = fmt::format("{}: sent {} ms after the signal, ended {} ms later with status {}", it.id,
-                                             it.sinceSignal.count(), it.sinceSent.count(), it.status);
+        const std::string text = fmt::format("{}: sent {} ms after the signal, ended {} ms later with status {}", it.id, it.sentAt.count(),
+                                             it.sinceSent.count(), it.status);
         if (!it.answered)
             BOOST_TEST((!hasRun && it.sinceSent <= ReadSlack), "cut, " << text << (hasRun ? ", ran" : ", did not run"));
         if (it.answered && it.status == 503)
             BOOST_TEST(!hasRun, "refused as not run and run, " << text);
-        served += it.answered && it.status == 200 && it.sinceSignal > Ms(0);
+        served += it.answered && it.status == 200 && it.sentAt > Ms(0);
     }
     if (load.servedAfterSignal)
         BOOST_TEST(served > size_t(load.callers));
--- a/tests/processes.cpp
+++ b/tests/processes.cpp
@@ -120,6 +120,13 @@
     return info;
 }
 
+bool Processes::hasEnded(const std::string &process)
+{
+    siginfo_t info{};
+    ::waitid(P_PID, id_t(m_pids.at(process)), &info, WEXITED | WNOWAIT | WNOHANG);
+    return info.si_pid != 0;
+}
+
 bool Processes::running(const std::string &process)
 {
     return ::waitpid(m_pids.at(process), nullptr, WNOHANG) == 0;
--- a/tests/processes.h
+++ b/tests/processes.h
@@ -26,6 +26,8 @@
     int wait(const std::string &process); // returns the exit code; -1 if a signal ended the process
     // Waits until the process has ended and returns how; it can still be signalled until wait() or kill().
     siginfo_t waitWithoutReaping(const std::string &process);
+    // Returns whether the process has ended; its exit code is still there for wait().
+    bool hasEnded(const std::string &process);
     bool running(const std::string &process);
     // Returns whether the process was started and has not been killed or waited for since.
     bool started(const std::string &process) const
--- a/tests/standin/runner_main.cpp
+++ b/tests/standin/runner_main.cpp
@@ -4,7 +4,8 @@
 // the process, and so does a part of the prompt with the id dead. From a request with /leaving/N/ on, runner N states in all its answers
 // that it is leaving, and to one with /full/N/MS/ it answers that it wants no request for that time. From a request with
 // /limit/N/R/ on it names a limit of R thousandths of a request a second (0: none), and from one with /brittle/N/R/ on it
-// is brittle: it runs Slots requests at a time, refuses others, and ends if it refuses more than R in a second.
+// is brittle: it runs Slots requests at a time, refuses others, and ends if it refuses more than R in a second. On SIGTERM it drains,
+// leaves, prints the records of its requests and ends.
 
 #include <atomic>
 #include <chrono>
@@ -17,6 +18,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -31,8 +33,11 @@
 constexpr double CapacityMegabytes = 200;
 constexpr int Slots = 8;
 constexpr std::chrono::seconds RefusalWindow{1};
+constexpr std::chrono::milliseconds DrainTime{2000}; // it serves after a control host has acknowledged that it drains
 constexpr const char *CrashingPart = "dead:"; // id of a part of a prompt
 
+std::atomic<bool> drains{false}; // since SIGTERM
+
 struct Options {
     std::string id;
     int port = 0;
@@ -60,6 +65,7 @@
         m_server.Get("/orders", [this](const httplib::Request &, httplib::Response &response) { orders(response); });
         m_server.Get("/arrivals", [this](const httplib::Request &, httplib::Response &response) { arrivals(response); });
         m_server.Get("/seen", [this](const httplib::Request &, httplib::Response &response) { requestRecords(response); });
+        m_server.Get("/r/.*", [this](const httplib::Request &request, httplib::Response &response) { run(request, response); });
         m_server.Post(".*", [this](const httplib::Request &request, httplib::Response &response) { run(request, response); });
     }
 
@@ -69,6 +75,8 @@
         m_server.listen("127.0.0.1", m_options.port);
         m_stop = true;
         heartbeatThread.join();
+        if (drains)
+            fmt::print("{}\n", m_requestRecords.dump());
     }
 
 private:
@@ -83,13 +91,15 @@
     void heartbeats()
     {
         size_t controlIndex = 0;
+        std::optional<std::chrono::steady_clock::time_point> drainedAt;
         for (uint64_t sequence = 1; !m_stop; ++sequence) {
+            const bool draining = drains;
             Json body{{"service", m_options.service},
                       {"address", fmt::format("127.0.0.1:{}", m_options.port)},
                       {"zone", "z1"},
                       {"version", m_options.software},
                       {"slots", Slots},
-                      {"state", "ready"},
+                      {"state", draining ? "draining" : "ready"},
                       {"cold_remaining_ms", 0},
                       {"sequence", sequence},
                       {"born", m_startedAtMs}};
@@ -104,9 +114,16 @@
             httplib::Client client(control.substr(0, colon), std::stoi(control.substr(colon + 1)));
             client.set_connection_timeout(std::chrono::milliseconds(300));
             client.set_read_timeout(std::chrono::milliseconds(500));
-            const httplib::Result result = client.Put("/api/instances/" + m_options.id, body.dump(), "application/json");
-            if (!result || result->status != 200)
+            const std::string path = "/api/instances/" + m_options.id;
+            const bool leaves = drainedAt && std::chrono::steady_clock::now() >= *drainedAt;
+            const httplib::Result result = leaves ? client.Delete(path) : client.Put(path, body.dump(), "application/json");
+            const bool acknowledged = result && result->status == 200;
+            if (!acknowledged)
                 ++controlIndex;
+            if (acknowledged && leaves)
+                return m_server.stop();
+            if (acknowledged && draining && !drainedAt)
+                drainedAt = std::chrono::steady_clock::now() + DrainTime;
             std::this_thread::sleep_for(HeartbeatInterval);
         }
     }
@@ -345,6 +362,7 @@
     std::vector<std::string> copies = arguments["copies"].as<std::vector<std::string>>();
     std::erase(copies, "");
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, [](int) { drains = true; });
     Runner runner(Options{arguments["id"].as<std::string>(), arguments["port"].as<int>(), arguments["service"].as<std::string>(),
                           arguments["control"].as<std::vector<std::string>>(), arguments.count("refuse-orders") != 0, copies,
                           arguments["software"].as<std::string>()},
