Test runner: takes more than five connections at one moment

Seen: in fleet_versions_test, row "in touch", continuations were refused at a host in touch: 7 of 15, 6 of 16, 0 of 16, 1 of 15 (and 3 of 16 in an earlier run whose cause was not recorded).

Cause, from the router's log and the kernel's counters: each refused continuation had failed to connect to the runner within 500 ms. The stand-in's HTTP library asks for an accept queue of 5 connections, and some 16 callers come at once; the kernel dropped the rest. Its counter of overflows rose by 6, 0 and 1 in the runs with 6, 0 and 1 refusals. No fault of the router.

Change: the stand-in listens with a queue of 128. The test and its bound are unchanged.

--- a/tests/standin/runner_main.cpp
+++ b/tests/standin/runner_main.cpp
@@ -25,6 +25,7 @@
 
 using Json = nlohmann::json;
 
+constexpr int AcceptQueue = 128; // connections
 constexpr std::chrono::milliseconds HeartbeatInterval{200};
 constexpr std::chrono::milliseconds LoadTime{200};
 constexpr double ModelMegabytes = 60;
@@ -66,7 +67,14 @@
     void serve()
     {
         std::thread heartbeatThread([this] { heartbeats(); });
-        m_server.listen("127.0.0.1", m_options.port);
+        // The library's accept queue holds 5 connections: more callers at one moment get no answer to their connect.
+        int listener = -1;
+        m_server.set_socket_options([&listener](socket_t socket) {
+            httplib::default_socket_options(socket);
+            listener = socket;
+        });
+        if (m_server.bind_to_port("127.0.0.1", m_options.port) && ::listen(listener, AcceptQueue) == 0)
+            m_server.listen_after_bind();
         m_stop = true;
         heartbeatThread.join();
     }
