fleet_versions_test: a control host that stands still, two freezes, and the old version that leaves

Adds rows to hostThatWasOutOfStepJoinsNoVersions: the follower that the entry host polls stands still; the entry host stands still twice, and the new version has left; the old version leaves while it stands still. The existing rows and bounds are unchanged; the rows name their ports.

--- a/tests/fleet_versions_test.cpp
+++ b/tests/fleet_versions_test.cpp
@@ -23,14 +23,14 @@
 namespace
 {
 
-// First port of this file's systems; each test uses a range of its own.
-constexpr int FirstPort = 29300;
+constexpr int OneVersionPort = 29800; // first of the test with one version; each test uses a range of its own
 constexpr int InTouch = 1; // entry host
 constexpr int OutOfStep = 2; // entry host
 constexpr const char *LinkHost = "127.0.0.9"; // of the control host that a cut host is told
 constexpr int Streams = 32;
-constexpr size_t MinStreams = 6; // begun by the new version
+constexpr size_t MinStreams = 6; // begun by the version whose streams are continued
 constexpr std::chrono::milliseconds RefusalTime{1500}; // MaxConfigurationWait and some scheduling delay
+constexpr std::chrono::milliseconds MomentAwake{60}; // between two freezes; a poll takes less
 constexpr std::chrono::milliseconds QuietWait{500}; // until a control host that was asked at once has answered
 
 enum class Trouble {
@@ -38,6 +38,7 @@
     Freeze,
     CutWithoutAnswer, // polls get no answer
     CutByRefusal, // polls fail at once
+    ControlFreeze, // of the follower that the host polls
 };
 
 // The link of one router to the control hosts: passes its polls on to one of them, and names itself as the only one.
@@ -87,10 +88,12 @@
 
 struct OutOfStepHost {
     std::string name;
-    int ports = 0; // from FirstPort on
+    int firstPort = 0; // of a range of its own
     Trouble trouble = Trouble::None;
     std::chrono::milliseconds time{0}; // of a freeze
-    bool newVersionEnds = false; // its runner is killed before the callers come back
+    bool versionEnds = false; // the runner of the version that began the streams is killed before the callers come back
+    bool twice = false; // the freeze, with a moment between
+    int beganAt = 2; // runner: 1 has the old version, 2 the new one
 };
 
 std::ostream &operator<<(std::ostream &out, const OutOfStepHost &it)
@@ -99,11 +102,14 @@
 }
 
 const std::vector<OutOfStepHost> OutOfStepHosts{
-    {"in touch", 0, Trouble::None, std::chrono::milliseconds(3000), false},
-    {"stood still", 100, Trouble::Freeze, std::chrono::milliseconds(3000), false},
-    {"stood still for longer, and the new version has left", 200, Trouble::Freeze, std::chrono::milliseconds(6000), true},
-    {"cut without an answer", 300, Trouble::CutWithoutAnswer, std::chrono::milliseconds(3000), false},
-    {"cut by refusals", 400, Trouble::CutByRefusal, std::chrono::milliseconds(3000), true},
+    {"in touch", 29300, Trouble::None, std::chrono::milliseconds(3000), false},
+    {"stood still", 29400, Trouble::Freeze, std::chrono::milliseconds(3000), false},
+    {"stood still for longer, and the new version has left", 29500, Trouble::Freeze, std::chrono::milliseconds(6000), true},
+    {"cut without an answer", 29600, Trouble::CutWithoutAnswer, std::chrono::milliseconds(3000), false},
+    {"cut by refusals", 29700, Trouble::CutByRefusal, std::chrono::milliseconds(3000), true},
+    {"stood still twice, and the new version has left", 19500, Trouble::Freeze, std::chrono::milliseconds(2000), true, true},
+    {"stood still, and the old version has left", 19600, Trouble::Freeze, std::chrono::milliseconds(2000), true, false, 1},
+    {"its control host stood still", 19700, Trouble::ControlFreeze, std::chrono::milliseconds(2000), true},
 };
 
 struct Outcome {
@@ -113,8 +119,8 @@
     std::map<std::string, int> refusals; // by their text
 };
 
-// Continues the streams at the host that is out of step, all at once, and lets it go on meanwhile if it stands still.
-Outcome continueStreams(Fleet &fleet, const std::vector<std::string> &begun, bool frozen)
+// Continues the streams at the host that is out of step, all at once, and lets the process that stands still go on meanwhile, if any.
+Outcome continueStreams(Fleet &fleet, const std::vector<std::string> &begun, const std::string &frozen, int otherRunner)
 {
     std::vector<int> statuses(begun.size());
     std::vector<std::chrono::milliseconds> times(begun.size());
@@ -132,14 +138,14 @@
         });
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(300));
-    if (frozen) {
+    if (!frozen.empty()) {
         goesOnAt = monotonicNow();
-        fleet.signal(fmt::format("entry-{}", OutOfStep), SIGCONT);
+        fleet.signal(frozen, SIGCONT);
     }
     for (std::thread &it : callers)
         it.join();
     Outcome outcome;
-    const Json other = fleet.requestRecords(1);
+    const Json other = fleet.requestRecords(otherRunner);
     for (size_t n = 0; n < begun.size(); ++n) {
         outcome.continued += statuses[n] == 200 ? 1 : 0;
         outcome.mixed += other.contains("continues-" + begun[n]) ? 1 : 0;
@@ -157,10 +163,15 @@
 // list of versions, and of runners, is an old one.
 BOOST_DATA_TEST_CASE(hostThatWasOutOfStepJoinsNoVersions, bdata::make(OutOfStepHosts), host)
 {
-    Fleet fleet(fmt::format("versions-{}", host.ports), FirstPort + host.ports);
+    Fleet fleet(fmt::format("versions-{}", host.firstPort), host.firstPort);
     for (const int n : {1, 2, 3})
         fleet.startKeeper(n, true, 300);
-    ControlLink link(fmt::format("{}:{}", LinkHost, fleet.internalPort()), fmt::format("127.0.0.1:{}", fleet.internalPort()));
+    int control = 1;
+    if (host.trouble == Trouble::ControlFreeze) {
+        BOOST_REQUIRE(eventually([&] { return fleet.leader() != 0; }));
+        control = fleet.leader() == 1 ? 2 : 1;
+    }
+    ControlLink link(fmt::format("{}:{}", LinkHost, fleet.internalPort()), fmt::format("127.0.0.{}:{}", control, fleet.internalPort()));
     fleet.startEntry(InTouch);
     fleet.startEntry(OutOfStep, LinkHost);
     fleet.startRunner(1, "engines", "m1", true);
@@ -173,9 +184,13 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(1000));
 
     const Time since = monotonicNow();
-    const bool frozen = host.trouble == Trouble::Freeze;
-    if (frozen)
-        fleet.signal(fmt::format("entry-{}", OutOfStep), SIGSTOP);
+    std::string frozen; // process
+    if (host.trouble == Trouble::Freeze)
+        frozen = fmt::format("entry-{}", OutOfStep);
+    else if (host.trouble == Trouble::ControlFreeze)
+        frozen = fmt::format("keeper-{}", control);
+    if (!frozen.empty())
+        fleet.signal(frozen, SIGSTOP);
     else
         link.cut(host.trouble);
     fleet.startRunner(2, "engines", "m1", true, "", "v2");
@@ -188,16 +203,21 @@
     }
     for (std::thread &it : callers)
         it.join();
-    std::vector<std::string> begun; // at the new version
-    const Json records = fleet.requestRecords(2);
+    std::vector<std::string> begun;
+    const Json records = fleet.requestRecords(host.beganAt);
     for (const auto &it : records.items())
         begun.push_back(it.key());
     BOOST_REQUIRE(begun.size() >= MinStreams);
-    if (host.newVersionEnds)
-        fleet.kill("runner-2");
+    if (host.versionEnds)
+        fleet.kill(fmt::format("runner-{}", host.beganAt));
+    if (host.twice) {
+        fleet.signal(frozen, SIGCONT);
+        std::this_thread::sleep_for(MomentAwake);
+        fleet.signal(frozen, SIGSTOP);
+    }
     std::this_thread::sleep_for(host.time - (monotonicNow() - since));
 
-    const Outcome outcome = continueStreams(fleet, begun, frozen);
+    const Outcome outcome = continueStreams(fleet, begun, frozen, 3 - host.beganAt);
     BOOST_TEST_MESSAGE(fmt::format("{}: {} streams, {} continued, {} joined from two versions, refused within {} ms", host.name,
                                    begun.size(), outcome.continued, outcome.mixed, outcome.longestRefusal.count()));
     for (const std::pair<const std::string, int> &it : outcome.refusals)
@@ -205,14 +225,14 @@
     BOOST_TEST(outcome.mixed == 0);
     BOOST_TEST((outcome.longestRefusal < RefusalTime));
     // A host in touch, or again so, continues most of them.
-    if (host.trouble == Trouble::None || (frozen && !host.newVersionEnds))
+    if (host.trouble == Trouble::None || (host.trouble == Trouble::Freeze && !host.versionEnds))
         BOOST_TEST(2 * outcome.continued >= int(begun.size()));
 }
 
 // Guards against callers of a system with one version, none of whose hosts is out of step, that wait or are refused when they continue.
 BOOST_AUTO_TEST_CASE(streamsOfTheOnlyVersionGoOnWithoutDelay)
 {
-    Fleet fleet("versions-one", FirstPort + 500);
+    Fleet fleet("versions-one", OneVersionPort);
     for (const int n : {1, 2, 3})
         fleet.startKeeper(n, true, 300);
     fleet.startEntry(InTouch);
