Control replica: answers announce that a stopping replica closes their connections

Callers saw: a stopping roserail-control closed kept connections after an answer whose head had told them to keep it. A change that is on its way then is reset, and its operator doesn't know whether it ran.

Cause: the server of cpp-httplib closes a connection after the answer in progress once it is stopped, whatever the head said, and the stop came with the signal.

From the signal on, heads announce the close. The listener ends 200 ms later, so that answers with earlier heads have been written; the next request on such a connection is answered.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -40,7 +40,10 @@
     std::thread httpThread([&] { api.listen(); });
     logEvent("started", {{"version", ROSERAIL_VERSION}, {"peer", settings.peerAddress}, {"operator", settings.operatorAddress}});
     waitForStopSignal();
+    api.drain();
     node.handOverLeadership();
+    // The server closes a connection whose answer ends after this, also if the answer's head has told the caller to keep it.
+    std::this_thread::sleep_for(tunables::ControlDrainTime);
     api.stop();
     httpThread.join();
     server->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(500));
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -50,6 +50,7 @@
 constexpr Millis StopAnswerMargin{200}; // before the exit, in which callers read the last answers
 constexpr Millis StopFinishTime{700}; // from the end of listening to the exit: idle connections are found and closed
 constexpr Millis StopPollInterval{20};
+constexpr Millis ControlDrainTime{200}; // until answers that were begun before the signal have been written
 constexpr Millis KeeperExitMargin{500}; // of the grace period, for the internal protocol and the threads of a control host to end
 constexpr Millis RouterGrace = std::chrono::seconds(60); // twice DefaultDeadline; init systems kill after 90 s
 constexpr Millis RouterStopAnswerTime{3000}; // before the end of the grace period: two probes of an endpoint, and a stored outcome
--- a/src/transport/operatorapi.cpp
+++ b/src/transport/operatorapi.cpp
@@ -102,6 +102,11 @@
     m_server.listen_after_bind();
 }
 
+void OperatorApi::drain()
+{
+    m_draining = true;
+}
+
 void OperatorApi::stop()
 {
     m_server.stop();
@@ -124,6 +129,10 @@
     m_server.Post("/forget", bind(&OperatorApi::postForget));
     m_server.Get("/metrics", bind(&OperatorApi::getMetrics));
     m_server.Get("/dump", bind(&OperatorApi::getDump));
+    m_server.set_post_routing_handler([this](const httplib::Request &, httplib::Response &response) {
+        if (m_draining)
+            response.set_header("Connection", "close");
+    });
 }
 
 Result<Operator> OperatorApi::authenticate(const httplib::Request &request) const
--- a/src/transport/operatorapi.h
+++ b/src/transport/operatorapi.h
@@ -4,6 +4,7 @@
 #include "protocol/settings.h"
 #include "transport/coordinator.h"
 
+#include <atomic>
 #include <httplib.h>
 
 namespace roserail
@@ -17,6 +18,8 @@
     bool bind();
     // Serves requests until `stop` is called.
     void listen();
+    // Ends connections after their next answer from now on.
+    void drain();
     void stop();
 
 private:
@@ -46,6 +49,7 @@
     ControlSettings m_settings;
     ReplicaNode &m_node;
     Coordinator &m_coordinator;
+    std::atomic<bool> m_draining = false;
     httplib::Server m_server;
 };
 
--- a/tests/rawcaller.h
+++ b/tests/rawcaller.h
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace roserail::test
 {
@@ -77,13 +78,16 @@
         if (m_fd >= 0)
             ::close(m_fd);
         m_fd = -1;
+        m_kept = false;
     }
     // Opens the connection unless it is open. Returns false if it is refused.
     bool open()
     {
         char byte = 0;
-        if (m_fd >= 0 && ::recv(m_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0)
+        if (m_fd >= 0 && ::recv(m_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0) {
+            ++m_closedAfterAnswer;
             close();
+        }
         if (m_fd >= 0)
             return true;
         m_fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -98,12 +102,18 @@
         close();
         return false;
     }
+    // Returns how often the server has ended the connection although its last answer had told the caller to keep it.
+    int closedAfterAnswer() const
+    {
+        return m_closedAfterAnswer;
+    }
     // Sends a request, in two halves with a pause if `slow`, and reads its answer.
     CallResult call(const std::string &request, bool slow)
     {
         CallResult result;
         if (!open())
             return result;
+        const bool kept = std::exchange(m_kept, false);
         const size_t firstPart = slow ? request.size() / 2 : 0;
         if (slow) {
             if (!sendAll(request.substr(0, firstPart))) {
@@ -124,6 +134,7 @@
                 // A server that closes a connection with unread input resets it; one that has read all ends it.
                 const bool reset = error == ECONNRESET || error == EPIPE;
                 result.ending = bytes.empty() && reset && !slow && after <= UnreadCloseLimit ? Ending::Unread : Ending::Cut;
+                m_closedAfterAnswer += kept ? 1 : 0;
                 result.detail = fmt::format("{} of {} bytes, error {}, after {} ms: {}", bytes.size(), sent ? "sent" : "partly sent", error,
                                             after.count(), request.substr(0, request.find('\r')));
                 close();
@@ -137,7 +148,8 @@
             result.status = answer->first;
             result.head = bytes.substr(0, bytes.find("\r\n\r\n"));
             result.body = answer->second;
-            if (result.head.find("Connection: close") != std::string::npos)
+            m_kept = result.head.find("Connection: close") == std::string::npos;
+            if (!m_kept)
                 close();
             return result;
         }
@@ -160,6 +172,8 @@
     int m_port;
     Millis m_timeout;
     int m_fd = -1;
+    bool m_kept = false; // the last answer told the caller to keep the connection
+    int m_closedAfterAnswer = 0;
 };
 
 } // namespace roserail::test
--- a/tests/stop_test.cpp
+++ b/tests/stop_test.cpp
@@ -75,6 +75,7 @@
     std::atomic<int> refusedWithoutAdvice{0}; // without "not_run" and Retry-After
     std::atomic<int> unread{0};
     std::atomic<int> cut{0};
+    std::atomic<int> closedAfterAnswer{0}; // connections that the last answer had told their callers to keep
     std::string cuts; // after join()
 
 private:
@@ -83,8 +84,10 @@
         Connection connection("127.0.0.1", m_port);
         while (true) {
             const CallResult result = connection.call(m_request(), false);
-            if (result.ending == Ending::NotSent && !connection.open())
+            if (result.ending == Ending::NotSent && !connection.open()) {
+                closedAfterAnswer += connection.closedAfterAnswer();
                 return;
+            }
             answered += result.ending == Ending::Answered ? 1 : 0;
             unread += result.ending == Ending::Unread ? 1 : 0;
             if (result.ending == Ending::Answered && result.status == 503) {
@@ -123,9 +126,11 @@
     std::this_thread::sleep_for(Millis(500));
     const Millis stopTime = system.stop("router-1", RouterGrace);
     callers.join();
-    BOOST_TEST_MESSAGE(fmt::format("stopped after {} ms, answered {}, refused {}, unread {}, cut {}", stopTime.count(),
-                                   callers.answered.load(), callers.refused.load(), callers.unread.load(), callers.cut.load()));
+    BOOST_TEST_MESSAGE(fmt::format("stopped after {} ms, answered {}, refused {}, unread {}, cut {}, closed after an answer {}",
+                                   stopTime.count(), callers.answered.load(), callers.refused.load(), callers.unread.load(),
+                                   callers.cut.load(), callers.closedAfterAnswer.load()));
     BOOST_TEST(callers.cut == 0, callers.cuts);
+    BOOST_TEST(callers.closedAfterAnswer == 0);
     BOOST_TEST(callers.refusedWithoutAdvice == 0);
     BOOST_TEST(callers.answered - callers.refused > 100);
 }
@@ -162,7 +167,8 @@
 }
 const std::vector<StopCase> StopCases{{"leader", true}, {"follower", false}};
 
-// Guards against a stopped control replica that cuts its operators, or that operators keep from ending.
+// Guards against a stopped control replica that cuts its operators, that operators keep from ending, or that closes a connection after an
+// answer which told its caller to keep it: a change that is sent then is not read.
 BOOST_DATA_TEST_CASE(stoppedControlReplicaAnswersItsOperators, bdata::make(StopCases), stopCase)
 {
     RunningSystem system("controlstop");
@@ -178,9 +184,12 @@
     const Millis stopTime = system.stop(fmt::format("control-{}", stopped), ControlStopTime);
     readers.join();
     writers.join();
-    BOOST_TEST_MESSAGE(fmt::format("{}: stopped after {} ms, reads answered {}, unread {}, cut {}, writes answered {}, unread {}, cut {}",
+    const int closedAfterAnswer = readers.closedAfterAnswer + writers.closedAfterAnswer;
+    BOOST_TEST_MESSAGE(fmt::format("{}: stopped after {} ms, reads answered {}, unread {}, cut {}, writes answered {}, unread {}, cut {}, "
+                                   "closed after an answer {}",
                                    stopCase.name, stopTime.count(), readers.answered.load(), readers.unread.load(), readers.cut.load(),
-                                   writers.answered.load(), writers.unread.load(), writers.cut.load()));
+                                   writers.answered.load(), writers.unread.load(), writers.cut.load(), closedAfterAnswer));
     BOOST_TEST(readers.cut + writers.cut == 0, readers.cuts + writers.cuts);
+    BOOST_TEST(closedAfterAnswer == 0);
     BOOST_TEST(readers.answered > 100);
 }
