Test: orders in progress when their leader is stopped are not repeated

The answers of such orders are not read any more. The next leader must neither send them again nor cross them: simulated runners can answer orders late, and record operation, model and whether they executed it.

--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -97,6 +97,8 @@
                                      copies,
                                      "--software",
                                      software,
+                                     "--order-answer-ms",
+                                     std::to_string(m_orderAnswerMs),
                                      "--control"};
     std::string control;
     for (int i = 1; i <= KeeperCount; ++i)
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -25,6 +25,11 @@
     {
         m_graceMs = ms;
     }
+    // Sets how long runners that are started from now on take to answer an order once they have executed it.
+    void setOrderAnswerTime(int ms)
+    {
+        m_orderAnswerMs = ms;
+    }
     void startKeeper(int n, bool mayFound, int orderLeaseMs = 300);
     // `seed`: address of the only control host that it is told, instead of all of them.
     void startEntry(int n, const std::string &seed = "");
@@ -60,7 +65,7 @@
     int leader();
     // Waits until a leader may send orders to engines: the order lease of an earlier leader must have expired.
     bool waitForOrders(int orderLeaseMs = 300);
-    // Returns all orders that a runner received: holder, fencing token, time in ms.
+    // Returns all orders that a runner received: holder, fencing token, time in ms, operation, model, whether it executed the order.
     Json orders(int runner);
     // Returns when requests of callers arrived at a runner, in ms of a steady clock.
     std::vector<int64_t> arrivals(int runner);
@@ -82,6 +87,7 @@
     std::string settings(const std::string &id, const std::string &address, const std::string &seed = "") const;
     int m_firstPort;
     int m_graceMs = 4000;
+    int m_orderAnswerMs = 0;
     std::string m_programs;
 };
 
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <fmt/format.h>
 #include <future>
+#include <set>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -30,6 +31,9 @@
 constexpr std::chrono::milliseconds ProcessEndTime{500};
 constexpr std::chrono::milliseconds UnreadStreamTimeout{10000}; // the buffers of both connections fill up, then TcpUserTimeout (4 s)
 constexpr int LongLeaseMs = 30000; // no order is sent for the duration of a test
+constexpr int StopOrdersPort = 19000;
+constexpr int OrderAnswerMs = 1500; // below OrderTimeout, and longer than a planned stop of a control host without calls
+constexpr std::chrono::milliseconds OrdersTimeout{30000}; // for a few orders, after the order lease of an earlier leader
 
 void startHosts(Fleet &fleet, const std::vector<int> &entries, int orderLeaseMs = ShortLeaseMs)
 {
@@ -109,6 +113,69 @@
     BOOST_TEST(fleet.running("runner-1")); // it aborts if a load exceeds its memory
 }
 
+// Guards against orders that are in progress when their leader is stopped, whose answers it does not read any more, and that the next
+// leader sends once more, or crosses with its own.
+BOOST_AUTO_TEST_CASE(ordersOfAStoppedLeaderAreNotRepeated)
+{
+    constexpr int rounds = 3;
+    Fleet fleet("faults-stop-orders", StopOrdersPort);
+    fleet.setOrderAnswerTime(OrderAnswerMs);
+    startHosts(fleet, {1, 2}, OrderLeaseMs);
+    fleet.startRunner(1, "engines", "m1,m2,m3");
+    BOOST_REQUIRE(configure(fleet, {1, 2}));
+    std::atomic<bool> stop{false};
+    const auto sendLoad = [&](int entry) {
+        for (int n = 0; !stop; ++n) {
+            const std::string id = "load-" + std::to_string(entry) + "-" + std::to_string(n);
+            fleet.sendRequest(entry, "/s/events/1/", id, "m" + std::to_string((n * 5 + entry) % 6 + 1));
+        }
+    };
+    std::thread first(sendLoad, 1);
+    std::thread second(sendLoad, 2);
+    std::string logs;
+    std::set<uint64_t> unanswered; // executed, and their leader has not read the answer
+    for (int round = 0; round < rounds; ++round) {
+        const size_t before = fleet.orders(1).size();
+        BOOST_TEST(eventually([&] { return fleet.orders(1).size() > before + 2; }, OrdersTimeout));
+        const int leader = fleet.leader();
+        const std::string process = "keeper-" + std::to_string(leader);
+        fleet.signal(process, SIGTERM);
+        BOOST_TEST(fleet.wait(process) == 0);
+        logs += fleet.output(process);
+        for (const Json &it : fleet.orders(1)) {
+            const uint64_t fence = it["fence"];
+            if (it["holder"] == process && it["taken"] && logs.find(fmt::format(" fence={} ", fence)) == std::string::npos)
+                unanswered.insert(fence);
+        }
+        fleet.startKeeper(leader, true, OrderLeaseMs);
+        BOOST_TEST(eventually([&] { return fleet.leader() != leader; }));
+    }
+    stop = true;
+    first.join();
+    second.join();
+    const Json orders = fleet.orders(1);
+    std::set<std::string> held{"m1", "m2", "m3"};
+    size_t holderChanges = 0;
+    for (size_t n = 0; n < orders.size(); ++n) {
+        const std::string model = orders[n]["model"];
+        const bool load = orders[n]["operation"] == "load";
+        if (orders[n]["taken"])
+            BOOST_TEST((load ? held.insert(model).second : held.erase(model) == 1), "repeated: " << orders[n].dump());
+        if (n == 0)
+            continue;
+        BOOST_TEST(orders[n]["fence"] > orders[n - 1]["fence"]);
+        if (orders[n]["holder"] == orders[n - 1]["holder"])
+            continue;
+        ++holderChanges;
+        BOOST_TEST(orders[n]["ms"].get<int64_t>() >= orders[n - 1]["ms"].get<int64_t>() + OrderLeaseMs);
+    }
+    BOOST_TEST_MESSAGE(fmt::format("{} orders, {} executed without an answer that their leader read, {} changes of the leader",
+                                   orders.size(), unanswered.size(), holderChanges));
+    BOOST_TEST(!unanswered.empty());
+    BOOST_TEST(holderChanges >= size_t(rounds - 1));
+    BOOST_TEST(fleet.running("runner-1"));
+}
+
 // A truncated answer is never delivered as complete, and its request is not repeated unless its route allows that.
 BOOST_AUTO_TEST_CASE(truncatedAnswersAreNotDeliveredAsComplete)
 {
--- a/tests/standin/runner_main.cpp
+++ b/tests/standin/runner_main.cpp
@@ -41,6 +41,7 @@
     bool refuseOrders = false;
     std::vector<std::string> copies; // models of which it has a copy from before a restart
     std::string software; // its version
+    int orderAnswerMs = 0; // from the execution of an order to its answer
 };
 
 class Runner
@@ -55,7 +56,10 @@
         m_server.new_task_queue = [] {
             return new httplib::ThreadPool(32);
         };
-        m_server.Post("/api/order", [this](const httplib::Request &request, httplib::Response &response) { order(request, response); });
+        m_server.Post("/api/order", [this](const httplib::Request &request, httplib::Response &response) {
+            order(request, response);
+            std::this_thread::sleep_for(std::chrono::milliseconds(m_options.orderAnswerMs));
+        });
         m_server.Get("/api/report", [this](const httplib::Request &, httplib::Response &response) { report(response); });
         m_server.Get("/orders", [this](const httplib::Request &, httplib::Response &response) { orders(response); });
         m_server.Get("/arrivals", [this](const httplib::Request &, httplib::Response &response) { arrivals(response); });
@@ -131,10 +135,16 @@
         const Json body = Json::parse(request.body);
         const std::chrono::milliseconds now
             = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch());
-        m_orders.push_back(Json{{"holder", body.value("holder", "")}, {"fence", body.value("fencing_token", 0ull)}, {"ms", now.count()}});
+        m_orders.push_back(Json{{"holder", body.value("holder", "")},
+                                {"fence", body.value("fencing_token", 0ull)},
+                                {"ms", now.count()},
+                                {"operation", body.at("operation")},
+                                {"model", body.at("model")},
+                                {"taken", false}});
         response.status = 409;
         if (m_options.refuseOrders || m_busy || body.value("expect", m_sequence) != m_sequence)
             return;
+        m_orders.back()["taken"] = true;
         ++m_sequence;
         const std::string adapter = body.value("adapter", "");
         m_orderedModel = body.at("model");
@@ -337,8 +347,9 @@
     options.add_options()("id", "", cxxopts::value<std::string>())("port", "", cxxopts::value<int>())(
         "service", "", cxxopts::value<std::string>())("control", "", cxxopts::value<std::vector<std::string>>())(
         "models", "", cxxopts::value<std::vector<std::string>>()->default_value(""))("refuse-orders", "")(
-        "copies", "", cxxopts::value<std::vector<std::string>>()->default_value(""))("software", "",
-                                                                                     cxxopts::value<std::string>()->default_value("v1"));
+        "copies", "", cxxopts::value<std::vector<std::string>>()->default_value(""))(
+        "software", "", cxxopts::value<std::string>()->default_value("v1"))("order-answer-ms", "",
+                                                                            cxxopts::value<int>()->default_value("0"));
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
     std::vector<std::string> models = arguments["models"].as<std::vector<std::string>>();
     std::erase(models, "");
@@ -347,7 +358,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     Runner runner(Options{arguments["id"].as<std::string>(), arguments["port"].as<int>(), arguments["service"].as<std::string>(),
                           arguments["control"].as<std::vector<std::string>>(), arguments.count("refuse-orders") != 0, copies,
-                          arguments["software"].as<std::string>()},
+                          arguments["software"].as<std::string>(), arguments["order-answer-ms"].as<int>()},
                   models);
     runner.serve();
     return 0;
