Test: callers in planned work stay at their host until it refuses connections

Callers that keep their connections took another host when a stopping one closed them with an answer. They now connect to the same host as long as it accepts, as those of fleet_stop_test do; the checks are the same.

--- a/tests/fleet_rolling_test.cpp
+++ b/tests/fleet_rolling_test.cpp
@@ -201,7 +201,8 @@
         int entry = 0;
         std::optional<Caller> caller;
         for (int i = 0; !m_gone; ++i) {
-            if (!caller || !caller->connected()) {
+            // Callers that keep connections stay at their host until it refuses them.
+            if (!caller || !keeps || !caller->connect()) {
                 if (ports.empty() || now() > listEnds) {
                     const Json list = resolve(draw(random, 1, HostCount));
                     listEnds = now() + listAge;
--- a/tests/fleetcaller.h
+++ b/tests/fleetcaller.h
@@ -70,10 +70,6 @@
         m_connected = !ec;
         return m_connected;
     }
-    bool connected() const
-    {
-        return m_connected;
-    }
     // Sends a request and reads its answer.
     Outcome send(const Load &load, const std::string &id)
     {
