--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -314,6 +314,8 @@
         co_await refuse(connection, ec);
         co_return false;
     }
+    if (connection.m_aborted) // closed by sweep() when the last bytes arrived; the request would run without an answer
+        co_return false;
     connection.m_request = parser.release();
     co_return true;
 }
