--- a/src/transport/attempt.cpp
+++ b/src/transport/attempt.cpp
@@ -40,27 +40,16 @@
     return header(head, "X-Not-Run") == "true";
 }
 
-// Encodes the bytes of a decoded path that must not stand in a request line, and those that some services give a meaning.
-std::string encodePath(const std::string &path)
-{
-    std::string out;
-    for (const char it : path) {
-        const auto byte = static_cast<unsigned char>(it);
-        if (byte <= ' ' || byte >= 0x7f || std::string_view("+',;").find(it) != std::string_view::npos)
-            out += fmt::format("%{:02X}", byte);
-        else
-            out += it;
-    }
-    return out;
-}
-
 std::string toHttp(const AttemptRequest &request)
 {
     const Millis left = std::max(Millis(0), request.deadline - monotonicNow());
     std::string bytes = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\nAccept-Encoding: identity\r\n", request.method,
                                     encodePath(request.path), request.address);
-    for (const std::pair<const std::string, std::string> &it : request.headers)
-        bytes += fmt::format("{}: {}\r\n", it.first, it.second);
+    for (const std::pair<const std::string, std::string> &it : request.headers) {
+        // The server decodes what callers encode in values.
+        if (it.second.find_first_of(std::string_view("\r\n\0", 3)) == std::string::npos)
+            bytes += fmt::format("{}: {}\r\n", it.first, it.second);
+    }
     bytes += fmt::format("X-Request-Id: {}\r\nRoserail-Deadline-Ms: {}\r\n", request.attempt.value(), left.count());
     if (!request.body.empty() && request.headers.find("Content-Type") == request.headers.end())
         bytes += "Content-Type: text/plain\r\n";
@@ -154,7 +143,7 @@
 
     bool processEvent(const SseEvent &event)
     {
-        if (event.data.empty())
+        if (event.data.empty() || progress.ended)
             return true;
         const uint64_t offset = std::strtoull(event.id.c_str(), nullptr, 10);
         const bool end = event.data == EndMarker;
--- a/src/transport/blockingconnection.cpp
+++ b/src/transport/blockingconnection.cpp
@@ -3,6 +3,7 @@
 #include "transport/clock.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <limits>
 #include <netdb.h>
 #include <netinet/tcp.h>
@@ -27,6 +28,19 @@
 
 } // namespace
 
+std::string encodePath(const std::string &path)
+{
+    std::string out;
+    for (const char it : path) {
+        const auto byte = static_cast<unsigned char>(it);
+        if (byte <= ' ' || byte >= 0x7f || std::string_view("+',;").find(it) != std::string_view::npos)
+            out += fmt::format("%{:02X}", byte);
+        else
+            out += it;
+    }
+    return out;
+}
+
 BlockingConnection::BlockingConnection(Time deadline, Millis idleTimeout)
     : m_deadline(deadline)
     , m_idleTimeout(idleTimeout)
--- a/src/transport/blockingconnection.h
+++ b/src/transport/blockingconnection.h
@@ -14,6 +14,9 @@
 namespace roserail
 {
 
+// Encodes the bytes of a decoded path that must not stand in a request line, and those that some services give a meaning.
+std::string encodePath(const std::string &path);
+
 class BlockingConnection
 {
 public:
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -376,7 +376,7 @@
             continue;
         it->m_expiresAt = Time::max();
         if (it->m_stage == ConnectionStage::Idle) {
-            it->m_socket.cancel(ec); // the connection is then closed without a reset
+            it->m_socket.cancel(ec); // ends the wait; serve() closes the connection
             continue;
         }
         it->m_aborted = true;
--- a/src/transport/operatorclient.cpp
+++ b/src/transport/operatorclient.cpp
@@ -2,10 +2,10 @@
 
 #include "protocol/settings.h"
 #include "state/tunables.h"
+#include "transport/blockingconnection.h"
 #include "transport/clock.h"
 
 #include <fmt/format.h>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -18,12 +18,13 @@
 {
 
 constexpr Millis RequestTimeout{8000};
+constexpr size_t MaxAnswerBytes = 16 * MaxDocumentBytes; // a document is applied section by section, and returned whole
 constexpr Millis RetryDelay{200};
 
-Error parseError(const httplib::Response &response)
+Error parseError(unsigned status, const std::string &body)
 {
-    const nlohmann::json json = nlohmann::json::parse(response.body, nullptr, false);
-    Error error{ErrorKind::Unavailable, fmt::format("the replica answered with status {}", response.status)};
+    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+    Error error{ErrorKind::Unavailable, fmt::format("the replica answered with status {}", status)};
     if (!json.is_object() || !json.contains("error") || !json["error"].is_object())
         return error;
     const std::string type = json["error"].value("type", "");
@@ -49,23 +50,28 @@
                                                 const std::string &body) const
 {
     BOOST_OUTCOME_TRY(target, parseHostPort(address));
-    httplib::Client client(target.host, target.port);
-    client.set_connection_timeout(ConnectTimeout);
-    client.set_read_timeout(RequestTimeout);
-    httplib::Request request;
-    request.method = method;
-    request.path = path;
-    request.body = body;
-    request.headers.emplace("Content-Type", "application/octet-stream");
+    std::string bytes = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\nAccept-Encoding: identity\r\n"
+                                    "Content-Type: application/octet-stream\r\nContent-Length: {}\r\n",
+                                    method, encodePath(path), address, body.size());
     if (!m_token.empty())
-        request.headers.emplace("Authorization", "Bearer " + m_token);
-    const httplib::Result result = client.send(request);
-    if (!result)
+        bytes += fmt::format("Authorization: Bearer {}\r\n", m_token);
+    bytes += "\r\n" + body;
+    BlockingConnection connection(Time::max(), RequestTimeout);
+    std::string answer;
+    ErrorCode ec = connection.connect(target.host, target.port);
+    if (!ec)
+        ec = connection.send(bytes);
+    if (!ec)
+        ec = connection.readHead(method == "HEAD");
+    if (!ec)
+        ec = connection.readWholeBody(answer, MaxAnswerBytes);
+    if (ec)
         return Error{ErrorKind::Unavailable,
-                     fmt::format("{} did not answer ({}); check that the replica is running", address, httplib::to_string(result.error()))};
-    if (result->status >= 300)
-        return parseError(*result);
-    return result->body;
+                     fmt::format("{} did not answer ({}); check that the replica is running", address, ec.message())};
+    const unsigned status = connection.head().result_int();
+    if (status >= 300)
+        return parseError(status, answer);
+    return answer;
 }
 
 Result<std::string> OperatorClient::sendToLeader(const std::string &method, const std::string &path, const std::string &body,
--- a/tests/attempt_test.cpp
+++ b/tests/attempt_test.cpp
@@ -284,3 +284,14 @@
     const std::string head = endpoint.requests()[0];
     BOOST_TEST(head.substr(0, head.find("\r\n")) == "POST " + encoded.sent + " HTTP/1.1");
 }
+
+// Guards against a caller's header value that adds lines to the request for the endpoint.
+BOOST_DATA_TEST_CASE(headerValueAddsNoLines, bdata::make({"a\r\nX-Added: 1", "a\nX-Added: 1", "a\rX-Added: 1"}), value)
+{
+    RawEndpoint endpoint([](const std::string &) { return RawAnswer{Head + "Content-Length: 0\r\n\r\n"}; });
+    AttemptRequest request = requestTo(endpoint);
+    request.headers.emplace("Accept", value);
+    BOOST_TEST((runAttempt(request).end == AttemptEnd::Completed));
+    BOOST_REQUIRE(endpoint.requests().size() == 1u);
+    BOOST_TEST(endpoint.requests()[0].find("X-Added") == std::string::npos);
+}
