--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -1,5 +1,6 @@
 // Tests of caller requests in a running system, with killed and frozen processes and faulty endpoints.
 #define BOOST_TEST_MODULE requests
+#include "rawendpoint.h"
 #include "state/tunables.h"
 #include "system.h"
 
@@ -326,3 +327,37 @@
     BOOST_TEST(system.running("router-1"));
     BOOST_TEST(system.stream(1, "small", "hello").done);
 }
+
+namespace
+{
+
+struct EndlessRequest {
+    const char *name;
+    std::string begin;
+    std::string repeated;
+};
+
+const std::string AnnounceHead = "POST /roserail/v1/announce HTTP/1.1\r\nHost: h.example\r\n";
+const std::string Filler(4096, 'x');
+constexpr size_t MaxAcceptedBytes = MaxBodyBytes + (16u << 20); // the largest body, and what the sockets hold
+constexpr size_t MaxSentBytes = 2 * MaxAcceptedBytes;
+
+const EndlessRequest EndlessRequests[] = {
+    {"one header", AnnounceHead + "X-A: ", Filler},
+    {"headers", AnnounceHead, "X-A: " + Filler + "\r\n"},
+    {"body in chunks", AnnounceHead + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + Filler + "\r\n"},
+    {"body without a length", AnnounceHead + "\r\n", Filler},
+};
+
+} // namespace
+
+// Guards against a request without end that fills the router's memory.
+BOOST_AUTO_TEST_CASE(requestWithoutEndIsRefused)
+{
+    RunningSystem system("endless", 1);
+    for (const EndlessRequest &it : EndlessRequests) {
+        BOOST_TEST_CONTEXT(it.name)
+        BOOST_TEST(sendWithoutEnd(system.routerPort(1), it.begin, it.repeated, MaxSentBytes) < MaxAcceptedBytes);
+    }
+    BOOST_TEST(system.running("router-1"));
+}
