Client accounts in the configuration of general routes

Cause: the configuration's client accounts, their API keys, priorities and quotas were not parsed; a configuration in which two accounts share a key was accepted.

Nothing uses them yet.

--- a/src/state/routes.h
+++ b/src/state/routes.h
@@ -1,10 +1,13 @@
-// The configuration that is replaced as a whole: general HTTP routes to services, and the capacities of their engines.
+// The configuration that is replaced as a whole: general HTTP routes to services, the capacities of their
+// engines, and client accounts.
 #pragma once
 
+#include "state/accounts.h"
 #include "state/errors.h"
 #include "state/types.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +43,7 @@
     uint32_t priority = 0; // 0 is the most urgent
     uint32_t attempts = 1; // endpoints to which one request may be sent
     bool prefixAffinity = false; // requests carry identifiers of the parts of their prompts
+    bool anonymous = false; // requests need no API key
     std::vector<WeightedService> services;
 };
 
@@ -85,6 +89,7 @@
     std::vector<Route> routes;
     std::map<ServiceId, ServiceSpec> services;
     IngressLimits limits;
+    std::optional<Accounts> accounts; // none: requests need no API key on any route
 
     // Returns the route of the host with the longest matching prefix, or null.
     const Route *match(const std::string &host, const std::string &path) const;
