An answer whose status HTTP does not have is no answer

What callers saw: an endpoint in trouble answered with the status 000; the caller got it as its answer. With the header of a refusal it was told that the request had not run, and an order that was answered so counted as refused, although it may be executed later.

Cause: the parser accepts any three digits, and each of the three readers of answers took all but 1xx as final.

Change: a status outside 100 to 599 ends the attempt as interrupted, in the forwarder, the calls to endpoints (orders, reports) and the blocking client of roserail-router and roserailctl. The connection is not used again.

Result: before, forwarder_test InvalidStatuses failed 38 checks (status 0 or 600 delivered, or 503), attempt_test 3 and endpointpool_test 6; all pass now.

--- a/src/transport/blockingconnection.cpp
+++ b/src/transport/blockingconnection.cpp
@@ -165,8 +165,13 @@
         m_parser->skip(bodyless);
         ErrorCode ec;
         http::read_header(stream, m_buffer, *m_parser, ec);
-        if (ec || m_parser->get().result_int() / 100 != 1)
+        if (ec)
             return ec;
+        const unsigned status = m_parser->get().result_int();
+        if (!isHttpStatus(status))
+            break;
+        if (status / 100 != 1)
+            return {};
     }
     return http::error::bad_status;
 }
--- a/src/transport/endpointpool.cpp
+++ b/src/transport/endpointpool.cpp
@@ -90,6 +90,8 @@
         co_await http::async_read_header(connection.socket, connection.buffer, *parser, net::redirect_error(net::use_awaitable, ec));
         if (ec)
             co_return ec;
+        if (!isHttpStatus(parser->get().result_int()))
+            break;
         if (parser->get().result_int() / 100 == 1)
             continue;
         if (!parser->is_done())
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -144,6 +144,10 @@
             co_return false;
         }
         answer.status = answer.parser->get().result_int();
+        if (!isHttpStatus(answer.status)) {
+            request.cause = fmt::format("the endpoint's answer has the invalid status {:03}", answer.status);
+            co_return false;
+        }
         if (answer.status / 100 != 1)
             co_return true;
     }
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -35,6 +35,12 @@
 // Returns whether a header applies to one connection only and must not be forwarded.
 bool isHopByHop(std::string_view name);
 
+// Returns whether HTTP has such a status: from 100 to 599. The parser accepts any three digits.
+constexpr bool isHttpStatus(unsigned status)
+{
+    return status >= 100 && status < 600;
+}
+
 // Returns whether the peer of an idle connection has closed it or sent bytes.
 bool hasUnexpectedInput(tcp::socket &socket);
 
--- a/tests/attempt_test.cpp
+++ b/tests/attempt_test.cpp
@@ -70,6 +70,12 @@
     {Head + "\r\nhalf", AnswerEnd::Reset},
 };
 
+const std::vector<RawAnswer> InvalidStatuses{
+    {"HTTP/1.1 000 Trouble\r\nX-Request-Id: a1\r\nContent-Length: 5\r\n\r\nwhole"},
+    {"HTTP/1.1 099 Trouble\r\nX-Request-Id: a1\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n"},
+    {"HTTP/1.1 600 Trouble\r\nX-Request-Id: a1\r\nContent-Length: 5\r\n\r\nwhole"},
+};
+
 const std::string EndMarker = "data: [DONE]\n\n";
 
 struct CompleteAnswer {
@@ -194,6 +200,13 @@
     BOOST_TEST((runAttempt(requestTo(endpoint)).end == AttemptEnd::Interrupted));
 }
 
+// Guards against an answer whose status HTTP doesn't have, 000 for example: the caller got it, or a "not run" that need not be true.
+BOOST_DATA_TEST_CASE(answerWithAnInvalidStatusIsInterrupted, bdata::make(InvalidStatuses), answer)
+{
+    RawEndpoint endpoint([&](const std::string &) { return answer; });
+    BOOST_TEST((runAttempt(requestTo(endpoint)).end == AttemptEnd::Interrupted));
+}
+
 // Guards against a stream without the end marker that is taken for a complete one, whatever ends its connection.
 BOOST_DATA_TEST_CASE(streamWithoutItsEndMarkerIsInterrupted, bdata::make({"", "data: a1 half", "id: 0\ndata: a1\n\n"}), body)
 {
--- a/tests/endpointpool_test.cpp
+++ b/tests/endpointpool_test.cpp
@@ -210,6 +210,18 @@
     BOOST_TEST(endpoint.bytesSent() < MaxAcceptedBytes);
 }
 
+const std::vector<std::string> InvalidStatuses{"000", "099", "600"};
+
+// Guards against an answer whose status HTTP doesn't have: an order that was answered so counted as refused, although it may be executed.
+BOOST_DATA_TEST_CASE(answerWithAnInvalidStatusIsNoAnswer, bdata::make(InvalidStatuses), status)
+{
+    const RawEndpoint endpoint(
+        [&](const std::string &) { return RawAnswer{"HTTP/1.1 " + status + " Trouble\r\nContent-Length: 5\r\n\r\nwhole"}; });
+    const CallOutcome outcome = runCall(endpoint);
+    BOOST_TEST(!outcome.answer.has_value());
+    BOOST_TEST(!outcome.reusable);
+}
+
 // Guards against limits that refuse complete answers.
 BOOST_DATA_TEST_CASE(completeAnswerIsRead, bdata::make(CompleteAnswers), complete)
 {
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -575,6 +575,47 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(InvalidStatuses)
+
+const std::vector<std::string> InvalidStatusLines{"000 Trouble", "000 ", "099 Trouble", "600 Trouble"};
+const std::vector<std::string> NotRunHeaders{"", "X-Not-Executed: 1\r\n"};
+
+std::string answerWithStatus(const std::string &statusLine, const std::string &header = "")
+{
+    return "HTTP/1.1 " + statusLine + "\r\nX-Request-Id: {id}\r\nX-Server-Seal: s\r\n" + header + "Content-Length: 4\r\n\r\ndone";
+}
+
+// Guards against an endpoint in trouble whose answer has the status 000, which HTTP doesn't have: the caller got it as an answer, or was
+// told that the request had not run.
+BOOST_DATA_TEST_CASE(answerWithAnInvalidStatusIsNoAnswer,
+                     bdata::make(InvalidStatusLines) * bdata::make(NotRunHeaders) * bdata::make({"/once/x", "/plain/x"}), status, header,
+                     path)
+{
+    RawEndpoint endpoint([&](const std::string &) { return RawAnswer{answerWithStatus(status, header)}; });
+    const Router router({{&endpoint}});
+    BOOST_TEST(call(path).status == 502u);
+    BOOST_TEST(endpoint.requests().size() == 1u);
+    call(path, "1.1", "X-Request-Id: r2\r\n");
+    BOOST_TEST(endpoint.connections() >= 2u); // the first is not used again
+}
+
+// An idempotent request is sent to another endpoint instead.
+BOOST_DATA_TEST_CASE(requestWithAnInvalidStatusIsRetried, bdata::make(InvalidStatusLines), status)
+{
+    std::atomic<int> received = 0;
+    const RawEndpoint::Script script = [&](const std::string &) {
+        return RawAnswer{answerWithStatus(++received == 1 ? status : "200 OK")};
+    };
+    RawEndpoint first(script);
+    RawEndpoint second(script);
+    const Router router({{&first}, {&second}});
+    BOOST_TEST(call("/read/x").status == 200u);
+    BOOST_TEST(first.requests().size() == 1u);
+    BOOST_TEST(second.requests().size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(EndlessBytes)
 
 // Guards against an endpoint whose bytes never end: they must neither fill the router's memory nor occupy it until the
