Control leader: the host that sent the latest orders leads again after a restart of all, and goes on sooner

Change: a leader records in its hard state the term in which it sends orders. If that is the term of the last entry of its log when it is elected again, no other replica sent orders since: a leader sends none before an entry of its term is committed. It then waits 1.5 s for the endpoints' heartbeats only; loads from the weight store wait as before, as those that it began earlier count toward the store's rate. After a restart such a replica stands for election every 100 ms until the others may vote.

--- a/src/coordination/raft.cpp
+++ b/src/coordination/raft.cpp
@@ -170,10 +170,28 @@
     return holdsLease(now) && m_commit >= m_termStart;
 }
 
+// Returns whether this replica sent orders in the latest term of which any replica may have: a leader sends none before an entry of its
+// term is committed, and the log of a later leader contains that entry.
+bool Raft::isLatestOrderTerm() const
+{
+    return m_hard.order_term() != 0 && m_hard.order_term() == termAt(lastIndex());
+}
+
+// If all replicas have restarted, the one that sent the latest orders to endpoints stands for election first: as the leader it need not
+// wait for the end of another's order lease.
 void Raft::resetElectionDeadline(Time now)
 {
     std::uniform_int_distribution<int64_t> spread(ElectionTimeoutMin.count(), ElectionTimeoutMax.count());
-    m_electionDeadline = now + Millis(spread(m_random));
+    const bool preferred = m_leaderContact == m_startedAt && isLatestOrderTerm();
+    m_electionDeadline = now + (preferred ? PreferredElectionTimeout : Millis(spread(m_random)));
+}
+
+void Raft::recordOrders(Actions &out)
+{
+    if (m_role != Role::Leader || m_hard.order_term() == m_hard.term())
+        return;
+    m_hard.set_order_term(m_hard.term());
+    saveHardState(out);
 }
 
 void Raft::saveHardState(Actions &out)
@@ -272,6 +290,7 @@
     m_leaderContact = now;
     m_progress.clear();
     m_transferDeadline.reset();
+    m_sentLastOrders = isLatestOrderTerm();
     pb::Entry noop;
     m_termStart = lastIndex() + 1;
     append(std::move(noop), out);
--- a/src/coordination/raft.h
+++ b/src/coordination/raft.h
@@ -67,6 +67,8 @@
     bool transferLeadership(Time now, Actions &out);
     // Sends the entries proposed since the last call; the caller invokes it once per batch of events.
     void flush(Time now, Actions &out);
+    // Records that this replica, as the leader, sends orders to endpoints from now on. Call it before the first one.
+    void recordOrders(Actions &out);
     // Records that a message with large entries did not reach the replica, so that they are sent again once it answers.
     void sendFailed(const Replica &to);
     // Drops the log up to a snapshot of the state machine that is durable.
@@ -119,6 +121,11 @@
     {
         return m_clusterId;
     }
+    // Returns whether this replica is the leader, and was when any replica last sent orders to endpoints.
+    bool sentLastOrders() const
+    {
+        return isLeader() && m_sentLastOrders;
+    }
     const pb::HardState &hardState() const
     {
         return m_hard;
@@ -176,6 +183,7 @@
     void campaign(bool preVote, bool transfer, Time now, Actions &out);
     void becomeLeader(Time now, Actions &out);
     void resetElectionDeadline(Time now);
+    bool isLatestOrderTerm() const;
     void append(pb::Entry entry, Actions &out);
     void sendHeartbeat(const Replica &to, Progress &progress, Time now, Actions &out);
     void sendEntries(const Replica &to, Progress &progress, Time now, Actions &out);
@@ -218,6 +226,7 @@
     Time m_electionDeadline{};
     Time m_heartbeatDue{};
     uint64_t m_termStart = 0; // index of the first entry of the leader's term
+    bool m_sentLastOrders = false; // of the leader; see sentLastOrders()
     std::map<Replica, bool> m_votes;
     std::map<Replica, Progress> m_progress;
     std::optional<Time> m_transferDeadline;
--- a/src/coordination/residency.h
+++ b/src/coordination/residency.h
@@ -39,6 +39,11 @@
     // control host, which orders carry. No order is issued before `ordersAllowedAt`.
     Residency(uint64_t term, const Numbers &last, std::string holder, Time ordersAllowedAt);
 
+    // Loads from the weight store that an earlier leader began count toward its rate: no other is ordered before `from`.
+    void allowStoreLoadsFrom(Time from)
+    {
+        m_storeLoadsAllowedAt = from;
+    }
     // Updates the plan's inputs: the configuration, the live endpoints and the routers' demand.
     void observe(const RouteTable &table, const Registry &registry, Time now);
     // Applies an engine's report of its contents, requested at `askedAt`.
@@ -164,6 +169,7 @@
     uint64_t m_term;
     std::string m_holder;
     Time m_ordersAllowedAt;
+    Time m_storeLoadsAllowedAt{};
     uint64_t m_fence = 0;
     uint64_t m_counter = 0;
     std::map<ServiceId, EngineSpec> m_specs;
--- a/src/coordination/residencyplan.cpp
+++ b/src/coordination/residencyplan.cpp
@@ -447,6 +447,8 @@
 // `maxInFlight` concurrent loads.
 bool Residency::storeLoadAllowed(const EngineSpec &spec, size_t maxInFlight, const Engine *engine, Time now) const
 {
+    if (now < m_storeLoadsAllowedAt)
+        return false;
     const size_t storeLoadsRunning = m_storeLoads - (countsAsStoreLoad(*engine, now) ? 1 : 0);
     const double window = double(StoreRateWindow.count()) / 1000;
     const auto recent
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -12,6 +12,8 @@
 constexpr Millis HeartbeatInterval{60};
 constexpr Millis ElectionTimeoutMin{500};
 constexpr Millis ElectionTimeoutMax{900};
+// After a restart, of the replica that sent the latest orders to endpoints; its first candidacies are refused, until the others may vote.
+constexpr Millis PreferredElectionTimeout{100};
 constexpr Millis ClockDriftMargin{50}; // a lease ends this long before another leader can be elected
 constexpr Millis LeaderLease = ElectionTimeoutMin - ClockDriftMargin;
 constexpr size_t MaxEntriesPerAppend = 512;
@@ -155,6 +157,8 @@
 constexpr Millis MinReportInterval{400}; // of one engine; a report is as expensive as a health check
 constexpr Millis MaxHeartbeatDelay{1500}; // a heartbeat received within this time after an order was executed may not reflect it
 constexpr Millis OrderDeliveryMargin{500}; // an order sent at the end of a lease arrives within this time
+// Of the first orders of a leader that sent the latest ones as well; in this time the endpoints' heartbeats say what they hold.
+constexpr Millis OrderResumeDelay{1500};
 constexpr Millis ConfigurationCommitTimeout{3000}; // operators retry on another control host after 1 s
 constexpr Millis StoreRateWindow{5000}; // the weight store's rate limit holds in every window of this length
 constexpr Millis ReservationTtl{4000}; // of an engine for a model; covers an unload, which waits for the last requests on the engine
--- a/src/transport/ordersender.cpp
+++ b/src/transport/ordersender.cpp
@@ -71,17 +71,24 @@
 
 // Creates a new plan when this process starts to lead. A leader that regains its lease in the same term need not wait
 // again before it sends orders, because no other replica has led in between.
-void OrderSender::beginTerm(uint64_t term, Time now)
+void OrderSender::beginTerm(const ReplicaStatus &status, Time now)
 {
     if (m_residency)
         m_lastNumbers = m_residency->lastNumbers();
-    // The previous leader sent its last order before its lease ended, which was before this term began.
-    if (m_term != term)
-        m_ordersAllowedAt = now + m_orderLease + OrderDeliveryMargin;
-    m_term = term;
+    // The previous leader sent its last order before its lease ended, which was before this term began. If that was this host, no other
+    // holder's orders can still arrive, but the loads that it began count toward the weight store's rate.
+    const Time otherOrdersEndAt = now + m_orderLease + OrderDeliveryMargin;
+    if (status.term != m_term) {
+        m_ordersAllowedAt = status.sentLastOrders ? std::max(m_ordersAllowedAt, now + OrderResumeDelay) : otherOrdersEndAt;
+        m_storeLoadsAllowedAt = otherOrdersEndAt;
+        m_ordersRecorded = false;
+    }
+    m_term = status.term;
     m_residency = std::make_unique<Residency>(m_term, m_lastNumbers, m_holder, m_ordersAllowedAt);
+    m_residency->allowStoreLoadsFrom(m_storeLoadsAllowedAt);
     m_table.setOrderPermission(LiveTable::OrderPermission{m_term, m_ordersAllowedAt});
-    logEvent("orders_begin", {{"term", m_term}, {"from_ms", (m_ordersAllowedAt - now).count()}});
+    logEvent("orders_begin",
+             {{"term", m_term}, {"from_ms", (m_ordersAllowedAt - now).count()}, {"sent_last_orders", status.sentLastOrders}});
 }
 
 void OrderSender::planOnce(Time now)
@@ -95,7 +102,7 @@
         return;
     }
     if (!m_residency || m_term != status.term)
-        beginTerm(status.term, now);
+        beginTerm(status, now);
     const std::shared_ptr<const RouteTable> table = routes();
     if (!table)
         return;
@@ -118,6 +125,10 @@
                 registry.merge(it, now);
         });
     }
+    if (!plan.orders.empty() && !m_ordersRecorded) {
+        m_node.recordOrders();
+        m_ordersRecorded = true;
+    }
     for (ArtifactOrder &it : plan.orders) {
         const std::string address = targets[it.endpoint].address;
         const auto unanswered = [this, order = it, term = m_term] {
--- a/src/transport/ordersender.h
+++ b/src/transport/ordersender.h
@@ -21,7 +21,7 @@
     Task<bool> waitAndPlan();
     void dropPlan();
     void planOnce(Time now);
-    void beginTerm(uint64_t term, Time now);
+    void beginTerm(const ReplicaStatus &status, Time now);
     std::shared_ptr<const RouteTable> routes();
     Task<> sendOrder(ArtifactOrder order, std::string address, uint64_t term);
     Task<> requestReport(std::string endpoint, std::string address, uint64_t startedAtMs, uint64_t term);
@@ -37,6 +37,8 @@
     std::unique_ptr<Residency> m_residency; // null unless this process is the leader
     uint64_t m_term = 0;
     Time m_ordersAllowedAt{}; // no order is sent earlier in this term
+    Time m_storeLoadsAllowedAt{}; // no load from the weight store is ordered earlier in this term
+    bool m_ordersRecorded = false; // that this replica sends orders in this term
     Residency::Numbers m_lastNumbers; // of earlier plans
 };
 
--- a/src/transport/replicanode.cpp
+++ b/src/transport/replicanode.cpp
@@ -122,6 +122,11 @@
     m_events.push(AdminRequest{AdminRequest::Transfer});
 }
 
+void ReplicaNode::recordOrders()
+{
+    m_events.push(AdminRequest{AdminRequest::RecordOrders});
+}
+
 void ReplicaNode::handOverLeadership()
 {
     const Time deadline = monotonicNow() + HandOverTimeout;
@@ -243,6 +248,8 @@
         m_membershipPlanner.requestRemoval(event.id);
     else if (event.kind == AdminRequest::Transfer)
         m_raft->transferLeadership(now, out);
+    else if (event.kind == AdminRequest::RecordOrders)
+        m_raft->recordOrders(out);
 }
 
 void ReplicaNode::handle(SendFailed &event, Time, Actions &)
@@ -427,6 +434,7 @@
     // What is committed is applied after the status is published.
     status.currentAt = m_applied >= m_raft->commitIndex() ? m_raft->currentAt(now) : m_status.currentAt;
     status.votes = m_raft->votes();
+    status.sentLastOrders = m_raft->sentLastOrders();
     status.termCommitted = m_raft->isLeader() && m_applied >= m_raft->termStart();
     status.syncs = m_storage->syncs();
     status.logBytes = m_storage->logBytes();
--- a/src/transport/replicanode.h
+++ b/src/transport/replicanode.h
@@ -35,6 +35,7 @@
     Time currentAt{}; // latest time at which its committed entries were known to be all
     bool votes = false;
     bool termCommitted = false; // an entry of the leader's own term is applied
+    bool sentLastOrders = false; // see Raft::sentLastOrders()
     std::string diskFault; // empty: none
     uint64_t syncs = 0;
     uint64_t logBytes = 0;
@@ -68,6 +69,8 @@
     void approveReplica(uint64_t id);
     void removeReplica(uint64_t id);
     void transferLeadership();
+    // Records that this replica, as the leader, sends orders to endpoints from now on.
+    void recordOrders();
     // Transfers leadership before this replica stops; returns once it is no longer the leader, or after a time limit.
     void handOverLeadership();
     // Sets the addresses, by replica id, to send join requests to in addition to the members.
@@ -97,7 +100,7 @@
     };
     // Wake makes the thread check the time and `m_stop`.
     struct AdminRequest {
-        enum Kind { Approve, Remove, Transfer, Wake } kind;
+        enum Kind { Approve, Remove, Transfer, RecordOrders, Wake } kind;
         uint64_t id = 0;
     };
     // A message with large entries that did not reach the replica.
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -102,6 +102,50 @@
     randomRun(replicas);
 }
 
+// After a restart of all, the leader that sent the latest orders is mostly elected again, and needs no wait for the end of another's order
+// lease. `advance` checks that no leader omits that wait after another has sent orders.
+BOOST_AUTO_TEST_CASE(leaderLeadsAgainAfterARestartOfAll)
+{
+    constexpr uint64_t Seeds = 50;
+    uint64_t ledAgain = 0;
+    for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+        Cluster cluster(5, seed);
+        cluster.run(Millis(2000));
+        const uint64_t old = cluster.leader()->self().id;
+        BOOST_TEST(!cluster.leader()->sentLastOrders());
+        for (uint64_t id = 1; id <= 5; ++id)
+            cluster.crash(id);
+        for (uint64_t id = 1; id <= 5; ++id) {
+            cluster.start(1 + (old + id + seed) % 5);
+            cluster.run(Millis(100));
+        }
+        cluster.run(Millis(2000));
+        BOOST_REQUIRE(cluster.leader() != nullptr);
+        BOOST_TEST(cluster.leader()->sentLastOrders() == (cluster.leader()->self().id == old));
+        ledAgain += cluster.leader()->self().id == old ? 1 : 0;
+    }
+    BOOST_TEST(ledAgain > Seeds / 2);
+}
+
+// A leader that takes over from another waits, also if it sent orders before that one.
+BOOST_AUTO_TEST_CASE(leaderAfterAnotherOneDidNotSendTheLatestOrders)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        Cluster cluster(3, seed);
+        cluster.run(Millis(2000));
+        const uint64_t first = cluster.leader()->self().id;
+        cluster.freeze(first, true);
+        cluster.run(Millis(2000));
+        const uint64_t second = cluster.leader()->self().id;
+        BOOST_TEST(!cluster.leader()->sentLastOrders());
+        cluster.freeze(first, false);
+        cluster.crash(second);
+        cluster.run(Millis(2000));
+        BOOST_REQUIRE(cluster.leader() != nullptr);
+        BOOST_TEST(!cluster.leader()->sentLastOrders());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(secondHostLostRightAfterRepair)
 {
     for (uint64_t seed = 1; seed <= 20; ++seed) {
--- a/tests/raftcluster.h
+++ b/tests/raftcluster.h
@@ -86,6 +86,7 @@
             if (next)
                 it.second.raft->proposeMembership(*next, actions);
             it.second.raft->flush(m_now, actions);
+            sendOrders(it.first, actions);
             perform(it.first, actions);
             sendJoinRequests(it.first);
         }
@@ -386,6 +387,18 @@
         }
     }
 
+    // A leader sends orders to endpoints at intervals. If it needs no wait before its first ones, no other sent the latest.
+    void sendOrders(uint64_t id, Actions &actions)
+    {
+        Raft &raft = *m_nodes.at(id).raft;
+        if (!raft.canRead(m_now) || (m_now.time_since_epoch() / Millis(10) + int64_t(id)) % 8 != 0)
+            return;
+        if (m_lastOrders && m_lastOrders->second != raft.term())
+            invariant(!raft.sentLastOrders() || m_lastOrders->first == raft.self(), "no other leader sent the latest orders");
+        m_lastOrders = {raft.self(), raft.term()};
+        raft.recordOrders(actions);
+    }
+
     void check()
     {
         size_t leases = 0;
@@ -425,6 +438,7 @@
     std::map<uint64_t, Time> m_committedAt; // by index: at the first replica
     std::map<uint64_t, Replica> m_leaders; // by term
     std::map<std::pair<Replica, uint64_t>, Replica> m_votes;
+    std::optional<std::pair<Replica, uint64_t>> m_lastOrders; // who sent the latest, and its term
     uint64_t m_proposals = 0;
     uint64_t m_incarnations = 1000;
 };
--- a/tests/residency_test.cpp
+++ b/tests/residency_test.cpp
@@ -477,6 +477,28 @@
     BOOST_TEST((rounds - 10) * 50 <= 1500);
 }
 
+// A leader that goes on soon after a restart does not know which loads from the weight store it began before.
+BOOST_AUTO_TEST_CASE(storeLoadsWaitAfterARestart)
+{
+    Simulation simulation(2, 7);
+    const auto accepted = [] {
+        return 0;
+    };
+    const Time allowedAt = simulation.now + Millis(2000);
+    simulation.residency->allowStoreLoadsFrom(allowedAt);
+    simulation.cachedModels.insert("e0/m3");
+    for (uint64_t sequence = 1; simulation.now < allowedAt + Millis(1000); ++sequence) {
+        for (std::pair<const std::string, FakeEngine> &it : simulation.engines)
+            simulation.sendHeartbeat(it.second);
+        simulation.setDemand({{waitingDemand("m3", 1, 500), Millis(500)}, {waitingDemand("m4", 1, 500), Millis(500)}}, sequence);
+        simulation.runRound(accepted);
+        BOOST_TEST((simulation.storeLoads.empty() || simulation.storeLoads.front() >= allowedAt));
+        if (simulation.now == allowedAt - Millis(500))
+            BOOST_TEST(simulation.anyEngineHolds("m3"));
+    }
+    BOOST_TEST(!simulation.storeLoads.empty());
+}
+
 // Load pattern: rarely used models with copies on one engine are requested together while another engine is idle. The
 // planner waits for the busy engine while that loads from copies, but not if a load from the store blocks it for longer
 // than a load from the store on the idle engine takes.
