Client accounts: keys at hosts that are cut off, relays believed of routers only, tokens of one caller each; tests

Cause: a router that is cut off went on with keys that a newer configuration had taken away, whatever the site asks for; whoever reached the relay address could state an account; two callers of the document could have one token.

With accounts, a relayed request must come from the address of a known router. check and apply refuse a caller with the token of another. Requests are counted by account, for 64 accounts at most.

--- a/src/coordination/peerrouters.cpp
+++ b/src/coordination/peerrouters.cpp
@@ -1,5 +1,6 @@
 #include "coordination/peerrouters.h"
 
+#include "state/address.h"
 #include "state/tunables.h"
 
 namespace roserail
@@ -18,10 +19,14 @@
 {
     for (std::pair<const std::string, Peer> &it : m_peers)
         it.second.available = false;
+    m_hosts.clear();
     for (const std::pair<const std::string, LiveRouter> &it : registry.routers()) {
         const pb::RouterState &state = it.second.state;
         if (it.first == m_self || state.relay_address().empty())
             continue;
+        const Result<HostPort> address = parseHostPort(state.relay_address());
+        if (address.has_value())
+            m_hosts[it.first] = address.value().host;
         Peer &peer = m_peers[it.first];
         peer.address = state.relay_address();
         peer.sameZone = state.zone() == m_zone;
@@ -30,6 +35,12 @@
     std::erase_if(m_peers, [](const std::pair<const std::string, Peer> &it) { return !it.second.available && it.second.running == 0; });
 }
 
+bool PeerRouters::isAt(const std::string &router, const std::string &ip) const
+{
+    const auto it = m_hosts.find(router);
+    return it != m_hosts.end() && it->second == ip;
+}
+
 std::optional<PeerChoice> PeerRouters::choose(const std::set<std::string> &avoid, Time now) const
 {
     std::optional<PeerChoice> best;
--- a/src/coordination/peerrouters.h
+++ b/src/coordination/peerrouters.h
@@ -31,6 +31,8 @@
     void update(const Registry &registry);
     // Returns the router that a request is to be passed to, if there is one. `avoid`: routers that were tried already.
     std::optional<PeerChoice> choose(const std::set<std::string> &avoid, Time now) const;
+    // Returns whether a router, also one that takes no requests, has this IP address.
+    bool isAt(const std::string &router, const std::string &ip) const;
     void started(const std::string &router);
     void ended(const std::string &router);
     // Records that the router could not be connected to.
@@ -48,6 +50,7 @@
     std::string m_self;
     std::string m_zone;
     std::map<std::string, Peer> m_peers;
+    std::map<std::string, std::string> m_hosts; // IP addresses of all other routers, by id
 };
 
 } // namespace roserail
--- a/src/ctl.cpp
+++ b/src/ctl.cpp
@@ -58,6 +58,13 @@
 {
     BOOST_OUTCOME_TRY(text, readInput(invocation));
     BOOST_OUTCOME_TRY(sections, parseDocumentFile(text));
+    std::vector<SectionContent> contents;
+    std::set<std::string> names;
+    for (const FileSection &it : sections) {
+        contents.push_back(it.content);
+        names.insert(it.name);
+    }
+    BOOST_OUTCOME_TRY(checkTokens(contents, names));
     if (invocation.client.addresses().empty())
         return fmt::format("{} sections are well-formed; pass --control to check references as well\n", sections.size());
     return invocation.client.sendToLeader("POST", "/check", text, invocation.deadline);
--- a/src/protocol/hostsettings.cpp
+++ b/src/protocol/hostsettings.cpp
@@ -67,7 +67,7 @@
 {
     checkKeys(root, "the settings",
               {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "log", "listen", "ready", "directory", "relay",
-               "retryRatio", "retrySlack", "retryWindow", "firstStart"});
+               "retryRatio", "retrySlack", "retryWindow", "firstStart", "keysValidFor"});
     EntrySettings settings;
     settings.host = readHost(root);
     settings.listen = readAddress(root, "listen", "the settings");
@@ -78,6 +78,8 @@
     settings.retrySlack = readValue<double>(root, "retrySlack", 20, "a number of requests");
     settings.firstStart = readValue<bool>(root, "firstStart", false, "true or false");
     settings.retryWindow = readDuration(root, "retryWindow", Millis(10000));
+    if (root["keysValidFor"])
+        settings.keysValidFor = readDuration(root, "keysValidFor", Millis(0));
     return settings;
 }
 
@@ -121,7 +123,8 @@
         + fmt::format("listen: \"{}\"\nready: \"{}\"\ndirectory: \"{}\"\nrelay: \"{}\"\nretryRatio: {}\nretrySlack: {}\nretryWindow: "
                       "{}ms\nfirstStart: {}\n",
                       settings.listen, settings.ready, settings.directory, settings.relay, settings.retryRatio, settings.retrySlack,
-                      settings.retryWindow.count(), settings.firstStart);
+                      settings.retryWindow.count(), settings.firstStart)
+        + (settings.keysValidFor ? fmt::format("keysValidFor: {}ms\n", settings.keysValidFor->count()) : "");
 }
 
 std::string toYaml(const KeeperSettings &settings)
--- a/src/protocol/hostsettings.h
+++ b/src/protocol/hostsettings.h
@@ -7,6 +7,7 @@
 #include "state/types.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
     double retryRatio = 0; // retries allowed in a window, as a share of requests
     double retrySlack = 0; // additional retries allowed, over all routers
     Millis retryWindow{0};
+    // For which API keys are accepted after the configuration was last known to be the newest; none: without an end.
+    std::optional<Millis> keysValidFor;
     bool firstStart = false; // of the whole system: no earlier process of this host can have spent retries
 };
 
--- a/src/state/document.cpp
+++ b/src/state/document.cpp
@@ -365,4 +365,23 @@
     }
 }
 
+Result<void> checkTokens(const std::vector<SectionContent> &sections, const std::set<std::string> &changed)
+{
+    std::map<std::string, const Caller *> holders; // by token; those of unchanged sections first, which keep theirs
+    for (const bool ofChanged : {false, true}) {
+        for (const SectionContent &section : sections) {
+            if ((changed.count(section.name) != 0) != ofChanged)
+                continue;
+            for (const Caller &it : section.callers) {
+                const Caller *holder = holders.emplace(it.tokenSha256, &it).first->second;
+                if (ofChanged && holder != &it)
+                    return invalid(section.name, it.position,
+                                   fmt::format("callers '{}' and '{}' have the same token; create one for each with 'roserailctl token'",
+                                               holder->id.value(), it.id.value()));
+            }
+        }
+    }
+    return boost::outcome_v2::success();
+}
+
 } // namespace roserail
--- a/src/state/document.h
+++ b/src/state/document.h
@@ -6,6 +6,7 @@
 #include "state/types.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -126,4 +127,8 @@
 // Merges sections and checks that every name is unique, every reference resolves and every artifact fits its pool.
 Result<Document> mergeSections(const std::vector<SectionContent> &sections);
 
+// Checks that no caller in one of the `changed` sections has the token of another caller. Not part of mergeSections(): documents that are
+// stored already may have such callers, and replicas must agree on each change.
+Result<void> checkTokens(const std::vector<SectionContent> &sections, const std::set<std::string> &changed);
+
 } // namespace roserail
--- a/src/state/machine.cpp
+++ b/src/state/machine.cpp
@@ -52,13 +52,19 @@
 Result<Document> checkChange(const std::map<std::string, SectionContent> &sections, const std::vector<FileSection> &change)
 {
     std::map<std::string, SectionContent> contents = sections;
+    std::set<std::string> changed;
     for (const FileSection &it : change) {
+        changed.insert(it.name);
         if (it.remove)
             contents.erase(it.name);
         else
             contents[it.name] = it.content;
     }
-    return mergeContents(contents);
+    std::vector<SectionContent> all;
+    for (const std::pair<const std::string, SectionContent> &it : contents)
+        all.push_back(it.second);
+    BOOST_OUTCOME_TRY(checkTokens(all, changed));
+    return mergeSections(all);
 }
 
 pb::CommandResult StateMachine::apply(const pb::Command &command)
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -253,6 +253,7 @@
 constexpr int MaxSkippedAnswers = 2; // late answers to earlier requests, on one connection
 constexpr int MaxInterimAnswers = 8; // to one request
 constexpr size_t MaxFailedRequestsPerConnection = 64; // 8 bytes each; then a new connection is opened
+constexpr size_t MaxCountedAccounts = 64; // whose requests have metrics of their own; some 300 bytes an outcome each
 constexpr size_t MaxIdleConnectionsPerEndpoint = 64; // the batch size of one engine
 
 } // namespace roserail::tunables
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -56,6 +56,7 @@
     , m_directoryServer(io, [this](CallerConnection &caller) { return answerResolve(caller); })
     , m_incarnation(wallMillis())
 {
+    m_forwarder.setKeysValidFor(settings.keysValidFor);
     m_forwarder.onWait([this] {
         m_meshClient->setWaiting(true);
         m_meshClient->wake();
@@ -96,12 +97,15 @@
     m_settings.retryRatio = settings.retryRatio;
     m_settings.retrySlack = settings.retrySlack;
     m_retries.setRatio(settings.retryRatio);
+    m_settings.keysValidFor = settings.keysValidFor;
+    m_forwarder.setKeysValidFor(settings.keysValidFor);
     m_meshClient->setSeeds(internalSeeds(settings.host));
     setLogDetail(settings.host.log);
     logEvent("settings",
              {{"seeds", fmt::format("{}", fmt::join(settings.host.seeds, ","))},
               {"retry_ratio", settings.retryRatio},
-              {"retry_slack", settings.retrySlack}});
+              {"retry_slack", settings.retrySlack},
+              {"keys_valid_ms", settings.keysValidFor ? settings.keysValidFor->count() : -1}});
 }
 
 std::array<HttpServer *, 4> EntryApi::servers()
@@ -268,6 +272,9 @@
         m_forwarder.wakeWaitingRequests();
     }
     applyConfigurationOf(reply);
+    const bool newest = m_forwarder.table() && m_forwarder.table()->version >= reply.newer_configuration();
+    if (newest && !m_configurationReceiver.receiving())
+        m_forwarder.confirmConfiguration(askedAt - Millis(reply.state_age_ms()));
     m_forwarder.recordFoundStreams(reply, now);
     if (reply.busy())
         return;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -459,7 +459,7 @@
         timer.cancel();
     };
     std::optional<EndpointChoice> choice;
-    while (!choice && !request.cancellation->cancelled() && mayBegin(request) && monotonicNow() < until) {
+    while (!choice && !request.cancellation->cancelled() && mayBegin(request) && !keyTakenAway(request) && monotonicNow() < until) {
         ErrorCode ec;
         const Time now = monotonicNow();
         const std::optional<Restriction> restriction = m_balancer.restriction(request.requirements, 0, now);
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -67,6 +67,16 @@
         m_syncedAt = now;
         m_currentAt = currentAt;
     }
+    // Records that no newer configuration was in force at that time.
+    void confirmConfiguration(Time at)
+    {
+        m_newestAt = std::max(m_newestAt, at);
+    }
+    // Sets for how long API keys are accepted after the configuration was known to be the newest; none: without an end.
+    void setKeysValidFor(std::optional<Millis> time)
+    {
+        m_keysValidFor = time;
+    }
     // Called when a request begins to wait for a model.
     void onWait(std::function<void()> callback)
     {
@@ -122,6 +132,8 @@
     Task<> waitForConfiguration(Request &request);
     std::optional<std::pair<Error, unsigned>> identifyAccount(Request &request) const;
     bool keyTakenAway(const Request &request) const;
+    bool isFromRouter(const CallerConnection &caller) const;
+    void countByAccount(const Request &request, std::string_view outcome) const;
     static AccountId accountId(const Request &request);
     Task<> waitUntil(Request &request, const std::function<bool()> &condition);
     bool mayBegin(const Request &request) const;
@@ -206,6 +218,9 @@
     uint64_t m_registryVersion = 0; // of the control host, at the last sync
     Time m_syncedAt{};
     Time m_currentAt{}; // of the configuration
+    Time m_newestAt{}; // when the configuration was last known to be the newest; of the polls that found no newer one
+    std::optional<Millis> m_keysValidFor;
+    mutable std::set<AccountId> m_countedAccounts; // with metrics of their own
     Time m_ordersAllowedAt{}; // no order is sent earlier, and thus no model loaded
     std::optional<StopSchedule> m_stop; // set once the host is stopping
 };
--- a/src/transport/forwarderaccounts.cpp
+++ b/src/transport/forwarderaccounts.cpp
@@ -1,14 +1,33 @@
 // Client accounts in Forwarder: which account a request belongs to, and whether its API key is still in use.
-#include "protocol/log.h"
+#include "protocol/metrics.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
 #include "transport/forwarderrequest.h"
 
+#include <fmt/format.h>
+
 namespace roserail
 {
 
 using namespace tunables;
 
+namespace
+{
+
+// Returns the text as it may stand in a label of a metric.
+std::string escapeLabel(std::string_view text)
+{
+    std::string escaped;
+    for (const char it : text) {
+        if (it == '"' || it == '\\')
+            escaped += '\\';
+        escaped += it;
+    }
+    return escaped;
+}
+
+} // namespace
+
 AccountId Forwarder::accountId(const Request &request)
 {
     return request.account == nullptr ? AccountId("") : request.account->id;
@@ -20,6 +39,11 @@
 {
     if (!request.table->accounts || request.route->anonymous)
         return std::nullopt;
+    if (request.relayedFrom.empty() && m_keysValidFor && monotonicNow() - m_newestAt > *m_keysValidFor)
+        return std::pair(Error{ErrorKind::Unavailable,
+                               "this host can't tell whether the API key is still in use; not run, use another host",
+                               RetryAfterBusy.count()},
+                         503);
     const std::string_view name = m_codec.apiKeyHeader();
     const std::string_view account = request.relayedFrom.empty() ? "" : request.caller.header(RelayAccount);
     const std::string_view key = request.caller.header(name);
@@ -49,4 +73,26 @@
                           : m_table->accounts->find(request.account->id) == nullptr;
 }
 
+// Returns whether the connection comes from the host of the router that the request names as its sender.
+bool Forwarder::isFromRouter(const CallerConnection &caller) const
+{
+    ErrorCode ec;
+    const tcp::endpoint peer = caller.socket().remote_endpoint(ec);
+    return !ec && m_peers != nullptr && m_peers->isAt(std::string(caller.header(RelayedFrom)), peer.address().to_string());
+}
+
+// Counts a request by its account. Accounts beyond the limit, which come and go with configurations, share a counter.
+void Forwarder::countByAccount(const Request &request, std::string_view outcome) const
+{
+    if (request.account == nullptr)
+        return;
+    const AccountId &id = request.account->id;
+    const bool counted
+        = m_countedAccounts.count(id) != 0 || (m_countedAccounts.size() < MaxCountedAccounts && m_countedAccounts.insert(id).second);
+    metrics()
+        .counter(fmt::format("roserail_account_requests_total{{account=\"{}\",outcome=\"{}\"}}",
+                             counted ? escapeLabel(id.value()) : "(other)", outcome))
+        .add();
+}
+
 } // namespace roserail
--- a/src/transport/forwarderlog.cpp
+++ b/src/transport/forwarderlog.cpp
@@ -20,6 +20,7 @@
     const Time now = monotonicNow();
     took.record(uint64_t((now - request.caller.arrivedAt()).count()));
     metrics().counter(fmt::format("roserail_requests_total{{outcome=\"{}\"}}", outcome)).add();
+    countByAccount(request, outcome);
     logOutcome("request",
                {{"id", request.metadata.id},
                 {"route", request.route == nullptr ? "" : request.route->name},
--- a/src/transport/forwarderrelay.cpp
+++ b/src/transport/forwarderrelay.cpp
@@ -124,11 +124,16 @@
     request.relayedFrom = std::string(caller.header(RelayedFrom));
     const uint64_t configuration = parseHeader<uint64_t>(caller.header(RelayConfiguration));
     const bool outdated = !m_table || m_table->version < configuration;
-    if (request.relayedFrom.empty() || outdated || m_activeRelayed >= MaxRelayedRequests) {
+    // With accounts, only a router may say whose request it is, and that the request is not to be counted here.
+    const bool unknownSender = m_table && m_table->accounts && !isFromRouter(caller);
+    if (request.relayedFrom.empty() || outdated || unknownSender || m_activeRelayed >= MaxRelayedRequests) {
         request.metadata = m_codec.requestMetadata(caller.lookup());
         request.relayedFrom = request.relayedFrom.empty() ? "unknown" : request.relayedFrom;
-        const std::string cause = outdated ? fmt::format("this router has not received configuration {} yet", configuration)
-                                           : "this router takes no more requests of other routers";
+        std::string cause = "this router takes no more requests of other routers";
+        if (outdated)
+            cause = fmt::format("this router has not received configuration {} yet", configuration);
+        else if (unknownSender)
+            cause = "this router does not know the sender as a router; send the request to the address for callers";
         const Error error{ErrorKind::NotRun, cause + "; not run, retry later", RetryAfterBusy.count()};
         co_await refuse(request, error, 503);
         co_return;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -68,6 +68,10 @@
     {
         return m_socket;
     }
+    const tcp::socket &socket() const
+    {
+        return m_socket;
+    }
     std::string_view header(std::string_view name) const;
     // Returns a function that finds headers of the request by name. Valid as long as the connection exists.
     PlatformCodec::Lookup lookup() const;
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -104,6 +104,7 @@
 {
     if (request.configuration() >= m_table.configurationVersion())
         return true;
+    reply.set_newer_configuration(m_table.configurationVersion());
     if (!maySend(MaxConfigurationBacklog, now))
         return false;
     m_table.addConfigurationSince(request.configuration(), request.has_progress() ? &request.progress() : nullptr, reply);
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -77,7 +77,7 @@
     const std::string text = settings(id, "127.0.0.1", seed) + fmt::format("metrics: \"127.0.0.1:{}\"\n", m_firstPort + 60 + n)
         + fmt::format("firstStart: true\nlisten: \"127.0.0.1:{}\"\nready: \"127.0.0.1:{}\"\ndirectory: \"127.0.0.1:{}\"\n", entryPort(n),
                       m_firstPort + 20 + n, m_firstPort + 30 + n)
-        + fmt::format("relay: \"127.0.0.1:{}\"\n", m_firstPort + 70 + n);
+        + fmt::format("relay: \"127.0.0.1:{}\"\n", m_firstPort + 70 + n) + m_entrySettings;
     spawn(id, {m_programs + "/roserail-entry", writeFile(id + ".yaml", text)});
 }
 
@@ -229,6 +229,12 @@
     return result ? Json::parse(result->body) : Json();
 }
 
+std::string Fleet::entryMetrics(int entry)
+{
+    const httplib::Result result = clientFor("127.0.0.1", m_firstPort + 60 + entry).Get("/metrics");
+    return result ? result->body : "";
+}
+
 Json Fleet::keeperDump(int keeper)
 {
     const httplib::Result result = clientFor(keeperAddress(keeper), m_firstPort + 60).Get("/dump");
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -25,6 +25,11 @@
     {
         m_graceMs = ms;
     }
+    // Sets more lines for the settings of the entry hosts that are started from now on.
+    void setEntrySettings(std::string lines)
+    {
+        m_entrySettings = std::move(lines);
+    }
     // Sets how long runners that are started from now on take to answer an order once they have executed it.
     void setOrderAnswerTime(int ms)
     {
@@ -61,6 +66,8 @@
     // Return the state dump of a process.
     Json entryDump(int entry);
     Json keeperDump(int keeper);
+    // Returns the metrics of an entry host as text.
+    std::string entryMetrics(int entry);
     // Returns the control host that began to send orders in the highest term, according to the logs; 0 if none has.
     int leader();
     // Waits until a leader may send orders to engines: the order lease of an earlier leader must have expired.
@@ -87,6 +94,7 @@
     std::string settings(const std::string &id, const std::string &address, const std::string &seed = "") const;
     int m_firstPort;
     int m_graceMs = 4000;
+    std::string m_entrySettings;
     int m_orderAnswerMs = 0;
     std::string m_programs;
 };
--- a/tests/log_test.cpp
+++ b/tests/log_test.cpp
@@ -83,6 +83,17 @@
     BOOST_TEST((again.value().host.log == row.detail));
 }
 
+// An absent time means that keys are accepted without an end, as at sites that set none.
+BOOST_AUTO_TEST_CASE(timeForWhichKeysAreAcceptedIsReadFromSettings)
+{
+    BOOST_TEST(!parseEntrySettings(settingsWith(""), "f").value().keysValidFor);
+    const EntrySettings settings = parseEntrySettings(settingsWith("keysValidFor: 5000ms\n"), "f").value();
+    BOOST_TEST(settings.keysValidFor->count() == 5000);
+    BOOST_TEST(parseEntrySettings(toYaml(settings), "f").value().keysValidFor->count() == 5000);
+    for (const char *it : {"keysValidFor: true\n", "keysValidFor: -1s\n", "keyValidFor: 5s\n"})
+        BOOST_TEST(parseEntrySettings(settingsWith(it), "f").has_error(), it);
+}
+
 BOOST_AUTO_TEST_CASE(errorForUnknownDetailListsValidValues)
 {
     const Result<EntrySettings> settings = parseEntrySettings(settingsWith("log: loud\n"), "f");
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -104,6 +104,15 @@
     {"/routes/0", "7"},
     {"/services/1/name", "\"s1\""},
     {"/services/0/engine/models/0/weights_mb", "\"much\""},
+    {"/tenants", "{}"},
+    {"/tenants", R"([{"api_keys":["k1"]}])"},
+    {"/tenants", R"([{"name":"","api_keys":["k1"]}])"},
+    {"/tenants", R"([{"name":"a\r\nb","api_keys":["k1"]}])"},
+    {"/tenants", R"([{"name":"a","api_keys":"k1"}])"},
+    {"/tenants", R"([{"name":"a","api_keys":[1]}])"},
+    {"/tenants", R"([{"name":"a","unit":"byte"}])"},
+    {"/tenants", R"([{"name":"a"},{"name":"a"}])"},
+    {"/tenants", R"([{"name":"a","api_keys":["k1"]},{"name":"b","api_keys":["k2","k1"]}])"},
 };
 BOOST_DATA_TEST_CASE(invalidConfigurationIsRefused, bdata::make(InvalidConfigurations), change)
 {
@@ -113,6 +122,24 @@
     BOOST_TEST(!table.error().message.empty());
 }
 
+BOOST_AUTO_TEST_CASE(accountsAreDecoded)
+{
+    BOOST_TEST(!Codec.decodeConfiguration(configuration().dump()).value().accounts);
+    const Change change{"/tenants", R"([{"name":"a","api_keys":["k1","k1"],"priority":2,"unit":"token","rate_per_s":5.5,"burst":7,
+        "plain_tokens":3},{"name":"b"}])"};
+    Json body = Json::parse(changed(configuration(), change));
+    body["routes"][1]["anonymous"] = true;
+    const RouteTable table = Codec.decodeConfiguration(body.dump()).value();
+    BOOST_TEST(!table.routes[0].anonymous);
+    BOOST_TEST(table.routes[1].anonymous);
+    const Account &a = *table.accounts->findByKey(digestOf("k1"));
+    BOOST_TEST(a.id.value() == "a");
+    BOOST_TEST(a.priority.value() == 2u);
+    BOOST_TEST((a.quota.unit == QuotaUnit::Token && a.quota.perSecond == 5.5 && a.quota.burst == 7 && a.quota.plainTokens == 3));
+    const Account &b = *table.accounts->find(AccountId("b"));
+    BOOST_TEST((!b.priority && !b.quota.limited() && b.keys.empty()));
+}
+
 BOOST_AUTO_TEST_CASE(heartbeatIsDecoded)
 {
     const pb::Announcement announcement = Codec.decodeAnnouncement("i-1", heartbeat().dump()).value();
--- a/tests/processes.cpp
+++ b/tests/processes.cpp
@@ -132,6 +132,16 @@
     return ::waitpid(m_pids.at(process), nullptr, WNOHANG) == 0;
 }
 
+std::string Processes::allOutput() const
+{
+    std::string text;
+    for (const std::filesystem::directory_entry &it : std::filesystem::directory_iterator(m_folder)) {
+        if (it.path().extension() == ".out" || it.path().extension() == ".log")
+            text += readWholeFile(it.path());
+    }
+    return text;
+}
+
 std::string Processes::output(const std::string &process) const
 {
     return readWholeFile(m_folder / (process + ".out"));
--- a/tests/processes.h
+++ b/tests/processes.h
@@ -36,6 +36,8 @@
     }
     // Returns what a process has written to standard output.
     std::string output(const std::string &process) const;
+    // Returns what all processes have written to standard output and standard error.
+    std::string allOutput() const;
 
 protected:
     void spawn(const std::string &name, const std::vector<std::string> &command);
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 using namespace roserail;
@@ -318,3 +319,40 @@
     quarantine.expire(WallTime(tunables::QuarantineDuration));
     BOOST_TEST(quarantine.quarantined().empty());
 }
+
+struct TokenRow {
+    const char *name;
+    std::vector<const char *> changed; // sections
+    const char *error; // part of it; empty: none
+};
+
+std::ostream &operator<<(std::ostream &os, const TokenRow &row)
+{
+    return os << row.name;
+}
+
+const std::vector<TokenRow> TokenRows{
+    {"the section with the older caller", {"one"}, "line 1, column 11: section 'one': callers 'b' and 'a' have the same token"},
+    {"both sections", {"one", "two"}, "callers 'a' and 'b' have the same token; create one for each with 'roserailctl token'"},
+    {"another section, beside callers that share a token already", {"three"}, ""},
+    {"a section with two callers of one token", {"four"}, "callers 'd' and 'e' have the same token"},
+};
+
+// A caller can't be given the token of another one. Sections that are not changed don't prevent a change.
+BOOST_DATA_TEST_CASE(tokensOfChangedSectionsAreUnique, bdata::make(TokenRows), row)
+{
+    const auto section = [](const std::string &name, const std::string &callers) {
+        return parseSection(name, "callers: [" + callers + "]").value();
+    };
+    const auto caller = [](char name, char digit) {
+        return fmt::format("{{name: {}, tokenSha256: \"{}\"}}", name, std::string(64, digit));
+    };
+    std::vector<SectionContent> sections{section("one", caller('a', '1')), section("two", caller('b', '1')),
+                                         section("three", caller('c', '3'))};
+    if (std::string(row.changed.front()) == "four")
+        sections.push_back(section("four", caller('d', '4') + ", " + caller('e', '4')));
+    const Result<void> checked = checkTokens(sections, {row.changed.begin(), row.changed.end()});
+    BOOST_REQUIRE(checked.has_error() == (*row.error != '\0'));
+    if (checked.has_error())
+        BOOST_TEST(checked.error().message.find(row.error) != std::string::npos, checked.error().message);
+}
--- a/tests/system_test.cpp
+++ b/tests/system_test.cpp
@@ -80,8 +80,12 @@
         {"sections:\n  x:\n    models:\n      - {name: a, version: v, pool: pool, bytes: 25 apples}\n", "line 4"},
         {"sections: [\n", "line 2"},
         {"sections:\n  x:\n    adapters:\n      - {name: b, version: v, base: none, bytes: 1MiB}\n", "line 4, column 9"},
+        {fmt::format("sections:\n  x:\n    callers:\n      - {{name: copy, tokenSha256: {}, class: interactive, use: [\"*\"]}}\n",
+                     sha256Hex("caller-token")),
+         "line 4, column 9: section 'x': callers 'caller' and 'copy' have the same token; create one for each"},
     };
     for (const std::pair<std::string, std::string> &it : cases) {
+        BOOST_TEST(system.ctl({"check", "-f", "-"}, it.first).code == 6);
         const System::Output output = system.ctl({"apply", "-f", "-"}, it.first);
         BOOST_TEST(output.code == 6);
         BOOST_TEST(output.err.find(it.second) != std::string::npos, output.err);
