--- a/src/transport/forwarderlog.cpp
+++ b/src/transport/forwarderlog.cpp
@@ -20,9 +20,11 @@
     const Time now = monotonicNow();
     took.record(uint64_t((now - request.caller.arrivedAt()).count()));
     metrics().counter(fmt::format("roserail_requests_total{{outcome=\"{}\"}}", outcome)).add();
+    countByAccount(request, outcome);
     logOutcome("request",
                {{"id", request.metadata.id},
                 {"route", request.route == nullptr ? "" : request.route->name},
+                {"account", accountId(request).value()},
                 {"config", request.table ? request.table->version : 0},
                 {"config_age_ms", (now - m_currentAt).count()},
                 {"model", request.requirements.model},
