--- a/tests/system_test.cpp
+++ b/tests/system_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the control replicas and their documents in a running system, with killed, frozen and wiped replicas.
 #define BOOST_TEST_MODULE system
+#include "protocol/json.h"
 #include "system.h"
 
 #include <boost/test/included/unit_test.hpp>
@@ -81,7 +82,7 @@
         {"sections: [\n", "line 2"},
         {"sections:\n  x:\n    adapters:\n      - {name: b, version: v, base: none, bytes: 1MiB}\n", "line 4, column 9"},
         {fmt::format("sections:\n  x:\n    callers:\n      - {{name: copy, tokenSha256: {}, class: interactive, use: [\"*\"]}}\n",
-                     sha256Hex("caller-token")),
+                     roserail::sha256Hex("caller-token")),
          "line 4, column 9: section 'x': callers 'caller' and 'copy' have the same token; create one for each"},
     };
     for (const std::pair<std::string, std::string> &it : cases) {
