Orders: the lease is checked once the connection to the endpoint is open

Cause: the lease was checked before the connection was opened.

Change: callEndpoint asks for permission once it is connected, right before it writes.

Result: endpointpool_test permissionIsCheckedOnceConnected passes; the parameter is new, so the test can't be built on the code before.

--- a/src/transport/endpointpool.cpp
+++ b/src/transport/endpointpool.cpp
@@ -203,13 +203,18 @@
 }
 
 Task<std::optional<CallAnswer>> callEndpoint(EndpointPool &pool, std::string address, std::string method, std::string path,
-                                             std::vector<HeaderField> headers, std::string body, Millis timeout)
+                                             std::vector<HeaderField> headers, std::string body, Millis timeout,
+                                             std::function<bool()> permitted)
 {
     EndpointConnectionPtr connection = pool.takeIdle(address, monotonicNow());
     if (!connection)
         connection = co_await pool.connect(address, timeout);
     if (!connection)
         co_return std::nullopt;
+    if (permitted && !permitted()) {
+        pool.putIdle(std::move(connection), monotonicNow());
+        co_return std::nullopt;
+    }
     bool reusable = false;
     std::optional<CallAnswer> answer = co_await callOnConnection(*connection, std::move(method), std::move(path), std::move(headers),
                                                                  std::move(body), timeout, reusable);
--- a/src/transport/endpointpool.h
+++ b/src/transport/endpointpool.h
@@ -64,8 +64,10 @@
 Task<std::optional<CallAnswer>> callOnConnection(EndpointConnection &connection, std::string method, std::string path,
                                                  std::vector<HeaderField> headers, std::string body, Millis timeout, bool &reusable);
 
-// Does the same on a connection of the pool.
+// Does the same on a connection of the pool. `permitted`, if set, is asked once the connection is open; nothing is sent if it returns
+// false.
 Task<std::optional<CallAnswer>> callEndpoint(EndpointPool &pool, std::string address, std::string method, std::string path,
-                                             std::vector<HeaderField> headers, std::string body, Millis timeout);
+                                             std::vector<HeaderField> headers, std::string body, Millis timeout,
+                                             std::function<bool()> permitted = nullptr);
 
 } // namespace roserail
--- a/src/transport/ordersender.cpp
+++ b/src/transport/ordersender.cpp
@@ -148,13 +148,14 @@
 
 Task<> OrderSender::sendOrder(ArtifactOrder order, std::string address, uint64_t term)
 {
-    std::optional<CallAnswer> answer;
-    // Checks the lease again right before sending: the process may have been suspended since the order was planned.
-    const bool leads = m_node.status().leads(monotonicNow());
-    const Time sentAt = monotonicNow();
-    if (leads)
-        answer = co_await callEndpoint(m_pool, address, "POST", m_codec.orderPath(), m_codec.orderHeaders(order),
-                                       m_codec.encodeOrder(order), OrderTimeout);
+    // Checks the lease again right before sending: the process may have been suspended since the order was planned, or while it connected.
+    const std::shared_ptr<bool> sent = std::make_shared<bool>(false);
+    const auto permitted = [this, sent] {
+        return *sent = m_node.status().leads(monotonicNow());
+    };
+    const Time startedAt = monotonicNow();
+    const std::optional<CallAnswer> answer = co_await callEndpoint(
+        m_pool, address, "POST", m_codec.orderPath(), m_codec.orderHeaders(order), m_codec.encodeOrder(order), OrderTimeout, permitted);
     metrics().counter(answer ? "roserail_orders_total{answer=\"yes\"}" : "roserail_orders_total{answer=\"none\"}").add();
     logEvent("order",
              {{"action", order.action == OrderAction::Load ? "load" : "unload"},
@@ -163,9 +164,9 @@
               {"adapter", order.adapter},
               {"fence", order.fence},
               {"expected", order.expectedSequence},
-              {"sent", leads},
+              {"sent", *sent},
               {"status", answer ? answer->status : 0},
-              {"took_ms", (monotonicNow() - sentAt).count()},
+              {"took_ms", (monotonicNow() - startedAt).count()},
               {"waiting", order.inputs.waiting},
               {"running", order.inputs.running},
               {"longest_wait_ms", order.inputs.longestWait.count()},
--- a/tests/endpointpool_test.cpp
+++ b/tests/endpointpool_test.cpp
@@ -222,6 +222,23 @@
     BOOST_TEST(!outcome.reusable);
 }
 
+// Guards against a leader that is suspended while it connects to an endpoint: its order was sent although its lease had expired meanwhile.
+BOOST_DATA_TEST_CASE(permissionIsCheckedOnceConnected, bdata::make({true, false}), permitted)
+{
+    RawEndpoint endpoint([&](const std::string &) { return RawAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}; });
+    net::io_context io(1);
+    EndpointPool pool(io);
+    bool answered = false;
+    const std::function<bool()> check = [permitted] {
+        return permitted;
+    };
+    net::co_spawn(io, callEndpoint(pool, endpoint.address(), "POST", "/x", {}, "order", CallTimeout, check),
+                  [&](const std::exception_ptr &, std::optional<CallAnswer> answer) { answered = answer.has_value(); });
+    io.run();
+    BOOST_TEST(answered == permitted);
+    BOOST_TEST(endpoint.requests().size() == (permitted ? 1u : 0u));
+}
+
 // Guards against limits that refuse complete answers.
 BOOST_DATA_TEST_CASE(completeAnswerIsRead, bdata::make(CompleteAnswers), complete)
 {
