Router: general routes look up the caller's client account

Cause: the configuration's client accounts and API keys decided nothing; a caller's key reached the endpoint.

Change: a request on a route that is not anonymous needs the key of an account, else it is refused with 401 before anything is sent. The account's name goes to the endpoint in place of the key, and to another router in a header of its own. A key that a newer configuration has taken away is refused before the first send. Without accounts in the configuration nothing changes.

--- a/src/protocol/platformcodec.h
+++ b/src/protocol/platformcodec.h
@@ -136,8 +136,14 @@
     virtual ResponseMetadata responseMetadata(int status, const Lookup &header) const = 0;
     // Returns whether a header is set only by the system: values sent by callers are not forwarded to endpoints.
     virtual bool isReserved(std::string_view name) const = 0;
-    // Headers that the system adds to a request forwarded to `endpoint`; if that is empty, to another router.
-    virtual std::vector<HeaderField> forwardHeaders(const std::string &endpoint, Millis timeLeft) const = 0;
+    // Returns the name of the header in which callers send their API key.
+    virtual std::string_view apiKeyHeader() const = 0;
+    // Returns whether a header holds an API key or names a client account: values sent by callers are not forwarded if the
+    // configuration has accounts.
+    virtual bool isAccountHeader(std::string_view name) const = 0;
+    // Headers that the system adds to a request forwarded to `endpoint`; if that is empty, to another router. `account`: of the caller;
+    // empty if it has none.
+    virtual std::vector<HeaderField> forwardHeaders(const std::string &endpoint, Millis timeLeft, const AccountId &account) const = 0;
 
     virtual std::string orderPath() const = 0;
     virtual std::string encodeOrder(const ArtifactOrder &order) const = 0;
--- a/src/state/accounts.cpp
+++ b/src/state/accounts.cpp
@@ -1,5 +1,6 @@
 #include "state/accounts.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <openssl/crypto.h>
 #include <openssl/sha.h>
@@ -7,6 +8,20 @@
 namespace roserail
 {
 
+namespace
+{
+
+// Returns whether a header can hold the text unchanged.
+bool isHeaderValue(std::string_view text)
+{
+    const auto isControl = [](unsigned char c) {
+        return c < 0x20 || c == 0x7f;
+    };
+    return !text.empty() && text.front() != ' ' && text.back() != ' ' && std::none_of(text.begin(), text.end(), isControl);
+}
+
+} // namespace
+
 ApiKeyDigest digestOf(std::string_view apiKey)
 {
     ApiKeyDigest digest;
@@ -16,6 +31,9 @@
 
 Result<void> Accounts::add(Account account)
 {
+    if (!isHeaderValue(account.id.value()))
+        return Error{ErrorKind::InvalidDocument,
+                     "the name of a client account is empty, has a control character, or a space at an end; choose another name", 0};
     if (m_accounts.count(account.id) != 0)
         return Error{ErrorKind::InvalidDocument,
                      fmt::format("client account '{}' is listed twice; merge the two entries", account.id.value()), 0};
@@ -33,11 +51,10 @@
     return boost::outcome_v2::success();
 }
 
-const Account *Accounts::findByKey(std::string_view apiKey) const
+const Account *Accounts::findByKey(const ApiKeyDigest &key) const
 {
-    const ApiKeyDigest digest = digestOf(apiKey);
-    const auto it = m_holders.lower_bound(digest);
-    const bool found = it != m_holders.end() && CRYPTO_memcmp(it->first.data(), digest.data(), digest.size()) == 0;
+    const auto it = m_holders.lower_bound(key);
+    const bool found = it != m_holders.end() && CRYPTO_memcmp(it->first.data(), key.data(), key.size()) == 0;
     return found ? &m_accounts.at(it->second) : nullptr;
 }
 
--- a/src/state/accounts.h
+++ b/src/state/accounts.h
@@ -54,10 +54,10 @@
 class Accounts
 {
 public:
-    // Adds an account. Errors are InvalidDocument: another account has its name or one of its keys.
+    // Adds an account. Errors are InvalidDocument: its name can't be sent in a header, or another account has it or one of its keys.
     Result<void> add(Account account);
     // Returns the account that holds the key, or null.
-    const Account *findByKey(std::string_view apiKey) const;
+    const Account *findByKey(const ApiKeyDigest &key) const;
     const Account *find(const AccountId &id) const;
     const std::map<AccountId, Account> &all() const
     {
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -161,6 +161,10 @@
         co_await refuse(request, error, 404);
         co_return;
     }
+    if (const std::optional<std::pair<Error, unsigned>> refusal = identifyAccount(request)) {
+        co_await refuse(request, refusal->first, refusal->second);
+        co_return;
+    }
     request.deadline = caller.arrivedAt() + request.route->timeout;
     if (request.metadata.timeout)
         request.deadline = std::min(request.deadline, caller.arrivedAt() + *request.metadata.timeout);
@@ -233,6 +237,11 @@
         std::optional<EndpointChoice> choice;
         if (mayContinue && mayBegin(request))
             choice = co_await findEndpoint(request);
+        if (keyTakenAway(request) && !request.cancellation->cancelled()) {
+            const Error error{ErrorKind::Unauthorized, "the API key was taken away before the request was sent; use another key", 0};
+            co_await refuse(request, error, 401);
+            co_return;
+        }
         if (!mayBegin(request)) { // also if the stop has begun meanwhile
             choice.reset();
             refuseByStop(request);
@@ -586,7 +595,7 @@
         request.requirements.avoid.insert(choice.endpoint);
         co_return request.cancellation->cancelled() ? AttemptEnd::Abandoned : AttemptEnd::NotSent;
     }
-    if (!mayBegin(request)) { // the stop has begun meanwhile
+    if (!mayBegin(request) || keyTakenAway(request)) { // the stop has begun meanwhile, or a configuration has come
         m_pool.putIdle(std::move(connection), monotonicNow());
         co_return AttemptEnd::NotSent;
     }
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -120,6 +120,9 @@
     Task<> run(Request &request);
     Task<> serve(Request &request);
     Task<> waitForConfiguration(Request &request);
+    std::optional<std::pair<Error, unsigned>> identifyAccount(Request &request) const;
+    bool keyTakenAway(const Request &request) const;
+    static AccountId accountId(const Request &request);
     Task<> waitUntil(Request &request, const std::function<bool()> &condition);
     bool mayBegin(const Request &request) const;
     static void refuseByStop(Request &request);
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -44,12 +44,13 @@
     for (const http::fields::value_type &it : original) {
         const std::string_view name = view(it.name_string());
         const bool replaced = resumes && boost::beast::iequals(it.name_string(), LastEventId);
-        if (!isHopByHop(name) && !m_codec.isReserved(name) && !isRelayHeader(name) && !replaced)
+        const bool replacedByAccount = request.table->accounts && m_codec.isAccountHeader(name);
+        if (!isHopByHop(name) && !m_codec.isReserved(name) && !isRelayHeader(name) && !replaced && !replacedByAccount)
             bytes += fmt::format("{}: {}\r\n", name, view(it.value()));
     }
     if (resumes)
         bytes += fmt::format("{}: {}\r\n", LastEventId, request.eventRelay.lastId());
-    std::vector<HeaderField> added = m_codec.forwardHeaders(choice.endpoint, request.deadline - now);
+    std::vector<HeaderField> added = m_codec.forwardHeaders(choice.endpoint, request.deadline - now, accountId(request));
     if (!choice.router.empty()) {
         const std::vector<HeaderField> headers = relayHeaders(request);
         added.insert(added.end(), headers.begin(), headers.end());
--- a/src/transport/forwarderlog.cpp
+++ b/src/transport/forwarderlog.cpp
@@ -23,6 +23,7 @@
     logOutcome("request",
                {{"id", request.metadata.id},
                 {"route", request.route == nullptr ? "" : request.route->name},
+                {"account", accountId(request).value()},
                 {"config", request.table ? request.table->version : 0},
                 {"config_age_ms", (now - m_currentAt).count()},
                 {"model", request.requirements.model},
--- a/src/transport/forwarderrelay.cpp
+++ b/src/transport/forwarderrelay.cpp
@@ -48,6 +48,8 @@
         {RelayedFrom, m_self}, {RelayConfiguration, std::to_string(request.table->version)}, {RelayAttempts, std::to_string(attempts)}};
     if (request.requirements.software)
         headers.push_back({RelaySoftware, request.requirements.software->value()});
+    if (request.account != nullptr)
+        headers.push_back({RelayAccount, request.account->id.value()});
     return headers;
 }
 
@@ -75,7 +77,7 @@
         m_peers->failed(choice.router, monotonicNow());
         co_return AttemptEnd::NotSent;
     }
-    if (!mayBegin(request)) { // the stop has begun meanwhile
+    if (!mayBegin(request) || keyTakenAway(request)) { // the stop has begun meanwhile, or a configuration has come
         m_pool.putIdle(std::move(connection), monotonicNow());
         co_return AttemptEnd::NotSent;
     }
--- a/src/transport/forwarderrequest.h
+++ b/src/transport/forwarderrequest.h
@@ -16,6 +16,7 @@
 constexpr const char *RelaySoftware = "Roserail-Software"; // version required to continue a stream; in an answer, the one that began it
 constexpr const char *RelayAttempts = "Roserail-Attempts"; // endpoints that may still run the request
 constexpr const char *RelayOutcome = "Roserail-Outcome"; // the answer is the router's own; NotRunOutcome, or another kind of error
+constexpr const char *RelayAccount = "Roserail-Account"; // client account whose API key the other router has checked
 constexpr std::string_view NotRunOutcome = "not_run";
 // Not run, since that router can't connect to the endpoints either, or is stopping; another router may serve the request.
 constexpr std::string_view UnreachableOutcome = "unreachable";
@@ -65,6 +66,13 @@
     CallerConnection &caller;
     std::shared_ptr<const RouteTable> table;
     const Route *route = nullptr;
+    const Account *account = nullptr; // of the caller, in `table`; null: the request needs no API key
+    std::optional<ApiKeyDigest> apiKey; // none: the request needs none, or another router has checked it
+    // Returns the rank of the request, 0 is the most urgent. The route must be known.
+    uint32_t priority() const
+    {
+        return account != nullptr && account->priority ? *account->priority : route->priority;
+    }
     RequestMetadata metadata;
     Fingerprint fingerprint;
     std::vector<PromptPartId> sharedParts; // of the prompt, which other requests may have as well
--- a/tests/tasks_test.cpp
+++ b/tests/tasks_test.cpp
@@ -143,9 +143,17 @@
     {
         return m_codec.isReserved(name);
     }
-    std::vector<HeaderField> forwardHeaders(const std::string &endpoint, Millis timeLeft) const override
+    std::string_view apiKeyHeader() const override
     {
-        return m_codec.forwardHeaders(endpoint, timeLeft);
+        return m_codec.apiKeyHeader();
+    }
+    bool isAccountHeader(std::string_view name) const override
+    {
+        return m_codec.isAccountHeader(name);
+    }
+    std::vector<HeaderField> forwardHeaders(const std::string &endpoint, Millis timeLeft, const AccountId &account) const override
+    {
+        return m_codec.forwardHeaders(endpoint, timeLeft, account);
     }
     std::string orderPath() const override
     {
