--- a/tests/quotashare_test.cpp
+++ b/tests/quotashare_test.cpp
@@ -184,6 +184,10 @@
         m_quotas[Small] = m_highest[Small] = randomQuota();
         for (int i = 0; i < Hosts; ++i)
             m_hosts.push_back({clock(), std::nullopt, 0});
+        m_faultRange = pick(0, 2) == 0 ? 60 : pick(200, 3000);
+        m_lateShare = 0.01 * pick(0, 10);
+        m_lostShare = 0.01 * pick(0, 5);
+        m_waitShare = 0.01 * pick(0, 98);
         const int routers = pick(1, 12);
         for (int i = 0; i < routers; ++i)
             m_routers.push_back(newRouter());
@@ -193,6 +197,11 @@
     {
         for (int i = 0; i < steps; ++i) {
             m_now += pick(1, 40);
+            // Buckets fill while little is asked for.
+            if (m_now > m_phaseEnd) {
+                m_busy = !m_busy;
+                m_phaseEnd = m_now + (m_busy ? pick(1000, 12000) : pick(100, 4000));
+            }
             fault();
             elect();
             for (size_t r = 0; r < m_routers.size(); ++r)
@@ -314,7 +323,7 @@
     {
         Router &router = m_routers[size_t(pick(0, int(m_routers.size()) - 1))];
         Host &host = m_hosts[size_t(pick(0, Hosts - 1))];
-        switch (pick(0, 60)) {
+        switch (pick(0, m_faultRange)) {
         case 0: // a frozen process: its clock goes on
             router.frozenUntil = m_now + pick(100, 9000);
             break;
@@ -389,7 +398,7 @@
         // Requests with a grant run after some time in a queue.
         for (size_t i = 0; i < router.waiting.size();) {
             Pending &it = router.waiting[i];
-            if (!it.granted || chance(0.3)) {
+            if (!it.granted || chance(m_waitShare)) {
                 ++i;
                 continue;
             }
@@ -397,7 +406,7 @@
                 m_uses[it.account].push_back({m_now, it.units});
             router.waiting.erase(router.waiting.begin() + long(i));
         }
-        for (int n = pick(0, 4); n > 0; --n) {
+        for (int n = m_busy ? pick(0, 4) : 0; n > 0; --n) {
             const AccountId account = chance(0.8) ? Large : Small;
             const double units = chance(0.3) ? 200 : pick(200, 2500);
             const double before = router.stock.held().count(account) ? router.stock.held().at(account).units : 0;
@@ -431,7 +440,7 @@
             message.stock[it.first] = router.stock.wanted(it.first, now);
         std::erase_if(router.waiting, [](const Pending &it) { return !it.granted; });
         router.calling = true;
-        if (m_now < router.cutUntil || chance(0.05)) {
+        if (m_now < router.cutUntil || chance(m_lostShare)) {
             router.calling = false; // lost
             return;
         }
@@ -441,7 +450,7 @@
     // Most messages take milliseconds, some seconds, and are overtaken.
     void delay(Message &message)
     {
-        if (chance(0.1))
+        if (chance(m_lateShare))
             message.arrivesAt += pick(0, 4000);
     }
     void deliver()
@@ -477,7 +486,7 @@
         message.reply = true;
         message.arrivesAt = m_now + pick(0, 20);
         delay(message);
-        if (!chance(0.05))
+        if (!chance(m_lostShare))
             m_messages.push_back(std::move(message));
         else if (m_routers[message.router].incarnation == message.incarnation)
             m_routers[message.router].calling = false;
@@ -517,6 +526,12 @@
     size_t m_leader = 0;
     size_t m_configuration = 0;
     uint64_t m_incarnations = 0;
+    int m_faultRange = 60;
+    double m_lateShare = 0;
+    double m_lostShare = 0;
+    double m_waitShare = 0.3;
+    bool m_busy = false;
+    int64_t m_phaseEnd = 0;
 };
 
 // Units move while routers join, freeze, are cut off and restart, leaders change, messages are lost, late and out of order, clocks
