--- a/tests/quotashare_test.cpp
+++ b/tests/quotashare_test.cpp
@@ -184,7 +184,9 @@
         m_quotas[Small] = m_highest[Small] = randomQuota();
         for (int i = 0; i < Hosts; ++i)
             m_hosts.push_back({clock(), std::nullopt, 0});
-        m_faultRange = pick(0, 2) == 0 ? 60 : pick(200, 3000);
+        m_faultRange = pick(0, 1) == 0 ? 60 : pick(200, 3000);
+        m_faultKinds = pick(0, 1) == 0 ? 0xff : 1 << pick(0, 7);
+        m_releaseInterval = pick(0, 1) == 0 ? 0 : pick(100, 4000);
         m_lateShare = 0.01 * pick(0, 10);
         m_lostShare = 0.01 * pick(0, 5);
         m_waitShare = 0.01 * pick(0, 98);
@@ -202,6 +204,9 @@
                 m_busy = !m_busy;
                 m_phaseEnd = m_now + (m_busy ? pick(1000, 12000) : pick(100, 4000));
             }
+            m_release = m_now >= m_releasedAt + m_releaseInterval;
+            if (m_release)
+                m_releasedAt = m_now;
             fault();
             elect();
             for (size_t r = 0; r < m_routers.size(); ++r)
@@ -323,7 +328,12 @@
     {
         Router &router = m_routers[size_t(pick(0, int(m_routers.size()) - 1))];
         Host &host = m_hosts[size_t(pick(0, Hosts - 1))];
-        switch (pick(0, m_faultRange)) {
+        const int kind = pick(0, m_faultRange);
+        // Some runs have one kind of fault only, and thus more use.
+        const bool enabled = kind < 8 && (m_faultKinds >> kind & 1) != 0;
+        if (kind >= 8)
+            sync(router);
+        switch (enabled ? kind : 8) {
         case 0: // a frozen process: its clock goes on
             router.frozenUntil = m_now + pick(100, 9000);
             break;
@@ -353,7 +363,7 @@
             changeAccounts();
             break;
         default:
-            sync(router);
+            break;
         }
     }
     // Limits go down and up, and an account goes and comes back.
@@ -398,7 +408,8 @@
         // Requests with a grant run after some time in a queue.
         for (size_t i = 0; i < router.waiting.size();) {
             Pending &it = router.waiting[i];
-            if (!it.granted || chance(m_waitShare)) {
+            const bool waits = m_releaseInterval > 0 ? !m_release && now <= it.usableUntil : chance(m_waitShare);
+            if (!it.granted || waits) {
                 ++i;
                 continue;
             }
@@ -526,7 +537,11 @@
     size_t m_leader = 0;
     size_t m_configuration = 0;
     uint64_t m_incarnations = 0;
-    int m_faultRange = 60;
+    int m_faultRange = 60; // one in so many steps has a fault of a kind
+    int m_faultKinds = 0xff; // bit mask
+    int64_t m_releaseInterval = 0; // granted requests wait for the next one, at all routers; 0: they do not
+    int64_t m_releasedAt = 0;
+    bool m_release = false;
     double m_lateShare = 0;
     double m_lostShare = 0;
     double m_waitShare = 0.3;
