--- a/src/coordination/quotashare.cpp
+++ b/src/coordination/quotashare.cpp
@@ -14,13 +14,18 @@
 
 constexpr double GrantAgeShare = 0.5; // of the allowance
 constexpr double StockShare = 0.25;
-constexpr double BurstShare = 0.25;
+constexpr double BucketShare = 0.25;
+constexpr double KeptBurstShare = 0.25; // of the burst, in the bucket; the rest is spread over the window
+constexpr double MaxSpreadBucketShare = 0.25; // of what the bucket grants in a window
+// The bucket holds at least some requests.
+constexpr double MinBucketTokens = 4096;
+constexpr double MinBucketRequests = 2;
 constexpr double ReservedShare = 0.5; // of a bucket, which stocks do not take
 
 // Rounded up, so that the rate has surely allowed for the units by then.
-Millis timeFor(double units, const Quota &quota, Millis longest)
+Millis timeFor(double units, double perSecond, Millis longest)
 {
-    const double ms = std::max(0.0, units) / quota.perSecond * 1000;
+    const double ms = std::max(0.0, units) / perSecond * 1000;
     return ms >= double(longest.count()) ? longest : Millis(int64_t(ms) + 1);
 }
 
@@ -33,7 +38,7 @@
 
 Millis QuotaBounds::grantAge(const Quota &quota) const
 {
-    const double ms = GrantAgeShare * allowance(quota) / quota.perSecond * 1000;
+    const double ms = GrantAgeShare * allowance(quota) / refillPerSecond(quota) * 1000;
     return Millis(int64_t(std::min(ms, double(MaxQuotaGrantAge.count()))));
 }
 
@@ -44,7 +49,20 @@
 
 double QuotaBounds::bucketSize(const Quota &quota) const
 {
-    return quota.burst + BurstShare * allowance(quota);
+    const double reserve = BucketShare * allowance(quota);
+    const double least = quota.unit == QuotaUnit::Token ? MinBucketTokens : MinBucketRequests;
+    const double most = std::max(quota.burst + reserve, MaxSpreadBucketShare * granted(quota));
+    return std::min(std::max(KeptBurstShare * quota.burst + reserve, least), most);
+}
+
+double QuotaBounds::refillPerSecond(const Quota &quota) const
+{
+    return (granted(quota) - bucketSize(quota)) / double(window.count()) * 1000;
+}
+
+double QuotaBounds::granted(const Quota &quota) const
+{
+    return quota.perSecond * double(window.count()) / 1000 + quota.burst + BucketShare * allowance(quota);
 }
 
 void QuotaAllocator::setAccounts(const Accounts &accounts, Time now)
@@ -73,7 +91,7 @@
 void QuotaAllocator::fill(Bucket &bucket, Time now) const
 {
     const double size = m_bounds.bucketSize(bucket.quota);
-    const double units = bucket.quota.perSecond * double(std::max<int64_t>(0, (now - bucket.filledAt).count())) / 1000;
+    const double units = m_bounds.refillPerSecond(bucket.quota) * double(std::max<int64_t>(0, (now - bucket.filledAt).count())) / 1000;
     bucket.level = std::min(size, bucket.level + units);
     bucket.mostLeft = std::min(size, bucket.mostLeft + units);
     bucket.filledAt = std::max(bucket.filledAt, now);
@@ -94,11 +112,12 @@
         bucket.granted += units;
         return {QuotaVerdict::Granted, Millis(0)};
     }
-    const Time alone = now + timeFor(units - bucket.level, bucket.quota, MaxQuotaRetryTime);
+    const double perSecond = m_bounds.refillPerSecond(bucket.quota);
+    const Time alone = now + timeFor(units - bucket.level, perSecond, MaxQuotaRetryTime);
     if (may)
         return {QuotaVerdict::Later, std::min<Millis>(alone - now, QuotaLaterInterval)};
     // Those that were denied before come back first.
-    const Time queued = std::max(bucket.queueEnd, now) + timeFor(units, bucket.quota, MaxQuotaRetryTime);
+    const Time queued = std::max(bucket.queueEnd, now) + timeFor(units, perSecond, MaxQuotaRetryTime);
     bucket.queueEnd = std::max(alone, std::min(queued, now + MaxQuotaRetryTime));
     bucket.denied += units;
     return {QuotaVerdict::Denied, bucket.queueEnd - now};
@@ -221,7 +240,7 @@
         return std::nullopt;
     Held &held = it->second;
     const Time retryAt = held.retryAt;
-    const Millis step = timeFor(units * double(std::max<size_t>(1, m_routers)), held.quota, MaxQuotaRetryTime);
+    const Millis step = timeFor(units * double(std::max<size_t>(1, m_routers)), held.quota.perSecond, MaxQuotaRetryTime);
     held.retryAt = std::min(retryAt + step, now + MaxQuotaRetryTime);
     return retryAt;
 }
--- a/src/coordination/quotashare.h
+++ b/src/coordination/quotashare.h
@@ -26,8 +26,13 @@
     Millis grantAge(const Quota &quota) const;
     // A quarter: of all routers together.
     double stock(const Quota &quota) const;
-    // A quarter: added to the burst, so that requests whose order changed on their way are not refused.
+    // A token bucket that grants at most rate * window + burst in a window, and a quarter of the allowance, so that requests whose order
+    // changed on their way are not refused. It refills faster than the rate, since an account may use its burst in each window.
     double bucketSize(const Quota &quota) const;
+    double refillPerSecond(const Quota &quota) const;
+
+private:
+    double granted(const Quota &quota) const; // in a window, by the bucket
 };
 
 enum class QuotaVerdict {
