--- a/src/coordination/quotashare.cpp
+++ b/src/coordination/quotashare.cpp
@@ -12,9 +12,10 @@
 namespace
 {
 
-constexpr double GrantAgeShare = 0.5; // of the allowance
-constexpr double StockShare = 0.25;
-constexpr double BucketShare = 0.25;
+// Shares of the allowance; their sum is at most 1.
+constexpr double GrantAgeShare = 0.35;
+constexpr double StockShare = 0.15;
+constexpr double BucketShare = 0.5;
 constexpr double KeptBurstShare = 0.25; // of the burst, in the bucket; the rest is spread over the window
 constexpr double MaxSpreadBucketShare = 0.25; // of what the bucket grants in a window
 // The bucket holds at least some requests.
--- a/src/coordination/quotashare.h
+++ b/src/coordination/quotashare.h
@@ -22,11 +22,11 @@
 
     // Returns the units by which the account may exceed its limit in a window.
     double allowance(const Quota &quota) const;
-    // Half of the allowance: a grant may be used for as long as the account's rate needs for it.
+    // A share of the allowance: a grant may be used for as long as the account needs to be granted that much.
     Millis grantAge(const Quota &quota) const;
-    // A quarter: of all routers together.
+    // Another share: what all routers together may hold.
     double stock(const Quota &quota) const;
-    // A token bucket that grants at most rate * window + burst in a window, and a quarter of the allowance, so that requests whose order
+    // A token bucket that grants at most rate * window + burst in a window, and the rest of the allowance, so that requests whose order
     // changed on their way are not refused. It refills faster than the rate, since an account may use its burst in each window.
     double bucketSize(const Quota &quota) const;
     double refillPerSecond(const Quota &quota) const;
