--- a/src/transport/forwarderquota.cpp
+++ b/src/transport/forwarderquota.cpp
@@ -50,7 +50,6 @@
     static Counter &unanswered = metrics().counter("roserail_quota_requests_unanswered_total");
     request.refusedByQuota = true;
     if (request.grant.retryAt) {
-        metrics().counter(fmt::format("roserail_quota_refused_total{{account=\"{}\"}}", request.grant.account.value())).add();
         request.cause = "the client account has used what it may for now";
         request.refusalKind = ErrorKind::OverQuota;
         request.retryDelay = std::max(Millis(1), Millis(*request.grant.retryAt - now));
