--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -30,6 +30,11 @@
     {
         m_entrySettings = std::move(lines);
     }
+    // Sets lines that are added to the settings of the control and entry hosts that are started from now on.
+    void setHostSettings(const std::string &lines)
+    {
+        m_hostSettings = lines;
+    }
     // Sets how long runners that are started from now on take to answer an order once they have executed it.
     void setOrderAnswerTime(int ms)
     {
@@ -94,6 +99,7 @@
     std::string settings(const std::string &id, const std::string &address, const std::string &seed = "") const;
     int m_firstPort;
     int m_graceMs = 4000;
+    std::string m_hostSettings;
     std::string m_entrySettings;
     int m_orderAnswerMs = 0;
     std::string m_programs;
