--- a/src/transport/quotagranter.cpp
+++ b/src/transport/quotagranter.cpp
@@ -4,6 +4,9 @@
 #include "protocol/metrics.h"
 #include "transport/clock.h"
 
+#include <cmath>
+#include <limits>
+
 namespace roserail
 {
 
@@ -103,7 +106,8 @@
     const AccountId account(ask.account());
     for (int i = 0; i < ask.units_size(); ++i) {
         const bool again = i < ask.again_size() && ask.again(i);
-        const QuotaDecision decision = m_allocator.ask(account, ask.units(i), again, now);
+        const double units = std::isfinite(ask.units(i)) ? std::max(0.0, ask.units(i)) : std::numeric_limits<double>::max();
+        const QuotaDecision decision = m_allocator.ask(account, units, again, now);
         out.add_answers(toProto(decision.verdict));
         out.add_retry_in_ms(uint32_t(decision.retryIn.count()));
         counters[size_t(decision.verdict)]->add();
--- a/tests/decoders_test.cpp
+++ b/tests/decoders_test.cpp
@@ -240,3 +240,36 @@
     for (uint64_t round = 0; round < n; ++round)
         decoder.decode(damaged(decoder.message, random));
 }
+
+struct QuotaSettingsRow {
+    const char *lines;
+    const char *remedy; // in the error; empty: the settings are valid
+    QuotaBounds bounds;
+};
+std::ostream &operator<<(std::ostream &os, const QuotaSettingsRow &row)
+{
+    return os << row.lines;
+}
+const QuotaSettingsRow QuotaSettingsRows[] = {
+    {"", "", {Millis(8000), 0.1, 0}},
+    {"quotaWindow: 4s\nquotaOvershoot: 0.2\nquotaSlack: 17000.0\n", "", {Millis(4000), 0.2, 17000}},
+    {"quotaWindow: 8\n", "such as 250ms, 4s or 30m", {}},
+    {"quotaWindow: 0s\n", "write a time such as 8s", {}},
+    {"quotaOvershoot: 0\n", "write 0.1 for a tenth", {}},
+    {"quotaOvershoot: 10\n", "write 0.1 for a tenth", {}},
+    {"quotaOvershoot: nan\n", "write 0.1 for a tenth", {}},
+    {"quotaSlack: -1\n", "must be from 0", {}},
+    {"quotaSlack: much\n", "a number of units", {}},
+    {"quotaSlak: 1\n", "quotaSlak", {}},
+};
+BOOST_DATA_TEST_CASE(boundsOfQuotasAreReadStrictly, bdata::make(QuotaSettingsRows), row)
+{
+    const Result<EntrySettings> settings = parseEntrySettings(Settings + row.lines, "entry.yaml");
+    BOOST_REQUIRE(settings.has_value() == (std::string(row.remedy).empty()));
+    if (settings.has_error()) {
+        BOOST_TEST(settings.error().message.find(row.remedy) != std::string::npos, settings.error().message);
+        return;
+    }
+    BOOST_TEST((settings.value().host.quota == row.bounds));
+    BOOST_TEST((parseEntrySettings(toYaml(settings.value()), "entry.yaml").value().host.quota == row.bounds));
+}
