--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -132,6 +132,7 @@
     Task<> waitForConfiguration(Request &request);
     std::optional<std::pair<Error, unsigned>> identifyAccount(Request &request) const;
     bool keyTakenAway(const Request &request) const;
+    static bool hasEnded(Request &request);
     bool isFromRouter(const CallerConnection &caller) const;
     void countByAccount(const Request &request, std::string_view outcome) const;
     static AccountId accountId(const Request &request);
