Residency: room for busy models by urgency

A model with 297 running requests had 4 holders of 32 slots for 9 s, since each engine with a copy served single requests for rarely used models, whose models may not be evicted in use; one of its holders had been evicted for such a model.

Routers tell the most urgent request per model (ArtifactDemand 9-10). A model in use may be evicted for a more urgent one if its next request can still be answered in its aim after a reload; a more urgent one is spared until others have waited half of their aim; loads go to urgent models first, one in four to the least urgent; a busy model gets several holders at once. In effect with client accounts and routes of different priority to one service.

--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -7,6 +7,7 @@
 #include "coordination/limitshare.h"
 #include "coordination/reachability.h"
 #include "coordination/registry.h"
+#include "coordination/urgency.h"
 #include "protocol/platformcodec.h"
 
 #include <deque>
@@ -27,6 +28,7 @@
     uint32_t promptTokens = 0;
     std::set<std::string> avoid; // endpoints that were tried already
     std::optional<SoftwareVersion> software; // of the endpoint that began the stream, if this continues one
+    std::optional<Urgency> urgency; // none: the service is not shared by urgency
     bool recordedSoftware = false; // the endpoint's software version must be in the replicated log, as others may continue the stream
 };
 
@@ -157,6 +159,7 @@
     struct Demand {
         uint32_t running = 0;
         std::multiset<Time> waiting; // start times of the waiting requests
+        UrgencyCount urgencies; // of both
         std::deque<Time> refused; // times of the latest refusals
     };
     using ArtifactKey = std::tuple<ServiceId, std::string, std::string>;
