Endpoints admit requests by urgency

A request of a service that is shared by urgency tells endpoints its rank: twice its priority, plus one once it is past its aim, so that it does not displace one that can still meet it. Without such a configuration no rank is sent.

--- a/src/coordination/urgency.cpp
+++ b/src/coordination/urgency.cpp
@@ -30,6 +30,12 @@
         m_requests.erase(it);
 }
 
+uint32_t admissionRank(const Urgency &urgency, Millis waited)
+{
+    const uint32_t late = waited >= urgency.aim ? 1 : 0;
+    return std::min(LastAdmissionRank, 2 * std::min(urgency.priority, LastAdmissionRank) + late);
+}
+
 bool mayDisplace(const Urgency &urgency, const VictimUse &victim)
 {
     return urgency.priority < victim.urgency.priority && victim.waiting == 0 && victim.reloadTime <= victim.urgency.aim;
--- a/src/coordination/urgency.h
+++ b/src/coordination/urgency.h
@@ -39,6 +39,11 @@
     std::map<Urgency, uint32_t> m_requests;
 };
 
+constexpr uint32_t LastAdmissionRank = 9;
+// Returns the rank by which an endpoint admits a request among those that wait for a slot: by priority, and after those of the same
+// priority that can still be answered within their aim if this one cannot.
+uint32_t admissionRank(const Urgency &urgency, Millis waited);
+
 // The use of a model that would be evicted for another one.
 struct VictimUse {
     Urgency urgency; // of its most urgent request
--- a/src/protocol/platformcodec.h
+++ b/src/protocol/platformcodec.h
@@ -145,6 +145,9 @@
     // empty if it has none.
     virtual std::vector<HeaderField> forwardHeaders(const std::string &endpoint, Millis timeLeft, const AccountId &account) const = 0;
 
+    // Header that tells an endpoint the order in which it admits a request: from 0, which is first, to LastAdmissionRank.
+    virtual HeaderField admissionRankHeader(uint32_t rank) const = 0;
+
     virtual std::string orderPath() const = 0;
     virtual std::string encodeOrder(const ArtifactOrder &order) const = 0;
     virtual std::vector<HeaderField> orderHeaders(const ArtifactOrder &order) const = 0;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -196,7 +196,7 @@
     request.requirements.adapter = request.metadata.adapter;
     request.requirements.prompt = request.metadata.prompt;
     request.requirements.promptTokens = request.metadata.promptTokens;
-    request.requirements.urgency = urgencyOf(*request.table, route, request.requirements.service, route.priority);
+    request.requirements.urgency = urgencyOf(*request.table, route, request.requirements.service, request.priority());
     request.requirements.recordedSoftware = route.retryPolicy == RetryPolicy::Resume;
     request.fingerprint = fingerprintOf(request.caller.request(), request.metadata);
     request.sharedParts = sharedParts(request.metadata);
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -55,6 +55,8 @@
         const std::vector<HeaderField> headers = relayHeaders(request);
         added.insert(added.end(), headers.begin(), headers.end());
     }
+    if (choice.router.empty() && request.requirements.urgency)
+        added.push_back(m_codec.admissionRankHeader(admissionRank(*request.requirements.urgency, now - request.caller.arrivedAt())));
     for (const HeaderField &it : added)
         bytes += fmt::format("{}: {}\r\n", it.name, it.value);
     const bool hasBody = !original.body().empty() || original.method() == http::verb::post || original.method() == http::verb::put;
--- a/src/transport/forwarderlog.cpp
+++ b/src/transport/forwarderlog.cpp
@@ -62,6 +62,7 @@
                  {"prompt", request.requirements.promptTokens},
                  {"cached", inputs.cachedTokens},
                  {"left_ms", (request.deadline - now).count()},
+                 {"priority", request.requirements.urgency ? int64_t(request.requirements.urgency->priority) : -1},
                  {"known", m_registryVersion},
                  {"known_age_ms", (now - m_syncedAt).count()}});
 }
--- a/tests/tasks_test.cpp
+++ b/tests/tasks_test.cpp
@@ -143,6 +143,10 @@
     {
         return m_codec.isReserved(name);
     }
+    HeaderField admissionRankHeader(uint32_t rank) const override
+    {
+        return m_codec.admissionRankHeader(rank);
+    }
     std::string_view apiKeyHeader() const override
     {
         return m_codec.apiKeyHeader();
--- a/tests/urgency_test.cpp
+++ b/tests/urgency_test.cpp
@@ -96,6 +96,22 @@
      {"b", "a"}},
 };
 
+struct RankRow {
+    Urgency urgency;
+    Millis waited;
+    uint32_t expected;
+};
+
+std::ostream &operator<<(std::ostream &out, const RankRow &row)
+{
+    return out << "priority " << row.urgency.priority << " after " << row.waited.count() << " ms";
+}
+
+const RankRow RankRows[] = {
+    {Urgent, Millis(0), 0},     {Urgent, Millis(500), 1},   {Medium, Millis(0), 2},
+    {Patient, Millis(3999), 4}, {Patient, Millis(4000), 5}, {Urgency{7, Millis(500)}, Millis(0), 9},
+};
+
 struct RouteRow {
     const char *description;
     bool accounts;
@@ -123,6 +139,12 @@
     BOOST_TEST(modelsByLoadPriority(row.demands, 4) == row.expected, boost::test_tools::per_element());
 }
 
+// A request past its aim is admitted after those of its kind that can still meet it, but before less urgent ones.
+BOOST_DATA_TEST_CASE(lateRequestIsAdmittedAfterItsKind, bdata::make(RankRows), row)
+{
+    BOOST_TEST(admissionRank(row.urgency, row.waited) == row.expected);
+}
+
 // Deployments without client accounts, or with routes of one priority, are served as before.
 BOOST_DATA_TEST_CASE(configurationDecidesWhetherUrgencyCounts, bdata::make(RouteRows), row)
 {
