Router: a request whose caller has left while the process was suspended is not sent

Change: right before a request is sent or passed on, the caller's connection is checked for its end, and the deadline for having passed.

--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -65,6 +65,14 @@
     return text;
 }
 
+// Returns whether the peer has closed its connection. Available bytes belong to a pipelined request, which is read after this one.
+bool hasClosed(tcp::socket &socket)
+{
+    char byte = 0;
+    const ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 std::string retryAfterHeader(Millis time)
 {
     return fmt::format("{:.3f}", double(time.count()) / 1000);
@@ -212,15 +220,22 @@
 {
     ErrorCode ec;
     co_await caller.socket().async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
-    if (ec || cancellation->finished)
-        co_return;
-    char byte = 0;
-    const ssize_t n = ::recv(caller.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    // Available bytes belong to a pipelined request, which is read after this one.
-    if (n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+    if (!ec && !cancellation->finished && hasClosed(caller.socket()))
         cancellation->cancel(cancellation->callerDisconnected);
 }
 
+// Returns whether the request has ended meanwhile. If this process was suspended, its caller may have left and its deadline may have
+// passed although the events that say so have not been handled yet.
+bool Forwarder::hasEnded(Request &request)
+{
+    Cancellation &cancellation = *request.cancellation;
+    if (!cancellation.cancelled() && hasClosed(request.caller.socket()))
+        cancellation.cancel(cancellation.callerDisconnected);
+    if (!cancellation.cancelled() && monotonicNow() >= request.deadline)
+        cancellation.cancel(cancellation.deadlinePassed);
+    return cancellation.cancelled();
+}
+
 Task<> Forwarder::forward(Request &request)
 {
     const Route &route = *request.route;
@@ -603,6 +618,10 @@
         m_pool.putIdle(std::move(connection), monotonicNow());
         co_return AttemptEnd::NotSent;
     }
+    if (hasEnded(request)) {
+        m_pool.putIdle(std::move(connection), monotonicNow());
+        co_return AttemptEnd::Abandoned;
+    }
     if (quotaExpired(request)) {
         m_pool.putIdle(std::move(connection), monotonicNow());
         co_await renewQuota(request);
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -144,6 +144,7 @@
     Task<> renewQuota(Request &request);
     bool quotaExpired(const Request &request) const;
     void giveQuotaBack(const Request &request);
+    static bool hasEnded(Request &request);
     bool isFromRouter(const CallerConnection &caller) const;
     void countByAccount(const Request &request, std::string_view outcome) const;
     static AccountId accountId(const Request &request);
--- a/src/transport/forwarderrelay.cpp
+++ b/src/transport/forwarderrelay.cpp
@@ -81,6 +81,10 @@
         m_pool.putIdle(std::move(connection), monotonicNow());
         co_return AttemptEnd::NotSent;
     }
+    if (hasEnded(request)) {
+        m_pool.putIdle(std::move(connection), monotonicNow());
+        co_return AttemptEnd::Abandoned;
+    }
     if (quotaExpired(request)) {
         m_pool.putIdle(std::move(connection), monotonicNow());
         request.triedRouters.erase(choice.router);
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -2,6 +2,7 @@
 // answers that are framed in different ways, truncated, or not answers at all.
 #define BOOST_TEST_MODULE forwarder
 #include "livestate.h"
+#include "loopback.h"
 #include "platform/codec.h"
 #include "rawendpoint.h"
 #include "transport/clock.h"
@@ -12,6 +13,7 @@
 #include <deque>
 #include <fmt/format.h>
 #include <future>
+#include <sys/socket.h>
 #include <thread>
 
 using namespace roserail;
@@ -761,3 +763,29 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Suspension)
+
+// Guards against a request that is sent to an endpoint although its caller has left while this process was suspended: a kept connection
+// is used at once, before other events are handled.
+BOOST_DATA_TEST_CASE(requestWhoseCallerHasLeftMeanwhileIsNotSent, bdata::make({false, true}), reset)
+{
+    RawEndpoint endpoint([](const std::string &) { return RawAnswer{RepeatedRefusals::Success}; });
+    Router router({{&endpoint}});
+    BOOST_TEST(call("/plain/x").status == 200u);
+    router.after(Millis(0), [](Forwarder &) { std::this_thread::sleep_for(Millis(500)); });
+    std::this_thread::sleep_for(Millis(100));
+    const int caller = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopback(Port);
+    BOOST_REQUIRE(::connect(caller, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
+    const std::string request = "POST /plain/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: left\r\nContent-Length: 0\r\n\r\n";
+    BOOST_REQUIRE(::send(caller, request.data(), request.size(), 0) == ssize_t(request.size()));
+    const linger onClose{reset ? 1 : 0, 0};
+    ::setsockopt(caller, SOL_SOCKET, SO_LINGER, &onClose, sizeof onClose);
+    ::close(caller);
+    std::this_thread::sleep_for(Millis(700));
+    BOOST_TEST(endpoint.requests().size() == 1u);
+    BOOST_TEST(call("/plain/x", "1.1", "X-Request-Id: r2\r\n").status == 200u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
