--- a/tests/decoders_test.cpp
+++ b/tests/decoders_test.cpp
@@ -257,7 +257,7 @@
     {"quotaWindow: 0s\n", "write a time such as 8s", {}},
     {"quotaOvershoot: 0\n", "write 0.1 for a tenth", {}},
     {"quotaOvershoot: 10\n", "write 0.1 for a tenth", {}},
-    {"quotaOvershoot: nan\n", "write 0.1 for a tenth", {}},
+    {"quotaOvershoot: .nan\n", "write 0.1 for a tenth", {}},
     {"quotaSlack: -1\n", "must be from 0", {}},
     {"quotaSlack: much\n", "a number of units", {}},
     {"quotaSlak: 1\n", "quotaSlak", {}},
--- a/tests/fleet_quotas_test.cpp
+++ b/tests/fleet_quotas_test.cpp
@@ -25,8 +25,8 @@
 constexpr int FirstPort = 27000;
 constexpr Ms Window{2000};
 constexpr double Overshoot = 0.1;
-constexpr double Slack = 20; // requests
-constexpr int CallersPerEntry = 3;
+constexpr double Slack = 5; // requests
+constexpr int CallersPerEntry = 4;
 const std::string Key = "account-key";
 const std::vector<int> Entries{1, 2};
 
@@ -38,8 +38,8 @@
         return (perSecond * double(Window.count()) / 1000 + burst) * (1 + Overshoot) + Slack;
     }
 };
-constexpr Limit Usual{40, 20};
-constexpr Limit Lowered{5, 2};
+constexpr Limit Usual{8, 4};
+constexpr Limit Lowered{2, 1};
 
 std::string configuration(uint64_t version, const Limit &limit)
 {
