Routers prefer different endpoints of equal cost; slots and slowdown of the load header

With no load report younger than 1.5 s, all holders of a model cost the same, and each router took the first by name: one engine got several times its share. A router now orders endpoints of equal cost by a hash of both, and uses up to four of them in turn. The load report's slots replace the announced ones, and the time that work takes at the moment is decoded; nothing uses it yet. Balancer::hasFreeSlot() says whether a holder of a request has a free slot, as far as the router knows.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -3,6 +3,7 @@
 #include "state/tunables.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace roserail
 {
@@ -24,10 +25,23 @@
     return requirements.adapter.empty() ? requirements.model : requirements.model + "/" + requirements.adapter;
 }
 
+// Returns a number by which a router orders endpoints of equal cost, so that routers use different ones.
+uint64_t rankOf(const std::string &router, const std::string &endpoint)
+{
+    return XXH3_64bits_withSeed(endpoint.data(), endpoint.size(), XXH3_64bits(router.data(), router.size()));
+}
+
+// Returns the rank of an endpoint for one request: a router prefers PreferredEndpoints of equal cost in turn.
+uint64_t rankFor(uint64_t rank, uint64_t spread)
+{
+    return (rank ^ (spread % PreferredEndpoints)) * 0x9e3779b97f4a7c15ull;
+}
+
 } // namespace
 
 Balancer::Balancer(std::string zone, std::string self)
     : m_zone(std::move(zone))
+    , m_self(self)
     , m_limitShare(std::move(self))
 {
 }
@@ -53,6 +67,7 @@
             m_reachability.forget(it.first);
         }
         endpoint.announcement = it.second.announcement;
+        endpoint.rank = rankOf(m_self, it.first);
         endpoint.usable = it.second.usable();
         updateCapacity(it.second);
         endpoint.copies = std::set<std::string>(it.second.announcement.on_disk().begin(), it.second.announcement.on_disk().end());
@@ -311,12 +326,30 @@
     return tokens;
 }
 
+double Balancer::requestsOn(const Endpoint &endpoint, Time now)
+{
+    const bool fresh = now < endpoint.loadReportedAt + LoadObservationTtl;
+    return double(endpoint.ownRequests) + (fresh ? double(endpoint.otherRequests) : 0);
+}
+
+uint32_t Balancer::slotsOf(const Endpoint &endpoint)
+{
+    return std::max(1u, endpoint.slots > 0 ? endpoint.slots : endpoint.announcement.slots());
+}
+
+bool Balancer::hasFreeSlot(const EndpointRequirements &requirements, Time now) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const std::pair<const std::string, Endpoint> &it) {
+        return requestsOn(it.second, now) < slotsOf(it.second) && canServe(it.second, requirements, now)
+            && now >= acceptsFrom(it.second, now) && !m_reachability.unreachable(it.first);
+    });
+}
+
 // Returns the expected time to the request's first byte plus the delay that it causes to other requests, in milliseconds.
 double Balancer::cost(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const
 {
-    const bool fresh = now < endpoint.loadReportedAt + LoadObservationTtl;
-    const double running = double(endpoint.ownRequests) + (fresh ? double(endpoint.otherRequests) : 0);
-    const double slots = std::max(1u, endpoint.announcement.slots());
+    const double running = requestsOn(endpoint, now);
+    const double slots = slotsOf(endpoint);
     double ms = endpoint.announcement.zone() == m_zone ? 0 : CrossZoneRoundTripMs;
     if (!requirements.model.empty()) {
         const uint32_t cached = std::min(cachedTokens(endpoint, requirements), requirements.promptTokens);
@@ -334,6 +367,7 @@
 {
     const Endpoint *best = nullptr;
     double bestCost = 0;
+    uint64_t bestRank = 0;
     uint32_t candidates = 0;
     for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
         if (!canServe(it.second, requirements, now) || now < acceptsFrom(it.second, now))
@@ -343,9 +377,11 @@
             continue;
         ++candidates;
         const double candidate = cost(it.second, requirements, now) + (unreachable ? UnreachableEndpointCostMs : 0);
-        if (best == nullptr || candidate < bestCost) {
+        const uint64_t rank = rankFor(it.second.rank, requirements.spread);
+        if (best == nullptr || candidate < bestCost || (candidate == bestCost && rank < bestRank)) {
             best = &it.second;
             bestCost = candidate;
+            bestRank = rank;
         }
     }
     if (best == nullptr)
@@ -394,12 +430,13 @@
         it->second.notHeldUntil[artifactName(requirements)] = now + ModelNotHeldCooldown;
 }
 
-void Balancer::observeLoad(const std::string &endpoint, uint32_t running, uint32_t waiting, Time now)
+void Balancer::observeLoad(const std::string &endpoint, const EndpointLoad &load, Time now)
 {
     const auto it = m_endpoints.find(endpoint);
     if (it == m_endpoints.end())
         return;
-    const uint32_t all = running + waiting;
+    const uint32_t all = load.running + load.waiting;
+    it->second.slots = load.slots.value_or(0);
     it->second.otherRequests = all > it->second.ownRequests ? all - it->second.ownRequests : 0;
     it->second.loadReportedAt = now;
 }
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -25,6 +25,7 @@
     std::string adapter;
     std::vector<PromptPart> prompt;
     uint32_t promptTokens = 0;
+    uint64_t spread = 0; // varies between requests, so that a router uses several endpoints of equal cost
     std::set<std::string> avoid; // endpoints that were tried already
     std::optional<SoftwareVersion> software; // of the endpoint that began the stream, if this continues one
     bool recordedSoftware = false; // the endpoint's software version must be in the replicated log, as others may continue the stream
@@ -77,6 +78,8 @@
     // Returns the endpoint of lowest cost that can serve the request, if there is one. One that this router can't connect to is
     // returned only as a last resort.
     std::optional<EndpointChoice> choose(const EndpointRequirements &requirements, Time now, bool lastResort = true) const;
+    // Returns whether an endpoint that takes the request has a free slot, as far as this router knows.
+    bool hasFreeSlot(const EndpointRequirements &requirements, Time now) const;
     // Returns whether a request may still be sent to a chosen endpoint, which may have said since that it is leaving or
     // that it wants none, or taken another request under its limit.
     bool accepts(const EndpointChoice &choice, Time now) const;
@@ -100,7 +103,7 @@
     // Records what the answer to a request sent at `sentAt` says about the endpoint's capacity. Returns whether it has changed.
     bool recordCapacity(const EndpointChoice &choice, const EndpointCapacity &capacity, Time sentAt, Time now);
     // Records the load that an endpoint reported with an answer.
-    void observeLoad(const std::string &endpoint, uint32_t running, uint32_t waiting, Time now);
+    void observeLoad(const std::string &endpoint, const EndpointLoad &load, Time now);
 
     // Record the result of an attempt to connect to an endpoint. Each returns whether its state has changed.
     bool recordConnected(const std::string &endpoint, Time now)
@@ -142,6 +145,7 @@
 private:
     struct Endpoint {
         pb::Announcement announcement;
+        uint64_t rank = 0; // hash of its id and this router's
         bool usable = false;
         Time announcedAt{}; // this incarnation for the first time
         std::map<std::string, std::set<std::string>> held; // adapters by model
@@ -150,6 +154,7 @@
         uint32_t ownRequests = 0; // of this router, running on it
         uint32_t otherRequests = 0; // of other routers, by its latest load report
         Time loadReportedAt{};
+        uint32_t slots = 0; // by its latest load report; 0: it has named none
         Time failedUntil{}; // chosen before then only if no other endpoint can serve the request
         std::map<std::string, Time> notHeldUntil; // end of the cooldown after a NotHeld, by model/adapter
         std::unordered_map<uint64_t, Time> cachedParts; // time of last use of prompt parts, by partKey
@@ -190,11 +195,15 @@
     // Returns whether the endpoint can serve the request once its pause, if it asked for one, is over.
     bool canServe(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const;
     double cost(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const;
+    // Returns the requests running and queued on an endpoint, as far as this router knows.
+    static double requestsOn(const Endpoint &endpoint, Time now);
+    static uint32_t slotsOf(const Endpoint &endpoint);
     uint32_t cachedTokens(const Endpoint &endpoint, const EndpointRequirements &requirements) const;
     void recordPrompt(Endpoint &endpoint, const EndpointRequirements &requirements, Time now);
     Demand &demandFor(const EndpointRequirements &requirements);
 
     std::string m_zone;
+    std::string m_self;
     std::map<std::string, Endpoint> m_endpoints;
     uint64_t m_seenVersion = 0; // of the registry, at the last update
     EndpointAdvice m_advice;
--- a/src/protocol/platformcodec.h
+++ b/src/protocol/platformcodec.h
@@ -60,6 +60,8 @@
 struct EndpointLoad {
     uint32_t running = 0;
     uint32_t waiting = 0;
+    std::optional<uint32_t> slots; // requests that it runs concurrently
+    std::optional<double> slowdown; // how long work takes there at this moment, as a multiple of its usual time
 };
 
 // Fields decoded from the status and headers of an endpoint's response.
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -124,6 +124,7 @@
 constexpr Millis LoadObservationTtl{1500}; // of the load that an answer of an endpoint reported
 constexpr double PrefillTokensPerMs = 38; // of one engine
 constexpr double CrossZoneRoundTripMs = 3; // between availability zones
+constexpr uint64_t PreferredEndpoints = 4; // of equal cost, that one router uses for a model: few enough to keep their connections open
 constexpr double FullBatchCostMs = 60; // added to the time to first token by a full batch
 constexpr double QueuedRequestCostMs = 30; // of each request that waits for a slot
 constexpr double FailedEndpointCostMs = 5000; // more than the cost of any endpoint without a failure
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -225,6 +225,7 @@
     request.requirements.adapter = request.metadata.adapter;
     request.requirements.prompt = request.metadata.prompt;
     request.requirements.promptTokens = request.metadata.promptTokens;
+    request.requirements.spread = XXH3_64bits(request.metadata.id.data(), request.metadata.id.size());
     request.requirements.recordedSoftware = route.retryPolicy == RetryPolicy::Resume;
     request.fingerprint = fingerprintOf(request.caller.request(), request.metadata);
     request.sharedParts = sharedParts(request.metadata);
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -82,7 +82,7 @@
     else
         recordAdvice(request, choice, answer);
     if (answer.metadata.load && choice.router.empty())
-        m_balancer.observeLoad(choice.endpoint, answer.metadata.load->running, answer.metadata.load->waiting, monotonicNow());
+        m_balancer.observeLoad(choice.endpoint, *answer.metadata.load, monotonicNow());
     const AttemptEnd end = co_await relay(request, connection, answer);
     connection.used = true;
     if (answer.metadata.notRun || answer.status >= 400)
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -367,6 +367,47 @@
     BOOST_TEST((metadata.maxRefusals == row.maxRefusals));
 }
 
+struct LoadRow {
+    const char *header;
+    bool valid;
+    std::optional<uint32_t> slots;
+    std::optional<double> slowdown;
+};
+std::ostream &operator<<(std::ostream &os, const LoadRow &row)
+{
+    return os << "'" << row.header << "'";
+}
+const LoadRow LoadRows[] = {
+    {"", false, std::nullopt, std::nullopt},
+    {"3", false, std::nullopt, std::nullopt},
+    {"3,x,8", false, std::nullopt, std::nullopt},
+    {"3,1", true, std::nullopt, std::nullopt},
+    {"3,1,8", true, 8, std::nullopt},
+    {"3,1,8,100", true, 8, 1.0},
+    {"3,1,8,250", true, 8, 2.5},
+    {"3,1,8,62.5", true, 8, 0.625},
+    {"3,1,0,250", true, std::nullopt, 2.5},
+    {"3,1,4000000000,250", true, std::nullopt, 2.5},
+    {"3,1,many,250", true, std::nullopt, 2.5},
+    {"3,1,8,0", true, 8, std::nullopt},
+    {"3,1,8,-250", true, 8, std::nullopt},
+    {"3,1,8,nan", true, 8, std::nullopt},
+    {"3,1,8,inf", true, 8, std::nullopt},
+    {"3,1,8,1e9", true, 8, std::nullopt},
+    {"3,1,8,250%", true, 8, std::nullopt},
+};
+BOOST_DATA_TEST_CASE(loadOfEndpointsIsDecoded, bdata::make(LoadRows), row)
+{
+    const ResponseMetadata metadata
+        = Codec.responseMetadata(200, [&](std::string_view name) -> std::string_view { return name == "X-Server-Load" ? row.header : ""; });
+    BOOST_REQUIRE(metadata.load.has_value() == row.valid);
+    if (!row.valid)
+        return;
+    BOOST_TEST(metadata.load->running == 3);
+    BOOST_TEST((metadata.load->slots == row.slots));
+    BOOST_TEST((metadata.load->slowdown == row.slowdown));
+}
+
 struct CallRow {
     const char *method;
     const char *target;
