Routers learn what others have in progress on endpoints that say how long work takes, and how fast each is

What a router knew of an endpoint's load came from its own latest answer there, seconds old at 83 routers with a few requests a second, and counted as nothing after 1.5 s; the time that work takes at the moment was dropped. Where endpoints report that time, each router now tells its control host its requests in progress per endpoint, and gets the sum of the others' back (RouterState.use, SyncReply.use; between control hosts ShareRequest.use). An endpoint's cost is multiplied by its pace: the latest figure for 400 ms, then the usual one. A router compares three holders of its own, so that not all choose the same one, and all of them if these are full.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -64,9 +64,12 @@
             endpoint.announcedAt = it.second.lastSeenAt;
             endpoint.cachedParts.clear();
             endpoint.failedUntil = Time();
+            endpoint.sharedAt = Time();
+            endpoint.slowdown.forget();
             m_reachability.forget(it.first);
         }
         endpoint.announcement = it.second.announcement;
+        endpoint.key = endpointKey(it.first, endpoint.announcement.born_ms());
         endpoint.rank = rankOf(m_self, it.first);
         endpoint.usable = it.second.usable();
         updateCapacity(it.second);
@@ -326,10 +329,26 @@
     return tokens;
 }
 
-double Balancer::requestsOn(const Endpoint &endpoint, Time now)
+const ServiceSpeed *Balancer::speedOf(const Endpoint &endpoint) const
 {
-    const bool fresh = now < endpoint.loadReportedAt + LoadObservationTtl;
-    return double(endpoint.ownRequests) + (fresh ? double(endpoint.otherRequests) : 0);
+    const auto it = m_speeds.find(endpoint.announcement.service());
+    return it == m_speeds.end() ? nullptr : &it->second;
+}
+
+double Balancer::otherRequestsOn(const Endpoint &endpoint, Time now) const
+{
+    const ServiceSpeed *speed = speedOf(endpoint);
+    const Time sharedAt = endpoint.sharedAt - EndpointUseDelay;
+    if (speed != nullptr && now < endpoint.sharedAt + LoadObservationTtl && sharedAt > endpoint.loadReportedAt)
+        return speed->expectedRequests(endpoint.sharedRequests, now - sharedAt);
+    if (now >= endpoint.loadReportedAt + LoadObservationTtl)
+        return 0;
+    return speed == nullptr ? endpoint.otherRequests : speed->expectedRequests(endpoint.otherRequests, now - endpoint.loadReportedAt);
+}
+
+double Balancer::requestsOn(const Endpoint &endpoint, Time now) const
+{
+    return double(endpoint.ownRequests) + otherRequestsOn(endpoint, now);
 }
 
 uint32_t Balancer::slotsOf(const Endpoint &endpoint)
@@ -351,50 +370,86 @@
     const double running = requestsOn(endpoint, now);
     const double slots = slotsOf(endpoint);
     double ms = endpoint.announcement.zone() == m_zone ? 0 : CrossZoneRoundTripMs;
+    double workMs = running / slots * FullBatchCostMs;
     if (!requirements.model.empty()) {
         const uint32_t cached = std::min(cachedTokens(endpoint, requirements), requirements.promptTokens);
-        ms += double(requirements.promptTokens - cached) / PrefillTokensPerMs;
+        workMs += double(requirements.promptTokens - cached) / PrefillTokensPerMs;
     }
-    ms += running / slots * FullBatchCostMs;
     if (running >= slots)
-        ms += (running - slots + 1) * QueuedRequestCostMs;
+        workMs += (running - slots + 1) * QueuedRequestCostMs;
+    const ServiceSpeed *speed = speedOf(endpoint);
+    if (speed != nullptr) {
+        workMs += requirements.model.empty() ? speed->serviceMs() : 0; // the first event of a stream comes long before its end
+        workMs *= speed->pace(endpoint.slowdown, now);
+    }
+    ms += workMs;
     if (now < endpoint.failedUntil)
         ms += FailedEndpointCostMs;
     return ms;
 }
 
+ChoiceInputs Balancer::inputsOf(const Endpoint &endpoint, Time now) const
+{
+    ChoiceInputs inputs;
+    inputs.ownRequests = endpoint.ownRequests;
+    inputs.otherRequests = uint32_t(std::max(0.0, otherRequestsOn(endpoint, now)));
+    inputs.slots = slotsOf(endpoint);
+    const Time known = std::max(endpoint.loadReportedAt, endpoint.sharedAt);
+    if (known != Time())
+        inputs.otherRequestsAge = now - known;
+    if (endpoint.slowdown.at() != Time()) {
+        inputs.slowdown = endpoint.slowdown.latest();
+        inputs.slowdownAge = now - endpoint.slowdown.at();
+    }
+    return inputs;
+}
+
+// Returns the candidate of lowest cost. What routers know of endpoints that vary is some tenths of a second old, and would make all choose
+// the same one: each considers SampledEndpoints of its own, and the one that has most of the prompt in its cache, unless all are full.
+const Balancer::Candidate *Balancer::select(std::vector<Candidate> &candidates, const EndpointRequirements &requirements, Time now) const
+{
+    const auto cheaper = [](const Candidate &a, const Candidate &b) {
+        return a.costMs != b.costMs ? a.costMs < b.costMs : a.rank < b.rank;
+    };
+    if (speedOf(*candidates.front().endpoint) == nullptr || candidates.size() <= SampledEndpoints)
+        return &*std::min_element(candidates.begin(), candidates.end(), cheaper);
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) { return a.rank < b.rank; });
+    const auto moreCached = [&](const Candidate &a, const Candidate &b) {
+        return cachedTokens(*a.endpoint, requirements) < cachedTokens(*b.endpoint, requirements);
+    };
+    const auto cached = std::max_element(candidates.begin(), candidates.end(), moreCached);
+    const auto sampled = std::min_element(candidates.begin(), candidates.begin() + SampledEndpoints, cheaper);
+    const auto best = cheaper(*cached, *sampled) ? cached : sampled;
+    if (best->costMs < FailedEndpointCostMs && requestsOn(*best->endpoint, now) < slotsOf(*best->endpoint))
+        return &*best;
+    return &*std::min_element(candidates.begin(), candidates.end(), cheaper);
+}
+
 std::optional<EndpointChoice> Balancer::choose(const EndpointRequirements &requirements, Time now, bool lastResort) const
 {
-    const Endpoint *best = nullptr;
-    double bestCost = 0;
-    uint64_t bestRank = 0;
-    uint32_t candidates = 0;
+    std::vector<Candidate> candidates;
     for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
         if (!canServe(it.second, requirements, now) || now < acceptsFrom(it.second, now))
             continue;
         const bool unreachable = m_reachability.unreachable(it.first);
         if (unreachable && !lastResort)
             continue;
-        ++candidates;
-        const double candidate = cost(it.second, requirements, now) + (unreachable ? UnreachableEndpointCostMs : 0);
-        const uint64_t rank = rankFor(it.second.rank, requirements.spread);
-        if (best == nullptr || candidate < bestCost || (candidate == bestCost && rank < bestRank)) {
-            best = &it.second;
-            bestCost = candidate;
-            bestRank = rank;
-        }
+        const double ms = cost(it.second, requirements, now) + (unreachable ? UnreachableEndpointCostMs : 0);
+        candidates.push_back(Candidate{&it.second, ms, rankFor(it.second.rank, requirements.spread)});
     }
-    if (best == nullptr)
+    if (candidates.empty())
         return std::nullopt;
+    const Candidate &chosen = *select(candidates, requirements, now);
+    const Endpoint *best = chosen.endpoint;
     EndpointChoice choice{best->announcement.endpoint(),
                           best->announcement.address(),
                           best->announcement.born_ms(),
                           SoftwareVersion(best->announcement.software()),
                           {}};
-    choice.inputs
-        = ChoiceInputs{candidates, bestCost, best->ownRequests, best->otherRequests, Millis(-1), cachedTokens(*best, requirements)};
-    if (best->loadReportedAt != Time())
-        choice.inputs.otherRequestsAge = now - best->loadReportedAt;
+    choice.inputs = inputsOf(*best, now);
+    choice.inputs.candidates = uint32_t(candidates.size());
+    choice.inputs.expectedMs = chosen.costMs;
+    choice.inputs.cachedTokens = cachedTokens(*best, requirements);
     return choice;
 }
 
@@ -416,7 +471,8 @@
     ++demandFor(requirements).running;
 }
 
-void Balancer::attemptEnded(const EndpointRequirements &requirements, const EndpointChoice &choice, AttemptOutcome end, Time now)
+void Balancer::attemptEnded(const EndpointRequirements &requirements, const EndpointChoice &choice, AttemptOutcome end, Time now,
+                            Millis took)
 {
     if (!requirements.model.empty())
         --demandFor(requirements).running;
@@ -424,6 +480,9 @@
     if (it == m_endpoints.end())
         return;
     --it->second.ownRequests;
+    const auto speed = m_speeds.find(it->second.announcement.service());
+    if (end == AttemptOutcome::Answered && speed != m_speeds.end())
+        speed->second.recordDuration(took);
     if (end == AttemptOutcome::Failed)
         it->second.failedUntil = now + EndpointFailureCooldown;
     if (end == AttemptOutcome::NotHeld)
@@ -439,6 +498,46 @@
     it->second.slots = load.slots.value_or(0);
     it->second.otherRequests = all > it->second.ownRequests ? all - it->second.ownRequests : 0;
     it->second.loadReportedAt = now;
+    if (!load.slowdown)
+        return;
+    it->second.slowdown.record(*load.slowdown, now);
+    m_speeds[it->second.announcement.service()].recordSlowdown(*load.slowdown);
+}
+
+void Balancer::addUse(pb::RouterState &state, Time now) const
+{
+    if (m_speeds.empty())
+        return;
+    pb::EndpointUse &use = *state.mutable_use();
+    for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
+        const bool reported = it.second.slowdown.at() != Time() && now < it.second.slowdown.at() + SlowdownReportTime
+            && it.second.slowdown.at() == it.second.loadReportedAt;
+        if (speedOf(it.second) != nullptr && (it.second.ownRequests > 0 || reported))
+            roserail::addUse(use, it.second.key, it.second.ownRequests,
+                             reported ? std::optional<double>(it.second.slowdown.latest()) : std::nullopt);
+    }
+}
+
+void Balancer::applyUse(const pb::EndpointUse &use, Time now)
+{
+    std::unordered_map<uint32_t, int> positions;
+    for (int i = 0; i < std::min(use.endpoints_size(), use.requests_size()); ++i)
+        positions[use.endpoints(i)] = i;
+    std::map<std::string, std::pair<double, size_t>> sums; // requests and endpoints, by service
+    for (std::pair<const std::string, Endpoint> &it : m_endpoints) {
+        Endpoint &endpoint = it.second;
+        if (speedOf(endpoint) == nullptr)
+            continue;
+        const auto known = positions.find(endpoint.key.value());
+        endpoint.sharedRequests = known == positions.end() ? 0 : use.requests(known->second);
+        endpoint.sharedAt = now;
+        if (known != positions.end() && slowdownIn(use, known->second) && endpoint.loadReportedAt + EndpointUseDelay < now)
+            endpoint.slowdown.record(*slowdownIn(use, known->second), now - EndpointUseDelay);
+        sums[endpoint.announcement.service()].first += endpoint.sharedRequests;
+        ++sums[endpoint.announcement.service()].second;
+    }
+    for (const std::pair<const std::string, std::pair<double, size_t>> &it : sums)
+        m_speeds[it.first].setMeanRequests(it.second.first / double(it.second.second));
 }
 
 Balancer::Demand &Balancer::demandFor(const EndpointRequirements &requirements)
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -4,6 +4,8 @@
 
 #include "coordination/admission.h"
 #include "coordination/endpointadvice.h"
+#include "coordination/endpointuse.h"
+#include "coordination/enginespeed.h"
 #include "coordination/limitshare.h"
 #include "coordination/reachability.h"
 #include "coordination/registry.h"
@@ -36,8 +38,11 @@
     uint32_t candidates = 0; // endpoints that can serve the request
     double expectedMs = 0; // expected time to the first byte, plus the delay of other requests
     uint32_t ownRequests = 0; // of this router, running on the endpoint
-    uint32_t otherRequests = 0; // of other routers, by the latest load report in an answer
-    Millis otherRequestsAge{-1}; // age of that load report; negative: none was received
+    uint32_t otherRequests = 0; // of other routers
+    Millis otherRequestsAge{-1}; // since they were known; negative: never
+    uint32_t slots = 0;
+    double slowdown = 1; // by the endpoint's latest load report to any router
+    Millis slowdownAge{-1}; // of that load report; negative: none is known
     uint32_t cachedTokens = 0; // of the prompt, estimated to be in the endpoint's cache
 };
 
@@ -95,7 +100,9 @@
     std::set<SoftwareVersion> softwareVersions(const ServiceId &service) const;
 
     void attemptStarted(const EndpointRequirements &requirements, const EndpointChoice &choice, Time now);
-    void attemptEnded(const EndpointRequirements &requirements, const EndpointChoice &choice, AttemptOutcome end, Time now);
+    // `took`: from the sending of the request.
+    void attemptEnded(const EndpointRequirements &requirements, const EndpointChoice &choice, AttemptOutcome end, Time now,
+                      Millis took = Millis(0));
     // Records a request that is sent to an endpoint with a limit.
     void recordSend(const EndpointChoice &choice, Time now);
     // Records that an endpoint refused a request for lack of room. Returns whether it is brittle, so that others must know.
@@ -127,6 +134,11 @@
     // Returns the addresses of the endpoints that are to be probed now, by endpoint.
     std::map<std::string, std::string> dueProbes(Time now);
 
+    // Adds this router's requests on endpoints to its state, if endpoints have said how long work takes at present.
+    void addUse(pb::RouterState &state, Time now) const;
+    // Sets the requests that all other routers have on endpoints.
+    void applyUse(const pb::EndpointUse &use, Time now);
+
     EndpointAdvice &advice()
     {
         return m_advice;
@@ -145,6 +157,7 @@
 private:
     struct Endpoint {
         pb::Announcement announcement;
+        EndpointKey key;
         uint64_t rank = 0; // hash of its id and this router's
         bool usable = false;
         Time announcedAt{}; // this incarnation for the first time
@@ -154,11 +167,19 @@
         uint32_t ownRequests = 0; // of this router, running on it
         uint32_t otherRequests = 0; // of other routers, by its latest load report
         Time loadReportedAt{};
+        Slowdown slowdown; // by its latest load report to any router
+        uint32_t sharedRequests = 0; // of other routers, as these said
+        Time sharedAt{}; // of that; before the first: never
         uint32_t slots = 0; // by its latest load report; 0: it has named none
         Time failedUntil{}; // chosen before then only if no other endpoint can serve the request
         std::map<std::string, Time> notHeldUntil; // end of the cooldown after a NotHeld, by model/adapter
         std::unordered_map<uint64_t, Time> cachedParts; // time of last use of prompt parts, by partKey
     };
+    struct Candidate {
+        const Endpoint *endpoint;
+        double costMs;
+        uint64_t rank;
+    };
     struct Demand {
         uint32_t running = 0;
         std::multiset<Time> waiting; // start times of the waiting requests
@@ -195,9 +216,15 @@
     // Returns whether the endpoint can serve the request once its pause, if it asked for one, is over.
     bool canServe(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const;
     double cost(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const;
+    const Candidate *select(std::vector<Candidate> &candidates, const EndpointRequirements &requirements, Time now) const;
+    // Returns the requests of other routers on an endpoint, by the newest of what it and they said.
+    double otherRequestsOn(const Endpoint &endpoint, Time now) const;
     // Returns the requests running and queued on an endpoint, as far as this router knows.
-    static double requestsOn(const Endpoint &endpoint, Time now);
+    double requestsOn(const Endpoint &endpoint, Time now) const;
+    // Returns the speed of the endpoint's service if its endpoints say how long work takes, else null.
+    const ServiceSpeed *speedOf(const Endpoint &endpoint) const;
     static uint32_t slotsOf(const Endpoint &endpoint);
+    ChoiceInputs inputsOf(const Endpoint &endpoint, Time now) const;
     uint32_t cachedTokens(const Endpoint &endpoint, const EndpointRequirements &requirements) const;
     void recordPrompt(Endpoint &endpoint, const EndpointRequirements &requirements, Time now);
     Demand &demandFor(const EndpointRequirements &requirements);
@@ -210,6 +237,7 @@
     EndpointReachability m_reachability;
     LimitShare m_limitShare;
     std::map<std::string, Time> m_brittleUntil; // by service
+    std::map<std::string, ServiceSpeed> m_speeds; // of services whose endpoints say how long work takes at present
     std::set<std::pair<std::string, std::string>> m_recordedSoftware; // services and versions
     bool m_softwareKept = false;
     std::map<ArtifactKey, Demand> m_demands;
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/endpointadvice.h"
+#include "coordination/endpointuse.h"
 
 #include <map>
 #include <set>
@@ -98,6 +99,15 @@
     // Collects changes after a version that routers need.
     void routerChangesSince(uint64_t version, Time now, pb::SyncReply &out) const;
 
+    // The requests in progress on endpoints.
+    SharedUse &use()
+    {
+        return m_use;
+    }
+    const SharedUse &use() const
+    {
+        return m_use;
+    }
     // Returns the streams that routers report to have begun in the last seconds, with their software versions.
     std::map<StreamId, SoftwareVersion> begunStreams() const;
     // Returns the control host that announced itself as the leader of the highest term; null if none is known.
@@ -145,6 +155,7 @@
     std::map<std::string, pb::Holdings> m_earlyHoldings; // of endpoints that are not known yet
     std::map<std::string, LiveRouter> m_routers;
     std::map<std::string, LiveKeeper> m_keepers;
+    SharedUse m_use;
 };
 
 } // namespace roserail
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -122,6 +122,17 @@
 
 // Load balancing; costs are in milliseconds of time to first token
 constexpr Millis LoadObservationTtl{1500}; // of the load that an answer of an endpoint reported
+constexpr Millis EndpointUseTtl{1500}; // of the requests in progress at a router, or at the routers of a control host; several polls
+constexpr Millis EndpointUseDelay{250}; // of what a router learns of other routers' requests: half a poll on either side
+constexpr Millis EndpointUseInterval{150}; // at least between two messages with them to another control host
+constexpr double MaxSharedSlowdown = 100; // an endpoint that is slower is not chosen anyway
+constexpr uint32_t MaxEndpointUse = 100000; // of one router, on one endpoint; a router has fewer descriptors
+constexpr Millis SlowdownTtl{400}; // of what an endpoint said about the time that work takes, which changes several times a second
+constexpr Millis SlowdownReportTime{150}; // in which it is passed on to other routers, so that it is still new there
+constexpr double SpeedEwmaWeight = 0.05; // of the newest sample, in averages over the endpoints of a service
+constexpr double MaxServiceCostMs
+    = 50; // of the time that a request takes itself; more than that is a stream, which counts by its first event
+constexpr size_t SampledEndpoints = 3; // of those that can serve a request, whose costs a router compares
 constexpr double PrefillTokensPerMs = 38; // of one engine
 constexpr double CrossZoneRoundTripMs = 3; // between availability zones
 constexpr uint64_t PreferredEndpoints = 4; // of equal cost, that one router uses for a model: few enough to keep their connections open
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -251,6 +251,7 @@
         *state.add_crashes() = std::move(it);
     m_crashingParts.addReports(state, monotonicNow());
     m_balancer.advice().addReports(state, monotonicNow());
+    m_balancer.addUse(state, monotonicNow());
     m_forwarder.addStreams(request, monotonicNow());
     request.set_epoch(m_epoch);
     request.set_version(m_version);
@@ -278,6 +279,8 @@
     m_forwarder.recordFoundStreams(reply, now);
     if (reply.busy())
         return;
+    if (reply.has_use())
+        m_balancer.applyUse(reply.use(), now);
     m_epoch = reply.epoch();
     m_version = reply.version();
     const uint64_t previousVersion = m_registry.version();
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -616,7 +616,7 @@
         outcome = request.status == 421 ? AttemptOutcome::NotHeld : AttemptOutcome::Full;
     else if (request.cancellation->cancelled())
         outcome = AttemptOutcome::Cancelled;
-    m_balancer.attemptEnded(request.requirements, choice, outcome, monotonicNow());
+    m_balancer.attemptEnded(request.requirements, choice, outcome, monotonicNow(), monotonicNow() - request.sentAt);
     if (outcome == AttemptOutcome::Full && m_balancer.recordRefusal(choice, monotonicNow())) {
         logDecision("brittle_endpoint_refused", {{"id", request.metadata.id}, {"endpoint", choice.endpoint}});
         if (m_onReport)
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -66,6 +66,8 @@
             registry.merge(request->router(), now);
         if (serves)
             registry.routerChangesSince(wholeList ? 0 : request->version(), now, *reply);
+        if (m_disk)
+            shareUse(registry, request->router(), now, *reply);
         if (registry.ordersAllowedAt() > now)
             reply->set_orders_in_ms(uint64_t((registry.ordersAllowedAt() - now).count()));
         addControlHosts(registry, request->router(), current, now, *reply);
@@ -84,6 +86,17 @@
     return grpc::Status::OK;
 }
 
+// Records the requests that a router has on endpoints, and adds those of the others.
+void MeshService::shareUse(Registry &registry, const pb::RouterState &router, Time now, pb::SyncReply &reply)
+{
+    if (!router.has_use())
+        return;
+    registry.use().setRouter(router.router(), router.use(), now);
+    std::optional<pb::EndpointUse> use = registry.use().ofOthers(router.router(), now);
+    if (use)
+        *reply.mutable_use() = std::move(*use);
+}
+
 // Adds the control hosts that serve routers: those of the router's own availability zone first; otherwise routers use different ones.
 void MeshService::addControlHosts(const Registry &registry, const pb::RouterState &router, bool current, Time now,
                                   pb::SyncReply &reply) const
@@ -187,6 +200,8 @@
             registry.merge(it, now - Millis(it.age_ms()), from);
         for (const pb::KeeperState &it : request->keepers())
             registry.merge(it, now - Millis(it.age_ms()));
+        if (request->has_use())
+            registry.use().setHost(request->from(), request->use(), now);
         if (request->keepers_size() > 0)
             addKeepers(registry, now, *reply);
     });
--- a/src/transport/meshsharer.cpp
+++ b/src/transport/meshsharer.cpp
@@ -77,7 +77,8 @@
         updateProgress(peer, progress);
         uint64_t version = 0;
         const pb::ShareRequest request = buildRequest(peer, progress, monotonicNow(), version);
-        const bool empty = request.endpoints_size() + request.holdings_size() + request.routers_size() + request.keepers_size() == 0
+        const bool empty = !request.has_use()
+            && request.endpoints_size() + request.holdings_size() + request.routers_size() + request.keepers_size() == 0
             && !request.has_configuration() && !request.has_configuration_delta() && !request.has_configuration_piece();
         if (empty)
             progress.version = version;
@@ -130,6 +131,11 @@
         version = peer.reachable ? registry.version() : progress.version;
         if (state)
             registry.changesSince(ChangeFilter{progress.version, receivesEverything(progress.role), progress.forwarded}, now, request);
+        if (state && m_disk && now >= progress.nextUseAt) {
+            if (std::optional<pb::EndpointUse> use = registry.use().ofRouters(now))
+                *request.mutable_use() = std::move(*use);
+            progress.nextUseAt = now + EndpointUseInterval;
+        }
         const auto self = registry.keepers().find(m_self);
         if (self != registry.keepers().end() && self->second.version > progress.ownVersion) {
             *request.add_keepers() = self->second.state;
--- a/src/transport/meshsharer.h
+++ b/src/transport/meshsharer.h
@@ -55,6 +55,7 @@
             return transfer && transfer->received() > 0;
         }
         ShareRole role = ShareRole::None;
+        Time nextUseAt{}; // when the peer may be sent the requests on endpoints again
         std::set<std::string> forwarded; // hosts whose changes this host forwards to the peer
         uint64_t restarts = 0; // value of m_restarts
     };
--- a/tests/unevenload_test.cpp
+++ b/tests/unevenload_test.cpp
@@ -7,7 +7,9 @@
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
-#include <numeric>
+#include <deque>
+#include <map>
+#include <random>
 
 using namespace roserail;
 using namespace roserail::test;
@@ -19,7 +21,7 @@
 {
 
 constexpr uint64_t StartedAtMs = 10;
-constexpr uint32_t Slots = 4; // of each endpoint, by livestate.h
+constexpr uint32_t Slots = 12; // of each endpoint
 
 EndpointRequirements request(const std::string &model, uint64_t spread)
 {
@@ -38,11 +40,89 @@
         if (!model.empty())
             it.add_models()->set_model(model);
         it.set_zone("z");
+        it.set_slots(Slots);
         registry.merge(it, Now);
     }
     return registry;
 }
 
+// Routers that poll one of several control hosts every 250 ms, and engines that report how long work takes, which is twice as long on
+// every third one.
+struct System {
+    struct Running {
+        size_t router;
+        EndpointRequirements request;
+        EndpointChoice choice;
+        Millis took;
+    };
+    std::deque<Balancer> routers;
+    std::deque<SharedUse> hosts{3};
+    std::multimap<Time, Running> running; // by the time at which each ends
+    std::map<std::string, uint32_t> requests; // running on each engine
+    uint32_t most = 0; // running on one engine at a time
+    Millis took{0}; // in all
+    Time now = Now;
+    std::mt19937_64 random{20261206};
+
+    System(int nRouters, int nEngines)
+    {
+        for (int i = 0; i < nRouters; ++i) {
+            routers.emplace_back("z", "r" + std::to_string(i));
+            routers.back().update(endpoints(nEngines, "m"));
+        }
+    }
+    static bool slow(const std::string &engine)
+    {
+        return std::stoi(engine.substr(1)) % 3 == 0;
+    }
+    void poll(size_t router)
+    {
+        SharedUse &host = hosts[router % hosts.size()];
+        pb::RouterState state;
+        routers[router].addUse(state, now);
+        if (!state.has_use())
+            return;
+        const std::string id = "r" + std::to_string(router);
+        host.setRouter(id, state.use(), now);
+        for (SharedUse &it : hosts) {
+            if (const std::optional<pb::EndpointUse> use = host.ofRouters(now); use && &it != &host)
+                it.setHost(std::to_string(router % hosts.size()), *use, now);
+        }
+        if (const std::optional<pb::EndpointUse> use = host.ofOthers(id, now))
+            routers[router].applyUse(*use, now);
+    }
+    void send(size_t router, Millis usualTime)
+    {
+        const EndpointRequirements it = request("m", random());
+        const EndpointChoice choice = *routers[router].choose(it, now);
+        routers[router].attemptStarted(it, choice, now);
+        const Millis time = slow(choice.endpoint) ? 2 * usualTime : usualTime;
+        took += time;
+        most = std::max(most, ++requests[choice.endpoint]);
+        routers[router].observeLoad(choice.endpoint,
+                                    EndpointLoad{requests[choice.endpoint], 0, std::nullopt, slow(choice.endpoint) ? 2.0 : 1.0}, now);
+        running.emplace(now + time, Running{router, it, choice, time});
+    }
+    // One step of 10 ms.
+    void step(double requestsPerSecond, Millis usualTime)
+    {
+        now += Millis(10);
+        for (auto it = running.begin(); it != running.end() && it->first <= now; it = running.erase(it)) {
+            routers[it->second.router].attemptEnded(it->second.request, it->second.choice, AttemptOutcome::Answered, now, it->second.took);
+            --requests[it->second.choice.endpoint];
+        }
+        for (size_t n = 0; n < routers.size(); ++n) {
+            if ((size_t(toMillis(now)) / 10 + n) % 25 == 0)
+                if (!getenv("NOPOLL"))
+                    poll(n);
+        }
+        for (double due = requestsPerSecond / 100; due > 0; due -= 1) {
+            if (due >= 1 || double(random() % 1000) < due * 1000)
+                send(random() % routers.size(), usualTime);
+        }
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Spread)
@@ -105,3 +185,110 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(SharedLoad)
+
+// Load pattern: many routers with three requests a second each, of about a second, whose engines have a quarter of their slots in use. No
+// engine gets more requests than it has slots, since each router knows of the others'.
+BOOST_AUTO_TEST_CASE(noEngineIsFullWhileOthersHaveFreeSlots)
+{
+    constexpr double RequestsPerSecond = 240;
+    constexpr Millis UsualTime{600};
+    System system(83, 64);
+    for (int i = 0; i < 1000; ++i)
+        system.step(RequestsPerSecond, UsualTime);
+    BOOST_TEST(system.most <= Slots);
+}
+
+BOOST_AUTO_TEST_CASE(controlHostSumsRequestsOfOthers)
+{
+    SharedUse host;
+    pb::EndpointUse use;
+    addUse(use, endpointKey("e", 1), 3);
+    BOOST_TEST(!host.ofOthers("a", Now).has_value());
+    host.setRouter("a", use, Now);
+    BOOST_TEST(!host.ofOthers("a", Now).has_value()); // none but its own
+    host.setRouter("b", use, Now);
+    host.setHost("h", use, Now);
+    BOOST_TEST(host.ofOthers("a", Now)->requests(0) == 6);
+    BOOST_TEST(host.ofRouters(Now)->requests(0) == 6); // without those that other hosts told it
+    host.setRouter("b", {}, Now + Millis(500));
+    BOOST_TEST(host.ofOthers("a", Now + Millis(500))->requests(0) == 3);
+    // A router or host that is silent, for example frozen, no longer counts.
+    BOOST_TEST(host.ofOthers("a", Now + EndpointUseTtl)->requests_size() == 0);
+    BOOST_TEST(!host.ofOthers("a", Now + Millis(500) + EndpointUseTtl).has_value());
+    // An endpoint that has started again is another one.
+    BOOST_TEST((endpointKey("e", 1) != endpointKey("e", 2)));
+}
+
+// A router whose endpoints say nothing about the time that work takes neither tells nor uses what others have in progress.
+BOOST_AUTO_TEST_CASE(evenEndpointsAreNotShared)
+{
+    Balancer balancer("z", "r");
+    balancer.update(endpoints(2, "m"));
+    const EndpointChoice choice = *balancer.choose(request("m", 0), Now);
+    balancer.attemptStarted(request("m", 0), choice, Now);
+    balancer.observeLoad(choice.endpoint, EndpointLoad{1, 0, Slots, std::nullopt}, Now);
+    pb::RouterState state;
+    balancer.addUse(state, Now);
+    BOOST_TEST(!state.has_use());
+    balancer.observeLoad(choice.endpoint, EndpointLoad{1, 0, Slots, 1.0}, Now);
+    balancer.addUse(state, Now);
+    BOOST_TEST(state.use().requests_size() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Speed)
+
+struct SlowdownRow {
+    std::vector<double> factors; // that the endpoint said, 100 ms apart
+    Millis age; // of the last
+    std::optional<double> expected;
+};
+std::ostream &operator<<(std::ostream &os, const SlowdownRow &row)
+{
+    return os << row.factors.size() << " figures, the last " << row.age.count() << " ms old";
+}
+const SlowdownRow SlowdownRows[] = {
+    {{}, Millis(0), std::nullopt},     {{1.7}, Millis(0), 1.7},
+    {{0.7, 1.75}, Millis(100), 1.75},  {{0.7, 0.7, 0.7}, Millis(60000), 0.7}, // how fast the endpoint is does not change
+    {{1.75, 0.7}, Millis(60000), 0.7}, // the first one was said while its machine had other work
+};
+BOOST_DATA_TEST_CASE(momentOfSlownessPasses, bdata::make(SlowdownRows), row)
+{
+    Slowdown slowdown;
+    Time at = Now;
+    for (const double it : row.factors)
+        slowdown.record(it, at += Millis(100));
+    BOOST_TEST((slowdown.expected(at + row.age) == row.expected));
+}
+
+// Load pattern: one of three plain servers slows down for a moment. It gets nothing while the others have free slots, and its share again
+// once its figure is too old.
+BOOST_AUTO_TEST_CASE(slowServerIsAvoidedForAMoment)
+{
+    Balancer balancer("z", "r");
+    balancer.update(endpoints(3, ""));
+    const auto sentToFirst = [&](Time now) {
+        int n = 0;
+        for (uint64_t i = 0; i < 100; ++i)
+            n += balancer.choose(request("", i), now)->endpoint == "e0" ? 1 : 0;
+        return n;
+    };
+    for (int i = 0; i < 10; ++i) {
+        for (const char *it : {"e0", "e1", "e2"})
+            balancer.observeLoad(it, EndpointLoad{0, 0, Slots, 1.0}, Now);
+    }
+    const EndpointChoice choice = *balancer.choose(request("", 0), Now);
+    balancer.attemptStarted(request("", 0), choice, Now);
+    balancer.attemptEnded(request("", 0), choice, AttemptOutcome::Answered, Now + Millis(30), Millis(30));
+    balancer.observeLoad("e0", EndpointLoad{0, 0, Slots, 2.5}, Now + Millis(50));
+    BOOST_TEST(sentToFirst(Now + Millis(60)) == 0);
+    // Its usual speed counts again, which a single figure hardly changes.
+    for (const char *it : {"e0", "e1", "e2"})
+        balancer.observeLoad(it, EndpointLoad{0, 0, Slots, 1.0}, Now + Millis(700));
+    BOOST_TEST(balancer.choose(request("", 0), Now + Millis(1200)).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
