--- a/src/transport/endpointpool.cpp
+++ b/src/transport/endpointpool.cpp
@@ -115,6 +115,7 @@
 
 EndpointConnectionPtr EndpointPool::takeIdle(const std::string &address, Time now, std::optional<RequestKey> request)
 {
+    static Counter &reuses = metrics().counter("roserail_endpoint_connections_reused_total");
     const auto it = m_idle.find(address);
     if (it == m_idle.end())
         return nullptr;
@@ -125,8 +126,10 @@
             continue;
         EndpointConnectionPtr connection = std::move(idle[n]);
         idle.erase(idle.begin() + long(n));
-        if (now < connection->idleUntil && !hasUnexpectedInput(connection->socket))
-            return connection;
+        if (now >= connection->idleUntil || hasUnexpectedInput(connection->socket))
+            continue;
+        reuses.add();
+        return connection;
     }
     return nullptr;
 }
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -564,6 +564,7 @@
 
 Task<AttemptEnd> Forwarder::attempt(Request &request, const EndpointChoice &choice)
 {
+    static Counter &rejections = metrics().counter("roserail_endpoint_rejections_total");
     if (!choice.router.empty())
         co_return co_await relayAttempt(request, choice);
     request.endpoint = choice.endpoint;
@@ -601,7 +602,7 @@
         co_return AttemptEnd::NotSent;
     }
     request.sentAt = monotonicNow();
-    logSend(request, choice, request.sentAt);
+    logSend(request, choice, connection->used, request.sentAt);
     m_balancer.recordSend(choice, request.sentAt);
     m_balancer.attemptStarted(request.requirements, choice, monotonicNow());
     ++request.progress.sends;
@@ -617,6 +618,8 @@
     else if (request.cancellation->cancelled())
         outcome = AttemptOutcome::Cancelled;
     m_balancer.attemptEnded(request.requirements, choice, outcome, monotonicNow(), monotonicNow() - request.sentAt);
+    if (outcome == AttemptOutcome::Full)
+        rejections.add();
     if (outcome == AttemptOutcome::Full && m_balancer.recordRefusal(choice, monotonicNow())) {
         logDecision("brittle_endpoint_refused", {{"id", request.metadata.id}, {"endpoint", choice.endpoint}});
         if (m_onReport)
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -182,7 +182,7 @@
     std::string buildRequest(const Request &request, const EndpointChoice &choice, Time now) const;
     Task<> watchCaller(CallerConnection &caller, std::shared_ptr<Cancellation> cancellation);
     void logRequest(const Request &request, std::string_view outcome) const;
-    void logSend(const Request &request, const EndpointChoice &choice, Time now) const;
+    void logSend(const Request &request, const EndpointChoice &choice, bool reused, Time now) const;
     void logWait(const Request &request, Time now, Time until) const;
     void logFailedAttempt(const Request &request, AttemptEnd end, RouteStep step, Time now) const;
 
--- a/src/transport/forwarderlog.cpp
+++ b/src/transport/forwarderlog.cpp
@@ -44,7 +44,7 @@
                 {"cause", request.cause}});
 }
 
-void Forwarder::logSend(const Request &request, const EndpointChoice &choice, Time now) const
+void Forwarder::logSend(const Request &request, const EndpointChoice &choice, bool reused, Time now) const
 {
     if (logDetail() != LogDetail::Decisions)
         return;
@@ -62,6 +62,7 @@
                  {"slots", inputs.slots},
                  {"slowdown", inputs.slowdown},
                  {"slowdown_age_ms", inputs.slowdownAge.count()},
+                 {"reused", reused},
                  {"prompt", request.requirements.promptTokens},
                  {"cached", inputs.cachedTokens},
                  {"left_ms", (request.deadline - now).count()},
