--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -3,6 +3,7 @@
 #include "state/tunables.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace roserail
 {
@@ -24,10 +25,23 @@
     return requirements.adapter.empty() ? requirements.model : requirements.model + "/" + requirements.adapter;
 }
 
+// Returns a number by which a router orders endpoints of equal cost, so that routers use different ones.
+uint64_t rankOf(const std::string &router, const std::string &endpoint)
+{
+    return XXH3_64bits_withSeed(endpoint.data(), endpoint.size(), XXH3_64bits(router.data(), router.size()));
+}
+
+// Returns the rank of an endpoint for one request: a router prefers PreferredEndpoints of equal cost in turn.
+uint64_t rankFor(uint64_t rank, uint64_t spread)
+{
+    return (rank ^ (spread % PreferredEndpoints)) * 0x9e3779b97f4a7c15ull;
+}
+
 } // namespace
 
 Balancer::Balancer(std::string zone, std::string self)
     : m_zone(std::move(zone))
+    , m_self(self)
     , m_limitShare(std::move(self))
 {
 }
@@ -50,9 +64,13 @@
             endpoint.announcedAt = it.second.lastSeenAt;
             endpoint.cachedParts.clear();
             endpoint.failedUntil = Time();
+            endpoint.sharedAt = Time();
+            endpoint.slowdown.forget();
             m_reachability.forget(it.first);
         }
         endpoint.announcement = it.second.announcement;
+        endpoint.key = endpointKey(it.first, endpoint.announcement.born_ms());
+        endpoint.rank = rankOf(m_self, it.first);
         endpoint.usable = it.second.usable();
         updateCapacity(it.second);
         endpoint.copies = std::set<std::string>(it.second.announcement.on_disk().begin(), it.second.announcement.on_disk().end());
@@ -311,54 +329,127 @@
     return tokens;
 }
 
+const ServiceSpeed *Balancer::speedOf(const Endpoint &endpoint) const
+{
+    const auto it = m_speeds.find(endpoint.announcement.service());
+    return it == m_speeds.end() ? nullptr : &it->second;
+}
+
+double Balancer::otherRequestsOn(const Endpoint &endpoint, Time now) const
+{
+    const ServiceSpeed *speed = speedOf(endpoint);
+    const Time sharedAt = endpoint.sharedAt - EndpointUseDelay;
+    if (speed != nullptr && now < endpoint.sharedAt + LoadObservationTtl && sharedAt > endpoint.loadReportedAt)
+        return speed->expectedRequests(endpoint.sharedRequests, now - sharedAt);
+    if (now >= endpoint.loadReportedAt + LoadObservationTtl)
+        return 0;
+    return speed == nullptr ? endpoint.otherRequests : speed->expectedRequests(endpoint.otherRequests, now - endpoint.loadReportedAt);
+}
+
+double Balancer::requestsOn(const Endpoint &endpoint, Time now) const
+{
+    return double(endpoint.ownRequests) + otherRequestsOn(endpoint, now);
+}
+
+uint32_t Balancer::slotsOf(const Endpoint &endpoint)
+{
+    return std::max(1u, endpoint.slots > 0 ? endpoint.slots : endpoint.announcement.slots());
+}
+
+bool Balancer::hasFreeSlot(const EndpointRequirements &requirements, Time now) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const std::pair<const std::string, Endpoint> &it) {
+        return requestsOn(it.second, now) < slotsOf(it.second) && canServe(it.second, requirements, now)
+            && now >= acceptsFrom(it.second, now) && !m_reachability.unreachable(it.first);
+    });
+}
+
 // Returns the expected time to the request's first byte plus the delay that it causes to other requests, in milliseconds.
 double Balancer::cost(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const
 {
-    const bool fresh = now < endpoint.loadReportedAt + LoadObservationTtl;
-    const double running = double(endpoint.ownRequests) + (fresh ? double(endpoint.otherRequests) : 0);
-    const double slots = std::max(1u, endpoint.announcement.slots());
+    const double running = requestsOn(endpoint, now);
+    const double slots = slotsOf(endpoint);
     double ms = endpoint.announcement.zone() == m_zone ? 0 : CrossZoneRoundTripMs;
+    double workMs = running / slots * FullBatchCostMs;
     if (!requirements.model.empty()) {
         const uint32_t cached = std::min(cachedTokens(endpoint, requirements), requirements.promptTokens);
-        ms += double(requirements.promptTokens - cached) / PrefillTokensPerMs;
+        workMs += double(requirements.promptTokens - cached) / PrefillTokensPerMs;
     }
-    ms += running / slots * FullBatchCostMs;
     if (running >= slots)
-        ms += (running - slots + 1) * QueuedRequestCostMs;
+        workMs += (running - slots + 1) * QueuedRequestCostMs;
+    const ServiceSpeed *speed = speedOf(endpoint);
+    if (speed != nullptr) {
+        workMs += requirements.model.empty() ? speed->serviceMs() : 0; // the first event of a stream comes long before its end
+        workMs *= speed->pace(endpoint.slowdown, now);
+    }
+    ms += workMs;
     if (now < endpoint.failedUntil)
         ms += FailedEndpointCostMs;
     return ms;
 }
 
+ChoiceInputs Balancer::inputsOf(const Endpoint &endpoint, Time now) const
+{
+    ChoiceInputs inputs;
+    inputs.ownRequests = endpoint.ownRequests;
+    inputs.otherRequests = uint32_t(std::max(0.0, otherRequestsOn(endpoint, now)));
+    inputs.slots = slotsOf(endpoint);
+    const Time known = std::max(endpoint.loadReportedAt, endpoint.sharedAt);
+    if (known != Time())
+        inputs.otherRequestsAge = now - known;
+    if (endpoint.slowdown.at() != Time()) {
+        inputs.slowdown = endpoint.slowdown.latest();
+        inputs.slowdownAge = now - endpoint.slowdown.at();
+    }
+    return inputs;
+}
+
+// Returns the candidate of lowest cost. What routers know of endpoints that vary is some tenths of a second old, and would make all choose
+// the same one: each considers SampledEndpoints of its own, and the one that has most of the prompt in its cache, unless all are full.
+const Balancer::Candidate *Balancer::select(std::vector<Candidate> &candidates, const EndpointRequirements &requirements, Time now) const
+{
+    const auto cheaper = [](const Candidate &a, const Candidate &b) {
+        return a.costMs != b.costMs ? a.costMs < b.costMs : a.rank < b.rank;
+    };
+    if (speedOf(*candidates.front().endpoint) == nullptr || candidates.size() <= SampledEndpoints)
+        return &*std::min_element(candidates.begin(), candidates.end(), cheaper);
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) { return a.rank < b.rank; });
+    const auto moreCached = [&](const Candidate &a, const Candidate &b) {
+        return cachedTokens(*a.endpoint, requirements) < cachedTokens(*b.endpoint, requirements);
+    };
+    const auto cached = std::max_element(candidates.begin(), candidates.end(), moreCached);
+    const auto sampled = std::min_element(candidates.begin(), candidates.begin() + SampledEndpoints, cheaper);
+    const auto best = cheaper(*cached, *sampled) ? cached : sampled;
+    if (best->costMs < FailedEndpointCostMs && requestsOn(*best->endpoint, now) < slotsOf(*best->endpoint))
+        return &*best;
+    return &*std::min_element(candidates.begin(), candidates.end(), cheaper);
+}
+
 std::optional<EndpointChoice> Balancer::choose(const EndpointRequirements &requirements, Time now, bool lastResort) const
 {
-    const Endpoint *best = nullptr;
-    double bestCost = 0;
-    uint32_t candidates = 0;
+    std::vector<Candidate> candidates;
     for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
         if (!canServe(it.second, requirements, now) || now < acceptsFrom(it.second, now))
             continue;
         const bool unreachable = m_reachability.unreachable(it.first);
         if (unreachable && !lastResort)
             continue;
-        ++candidates;
-        const double candidate = cost(it.second, requirements, now) + (unreachable ? UnreachableEndpointCostMs : 0);
-        if (best == nullptr || candidate < bestCost) {
-            best = &it.second;
-            bestCost = candidate;
-        }
+        const double ms = cost(it.second, requirements, now) + (unreachable ? UnreachableEndpointCostMs : 0);
+        candidates.push_back(Candidate{&it.second, ms, rankFor(it.second.rank, requirements.spread)});
     }
-    if (best == nullptr)
+    if (candidates.empty())
         return std::nullopt;
+    const Candidate &chosen = *select(candidates, requirements, now);
+    const Endpoint *best = chosen.endpoint;
     EndpointChoice choice{best->announcement.endpoint(),
                           best->announcement.address(),
                           best->announcement.born_ms(),
                           SoftwareVersion(best->announcement.software()),
                           {}};
-    choice.inputs
-        = ChoiceInputs{candidates, bestCost, best->ownRequests, best->otherRequests, Millis(-1), cachedTokens(*best, requirements)};
-    if (best->loadReportedAt != Time())
-        choice.inputs.otherRequestsAge = now - best->loadReportedAt;
+    choice.inputs = inputsOf(*best, now);
+    choice.inputs.candidates = uint32_t(candidates.size());
+    choice.inputs.expectedMs = chosen.costMs;
+    choice.inputs.cachedTokens = cachedTokens(*best, requirements);
     return choice;
 }
 
@@ -382,7 +473,8 @@
     demand.urgencies.add(requirements.urgency);
 }
 
-void Balancer::attemptEnded(const EndpointRequirements &requirements, const EndpointChoice &choice, AttemptOutcome end, Time now)
+void Balancer::attemptEnded(const EndpointRequirements &requirements, const EndpointChoice &choice, AttemptOutcome end, Time now,
+                            Millis took)
 {
     if (!requirements.model.empty()) {
         Demand &demand = demandFor(requirements);
@@ -393,20 +485,64 @@
     if (it == m_endpoints.end())
         return;
     --it->second.ownRequests;
+    const auto speed = m_speeds.find(it->second.announcement.service());
+    if (end == AttemptOutcome::Answered && speed != m_speeds.end())
+        speed->second.recordDuration(took);
     if (end == AttemptOutcome::Failed)
         it->second.failedUntil = now + EndpointFailureCooldown;
     if (end == AttemptOutcome::NotHeld)
         it->second.notHeldUntil[artifactName(requirements)] = now + ModelNotHeldCooldown;
 }
 
-void Balancer::observeLoad(const std::string &endpoint, uint32_t running, uint32_t waiting, Time now)
+void Balancer::observeLoad(const std::string &endpoint, const EndpointLoad &load, Time now)
 {
     const auto it = m_endpoints.find(endpoint);
     if (it == m_endpoints.end())
         return;
-    const uint32_t all = running + waiting;
+    const uint32_t all = load.running + load.waiting;
+    it->second.slots = load.slots.value_or(0);
     it->second.otherRequests = all > it->second.ownRequests ? all - it->second.ownRequests : 0;
     it->second.loadReportedAt = now;
+    if (!load.slowdown)
+        return;
+    it->second.slowdown.record(*load.slowdown, now);
+    m_speeds[it->second.announcement.service()].recordSlowdown(*load.slowdown);
+}
+
+void Balancer::addUse(pb::RouterState &state, Time now) const
+{
+    if (m_speeds.empty())
+        return;
+    pb::EndpointUse &use = *state.mutable_use();
+    for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
+        const bool reported = it.second.slowdown.at() != Time() && now < it.second.slowdown.at() + SlowdownReportTime
+            && it.second.slowdown.at() == it.second.loadReportedAt;
+        if (speedOf(it.second) != nullptr && (it.second.ownRequests > 0 || reported))
+            roserail::addUse(use, it.second.key, it.second.ownRequests,
+                             reported ? std::optional<double>(it.second.slowdown.latest()) : std::nullopt);
+    }
+}
+
+void Balancer::applyUse(const pb::EndpointUse &use, Time now)
+{
+    std::unordered_map<uint32_t, int> positions;
+    for (int i = 0; i < std::min(use.endpoints_size(), use.requests_size()); ++i)
+        positions[use.endpoints(i)] = i;
+    std::map<std::string, std::pair<double, size_t>> sums; // requests and endpoints, by service
+    for (std::pair<const std::string, Endpoint> &it : m_endpoints) {
+        Endpoint &endpoint = it.second;
+        if (speedOf(endpoint) == nullptr)
+            continue;
+        const auto known = positions.find(endpoint.key.value());
+        endpoint.sharedRequests = known == positions.end() ? 0 : use.requests(known->second);
+        endpoint.sharedAt = now;
+        if (known != positions.end() && slowdownIn(use, known->second) && endpoint.loadReportedAt + EndpointUseDelay < now)
+            endpoint.slowdown.record(*slowdownIn(use, known->second), now - EndpointUseDelay);
+        sums[endpoint.announcement.service()].first += endpoint.sharedRequests;
+        ++sums[endpoint.announcement.service()].second;
+    }
+    for (const std::pair<const std::string, std::pair<double, size_t>> &it : sums)
+        m_speeds[it.first].setMeanRequests(it.second.first / double(it.second.second));
 }
 
 Balancer::Demand &Balancer::demandFor(const EndpointRequirements &requirements)
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -216,6 +216,7 @@
     request.requirements.prompt = request.metadata.prompt;
     request.requirements.promptTokens = request.metadata.promptTokens;
     request.requirements.urgency = urgencyOf(*request.table, route, request.requirements.service, request.priority());
+    request.requirements.spread = XXH3_64bits(request.metadata.id.data(), request.metadata.id.size());
     request.requirements.recordedSoftware = route.retryPolicy == RetryPolicy::Resume;
     request.fingerprint = fingerprintOf(request.caller.request(), request.metadata);
     request.sharedParts = sharedParts(request.metadata);
@@ -335,6 +336,7 @@
 
 Task<AttemptEnd> Forwarder::attempt(Request &request, const EndpointChoice &choice)
 {
+    static Counter &rejections = metrics().counter("roserail_endpoint_rejections_total");
     if (!choice.router.empty())
         co_return co_await relayAttempt(request, choice);
     request.endpoint = choice.endpoint;
@@ -381,7 +383,7 @@
         co_return request.cancellation->cancelled() ? AttemptEnd::Abandoned : AttemptEnd::NotSent;
     }
     request.sentAt = monotonicNow();
-    logSend(request, choice, request.sentAt);
+    logSend(request, choice, connection->used, request.sentAt);
     m_balancer.recordSend(choice, request.sentAt);
     m_balancer.attemptStarted(request.requirements, choice, monotonicNow());
     ++request.progress.sends;
@@ -396,7 +398,9 @@
         outcome = request.status == 421 ? AttemptOutcome::NotHeld : AttemptOutcome::Full;
     else if (request.cancellation->cancelled())
         outcome = AttemptOutcome::Cancelled;
-    m_balancer.attemptEnded(request.requirements, choice, outcome, monotonicNow());
+    m_balancer.attemptEnded(request.requirements, choice, outcome, monotonicNow(), monotonicNow() - request.sentAt);
+    if (outcome == AttemptOutcome::Full)
+        rejections.add();
     if (outcome == AttemptOutcome::Full && m_balancer.recordRefusal(choice, monotonicNow())) {
         logDecision("brittle_endpoint_refused", {{"id", request.metadata.id}, {"endpoint", choice.endpoint}});
         if (m_onReport)
