--- a/src/protocol/hostsettings.cpp
+++ b/src/protocol/hostsettings.cpp
@@ -60,14 +60,15 @@
     host.metrics = readOptionalAddress(root, "metrics");
     host.grace = readDuration(root, "grace", Millis(8000));
     host.log = readLogDetail(root);
+    host.limits = readLimits(root);
     return host;
 }
 
 EntrySettings readEntry(const YAML::Node &root)
 {
     checkKeys(root, "the settings",
-              {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "log", "listen", "ready", "directory", "relay",
-               "retryRatio", "retrySlack", "retryWindow", "firstStart", "keysValidFor"});
+              {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "log", "memory", "descriptors", "listen", "ready",
+               "directory", "relay", "retryRatio", "retrySlack", "retryWindow", "firstStart", "keysValidFor"});
     EntrySettings settings;
     settings.host = readHost(root);
     settings.listen = readAddress(root, "listen", "the settings");
@@ -86,8 +87,8 @@
 KeeperSettings readKeeper(const YAML::Node &root)
 {
     checkKeys(root, "the settings",
-              {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "log", "listen", "dataFolder", "mayFound",
-               "lossesToBear", "orderLease"});
+              {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "log", "memory", "descriptors", "listen", "dataFolder",
+               "mayFound", "lossesToBear", "orderLease"});
     KeeperSettings settings;
     settings.host = readHost(root);
     settings.listen = readAddress(root, "listen", "the settings");
@@ -102,7 +103,8 @@
 {
     return fmt::format("id: {}\nzone: {}\naddress: {}\nseeds: [\"{}\"]\ninternalPort: {}\nmetrics: \"{}\"\ngrace: {}ms\nlog: {}\n", host.id,
                        host.zone, host.address, fmt::join(host.seeds, "\", \""), host.internalPort, host.metrics, host.grace.count(),
-                       logDetailName(host.log));
+                       logDetailName(host.log))
+        + toYaml(host.limits);
 }
 
 } // namespace
--- a/src/protocol/hostsettings.h
+++ b/src/protocol/hostsettings.h
@@ -24,6 +24,7 @@
     std::string metrics; // host:port; empty if metrics are not served
     Millis grace{0}; // from a stop signal to the exit of the process
     LogDetail log = LogDetail::Decisions; // for requests
+    ProcessLimits limits;
 };
 
 struct EntrySettings {
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -32,7 +32,7 @@
 
 ControlSettings readControl(const YAML::Node &root)
 {
-    checkKeys(root, "the settings", {"id", "zone", "dataFolder", "rootTokenSha256", "replicas", "snapshotEvery"});
+    checkKeys(root, "the settings", {"id", "zone", "dataFolder", "rootTokenSha256", "replicas", "snapshotEvery", "memory", "descriptors"});
     ControlSettings settings;
     settings.id = readCount(root, "id", 0);
     settings.zone = readName(root, "zone", "the settings");
@@ -54,18 +54,21 @@
         fail(root, "'id' must be above 0 and listed in 'replicas'");
     if (settings.snapshotEvery == 0)
         fail(root["snapshotEvery"], "'snapshotEvery' must be above 0");
+    settings.limits = readLimits(root);
     return settings;
 }
 
 RouterSettings readRouter(const YAML::Node &root)
 {
-    checkKeys(root, "the settings", {"id", "zone", "listen", "address", "control", "announceTokenSha256", "grace"});
+    checkKeys(root, "the settings",
+              {"id", "zone", "listen", "address", "control", "announceTokenSha256", "grace", "memory", "descriptors"});
     RouterSettings settings;
     settings.id = readName(root, "id", "the settings");
     settings.zone = readName(root, "zone", "the settings");
     settings.listen = readAddress(root, "listen", "the settings");
     settings.address = root["address"] ? readAddress(root, "address", "the settings") : settings.listen;
     settings.control = readNames(root, "control");
+    settings.limits = readLimits(root);
     settings.announceTokenSha256 = readOptionalHash(root, "announceTokenSha256");
     settings.grace = readDuration(root, "grace", tunables::RouterGrace);
     if (settings.grace < tunables::MinRouterGrace)
@@ -91,6 +94,26 @@
     return address;
 }
 
+ProcessLimits readLimits(const YAML::Node &root)
+{
+    ProcessLimits limits;
+    limits.memory = root["memory"] ? readBytes(root, "memory") : tunables::DefaultMemory;
+    if (limits.memory < tunables::MinMemory)
+        fail(root["memory"],
+             fmt::format("'memory' must be at least {} bytes; it is what the process may use of its host", tunables::MinMemory));
+    const double descriptors = readValue<double>(root, "descriptors", tunables::DefaultDescriptors, "a number of open files and sockets");
+    if (!(descriptors >= tunables::MinDescriptors && descriptors <= tunables::MaxDescriptors))
+        fail(root["descriptors"],
+             fmt::format("'descriptors' must be a number from {} to {}", tunables::MinDescriptors, tunables::MaxDescriptors));
+    limits.descriptors = uint32_t(descriptors);
+    return limits;
+}
+
+std::string toYaml(const ProcessLimits &limits)
+{
+    return fmt::format("memory: {}B\ndescriptors: {}\n", limits.memory, limits.descriptors);
+}
+
 Result<ControlSettings> parseControlSettings(const std::string &text, const std::string &file)
 {
     return readFile(text, file, ErrorKind::BadSettings, readControl);
@@ -107,14 +130,15 @@
                                   settings.zone, settings.dataFolder, settings.rootTokenSha256, settings.snapshotEvery);
     for (const PeerSettings &it : settings.replicas)
         out += fmt::format("  - {{id: {}, peerAddress: \"{}\", operatorAddress: \"{}\"}}\n", it.id, it.peerAddress, it.operatorAddress);
-    return out;
+    return out + toYaml(settings.limits);
 }
 
 std::string toYaml(const RouterSettings &settings)
 {
     return fmt::format("id: {}\nzone: {}\nlisten: \"{}\"\naddress: \"{}\"\ncontrol: [\"{}\"]\nannounceTokenSha256: \"{}\"\ngrace: {}ms\n",
                        settings.id, settings.zone, settings.listen, settings.address, fmt::join(settings.control, "\", \""),
-                       settings.announceTokenSha256, settings.grace.count());
+                       settings.announceTokenSha256, settings.grace.count())
+        + toYaml(settings.limits);
 }
 
 Result<std::string> readTextFile(const std::string &path)
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -18,6 +18,12 @@
     std::string operatorAddress; // host:port of the HTTP service
 };
 
+// What a process may use of its host.
+struct ProcessLimits {
+    Bytes memory = 0;
+    uint32_t descriptors = 0;
+};
+
 struct ControlSettings {
     uint64_t id = 0;
     std::string zone;
@@ -27,6 +33,7 @@
     std::string rootTokenSha256; // of the token that permits changes to every section
     std::vector<PeerSettings> replicas; // all initial replicas, including this one
     uint64_t snapshotEvery = 0; // log entries between snapshots
+    ProcessLimits limits;
 };
 
 struct RouterSettings {
@@ -37,6 +44,7 @@
     std::vector<std::string> control; // peer addresses of control replicas
     std::string announceTokenSha256; // empty if endpoints need no token
     Millis grace{0}; // from a stop signal to the exit of the process
+    ProcessLimits limits;
 };
 
 Result<ControlSettings> parseControlSettings(const std::string &text, const std::string &file);
@@ -46,6 +54,10 @@
 std::string toYaml(const ControlSettings &settings);
 std::string toYaml(const RouterSettings &settings);
 
+// Reads the optional keys 'memory' and 'descriptors'.
+ProcessLimits readLimits(const YAML::Node &root);
+std::string toYaml(const ProcessLimits &limits);
+
 // Reads a required "host:port" value; `what` names the mapping in the error message.
 std::string readAddress(const YAML::Node &parent, const char *key, const char *what);
 
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -216,12 +216,41 @@
 // Loops
 constexpr Millis LoopRetryDelay{100}; // after an iteration that threw; a fault that repeats takes a twentieth of LogLinesPerSecond
 
+// What a process may use of its host
+constexpr Bytes DefaultMemory = 160'000'000; // without a setting; of the smallest hosts with a disk
+constexpr Bytes MinMemory = 64'000'000; // a body of the default limit still has room, sent in chunks
+constexpr uint32_t DefaultDescriptors = 4096; // without a setting
+constexpr uint32_t MinDescriptors = 128;
+constexpr uint32_t MaxDescriptors = 1u << 20;
+// Shares of the memory; an idle process, the tables and the allocator have the rest.
+constexpr double HeadsMemoryShare = 0.06;
+constexpr double BodiesMemoryShare = 0.18;
+constexpr double AnswersMemoryShare = 0.2;
+constexpr double MessageMemoryShare = 0.25; // of one message of the internal protocol: a snapshot, or a whole list
+constexpr size_t SmallBufferBytes = 64u << 10; // of an ordinary request or answer
+constexpr double SmallBufferReserve = 0.25; // of a share, that large buffers may not use
+// Shares of the descriptors; endpoints, control hosts and files have the rest.
+constexpr double CallersDescriptorShare = 0.4;
+constexpr double RelayDescriptorShare = 0.15;
+constexpr double DirectoryDescriptorShare = 0.1;
+constexpr double MonitoringDescriptorShare = 0.05; // of readiness checks and metrics
+// Below this rate, from TransferGrace on, a caller may be broken off. A body of the default limit takes idleTimeout at 280 bytes a ms.
+constexpr double MinTransferBytesPerMs = 8;
+constexpr Millis TransferGrace{2000}; // exceeds the retransmission of a lost packet
+constexpr int SocketBufferBytes = 128u << 10; // of a caller's connection, in each direction, in the kernel
+constexpr size_t IdleBufferBytes = 4096; // of a connection's input, that it keeps while it is idle
+constexpr size_t BodyReadBytes = 16u << 10; // of a body, in one read
+constexpr Millis IngressReviewInterval{1000}; // of metrics and of memory to be given back
+constexpr size_t MinTrimBytes = 8u << 20; // released since the last time, for which the allocator gives memory back
+
 // HTTP
 constexpr size_t MaxBodyBytes = 8u << 20;
 constexpr size_t MaxEventBytes = 1u << 20; // of one event of a stream
 constexpr size_t RouterHttpThreads = 512;
 constexpr size_t ControlHttpThreads = 32;
 constexpr Millis HttpIoTimeout = std::chrono::seconds(10);
+constexpr Millis RequestReadTimeout = std::chrono::seconds(15); // of a whole request; a body of MaxBodyBytes at 560 bytes a ms
+constexpr size_t MaxRequestHeadBytes = 64u << 10; // the usual limit of servers and proxies is 8 to 64 KiB
 constexpr size_t BlockingReadBytes = 16u << 10; // of an answer, in one read
 
 // Connections of general routes
--- a/src/state/yamlreader.cpp
+++ b/src/state/yamlreader.cpp
@@ -83,7 +83,7 @@
 
 Bytes readBytes(const YAML::Node &parent, const char *key)
 {
-    return Bytes(readQuantity(parent, key, {{"KiB", 1024.0}, {"MiB", 1048576.0}, {"GiB", 1073741824.0}, {"B", 1.0}},
+    return Bytes(readQuantity(parent, key, {{"KiB", 1024.0}, {"MiB", 1048576.0}, {"GiB", 1073741824.0}, {"MB", 1e6}, {"B", 1.0}},
                               "a size such as 512MiB or 8GiB"));
 }
 
--- /dev/null
+++ b/tests/crowds_test.cpp
@@ -0,0 +1,295 @@
+// Tests of running processes with callers that nobody controls: too large, too many, or never ending requests at every port. They check
+// that processes live, that memory and descriptors stay within the settings, and that an ordinary request is answered afterwards.
+#define BOOST_TEST_MODULE crowds
+#include "crowd.h"
+#include "fleet.h"
+#include "system.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/included/unit_test.hpp>
+#include <csignal>
+#include <iostream>
+
+using namespace roserail::test;
+
+namespace bdata = boost::unit_test::data;
+
+namespace
+{
+
+constexpr int FirstPort = 33000;
+constexpr size_t HostMemory = 64'000'000; // of each process of general routes, in their settings
+constexpr size_t SystemMemory = 128'000'000; // of each process of the other system, whose bodies may be twice as large
+constexpr size_t HostDescriptors = 300;
+constexpr size_t Mega = 1u << 20;
+constexpr std::chrono::milliseconds CrowdTime{4000};
+constexpr std::chrono::milliseconds StepTime{50}; // between two looks at the process
+
+enum class Port { Callers, Relay, Readiness, Directory, EntryMetrics, Operators, Announcements, KeeperMetrics, Internal };
+
+struct PortRow {
+    const char *name;
+    const char *process;
+    const char *head; // of a request, without the fields for its body
+    size_t legalBytes; // of the largest body permitted
+};
+
+const PortRow Ports[] = {
+    {"callers", "entry-1", "POST /u/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: c\r\nX-Deadline-Ms: 8000\r\n", Mega},
+    {"relay", "entry-1", "POST /u/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: c\r\nRoserail-Relayed-From: entry-2\r\n", Mega},
+    {"readiness", "entry-1", "POST /api/readyz HTTP/1.1\r\nHost: h\r\n", 4 * Mega},
+    {"directory", "entry-1", "POST /api/resolve?name=h.example&region=r&zone=z1 HTTP/1.1\r\nHost: h\r\n", 4 * Mega},
+    {"metrics of an entry host", "entry-1", "POST /metrics HTTP/1.1\r\nHost: h\r\n", 4 * Mega},
+    {"operators", "keeper-1", "PUT /api/config HTTP/1.1\r\nHost: h\r\n", 4 * Mega},
+    {"announcements", "keeper-1", "PUT /api/instances/i-9 HTTP/1.1\r\nHost: h\r\n", 4 * Mega},
+    {"metrics of a control host", "keeper-1", "POST /metrics HTTP/1.1\r\nHost: h\r\n", 4 * Mega},
+    {"internal protocol", "keeper-1", "", 4 * Mega},
+};
+
+// What the callers of a crowd do.
+enum class Kind {
+    AnnouncedTooLarge,
+    SentTooLarge,
+    Whole,
+    Pieces,
+    Short,
+    LargeChunks,
+    SmallChunks,
+    Heads,
+    Pipelined,
+    Unread,
+    UnreadStream,
+    Idle
+};
+
+struct Case {
+    const char *name;
+    Port port;
+    Kind kind;
+    int callers;
+    bool manyAddresses = false;
+    bool whileStopping = false; // the process gets SIGTERM meanwhile
+};
+
+std::ostream &operator<<(std::ostream &out, const Case &it)
+{
+    return out << it.name;
+}
+
+// Returns what a caller sends to a port. `head`: of a request, without the fields for its body. `legal`: bytes of the largest body.
+CrowdText textOf(Kind kind, const std::string &head, size_t legal)
+{
+    const std::string filler(64u << 10, 'x');
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string length = head + fmt::format("Content-Length: {}\r\n\r\n", legal);
+    switch (kind) {
+    case Kind::AnnouncedTooLarge:
+        return {head + fmt::format("Content-Length: {}\r\n\r\n", 64 * legal), filler, 4 * legal};
+    case Kind::SentTooLarge:
+        return {chunked, fmt::format("{:x}\r\n{}\r\n", filler.size(), filler), 4 * legal};
+    case Kind::Whole:
+        return {length, filler, length.size() + legal};
+    case Kind::Pieces:
+    case Kind::Short:
+        return {length, filler, length.size() + legal - 1};
+    case Kind::LargeChunks:
+        return {chunked, fmt::format("{:x}\r\n{}\r\n", filler.size(), filler), chunked.size() + legal - 1};
+    case Kind::SmallChunks:
+        return {chunked, "1\r\nx\r\n", chunked.size() + 6 * (legal / 3)};
+    case Kind::Heads:
+        return {head + "X-A: ", "x", 15000};
+    case Kind::Pipelined:
+        return {"", head + "Content-Length: 4\r\n\r\nbody", 2 * Mega};
+    case Kind::Unread:
+    case Kind::UnreadStream:
+        return {head + "Content-Length: 0\r\n\r\n", "", head.size() + 21};
+    case Kind::Idle:
+        break;
+    }
+    return {"", "", 0};
+}
+
+const Case Cases[] = {
+    {"callers announce too large bodies", Port::Callers, Kind::AnnouncedTooLarge, 100},
+    {"callers send too large bodies", Port::Callers, Kind::SentTooLarge, 100},
+    {"callers send large bodies whole", Port::Callers, Kind::Whole, 150},
+    {"callers send large bodies in pieces", Port::Callers, Kind::Pieces, 150},
+    {"callers send large bodies and stop short", Port::Callers, Kind::Short, 150},
+    {"callers from many addresses stop short", Port::Callers, Kind::Short, 150, true},
+    {"callers send large chunks and stop short", Port::Callers, Kind::LargeChunks, 150},
+    {"callers send chunks of a byte and stop short", Port::Callers, Kind::SmallChunks, 200},
+    {"callers stop short in heads", Port::Callers, Kind::Heads, 1000},
+    {"callers send requests without waiting", Port::Callers, Kind::Pipelined, 100},
+    {"callers don't read large answers", Port::Callers, Kind::Unread, 150},
+    {"callers don't read streams", Port::Callers, Kind::UnreadStream, 100},
+    {"callers stay idle", Port::Callers, Kind::Idle, 500},
+    {"callers stop short while the host stops", Port::Callers, Kind::Short, 150, false, true},
+    {"relay: large bodies that stop short", Port::Relay, Kind::Short, 150},
+    {"relay: large chunks that stop short", Port::Relay, Kind::LargeChunks, 150},
+    {"relay: large answers that nobody reads", Port::Relay, Kind::Unread, 150},
+    {"readiness: large bodies that stop short", Port::Readiness, Kind::Short, 60},
+    {"directory: large bodies that stop short", Port::Directory, Kind::Short, 60},
+    {"metrics of an entry host: large bodies that stop short", Port::EntryMetrics, Kind::Short, 60},
+    {"operators announce too large bodies", Port::Operators, Kind::AnnouncedTooLarge, 60},
+    {"operators send too large bodies", Port::Operators, Kind::SentTooLarge, 60},
+    {"operators send large bodies whole", Port::Operators, Kind::Whole, 60},
+    {"operators stop short", Port::Operators, Kind::Short, 60},
+    {"operators send chunks of a byte and stop short", Port::Operators, Kind::SmallChunks, 60},
+    {"operators stop short in heads", Port::Operators, Kind::Heads, 1000},
+    {"operators stay idle", Port::Operators, Kind::Idle, 500},
+    {"operators stop short while the host stops", Port::Operators, Kind::Short, 60, false, true},
+    {"announcements stop short", Port::Announcements, Kind::LargeChunks, 60},
+    {"metrics of a control host: large bodies that stop short", Port::KeeperMetrics, Kind::Short, 60},
+    {"internal protocol: idle connections", Port::Internal, Kind::Idle, 500},
+};
+
+int portNumber(const Fleet &fleet, Port port)
+{
+    const int first = fleet.entryPort(0) - 10;
+    const int offsets[] = {11, 71, 21, 31, 61, 1, 1, 60, 2};
+    return first + offsets[size_t(port)];
+}
+
+bool answered(Fleet &fleet, const std::string &id)
+{
+    const httplib::Result result = fleet.sendRequest(1, "/r/x", id);
+    return result && result->status == 200;
+}
+
+bool startFleet(Fleet &fleet)
+{
+    fleet.setMoreSettings(fmt::format("memory: {}B\ndescriptors: {}\n", HostMemory, HostDescriptors));
+    for (const int n : {1, 2, 3})
+        fleet.startKeeper(n, true);
+    fleet.startEntry(1);
+    fleet.startRunner(1, "plain", "");
+    Json configuration = Json::parse(Fleet::configurationText(5));
+    configuration["limits"] = Json{{"max_body_bytes", Mega}};
+    const bool configured = eventually([&] {
+        const httplib::Result result = fleet.putText(1, configuration.dump());
+        return result && result->status == 200;
+    });
+    return configured && fleet.waitUntilReady({1}) && eventually([&] { return answered(fleet, "probe"); });
+}
+
+// Plays a crowd and checks the process meanwhile. `memory`: in bytes.
+void playCrowd(Processes &processes, const std::string &process, Crowd &crowd, const std::string &name, size_t memory,
+               const std::function<bool()> &stop)
+{
+    size_t descriptors = 0;
+    size_t peakKb = 0;
+    bool running = true;
+    const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + CrowdTime;
+    while (running && std::chrono::steady_clock::now() < end) {
+        crowd.play(StepTime);
+        running = !stop() && processes.running(process);
+        if (!running)
+            break;
+        descriptors = std::max(descriptors, openDescriptors(processes.pid(process)));
+        peakKb = memoryKb(processes.pid(process), "VmHWM");
+    }
+    std::cout << fmt::format("{}: sent {} MB, peak memory {} MB, descriptors {}\n", name, crowd.sentBytes() / 1000000,
+                             peakKb * 1024 / 1000000, descriptors)
+              << std::flush;
+    BOOST_TEST(peakKb * 1024 <= memory);
+    BOOST_TEST(descriptors <= HostDescriptors);
+}
+
+} // namespace
+
+// Guards against clients outside the limits that end a process, exceed its memory or descriptors, or keep ordinary callers out.
+BOOST_DATA_TEST_CASE(crowdLeavesRoomForOthers, bdata::make(Cases), row)
+{
+    Fleet fleet("crowd", FirstPort);
+    BOOST_REQUIRE(startFleet(fleet));
+    const PortRow &port = Ports[size_t(row.port)];
+    std::string head = port.head;
+    const size_t at = head.find("/u/x");
+    if (row.kind == Kind::Unread)
+        head.replace(at, 4, "/r/bytes/900000/");
+    if (row.kind == Kind::UnreadStream)
+        head.replace(at, 4, "/r/events/10000000/");
+    const bool atKeeper = std::string(port.process) == "keeper-1";
+    const bool unread = row.kind == Kind::Unread || row.kind == Kind::UnreadStream || row.kind == Kind::Pipelined;
+    const CrowdManner manner{row.callers, row.kind == Kind::Pieces ? 1024u : 64u << 10, !unread, row.manyAddresses};
+    bool stopped = false;
+    {
+        Crowd crowd(atKeeper ? "127.0.0.1" : "127.0.0.1", portNumber(fleet, row.port), textOf(row.kind, head, port.legalBytes), manner);
+        const std::chrono::steady_clock::time_point stopAt = std::chrono::steady_clock::now() + CrowdTime / 4;
+        playCrowd(fleet, port.process, crowd, row.name, HostMemory, [&] {
+            if (row.whileStopping && !stopped && std::chrono::steady_clock::now() > stopAt) {
+                stopped = true;
+                fleet.signal(port.process, SIGTERM);
+            }
+            return false;
+        });
+        if (!row.whileStopping)
+            BOOST_TEST(eventually([&] { return answered(fleet, "beside"); }));
+    }
+    if (row.whileStopping) {
+        BOOST_TEST(fleet.wait(port.process) == 0);
+        return;
+    }
+    BOOST_TEST(fleet.running(port.process));
+    BOOST_TEST(eventually([&] { return answered(fleet, "after"); }));
+    BOOST_TEST(eventually([&] {
+        const httplib::Result result = fleet.getConfiguration(1);
+        return result && result->status == 200;
+    }));
+}
+
+namespace
+{
+
+struct SystemCase {
+    const char *name;
+    const char *process;
+    const char *head;
+    Kind kind;
+    int callers;
+};
+
+std::ostream &operator<<(std::ostream &out, const SystemCase &it)
+{
+    return out << it.name;
+}
+
+constexpr const char *ModelHead = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer caller-token\r\n";
+constexpr const char *ControlHead = "POST /document?change_id=x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer root-token\r\n";
+
+const SystemCase SystemCases[] = {
+    {"router: too large bodies, announced", "router-1", ModelHead, Kind::AnnouncedTooLarge, 20},
+    {"router: too large bodies, sent", "router-1", ModelHead, Kind::SentTooLarge, 20},
+    {"router: large bodies that stop short", "router-1", ModelHead, Kind::Short, 20},
+    {"router: large chunks that stop short", "router-1", ModelHead, Kind::LargeChunks, 20},
+    {"control: too large bodies, sent", "control-1", ControlHead, Kind::SentTooLarge, 20},
+    {"control: large bodies that stop short", "control-1", ControlHead, Kind::Short, 20},
+};
+
+} // namespace
+
+// The same for roserail-router and roserail-control.
+BOOST_DATA_TEST_CASE(crowdAtASystemLeavesRoomForOthers, bdata::make(SystemCases), row)
+{
+    System system("crowd-system", FirstPort + 100);
+    system.setMoreSettings(fmt::format("memory: {}B\ndescriptors: {}\n", SystemMemory, HostDescriptors));
+    for (const int id : {1, 2, 3})
+        system.startControl(id);
+    for (const int id : {1, 2})
+        system.startRouter(id);
+    system.startService(1);
+    system.bootstrap();
+    const auto served = [&] {
+        return system.callService(1, newIdempotencyKey("ordinary"), "x").status == 200;
+    };
+    BOOST_REQUIRE(eventually(served));
+    const int port = std::string(row.process) == "router-1" ? system.routerPort(1) : system.controlPort(1);
+    {
+        Crowd crowd("127.0.0.1", port, textOf(row.kind, row.head, 8 * Mega), CrowdManner{row.callers});
+        playCrowd(system, row.process, crowd, row.name, SystemMemory, [] { return false; });
+    }
+    BOOST_TEST(system.running(row.process));
+    BOOST_TEST(eventually(served));
+    BOOST_TEST(eventually([&] { return system.leader() != 0; }));
+}
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -58,8 +58,8 @@
     std::string seeds = seed.empty() ? "" : fmt::format("\"{}:{}\"", seed, m_firstPort + 1);
     for (int n = 1; n <= KeeperCount && seed.empty(); ++n)
         seeds += fmt::format("{}\"{}:{}\"", n == 1 ? "" : ", ", keeperAddress(n), m_firstPort + 1);
-    return fmt::format("id: {}\nzone: z1\naddress: {}\nseeds: [{}]\ninternalPort: {}\ngrace: {}ms\n", id, address, seeds, internalPort(),
-                       m_graceMs);
+    return fmt::format("id: {}\nzone: z1\naddress: {}\nseeds: [{}]\ninternalPort: {}\ngrace: {}ms\n{}", id, address, seeds,
+                       internalPort(), m_graceMs, m_moreSettings);
 }
 
 void Fleet::startKeeper(int n, bool mayFound, int orderLeaseMs)
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -30,6 +30,11 @@
     {
         m_entrySettings = std::move(lines);
     }
+    // Sets more lines of the settings of the hosts that are started from now on.
+    void setMoreSettings(std::string text)
+    {
+        m_moreSettings = std::move(text);
+    }
     // Sets how long runners that are started from now on take to answer an order once they have executed it.
     void setOrderAnswerTime(int ms)
     {
@@ -97,6 +102,7 @@
     std::string m_entrySettings;
     int m_orderAnswerMs = 0;
     std::string m_programs;
+    std::string m_moreSettings;
 };
 
 } // namespace roserail::test
--- a/tests/processes.h
+++ b/tests/processes.h
@@ -34,6 +34,10 @@
     {
         return m_pids.count(process) != 0;
     }
+    int pid(const std::string &process) const
+    {
+        return m_pids.at(process);
+    }
     // Returns what a process has written to standard output.
     std::string output(const std::string &process) const;
     // Returns what all processes have written to standard output and standard error.
--- a/tests/standin/runner_main.cpp
+++ b/tests/standin/runner_main.cpp
@@ -316,7 +316,8 @@
         }
         if (events == 0) {
             std::this_thread::sleep_for(std::chrono::milliseconds(pause));
-            response.set_content("plain answer of " + m_options.id, "text/plain");
+            const size_t bytes = size_t(pathNumber(request.path, "bytes", 0));
+            response.set_content("plain answer of " + m_options.id + std::string(bytes, '.'), "text/plain");
             return;
         }
         const int first = std::atoi(request.get_header_value("Last-Event-Id").c_str());
--- a/tests/system.cpp
+++ b/tests/system.cpp
@@ -44,8 +44,9 @@
 
 void System::startControl(int id)
 {
-    std::string settings = fmt::format("id: {}\nzone: zone-{}\ndataFolder: {}\nrootTokenSha256: \"{}\"\nsnapshotEvery: {}\nreplicas:\n", id,
-                                       id, (folder() / fmt::format("data-{}", id)).string(), sha256Hex("root-token"), m_snapshotEvery);
+    std::string settings = fmt::format("id: {}\nzone: zone-{}\ndataFolder: {}\nrootTokenSha256: \"{}\"\nsnapshotEvery: {}\n{}replicas:\n",
+                                       id, id, (folder() / fmt::format("data-{}", id)).string(), sha256Hex("root-token"), m_snapshotEvery,
+                                       m_moreSettings);
     for (const int it : {1, 2, 3})
         settings += fmt::format("  - {{id: {}, peerAddress: \"127.0.0.1:{}\", operatorAddress: \"127.0.0.1:{}\"}}\n", it, m_firstPort + it,
                                 controlPort(it));
@@ -61,7 +62,8 @@
         fmt::format(
             "id: router-{}\nzone: zone-{}\nlisten: \"127.0.0.1:{}\"\ncontrol: [\"127.0.0.1:{}\", \"127.0.0.1:{}\", \"127.0.0.1:{}\"]\n{}",
             id, id, routerPort(id), m_firstPort + 1, m_firstPort + 2, m_firstPort + 3,
-            graceMs == 0 ? "" : fmt::format("grace: {}ms\n", graceMs)));
+            graceMs == 0 ? "" : fmt::format("grace: {}ms\n", graceMs))
+            + m_moreSettings);
     spawn(fmt::format("router-{}", id), {ROSERAIL_BUILD "/roserail-router", path});
 }
 
--- a/tests/system.h
+++ b/tests/system.h
@@ -29,6 +29,11 @@
     // The system uses ports from `firstPort` on.
     System(const std::string &name, int firstPort, int snapshotEvery = 20000);
 
+    // Sets more lines of the settings of the processes that are started from now on.
+    void setMoreSettings(std::string text)
+    {
+        m_moreSettings = std::move(text);
+    }
     void startControl(int id);
     // `graceMs`: setting `grace`; 0: its default.
     void startRouter(int id, int graceMs = 0);
@@ -88,6 +93,7 @@
 
     int m_firstPort;
     int m_snapshotEvery;
+    std::string m_moreSettings;
 };
 
 // Returns an idempotency key with the current time.
