One budget of memory and connections for all callers of a process

Clients that nobody controls ended processes: each request had a limit, all together had none, a body was kept twice, and no server limited its connections.

- coordination/ingressbudget: shares of the host's memory for heads, bodies and answers, each with a reserve for small buffers; decides which caller is broken off when one runs short: the slowest of those that have stalled, while its request is still being read.
- Bodies are read into one string that draws on the budget before it grows, moved into the request and sent from there.
A length without room is refused from the head, as not run, with Retry-After.
Answers are written without being copied.
- Servers limit their connections: idle ones are closed first.
Callers that don't take an answer are broken off.
- Memory of large buffers returns to the system.
- roserail-router and roserail-control: a stream under cpp-httplib limits the bytes and the time of each request.
- The internal protocol of control hosts limits messages by the host's memory.
- A request whose caller left while the process was paused is not passed on.

--- /dev/null
+++ b/src/coordination/ingressbudget.cpp
@@ -0,0 +1,64 @@
+#include "coordination/ingressbudget.h"
+
+#include "state/tunables.h"
+
+#include <algorithm>
+
+namespace roserail
+{
+
+using namespace tunables;
+
+namespace
+{
+
+size_t share(Bytes memory, double part)
+{
+    return size_t(double(memory) * part);
+}
+
+double rate(const Transfer &transfer, Time now)
+{
+    return double(transfer.bytes) / double(std::max<int64_t>(1, (now - transfer.startedAt).count()));
+}
+
+} // namespace
+
+IngressBudget::IngressBudget(Bytes memory, uint32_t maxDescriptors)
+    : heads(share(memory, HeadsMemoryShare))
+    , bodies(share(memory, BodiesMemoryShare), share(memory, BodiesMemoryShare * SmallBufferReserve), SmallBufferBytes)
+    , answers(share(memory, AnswersMemoryShare), share(memory, AnswersMemoryShare * SmallBufferReserve), SmallBufferBytes)
+    , descriptors(maxDescriptors)
+    , maxMessageBytes(share(memory, MessageMemoryShare))
+{
+}
+
+bool isStalled(const Transfer &transfer, Time now)
+{
+    return now - transfer.startedAt >= TransferGrace && rate(transfer, now) < MinTransferBytesPerMs;
+}
+
+std::optional<size_t> slowestTransfer(const std::vector<Transfer> &transfers, Time now)
+{
+    std::optional<size_t> slowest;
+    for (size_t i = 0; i < transfers.size(); ++i) {
+        if (!isStalled(transfers[i], now))
+            continue;
+        const bool slower = slowest && rate(transfers[i], now) < rate(transfers[*slowest], now);
+        const bool older = slowest && rate(transfers[i], now) == rate(transfers[*slowest], now)
+            && transfers[i].startedAt < transfers[*slowest].startedAt;
+        if (!slowest || slower || older)
+            slowest = i;
+    }
+    return slowest;
+}
+
+Millis roomExpectedIn(const std::vector<Transfer> &transfers, Time now)
+{
+    Millis earliest = TransferGrace;
+    for (const Transfer &it : transfers)
+        earliest = std::min(earliest, Millis(std::max<Millis>(Millis(0), it.startedAt + TransferGrace - now)));
+    return std::max(earliest, MinRetryAfter);
+}
+
+} // namespace roserail
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -21,7 +21,9 @@
     const std::function<std::string()> dump = [&api] {
         return api.dump();
     };
-    HttpServer metricsServer(io, [&dump](CallerConnection &caller) { return answerMonitoring(caller, dump); });
+    HttpServer metricsServer(
+        io, [&dump](CallerConnection &caller) { return answerMonitoring(caller, dump); }, api.ingress(),
+        tunables::MonitoringDescriptorShare);
     if (!settings.host.metrics.empty() && metricsServer.listen(settings.host.metrics).has_error())
         return reportFatal(Error{ErrorKind::BadSettings, "cannot listen on 'metrics'; free the port or change the address", 0});
     std::thread ioThread([&io] { io.run(); });
--- a/src/keeper.cpp
+++ b/src/keeper.cpp
@@ -120,20 +120,23 @@
             return node->withMachine([stream](const StateMachine &machine) { return machine.streams().find(stream); });
         });
     services.push_back(&meshService);
-    const std::unique_ptr<grpc::Server> server = startGrpcServer(internal, services);
+    const std::shared_ptr<Ingress> ingress = std::make_shared<Ingress>(settings.host.limits);
+    const std::unique_ptr<grpc::Server> server = startGrpcServer(internal, services, ingress->budget().maxMessageBytes);
     if (!server)
         return reportFatal(
             Error{ErrorKind::BadSettings, fmt::format("cannot listen on {}; free the port or change 'internalPort'", internal), 0});
     net::io_context io(1);
     KeeperApi api(io, platform::codec(), table, node.get());
-    HttpServer httpServer(io, [&api](CallerConnection &caller) { return api.handle(caller); });
+    HttpServer httpServer(
+        io, [&api](CallerConnection &caller) { return api.handle(caller); }, ingress, tunables::CallersDescriptorShare);
     const Result<void> listening = httpServer.listen(settings.listen);
     if (listening.has_error())
         return reportFatal(listening.error());
     const std::function<std::string()> dump = [&table, &node] {
         return dumpState(table, node.get());
     };
-    HttpServer metricsServer(io, [&dump](CallerConnection &caller) { return answerMonitoring(caller, dump); });
+    HttpServer metricsServer(
+        io, [&dump](CallerConnection &caller) { return answerMonitoring(caller, dump); }, ingress, tunables::MonitoringDescriptorShare);
     if (!settings.host.metrics.empty() && metricsServer.listen(settings.host.metrics).has_error())
         return reportFatal(Error{ErrorKind::BadSettings, "cannot listen on 'metrics'; free the port or change the address", 0});
     std::unique_ptr<OrderSender> orders;
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -270,7 +270,6 @@
 constexpr size_t MaxUnparsedBytes = 128u << 10; // on one connection; more than a head and one read
 // An answer that is not a stream is buffered until it is complete. The limit is twice the default limit of a request's body.
 constexpr size_t MaxBufferedAnswerBytes = 8u << 20;
-constexpr size_t MaxBufferedBytes = 32u << 20; // of all answers of one router: a fifth of the memory of the smallest hosts
 constexpr size_t MaxReportBytes = 1u << 20; // of an endpoint's heartbeat or report; some 100 bytes for each model
 constexpr Millis StreamVersionRetention = std::chrono::minutes(1); // exceeds the longest stream and its caller's retries
 // For a new software version to be listed in the replicated log before a stream begins there; covers an election.
--- a/src/transport/callerapi.cpp
+++ b/src/transport/callerapi.cpp
@@ -66,6 +66,7 @@
 
 CallerApi::CallerApi(Router &router)
     : m_router(router)
+    , m_server(router.settings().limits)
 {
     m_server.new_task_queue = [] {
         return new httplib::ThreadPool(RouterHttpThreads);
--- a/src/transport/callerapi.h
+++ b/src/transport/callerapi.h
@@ -2,10 +2,9 @@
 // streams, the list of router addresses, and announcements of endpoints.
 #pragma once
 
+#include "transport/boundedserver.h"
 #include "transport/exchange.h"
 
-#include <httplib.h>
-
 namespace roserail
 {
 
@@ -40,7 +39,7 @@
     void answerStream(std::function<Result<Answer>(StreamSink &)> produce, httplib::Response &response);
 
     Router &m_router;
-    httplib::Server m_server;
+    BoundedServer m_server;
 };
 
 } // namespace roserail
--- a/src/transport/controlservice.h
+++ b/src/transport/controlservice.h
@@ -1,6 +1,7 @@
 // gRPC services of a control replica: consensus messages from its peers, heartbeats and commands from routers.
 #pragma once
 
+#include "transport/channel.h"
 #include "transport/coordinator.h"
 
 #include "control.grpc.pb.h"
@@ -32,7 +33,9 @@
     Coordinator &m_coordinator;
 };
 
-// Starts a server for the services; returns null if the address can't be bound.
-std::unique_ptr<grpc::Server> startGrpcServer(const std::string &address, const std::vector<grpc::Service *> &services);
+// Starts a server for the services; returns null if the address can't be bound. `maxMessageBytes`: of one message that it receives; all
+// together may use twice as much.
+std::unique_ptr<grpc::Server> startGrpcServer(const std::string &address, const std::vector<grpc::Service *> &services,
+                                              size_t maxMessageBytes = MaxGrpcMessageBytes);
 
 } // namespace roserail
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -50,10 +50,15 @@
     , m_retries(settings.retryRatio, settings.retryWindow, settings.firstStart ? std::nullopt : std::optional(monotonicNow()))
     , m_forwarder(io, codec, m_balancer, m_retries, m_crashes, m_crashingParts)
     , m_peers(settings.host.id, settings.host.zone)
-    , m_callerServer(io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
-    , m_relayServer(io, [this](CallerConnection &caller) { return m_forwarder.handleRelayed(caller); })
-    , m_readinessServer(io, [this](CallerConnection &caller) { return answerReady(caller); })
-    , m_directoryServer(io, [this](CallerConnection &caller) { return answerResolve(caller); })
+    , m_ingress(std::make_shared<Ingress>(settings.host.limits))
+    , m_callerServer(
+          io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); }, m_ingress, CallersDescriptorShare)
+    , m_relayServer(
+          io, [this](CallerConnection &caller) { return m_forwarder.handleRelayed(caller); }, m_ingress, RelayDescriptorShare)
+    , m_readinessServer(
+          io, [this](CallerConnection &caller) { return answerReady(caller); }, m_ingress, MonitoringDescriptorShare)
+    , m_directoryServer(
+          io, [this](CallerConnection &caller) { return answerResolve(caller); }, m_ingress, DirectoryDescriptorShare)
     , m_incarnation(wallMillis())
 {
     m_forwarder.setKeysValidFor(settings.keysValidFor);
--- a/src/transport/entryapi.h
+++ b/src/transport/entryapi.h
@@ -24,6 +24,11 @@
     Task<> stop(Time signalledAt);
     // Returns the state of this process as JSON. Must be called on the thread of `io`.
     std::string dump();
+    // What all servers of the process share.
+    const std::shared_ptr<Ingress> &ingress() const
+    {
+        return m_ingress;
+    }
 
 private:
     std::array<HttpServer *, 4> servers();
@@ -54,6 +59,7 @@
     std::set<PromptPartId> m_loggedRefusedParts;
     Forwarder m_forwarder;
     PeerRouters m_peers;
+    std::shared_ptr<Ingress> m_ingress;
     HttpServer m_callerServer;
     HttpServer m_relayServer;
     HttpServer m_readinessServer;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -81,7 +81,6 @@
     , m_crashes(crashes)
     , m_crashingParts(crashingParts)
     , m_pool(io)
-    , m_bufferQuota(MaxBufferedBytes)
     , m_streamVersions(StreamVersionRetention, MaxStreamVersions)
     , m_software(StreamVersionRetention)
 {
@@ -120,7 +119,7 @@
 
 Task<> Forwarder::handle(CallerConnection &caller)
 {
-    Request request(caller, m_table, m_bufferQuota);
+    Request request(caller, m_table);
     co_await run(request);
 }
 
@@ -210,10 +209,8 @@
     co_await caller.socket().async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
     if (ec || cancellation->finished)
         co_return;
-    char byte = 0;
-    const ssize_t n = ::recv(caller.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     // Available bytes belong to a pipelined request, which is read after this one.
-    if (n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+    if (isClosedByPeer(caller.socket()))
         cancellation->cancel(cancellation->callerDisconnected);
 }
 
@@ -246,8 +243,11 @@
             choice.reset();
             refuseByStop(request);
         }
+        // After a pause of this process, a request may be read whose caller has left before.
+        if (choice && isClosedByPeer(request.caller.socket()))
+            request.cancellation->cancel(request.cancellation->callerDisconnected);
         AttemptEnd end = AttemptEnd::NotSent;
-        if (choice)
+        if (choice && !request.cancellation->callerDisconnected)
             end = co_await attempt(request, *choice);
         else
             request.cause = request.cause.empty() ? "no endpoint is available" : request.cause;
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "coordination/balancer.h"
-#include "coordination/bufferquota.h"
 #include "coordination/crashingparts.h"
 #include "coordination/crashwatch.h"
 #include "coordination/peerrouters.h"
@@ -179,7 +178,7 @@
     std::string buildAnswerHead(const Request &request, const struct EndpointAnswer &answer) const;
     Task<> refuse(Request &request, const Error &error, unsigned status);
     Task<> finish(Request &request, RouteStep step, AttemptEnd end);
-    std::string buildRequest(const Request &request, const EndpointChoice &choice, Time now) const;
+    std::string buildRequestHead(const Request &request, const EndpointChoice &choice, Time now) const;
     Task<> watchCaller(CallerConnection &caller, std::shared_ptr<Cancellation> cancellation);
     void logRequest(const Request &request, std::string_view outcome) const;
     void logSend(const Request &request, const EndpointChoice &choice, Time now) const;
@@ -198,7 +197,6 @@
     std::function<void()> m_onReport;
     std::set<net::steady_timer *> m_waitTimers;
     std::map<ServiceId, size_t> m_waitingForCapacity; // requests
-    BufferQuota m_bufferQuota;
     StreamVersions m_streamVersions;
     SoftwareSeen m_software;
     Confirmation m_softwareConfirmed; // of the list of versions, by control hosts
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -4,6 +4,7 @@
 #include "transport/clock.h"
 #include "transport/forwarderrequest.h"
 
+#include <array>
 #include <boost/beast/core/string.hpp>
 #include <limits>
 
@@ -36,7 +37,8 @@
 
 } // namespace
 
-std::string Forwarder::buildRequest(const Request &request, const EndpointChoice &choice, Time now) const
+// Returns the head of the request that is sent to the endpoint; the body follows as it was received.
+std::string Forwarder::buildRequestHead(const Request &request, const EndpointChoice &choice, Time now) const
 {
     const http::request<http::string_body> &original = request.caller.request();
     const bool resumes = request.route->retryPolicy == RetryPolicy::Resume && !request.eventRelay.lastId().empty();
@@ -60,14 +62,15 @@
     const bool hasBody = !original.body().empty() || original.method() == http::verb::post || original.method() == http::verb::put;
     if (hasBody)
         bytes += fmt::format("Content-Length: {}\r\n", original.body().size());
-    return bytes + "\r\n" + original.body();
+    return bytes + "\r\n";
 }
 
 Task<AttemptEnd> Forwarder::exchange(Request &request, const EndpointChoice &choice, EndpointConnection &connection, bool &reusable)
 {
-    const std::string bytes = buildRequest(request, choice, monotonicNow());
+    const std::string head = buildRequestHead(request, choice, monotonicNow());
+    const std::array<net::const_buffer, 2> bytes{net::buffer(head), net::buffer(request.caller.request().body())};
     ErrorCode ec;
-    co_await net::async_write(connection.socket, net::buffer(bytes), net::redirect_error(net::use_awaitable, ec));
+    co_await net::async_write(connection.socket, bytes, net::redirect_error(net::use_awaitable, ec));
     if (ec) {
         request.cause = "the connection failed while the request was sent: " + ec.message();
         co_return AttemptEnd::Interrupted;
@@ -247,7 +250,7 @@
         size_t n = 0;
         if (!co_await readBody(request, connection, answer, buf, n))
             co_return AttemptEnd::Interrupted;
-        if (!request.buffered.resize(body.size() + n, MaxBufferedAnswerBytes)) {
+        if (!request.buffer(body.size() + n, MaxBufferedAnswerBytes)) {
             request.cause = "the endpoint's answer is too large to buffer";
             co_return AttemptEnd::Interrupted;
         }
@@ -264,7 +267,7 @@
     std::string head = buildAnswerHead(request, answer);
     request.recordForwarding(monotonicNow());
     head += bodyless ? "\r\n" : fmt::format("Content-Length: {}\r\n\r\n", body.size());
-    if (!co_await request.caller.write(head + body))
+    if (!co_await request.caller.write(std::move(head), body))
         co_return AttemptEnd::Abandoned;
     co_return AttemptEnd::Completed;
 }
@@ -296,7 +299,7 @@
         }
         if (complete)
             co_return AttemptEnd::Completed;
-        if (!request.buffered.resize(request.eventRelay.unfinishedBytes(), MaxEventBytes)) {
+        if (!request.buffer(request.eventRelay.unfinishedBytes(), MaxEventBytes)) {
             request.cause = "an event of the endpoint's stream is too large to buffer";
             co_return AttemptEnd::Interrupted;
         }
--- a/src/transport/forwarderrelay.cpp
+++ b/src/transport/forwarderrelay.cpp
@@ -120,7 +120,7 @@
 
 Task<> Forwarder::handleRelayed(CallerConnection &caller)
 {
-    Request request(caller, m_table, m_bufferQuota);
+    Request request(caller, m_table);
     request.relayedFrom = std::string(caller.header(RelayedFrom));
     const uint64_t configuration = parseHeader<uint64_t>(caller.header(RelayConfiguration));
     const bool outdated = !m_table || m_table->version < configuration;
--- a/src/transport/forwarderrequest.h
+++ b/src/transport/forwarderrequest.h
@@ -57,10 +57,10 @@
 
 // A request from its arrival to its final answer.
 struct Forwarder::Request {
-    Request(CallerConnection &connection, std::shared_ptr<const RouteTable> routes, BufferQuota &quota)
+    Request(CallerConnection &connection, std::shared_ptr<const RouteTable> routes)
         : caller(connection)
         , table(std::move(routes))
-        , buffered(quota)
+        , buffered(connection.ingress().budget().answers)
     {
     }
     CallerConnection &caller;
@@ -82,6 +82,11 @@
     Time sentAt{}; // of the last attempt
     RouteProgress progress;
     EventRelay eventRelay; // of a stream
+    // Sets the bytes that are held of the current answer. Returns false if they exceed `maxBytes` or there is no room for them.
+    bool buffer(size_t bytes, size_t maxBytes)
+    {
+        return caller.ingress().grow(buffered, bytes, maxBytes);
+    }
     BufferShare buffered; // what is held of the current answer
     std::shared_ptr<Cancellation> cancellation = std::make_shared<Cancellation>();
     std::string relayedFrom; // router that has passed the request on; empty: it came from its caller
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
+#include <limits>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -41,8 +42,58 @@
     return {text.data(), text.size()};
 }
 
+ErrorCode lackOfMemory()
+{
+    return boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
+}
+
 } // namespace
 
+// The body of a request, which draws on the budget of the process before it grows. Kept in the connection, so that it can be freed while
+// the request is still being read.
+struct BoundedBody {
+    struct value_type {
+        CallerConnection *connection = nullptr;
+    };
+    class reader
+    {
+    public:
+        template <bool IsRequest, typename Fields>
+        reader(http::header<IsRequest, Fields> &, value_type &body)
+            : m_body(body)
+        {
+        }
+        void init(const boost::optional<uint64_t> &, ErrorCode &ec)
+        {
+            ec = {};
+        }
+        template <typename Buffers>
+        size_t put(const Buffers &buffers, ErrorCode &ec)
+        {
+            CallerConnection &connection = *m_body.connection;
+            const size_t n = net::buffer_size(buffers);
+            connection.m_transfer.bytes += n;
+            if (!connection.reserveBody(connection.m_body.size() + n)) {
+                ec = lackOfMemory();
+                return 0;
+            }
+            for (auto it = net::buffer_sequence_begin(buffers); it != net::buffer_sequence_end(buffers); ++it) {
+                const net::const_buffer piece = *it;
+                connection.m_body.append(static_cast<const char *>(piece.data()), piece.size());
+            }
+            ec = {};
+            return n;
+        }
+        void finish(ErrorCode &ec)
+        {
+            ec = {};
+        }
+
+    private:
+        value_type &m_body;
+    };
+};
+
 Result<tcp::endpoint> parseEndpoint(const std::string &text)
 {
     BOOST_OUTCOME_TRY(parts, parseHostPort(text));
@@ -77,6 +128,50 @@
     return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool isClosedByPeer(tcp::socket &socket)
+{
+    char byte = 0;
+    const ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+bool CallerConnection::reserveBody(size_t bytes)
+{
+    if (m_brokenOff)
+        return false;
+    if (bytes <= m_body.capacity())
+        return true;
+    const size_t capacity = std::max(bytes, std::min<size_t>(2 * m_body.capacity(), m_maxBodyBytes));
+    // While the body moves, both blocks exist.
+    if (!m_ingress->grow(m_bodyShare, m_body.capacity() + capacity, std::numeric_limits<size_t>::max()))
+        return false;
+    m_body.reserve(capacity);
+    m_bodyShare.resize(m_body.capacity(), std::numeric_limits<size_t>::max());
+    return true;
+}
+
+void CallerConnection::breakOff()
+{
+    ErrorCode ec;
+    if (m_writing) {
+        m_aborted = true;
+        m_socket.close(ec);
+        return;
+    }
+    m_brokenOff = true;
+    std::string().swap(m_body);
+    m_bodyShare.release();
+    m_headShare.release();
+    m_socket.cancel(ec);
+}
+
+std::string CallerConnection::peer() const
+{
+    ErrorCode ec;
+    const tcp::endpoint endpoint = m_socket.remote_endpoint(ec);
+    return ec ? std::string("unknown") : endpoint.address().to_string();
+}
+
 std::string_view CallerConnection::header(std::string_view name) const
 {
     return view(m_request[boost::beast::string_view(name.data(), name.size())]);
@@ -94,10 +189,20 @@
     return codec.classify(view(m_request.method_string()), view(m_request.target()));
 }
 
-Task<bool> CallerConnection::write(std::string bytes)
+Task<bool> CallerConnection::write(std::string bytes, std::string_view more)
 {
     ErrorCode ec;
-    co_await net::async_write(m_socket, net::buffer(bytes), net::redirect_error(net::use_awaitable, ec));
+    std::array<net::const_buffer, 2> rest{net::buffer(bytes), net::buffer(more.data(), more.size())};
+    m_transfer = Transfer{monotonicNow(), 0};
+    m_writing = true;
+    while (!ec && rest[0].size() + rest[1].size() > 0) {
+        const size_t n = co_await m_socket.async_write_some(rest, net::redirect_error(net::use_awaitable, ec));
+        const size_t fromFirst = std::min(n, rest[0].size());
+        rest[0] += fromFirst;
+        rest[1] += n - fromFirst;
+        m_transfer.bytes += n;
+    }
+    m_writing = false;
     if (ec)
         m_aborted = true;
     co_return !ec;
@@ -114,9 +219,9 @@
     for (const HeaderField &it : headers)
         bytes += fmt::format("{}: {}\r\n", it.name, it.value);
     bytes += fmt::format("Content-Length: {}\r\n{}\r\n", body.size(), announceKeepAlive() ? "" : "Connection: close\r\n");
-    if (m_request.method() != http::verb::head)
-        bytes += body;
-    co_return co_await write(std::move(bytes));
+    if (m_request.method() == http::verb::head)
+        body.clear();
+    co_return co_await write(std::move(bytes), body);
 }
 
 void CallerConnection::beginUnframed()
@@ -145,12 +250,26 @@
     co_await caller.answer(200, std::move(headers), std::move(text));
 }
 
-HttpServer::HttpServer(net::io_context &io, HttpHandler handler)
+HttpServer::HttpServer(net::io_context &io, HttpHandler handler, std::shared_ptr<Ingress> ingress, double descriptorShare)
     : m_io(io)
     , m_handler(std::move(handler))
+    , m_ingress(std::move(ingress))
+    , m_maxConnections(m_ingress->budget().maxConnections(descriptorShare))
     , m_acceptor(io)
     , m_sweepTimer(io)
 {
+    m_ingress->add(*this);
+}
+
+HttpServer::HttpServer(net::io_context &io, HttpHandler handler)
+    : HttpServer(io, std::move(handler), std::make_shared<Ingress>(ProcessLimits{DefaultMemory, DefaultDescriptors}),
+                 CallersDescriptorShare)
+{
+}
+
+HttpServer::~HttpServer()
+{
+    m_ingress->remove(*this);
 }
 
 Result<void> HttpServer::listen(const std::string &address)
@@ -160,6 +279,9 @@
     m_acceptor.open(endpoint.protocol(), ec);
     if (!ec)
         m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    ErrorCode ignored; // accepted connections inherit the sizes; without them the system's hold
+    m_acceptor.set_option(net::socket_base::receive_buffer_size(SocketBufferBytes), ignored);
+    m_acceptor.set_option(net::socket_base::send_buffer_size(SocketBufferBytes), ignored);
     if (!ec)
         m_acceptor.bind(endpoint, ec);
     if (!ec)
@@ -203,10 +325,48 @@
     co_return m_acceptor.is_open();
 }
 
+// Closes the connection that has been idle, or waiting for its caller to close it, for longest, or else breaks off the slowest of the
+// callers that have stalled, so that another connection can be served. Returns false if there is none.
+bool HttpServer::makeConnectionFree()
+{
+    CallerConnection *closed = nullptr;
+    std::vector<CallerConnection *> reading;
+    std::vector<Transfer> transfers;
+    for (const std::shared_ptr<CallerConnection> &it : m_connections) {
+        const bool unused = it->m_stage == ConnectionStage::Idle || it->m_stage == ConnectionStage::Closing;
+        if (it->m_aborted)
+            continue;
+        if (unused && (closed == nullptr || it->m_expiresAt < closed->m_expiresAt))
+            closed = it.get();
+        if (it->m_stage != ConnectionStage::Reading)
+            continue;
+        reading.push_back(it.get());
+        transfers.push_back(it->m_transfer);
+    }
+    const std::optional<size_t> slowest = slowestTransfer(transfers, monotonicNow());
+    if (closed == nullptr && slowest)
+        closed = reading[*slowest];
+    if (closed == nullptr)
+        return false;
+    ErrorCode ec;
+    closed->m_aborted = true;
+    closed->m_socket.close(ec);
+    return true;
+}
+
 void HttpServer::startServing(tcp::socket socket)
 {
+    static Counter &refused = metrics().counter("roserail_connections_refused_total");
+    static Counter &closed = metrics().counter("roserail_connections_closed_for_others_total");
+    if (m_connections.size() >= m_maxConnections) {
+        const bool room = makeConnectionFree();
+        (room ? closed : refused).add();
+        logEvent(room ? "connection_closed_for_another" : "connection_refused", {{"connections", m_connections.size()}});
+        if (!room)
+            return;
+    }
     configureSocket(socket);
-    m_connections.push_front(std::make_shared<CallerConnection>(std::move(socket)));
+    m_connections.push_front(std::make_shared<CallerConnection>(std::move(socket), m_ingress));
     const Connections::iterator position = m_connections.begin();
     try {
         spawn(m_io, "connection", serve(position), [this, position] { remove(position); });
@@ -263,6 +423,8 @@
             connection->m_keepAliveAnnounced = false;
             connection->m_stage = ConnectionStage::Answering;
             co_await m_handler(*connection);
+            std::string().swap(connection->m_request.body());
+            connection->m_bodyShare.release();
             if (!connection->m_keepAlive || connection->m_aborted)
                 break;
         }
@@ -285,21 +447,37 @@
     m_connections.erase(position);
 }
 
+// Waits for the first byte of a request. Returns false if the connection must be closed.
+Task<bool> HttpServer::waitForRequest(CallerConnection &connection)
+{
+    ErrorCode ec;
+    if (connection.m_buffer.capacity() > IdleBufferBytes)
+        connection.m_buffer.shrink_to_fit();
+    connection.m_headShare.release();
+    connection.m_stage = ConnectionStage::Idle;
+    connection.m_expiresAt = monotonicNow() + (m_finishing ? FinishIdleTimeout : m_limits.idleTimeout);
+    co_await connection.m_socket.async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
+    co_return !connection.m_aborted && (!ec || hasUnexpectedInput(connection.m_socket));
+}
+
 // Reads one request within the limits. Returns false if the connection must be closed.
 Task<bool> HttpServer::readRequest(CallerConnection &connection)
 {
-    ErrorCode ec;
     connection.m_buffer.max_size(m_limits.maxHeaderBytes + MaxUnparsedBytes);
-    if (connection.m_buffer.size() == 0) {
-        connection.m_stage = ConnectionStage::Idle;
-        connection.m_expiresAt = monotonicNow() + (m_finishing ? FinishIdleTimeout : m_limits.idleTimeout);
-        co_await connection.m_socket.async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
-        if (ec && !hasUnexpectedInput(connection.m_socket))
-            co_return false;
-    }
+    if (connection.m_buffer.size() == 0 && !co_await waitForRequest(connection))
+        co_return false;
+    ErrorCode ec;
     connection.m_stage = ConnectionStage::Reading;
-    connection.m_expiresAt = monotonicNow() + m_limits.headerTimeout;
-    http::request_parser<http::string_body> parser;
+    connection.m_transfer = Transfer{monotonicNow(), 0};
+    connection.m_maxBodyBytes = m_limits.maxBodyBytes;
+    connection.m_expiresAt = connection.m_transfer.startedAt + m_limits.headerTimeout;
+    if (!m_ingress->grow(connection.m_headShare, m_limits.maxHeaderBytes, m_limits.maxHeaderBytes)) {
+        m_ingress->logRefusal("request_refused", connection.m_headShare, m_limits.maxHeaderBytes);
+        co_await refuse(connection, lackOfMemory());
+        co_return false;
+    }
+    http::request_parser<BoundedBody> parser;
+    parser.get().body().connection = &connection;
     parser.header_limit(m_limits.maxHeaderBytes);
     parser.body_limit(m_limits.maxBodyBytes);
     co_await http::async_read_header(connection.m_socket, connection.m_buffer, parser, net::redirect_error(net::use_awaitable, ec));
@@ -307,21 +485,42 @@
         connection.m_arrivedAt = monotonicNow();
         connection.m_expiresAt = connection.m_arrivedAt + m_limits.idleTimeout;
         if (!parser.is_done())
-            co_await http::async_read(connection.m_socket, connection.m_buffer, parser, net::redirect_error(net::use_awaitable, ec));
+            co_await readBody(connection, parser, ec);
     }
     connection.m_expiresAt = Time::max();
+    if (connection.m_brokenOff && !connection.m_aborted)
+        ec = lackOfMemory();
     if (ec) {
         co_await refuse(connection, ec);
         co_return false;
     }
     if (connection.m_aborted) // closed by sweep() when the last bytes arrived; the request would run without an answer
         co_return false;
-    connection.m_request = parser.release();
+    connection.m_headShare.resize(std::min(connection.m_headShare.bytes(), connection.m_buffer.capacity()), m_limits.maxHeaderBytes);
+    connection.m_request = http::request<http::string_body>(std::move(parser.get().base()), std::move(connection.m_body));
+    std::string().swap(connection.m_body);
     co_return true;
 }
 
-// Answers a malformed or too large request, or one that stopReading() has ended, with an error; after other errors the connection is
-// only closed.
+// Reads the body of a request. One whose announced length has no room is refused before it is read.
+template <typename Parser>
+Task<> HttpServer::readBody(CallerConnection &connection, Parser &parser, ErrorCode &ec)
+{
+    const boost::optional<uint64_t> length = parser.content_length();
+    if (!connection.reserveBody(size_t(length.value_or(0)))) {
+        m_ingress->logRefusal("request_refused", connection.m_bodyShare, size_t(length.value_or(0)));
+        ec = lackOfMemory();
+        co_return;
+    }
+    if (connection.m_buffer.size() == 0)
+        connection.m_buffer.reserve(std::min<size_t>(BodyReadBytes, size_t(length.value_or(BodyReadBytes))));
+    co_await http::async_read(connection.m_socket, connection.m_buffer, parser, net::redirect_error(net::use_awaitable, ec));
+    if (ec == lackOfMemory() && !connection.m_brokenOff)
+        m_ingress->logRefusal("request_refused", connection.m_bodyShare, connection.m_body.size());
+}
+
+// Answers a malformed or too large request, or one that stopReading() has ended or that there is no room for, with an error; after other
+// errors the connection is only closed.
 Task<> HttpServer::refuse(CallerConnection &connection, const ErrorCode &ec)
 {
     unsigned status = 0;
@@ -329,7 +528,7 @@
         status = 431;
     else if (ec == http::error::body_limit)
         status = 413;
-    else if (ec == net::error::operation_aborted && !connection.m_aborted)
+    else if (!connection.m_aborted && (ec == net::error::operation_aborted || ec == lackOfMemory()))
         status = 503;
     else if (ec.category() == http::make_error_code(http::error::bad_target).category() && ec != http::error::end_of_stream
              && ec != http::error::partial_message)
@@ -338,12 +537,17 @@
         connection.abort();
         co_return;
     }
+    const Millis retryDelay = ec == lackOfMemory() ? m_ingress->retryDelay() : Millis(0); // a stopping host's request can go to another one
     connection.m_stage = ConnectionStage::Answering;
     connection.m_keepAlive = false;
+    connection.m_expiresAt = monotonicNow() + LingeringCloseTimeout;
+    std::string().swap(connection.m_body);
+    connection.m_bodyShare.release();
+    connection.m_headShare.release();
     logEvent("request_unreadable", {{"status", status}, {"error", ec.message()}});
     std::vector<HeaderField> headers;
     if (status == 503)
-        headers.push_back({"Retry-After", "0"}); // another host can serve it
+        headers.push_back({"Retry-After", fmt::format("{:.3f}", double(retryDelay.count()) / 1000)});
     co_await connection.answer(status, std::move(headers), std::string());
 }
 
@@ -371,8 +575,11 @@
     if (ec)
         co_return false;
     const Time now = monotonicNow();
+    m_ingress->review(now);
     for (const std::shared_ptr<CallerConnection> &it : m_connections) {
-        if (now < it->m_expiresAt)
+        // A caller that reads more slowly than any ordinary one holds its answer no longer than its connection might stay idle.
+        const bool unread = it->m_writing && isStalled(it->m_transfer, now) && now > it->m_transfer.startedAt + m_limits.idleTimeout;
+        if (now < it->m_expiresAt && !unread)
             continue;
         it->m_expiresAt = Time::max();
         if (it->m_stage == ConnectionStage::Idle) {
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -4,6 +4,7 @@
 
 #include "protocol/platformcodec.h"
 #include "state/routes.h"
+#include "transport/ingress.h"
 
 #include <utility>
 
@@ -44,6 +45,9 @@
 // Returns whether the peer of an idle connection has closed it or sent bytes.
 bool hasUnexpectedInput(tcp::socket &socket);
 
+// Returns whether the peer has closed the connection, and all that it has sent was read.
+bool isClosedByPeer(tcp::socket &socket);
+
 // What the server does with a connection.
 enum class ConnectionStage {
     Idle, // waits for the first byte of a request
@@ -56,9 +60,16 @@
 class CallerConnection
 {
 public:
-    explicit CallerConnection(tcp::socket socket)
+    CallerConnection(tcp::socket socket, std::shared_ptr<Ingress> ingress)
         : m_socket(std::move(socket))
+        , m_ingress(std::move(ingress))
+        , m_headShare(m_ingress->budget().heads)
+        , m_bodyShare(m_ingress->budget().bodies)
+    {
+    }
+    Ingress &ingress()
     {
+        return *m_ingress;
     }
     const http::request<http::string_body> &request() const
     {
@@ -82,7 +93,7 @@
     // Sends a complete answer without a body or additional headers.
     Task<bool> answer(unsigned status);
     // Sends bytes of an answer whose head and framing the handler writes itself.
-    Task<bool> write(std::string bytes);
+    Task<bool> write(std::string bytes, std::string_view more = {});
     // Begins an answer that ends with its connection. Until endUnframed() the connection is reset if it closes for any reason,
     // the end of this process included, so that the caller recognizes the answer as incomplete.
     void beginUnframed();
@@ -100,11 +111,32 @@
     {
         return m_arrivedAt;
     }
+    const Transfer &transfer() const
+    {
+        return m_transfer;
+    }
+    // Returns the caller's address, for the log.
+    std::string peer() const;
 
 private:
     friend class HttpServer;
+    friend class Ingress;
+    friend struct BoundedBody;
+    // Makes room for a body of this size. Returns false if there is none.
+    bool reserveBody(size_t bytes);
+    // Frees what has been read of a request, and ends its reading.
+    void breakOff();
+
     tcp::socket m_socket;
+    std::shared_ptr<Ingress> m_ingress;
     boost::beast::flat_buffer m_buffer;
+    BufferShare m_headShare; // of the request being read
+    BufferShare m_bodyShare;
+    std::string m_body; // of the request being read
+    uint64_t m_maxBodyBytes = 0;
+    Transfer m_transfer; // of the request being read, or of the bytes being written
+    bool m_writing = false;
+    bool m_brokenOff = false; // to make room
     http::request<http::string_body> m_request;
     ConnectionStage m_stage = ConnectionStage::Idle;
     bool m_keepAlive = true;
@@ -120,7 +152,13 @@
 class HttpServer
 {
 public:
+    // `descriptorShare`: of the descriptors of the process, for connections to this server.
+    HttpServer(net::io_context &io, HttpHandler handler, std::shared_ptr<Ingress> ingress, double descriptorShare);
+    // A server with resources of its own.
     HttpServer(net::io_context &io, HttpHandler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
     // Errors are BadSettings.
     Result<void> listen(const std::string &address);
     void setLimits(const IngressLimits &limits)
@@ -143,19 +181,26 @@
     size_t connections(ConnectionStage stage) const;
 
 private:
+    friend class Ingress;
     using Connections = std::list<std::shared_ptr<CallerConnection>>;
 
     Task<bool> acceptConnection();
     void startServing(tcp::socket socket);
     Task<> serve(Connections::iterator position);
     void remove(Connections::iterator position);
+    Task<bool> waitForRequest(CallerConnection &connection);
     Task<bool> readRequest(CallerConnection &connection);
+    template <typename Parser>
+    Task<> readBody(CallerConnection &connection, Parser &parser, ErrorCode &ec);
     Task<> refuse(CallerConnection &connection, const ErrorCode &ec);
     Task<> lingeringClose(CallerConnection &connection);
     Task<bool> sweep();
+    bool makeConnectionFree();
 
     net::io_context &m_io;
     HttpHandler m_handler;
+    std::shared_ptr<Ingress> m_ingress;
+    size_t m_maxConnections;
     tcp::acceptor m_acceptor;
     net::steady_timer m_sweepTimer;
     IngressLimits m_limits;
--- a/src/transport/operatorapi.cpp
+++ b/src/transport/operatorapi.cpp
@@ -81,6 +81,7 @@
     : m_settings(std::move(settings))
     , m_node(node)
     , m_coordinator(coordinator)
+    , m_server(m_settings.limits)
 {
     m_server.new_task_queue = [] {
         return new httplib::ThreadPool(ControlHttpThreads);
--- a/src/transport/operatorapi.h
+++ b/src/transport/operatorapi.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "protocol/settings.h"
+#include "transport/boundedserver.h"
 #include "transport/coordinator.h"
 
 #include <atomic>
-#include <httplib.h>
 
 namespace roserail
 {
@@ -50,7 +50,7 @@
     ReplicaNode &m_node;
     Coordinator &m_coordinator;
     std::atomic<bool> m_draining = false;
-    httplib::Server m_server;
+    BoundedServer m_server;
 };
 
 } // namespace roserail
--- a/src/transport/program.cpp
+++ b/src/transport/program.cpp
@@ -7,6 +7,9 @@
 #include <cxxopts.hpp>
 #include <iostream>
 #include <random>
+#ifdef __GLIBC__
+#include <malloc.h>
+#endif
 
 namespace roserail
 {
@@ -14,6 +17,8 @@
 namespace
 {
 
+constexpr int MmapThresholdBytes = 128 << 10; // the allocator's first value, which it raises unless it is set
+
 sigset_t stopSignals()
 {
     sigset_t signals;
@@ -72,6 +77,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGXFSZ, SIG_IGN);
     setLogProcess(program.name);
+#ifdef __GLIBC__
+    ::mallopt(M_MMAP_THRESHOLD, MmapThresholdBytes); // large buffers return to the system when they are freed
+#endif
     cxxopts::Options options(program.name, program.description);
     options.add_options()("settings", "YAML file with settings", cxxopts::value<std::string>())(
         "check", "check the settings, print them with defaults and exit")("version", "print the version")("h,help", "print this help");
--- a/tests/bufferquota_test.cpp
+++ b/tests/bufferquota_test.cpp
@@ -1,13 +1,22 @@
-// Unit tests of the limit on memory for incomplete answers. Load: many answers at once that never end, and a few that do.
+// Unit tests of the limits on memory for requests and answers, and of whose connection is broken off when it runs short. Load: many
+// answers at once that never end, and a few that do; many bodies that stop short of their end beside ordinary ones.
 #define BOOST_TEST_MODULE bufferquota
-#include "coordination/bufferquota.h"
+#include "coordination/ingressbudget.h"
+#include "state/routes.h"
+#include "state/tunables.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
+#include <list>
 #include <map>
 #include <memory>
 #include <rapidcheck.h>
 
 using namespace roserail;
+using namespace roserail::tunables;
+
+namespace bdata = boost::unit_test::data;
 
 namespace
 {
@@ -60,3 +69,75 @@
     BufferShare third(quota);
     BOOST_TEST(third.resize(Total, Total));
 }
+
+// Guards against large buffers that leave no room for the small ones of ordinary requests.
+BOOST_AUTO_TEST_CASE(largeBuffersLeaveAReserveForSmallOnes)
+{
+    BufferQuota quota(Total, 200, 50);
+    BufferShare large(quota);
+    BOOST_TEST(!large.resize(801, Total));
+    BOOST_TEST(large.resize(800, Total));
+    BufferShare other(quota);
+    BOOST_TEST(!other.resize(51, Total));
+    std::list<BufferShare> small;
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST(small.emplace_back(quota).resize(50, Total));
+    BOOST_TEST(!small.emplace_back(quota).resize(1, Total));
+    BOOST_TEST(quota.peakBytes() == Total);
+}
+
+namespace
+{
+
+const Time Now{Millis(1000000)};
+
+struct SlowestRow {
+    const char *name;
+    std::vector<Transfer> transfers;
+    std::optional<size_t> slowest;
+};
+
+std::ostream &operator<<(std::ostream &out, const SlowestRow &it)
+{
+    return out << it.name;
+}
+
+Transfer transfer(Millis age, uint64_t bytes)
+{
+    return Transfer{Now - age, bytes};
+}
+
+const SlowestRow SlowestRows[] = {
+    {"nobody", {}, std::nullopt},
+    {"all have just begun", {transfer(Millis(100), 0), transfer(TransferGrace - Millis(1), 0)}, std::nullopt},
+    {"a slow but ordinary rate", {transfer(Millis(10000), 80000)}, std::nullopt},
+    {"one has stopped short", {transfer(Millis(9000), 4000000), transfer(Millis(9000), 100)}, 1},
+    {"a byte a second", {transfer(Millis(5000), 5), transfer(Millis(8000), 8)}, 1},
+    {"the one that has moved least", {transfer(Millis(4000), 9000), transfer(Millis(4000), 8000), transfer(Millis(4000), 10000)}, 1},
+    {"of several that sent nothing, the oldest", {transfer(Millis(3000), 0), transfer(Millis(9000), 0)}, 1},
+};
+
+} // namespace
+
+// Guards against a caller at an ordinary rate that is broken off, and one that has stopped that keeps its memory.
+BOOST_DATA_TEST_CASE(onlyStalledTransfersAreBrokenOff, bdata::make(SlowestRows), row)
+{
+    BOOST_TEST((slowestTransfer(row.transfers, Now) == row.slowest));
+    for (const Transfer &it : row.transfers)
+        BOOST_TEST((!isStalled(it, Now) || row.slowest.has_value()));
+    BOOST_TEST((roomExpectedIn(row.transfers, Now) >= MinRetryAfter));
+}
+
+// Guards against a host of the smallest size that can't take a single body of the default limit, in chunks that make it grow.
+BOOST_AUTO_TEST_CASE(smallestHostTakesALargeBodyAndOrdinaryOnes)
+{
+    const size_t largest = IngressLimits().maxBodyBytes;
+    IngressBudget budget(MinMemory, MinDescriptors);
+    BufferShare large(budget.bodies);
+    for (size_t capacity = SmallBufferBytes; capacity < largest; capacity *= 2)
+        BOOST_TEST(large.resize(capacity + 2 * capacity, budget.bodies.totalBytes()));
+    BufferShare small(budget.bodies);
+    BOOST_TEST(small.resize(SmallBufferBytes, SmallBufferBytes));
+    BOOST_TEST(budget.heads.totalBytes() + budget.bodies.totalBytes() + budget.answers.totalBytes() < MinMemory / 2);
+    BOOST_TEST(budget.maxConnections(CallersDescriptorShare) > 0u);
+}
--- a/tests/fleet_faults_test.cpp
+++ b/tests/fleet_faults_test.cpp
@@ -265,6 +265,36 @@
     ::close(caller);
 }
 
+// Guards against a request that is passed on although its caller left while this host's process was paused.
+BOOST_AUTO_TEST_CASE(requestWhoseCallerLeftDuringAPauseIsNotPassedOn)
+{
+    Fleet fleet("faults-paused", FirstPort + 1600);
+    startHosts(fleet, {1}, ShortLeaseMs);
+    fleet.startRunner(1, "plain", "");
+    BOOST_REQUIRE(configure(fleet, {1}));
+    const auto answered = [&](const std::string &id) {
+        const httplib::Result result = fleet.sendRequest(1, "/r/x", id);
+        return result && result->status == 200;
+    };
+    BOOST_REQUIRE(eventually([&] { return answered("before"); }));
+    fleet.signal("entry-1", SIGSTOP);
+    std::vector<std::string> ids;
+    for (int n = 0; n < 20; ++n) {
+        ids.push_back(fmt::format("left-{}", n));
+        const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+        const sockaddr_in address = loopback(fleet.entryPort(1));
+        BOOST_REQUIRE(::connect(caller, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
+        const std::string request
+            = fmt::format("POST /u/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {}\r\nContent-Length: 0\r\n\r\n", ids.back());
+        BOOST_REQUIRE(::send(caller, request.data(), request.size(), 0) == ssize_t(request.size()));
+        ::close(caller);
+    }
+    fleet.signal("entry-1", SIGCONT);
+    BOOST_TEST(eventually([&] { return answered("after"); }));
+    for (const std::string &it : ids)
+        BOOST_TEST(fleet.requestRecord(1, it).empty());
+}
+
 // A request that waits for a model that is not loaded is refused before the time after which callers disconnect.
 BOOST_AUTO_TEST_CASE(waitingRequestIsAnsweredBeforeTheCallerDisconnects)
 {
