--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -205,6 +205,8 @@
 // Detects a caller that closes its connection while its request is in progress.
 Task<> Forwarder::watchCaller(CallerConnection &caller, std::shared_ptr<Cancellation> cancellation)
 {
+    if (cancellation->finished) // before this task began; the connection may be gone
+        co_return;
     ErrorCode ec;
     co_await caller.socket().async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
     if (ec || cancellation->finished)
@@ -244,8 +246,10 @@
             refuseByStop(request);
         }
         // After a pause of this process, a request may be read whose caller has left before.
-        if (choice && isClosedByPeer(request.caller.socket()))
+        if (choice && isClosedByPeer(request.caller.socket())) {
             request.cancellation->cancel(request.cancellation->callerDisconnected);
+            request.cause = "the caller has left";
+        }
         AttemptEnd end = AttemptEnd::NotSent;
         if (choice && !request.cancellation->callerDisconnected)
             end = co_await attempt(request, *choice);
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -25,6 +25,8 @@
 constexpr std::array HopByHop{"Connection",     "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
                               "Content-Length", "TE",         "Trailer",          "Upgrade"};
 
+constexpr size_t OrdinaryHeadBytes = 4096;
+
 void setOption(tcp::socket &socket, int level, int name, int value)
 {
     ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
@@ -42,6 +44,14 @@
     return {text.data(), text.size()};
 }
 
+// Returns whether the head of the next request, if it is an ordinary one, has arrived whole.
+bool hasWholeHead(tcp::socket &socket)
+{
+    std::array<char, OrdinaryHeadBytes> buf;
+    const ssize_t n = ::recv(socket.native_handle(), buf.data(), buf.size(), MSG_PEEK | MSG_DONTWAIT);
+    return n > 0 && std::string_view(buf.data(), size_t(n)).find("\r\n\r\n") != std::string_view::npos;
+}
+
 ErrorCode lackOfMemory()
 {
     return boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
@@ -471,7 +481,8 @@
     connection.m_transfer = Transfer{monotonicNow(), 0};
     connection.m_maxBodyBytes = m_limits.maxBodyBytes;
     connection.m_expiresAt = connection.m_transfer.startedAt + m_limits.headerTimeout;
-    if (!m_ingress->grow(connection.m_headShare, m_limits.maxHeaderBytes, m_limits.maxHeaderBytes)) {
+    // A head that has arrived whole takes memory for a moment only.
+    if (!m_ingress->grow(connection.m_headShare, m_limits.maxHeaderBytes, m_limits.maxHeaderBytes) && !hasWholeHead(connection.m_socket)) {
         m_ingress->logRefusal("request_refused", connection.m_headShare, m_limits.maxHeaderBytes);
         co_await refuse(connection, lackOfMemory());
         co_return false;
@@ -484,6 +495,7 @@
     if (!ec) {
         connection.m_arrivedAt = monotonicNow();
         connection.m_expiresAt = connection.m_arrivedAt + m_limits.idleTimeout;
+        connection.m_headShare.resize(std::min(connection.m_headShare.bytes(), connection.m_buffer.capacity()), m_limits.maxHeaderBytes);
         if (!parser.is_done())
             co_await readBody(connection, parser, ec);
     }
@@ -496,7 +508,6 @@
     }
     if (connection.m_aborted) // closed by sweep() when the last bytes arrived; the request would run without an answer
         co_return false;
-    connection.m_headShare.resize(std::min(connection.m_headShare.bytes(), connection.m_buffer.capacity()), m_limits.maxHeaderBytes);
     connection.m_request = http::request<http::string_body>(std::move(parser.get().base()), std::move(connection.m_body));
     std::string().swap(connection.m_body);
     co_return true;
