--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -63,14 +63,6 @@
     return text;
 }
 
-// Returns whether the peer has closed its connection. Available bytes belong to a pipelined request, which is read after this one.
-bool hasClosed(tcp::socket &socket)
-{
-    char byte = 0;
-    const ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 std::string retryAfterHeader(Millis time)
 {
     return fmt::format("{:.3f}", double(time.count()) / 1000);
@@ -87,7 +79,6 @@
     , m_crashes(crashes)
     , m_crashingParts(crashingParts)
     , m_pool(io)
-    , m_bufferQuota(MaxBufferedBytes)
     , m_streamVersions(StreamVersionRetention, MaxStreamVersions)
     , m_software(StreamVersionRetention)
 {
@@ -126,7 +117,7 @@
 
 Task<> Forwarder::handle(CallerConnection &caller)
 {
-    Request request(caller, m_table, m_bufferQuota);
+    Request request(caller, m_table);
     co_await run(request);
 }
 
@@ -189,9 +180,13 @@
 // Detects a caller that closes its connection while its request is in progress.
 Task<> Forwarder::watchCaller(CallerConnection &caller, std::shared_ptr<Cancellation> cancellation)
 {
+    if (cancellation->finished) // before this task began; the connection may be gone
+        co_return;
     ErrorCode ec;
     co_await caller.socket().async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
-    if (!ec && !cancellation->finished && hasClosed(caller.socket()))
+    if (ec || cancellation->finished)
+        co_return;
+    if (isClosedByPeer(caller.socket()))
         cancellation->cancel(cancellation->callerDisconnected);
 }
 
@@ -200,7 +195,7 @@
 bool Forwarder::hasEnded(Request &request)
 {
     Cancellation &cancellation = *request.cancellation;
-    if (!cancellation.cancelled() && hasClosed(request.caller.socket()))
+    if (!cancellation.cancelled() && isClosedByPeer(request.caller.socket()))
         cancellation.cancel(cancellation.callerDisconnected);
     if (!cancellation.cancelled() && monotonicNow() >= request.deadline)
         cancellation.cancel(cancellation.deadlinePassed);
