--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -377,18 +377,13 @@
     if (requirements.model.empty())
         return;
     recordPrompt(endpoint, requirements, now);
-    Demand &demand = demandFor(requirements);
-    ++demand.running;
-    demand.urgencies.add(requirements.urgency);
+    ++demandFor(requirements).running;
 }
 
 void Balancer::attemptEnded(const EndpointRequirements &requirements, const EndpointChoice &choice, AttemptOutcome end, Time now)
 {
-    if (!requirements.model.empty()) {
-        Demand &demand = demandFor(requirements);
-        --demand.running;
-        demand.urgencies.remove(requirements.urgency);
-    }
+    if (!requirements.model.empty())
+        --demandFor(requirements).running;
     const auto it = m_endpoints.find(choice.endpoint);
     if (it == m_endpoints.end())
         return;
@@ -416,19 +411,15 @@
 
 void Balancer::startWaiting(const EndpointRequirements &requirements, Time now)
 {
-    Demand &demand = demandFor(requirements);
-    demand.waiting.insert(now);
-    demand.urgencies.add(requirements.urgency);
+    demandFor(requirements).waiting.insert(now);
 }
 
 void Balancer::stopWaiting(const EndpointRequirements &requirements, Time since)
 {
-    Demand &demand = demandFor(requirements);
-    const auto it = demand.waiting.find(since);
-    if (it == demand.waiting.end())
-        return;
-    demand.waiting.erase(it);
-    demand.urgencies.remove(requirements.urgency);
+    std::multiset<Time> &waiting = demandFor(requirements).waiting;
+    const auto it = waiting.find(since);
+    if (it != waiting.end())
+        waiting.erase(it);
 }
 
 void Balancer::recordRefusal(const EndpointRequirements &requirements, Time now)
@@ -461,10 +452,6 @@
         out.set_running(demand.running);
         out.set_waiting(uint32_t(demand.waiting.size()));
         out.set_refused(uint32_t(demand.refused.size()));
-        if (const std::optional<Urgency> urgency = demand.urgencies.mostUrgent()) {
-            out.set_aim_ms(uint32_t(urgency->aim.count()));
-            out.set_priority(urgency->priority + 1);
-        }
         Millis total{0};
         for (const Time since : demand.waiting)
             total += now - since;
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -159,7 +159,6 @@
     struct Demand {
         uint32_t running = 0;
         std::multiset<Time> waiting; // start times of the waiting requests
-        UrgencyCount urgencies; // of both
         std::deque<Time> refused; // times of the latest refusals
     };
     using ArtifactKey = std::tuple<ServiceId, std::string, std::string>;
--- a/src/coordination/residency.cpp
+++ b/src/coordination/residency.cpp
@@ -127,10 +127,6 @@
                     total.longestWait = std::max(total.longestWait, Millis(demand.longest_wait_ms()) + age);
                 total.totalWait += Millis(int64_t(demand.total_wait_ms())) + age * demand.waiting();
                 total.refused += demand.refused();
-                if (demand.priority() > 1000) {
-                    const Urgency urgency{demand.priority() - 1, Millis(demand.aim_ms())};
-                    total.urgency = total.urgency ? std::min(*total.urgency, urgency) : urgency;
-                }
                 if (demand.waiting() + demand.running() > 0)
                     m_lastUse[key] = now;
             };
--- a/src/coordination/residency.h
+++ b/src/coordination/residency.h
@@ -7,7 +7,6 @@
 #pragma once
 
 #include "coordination/registry.h"
-#include "coordination/urgency.h"
 #include "protocol/platformcodec.h"
 
 #include <deque>
@@ -25,7 +24,6 @@
     Millis longestWait{0};
     Millis totalWait{0}; // sum over the waiting requests
     uint32_t refused = 0; // lately, because no engine has a copy
-    std::optional<Urgency> urgency; // of the most urgent request; none: the service is not shared by urgency
 };
 
 class Residency
@@ -108,10 +106,10 @@
     struct ModelPlaces {
         std::vector<Engine *> holders; // usable engines that hold it and are not unloading it
         std::vector<Engine *> copies; // usable engines that have a copy in memory or on disk
-        uint32_t planned = 0; // engines that are loading it or are reserved for it
+        bool planned = false; // an engine is loading it or is reserved for it
         bool anywhere() const
         {
-            return planned > 0 || !copies.empty() || !holders.empty();
+            return planned || !copies.empty() || !holders.empty();
         }
     };
     // The engines of one service at the beginning of a planning round, so that no decision searches all of them.
@@ -145,11 +143,8 @@
     bool placeModel(const EngineSpec &spec, const std::string &model, bool urgent, Plan &plan, Time now);
     bool placeAdapter(const ServiceId &service, const EngineSpec &spec, const ArtifactName &name, bool urgent, Plan &plan, Time now);
     std::optional<LoadOption> loadOptionOn(Engine &engine, const EngineSpec &spec, const ModelSpec &model, bool urgent, Time now) const;
-    Millis timeUntilCopyLoaded(const EngineSpec &spec, const ModelSpec &model, Time now) const;
-    std::optional<double> evictionCost(const Engine &engine, const std::string &model, const std::string &forModel, bool urgent,
-                                       Time now) const;
-    std::optional<bool> decideByUrgency(const ServiceId &service, const std::string &victim, const std::string &forModel,
-                                        bool othersSuffice) const;
+    Millis timeUntilCopyLoaded(const ModelSpec &model, Time now) const;
+    std::optional<double> evictionCost(const Engine &engine, const std::string &model, bool urgent, Time now) const;
     OrderInputs inputsOf(const Engine &engine, const ArtifactName &name, bool fromStore, Time now) const;
     void issueOrder(Engine &engine, OrderAction action, const ArtifactName &name, bool fromStore, Plan &plan, Time now);
     // Returns the number of engines that hold the model and have no limit, `except` not counted.
--- a/src/coordination/residencyplan.cpp
+++ b/src/coordination/residencyplan.cpp
@@ -80,12 +80,10 @@
             if (engine.inMemory.count(copy) == 0)
                 m_round.models[copy].copies.push_back(&engine);
         }
-        const bool loads = ofModel && !unloads;
-        if (loads)
-            ++m_round.models[engine.current->order.model].planned;
-        const bool counted = loads && engine.current->order.model == engine.reservedFor;
-        if (!engine.reservedFor.empty() && now < engine.reservedUntil && !counted)
-            ++m_round.models[engine.reservedFor].planned;
+        if (ofModel && !unloads)
+            m_round.models[engine.current->order.model].planned = true;
+        if (!engine.reservedFor.empty() && now < engine.reservedUntil)
+            m_round.models[engine.reservedFor].planned = true;
     }
 }
 
@@ -138,14 +136,11 @@
     std::vector<ModelDemand> demands;
     for (auto it = m_demand.lower_bound(ServiceArtifact{service, {}}); it != m_demand.end() && it->first.first == service; ++it) {
         const ArtifactName &name = it->first.second;
-        const AggregateDemand &demand = it->second;
-        const uint32_t planned = places(name.model).planned;
-        const uint32_t holders = uint32_t(unlimitedHolders(name.model, nullptr, now));
-        // Without a holder, requests wait for the load that comes first.
-        if (!name.adapter.empty() || spec.models.count(name.model) == 0 || (planned > 0 && (!demand.urgency || holders == 0)))
+        if (!name.adapter.empty() || spec.models.count(name.model) == 0 || places(name.model).planned)
             continue;
-        demands.push_back(ModelDemand{name.model, demand.waiting, demand.running, demand.totalWait, holders + planned, demand.urgency,
-                                      demand.longestWait});
+        const AggregateDemand &demand = it->second;
+        demands.push_back(ModelDemand{name.model, demand.waiting, demand.running, demand.totalWait,
+                                      uint32_t(unlimitedHolders(name.model, nullptr, now))});
     }
     for (const std::string &it : modelsByLoadPriority(demands, spec.slots))
         placeModel(spec, it, true, plan, now);
@@ -214,8 +209,7 @@
     const std::vector<Engine *> &copies = places(name).copies;
     std::optional<LoadOption> best;
     const auto consider = [&](Engine &engine) {
-        const bool reserved = engine.reservedFor == name && now < engine.reservedUntil;
-        if (!availableFor(engine, name, now) || engine.held.count(name) != 0 || reserved)
+        if (!availableFor(engine, name, now) || engine.held.count(name) != 0)
             return;
         const std::optional<LoadOption> option = loadOptionOn(engine, spec, model, urgent, now);
         const bool allowed
@@ -226,7 +220,7 @@
     for (Engine *it : copies)
         consider(*it);
     // Waiting for a busy engine with a copy is preferred if that is faster than a load from the store elsewhere.
-    if (!best && timeUntilCopyLoaded(spec, model, now) >= model.storeLoadTime) {
+    if (!best && timeUntilCopyLoaded(model, now) >= model.storeLoadTime) {
         for (Engine *it : m_round.engines)
             consider(*it);
     }
@@ -236,7 +230,7 @@
     engine.reservedFor = name;
     engine.reservedUntil = now + ReservationTtl;
     engine.reservedFromStore = best->fromStore;
-    ++m_round.models[name].planned;
+    m_round.models[name].planned = true;
     m_storeLoads += best->fromStore ? 1 : 0;
     if (best->victims.empty())
         issueOrder(engine, OrderAction::Load, ArtifactName{name, ""}, best->fromStore, plan, now);
@@ -260,7 +254,7 @@
     double freeMegabytes = spec.megabytes - usedMegabytes(engine, spec);
     std::vector<std::pair<double, std::string>> victims;
     for (const std::pair<const std::string, std::set<std::string>> &it : engine.held) {
-        const std::optional<double> cost = evictionCost(engine, it.first, model.name, urgent, now);
+        const std::optional<double> cost = evictionCost(engine, it.first, urgent, now);
         if (cost)
             victims.emplace_back(*cost, it.first);
     }
@@ -284,18 +278,12 @@
 // Load pattern: many rarely used models are requested, each with copies on a few engines that are busy with other
 // loads. A load from the store on an idle engine takes longer than those loads, and keeps that engine from loading its
 // own copies.
-Millis Residency::timeUntilCopyLoaded(const EngineSpec &spec, const ModelSpec &model, Time now) const
+Millis Residency::timeUntilCopyLoaded(const ModelSpec &model, Time now) const
 {
-    // Without urgency, each engine counts as able to make room in time.
-    const AggregateDemand *demand
-        = places(model.name).copies.empty() ? nullptr : demandFor(places(model.name).copies.front()->service, {model.name, ""});
-    const bool byUrgency = demand != nullptr && demand->urgency;
     Millis best = Millis::max();
-    for (Engine *it : places(model.name).copies) {
+    for (const Engine *it : places(model.name).copies) {
         if (it->held.count(model.name) != 0)
             continue;
-        if (byUrgency && !it->current && !loadOptionOn(*it, spec, model, true, now))
-            continue;
         // The engine waits for the requests that run on the model to be unloaded, or for its order in progress.
         Millis wait = UnloadTimeEstimate;
         if (it->current)
@@ -312,8 +300,7 @@
 }
 
 // Returns the cost to callers, in milliseconds, of evicting a model, or nothing if it must not be evicted.
-std::optional<double> Residency::evictionCost(const Engine &engine, const std::string &model, const std::string &forModel, bool urgent,
-                                              Time now) const
+std::optional<double> Residency::evictionCost(const Engine &engine, const std::string &model, bool urgent, Time now) const
 {
     const ArtifactName name{model, ""};
     const size_t held = places(model).holders.size();
@@ -324,8 +311,7 @@
         // A model in use may be evicted only if the other engines that hold it have enough slots for its requests.
         const size_t others = unlimitedHolders(model, &engine, now);
         const bool othersSuffice = others > 0 && requests < others * engineSpec->slots * ScaleDownSlotShare;
-        const bool allowed = decideByUrgency(engine.service, model, forModel, othersSuffice).value_or(othersSuffice);
-        if (!allowed || !urgent)
+        if (!othersSuffice || !urgent)
             return std::nullopt;
         return BusyVictimCostMs;
     }
@@ -335,21 +321,6 @@
     return IdleUnloadCostMs + RecentVictimCostMs * recent / double(std::max<size_t>(1, held));
 }
 
-// Returns whether a model in use may be evicted for another one by the urgency of their requests, or nothing if that doesn't decide.
-std::optional<bool> Residency::decideByUrgency(const ServiceId &service, const std::string &victim, const std::string &forModel,
-                                               bool othersSuffice) const
-{
-    const AggregateDemand *use = demandFor(service, ArtifactName{victim, ""});
-    const AggregateDemand *asking = demandFor(service, ArtifactName{forModel, ""});
-    if (use == nullptr || asking == nullptr || !use->urgency || !asking->urgency)
-        return std::nullopt;
-    if (othersSuffice)
-        return !isSpared(*use->urgency, *asking->urgency, asking->longestWait);
-    const auto model = spec(service)->models.find(victim);
-    const Millis reload = model == spec(service)->models.end() ? Millis::max() : longestCopyLoad(model->second) + UnloadTimeEstimate;
-    return mayDisplace(*asking->urgency, VictimUse{*use->urgency, use->running, use->waiting, reload});
-}
-
 bool Residency::placeAdapter(const ServiceId &service, const EngineSpec &spec, const ArtifactName &name, bool urgent, Plan &plan, Time now)
 {
     Engine *best = nullptr;
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -167,7 +167,6 @@
 // Share of its holders' slots in use above which a model gets another holder, because gaps between stream events approach
 // their target.
 constexpr double ScaleUpSlotShare = 0.35;
-constexpr size_t PatientLoadInterval = 4; // of the loads by urgency, one goes to the least urgent requests
 constexpr Millis ExcessRequestWait{1000}; // weight of each request above ScaleUpSlotShare; about the delay in a full batch
 // Share of the other holders' slots in use below which one holder may unload the model.
 constexpr double ScaleDownSlotShare = 0.25;
