--- a/src/protocol/platformcodec.h
+++ b/src/protocol/platformcodec.h
@@ -47,6 +47,7 @@
     std::string adapter; // empty for the base model
     uint32_t promptTokens = 0;
     uint32_t outputTokens = 0; // upper limit
+    std::optional<uint64_t> tokens; // of the prompt and the answer, if the request states them
     std::vector<PromptPart> prompt; // in the order of the prompt
 };
 
@@ -60,6 +61,8 @@
 struct EndpointLoad {
     uint32_t running = 0;
     uint32_t waiting = 0;
+    std::optional<uint32_t> slots; // requests that it runs concurrently
+    std::optional<double> slowdown; // how long work takes there at this moment, as a multiple of its usual time
 };
 
 // Fields decoded from the status and headers of an endpoint's response.
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -122,8 +122,20 @@
 
 // Load balancing; costs are in milliseconds of time to first token
 constexpr Millis LoadObservationTtl{1500}; // of the load that an answer of an endpoint reported
+constexpr Millis EndpointUseTtl{1500}; // of the requests in progress at a router, or at the routers of a control host; several polls
+constexpr Millis EndpointUseDelay{250}; // of what a router learns of other routers' requests: half a poll on either side
+constexpr Millis EndpointUseInterval{150}; // at least between two messages with them to another control host
+constexpr double MaxSharedSlowdown = 100; // an endpoint that is slower is not chosen anyway
+constexpr uint32_t MaxEndpointUse = 100000; // of one router, on one endpoint; a router has fewer descriptors
+constexpr Millis SlowdownTtl{400}; // of what an endpoint said about the time that work takes, which changes several times a second
+constexpr Millis SlowdownReportTime{150}; // in which it is passed on to other routers, so that it is still new there
+constexpr double SpeedEwmaWeight = 0.05; // of the newest sample, in averages over the endpoints of a service
+constexpr double MaxServiceCostMs
+    = 50; // of the time that a request takes itself; more than that is a stream, which counts by its first event
+constexpr size_t SampledEndpoints = 3; // of those that can serve a request, whose costs a router compares
 constexpr double PrefillTokensPerMs = 38; // of one engine
 constexpr double CrossZoneRoundTripMs = 3; // between availability zones
+constexpr uint64_t PreferredEndpoints = 4; // of equal cost, that one router uses for a model: few enough to keep their connections open
 constexpr double FullBatchCostMs = 60; // added to the time to first token by a full batch
 constexpr double QueuedRequestCostMs = 30; // of each request that waits for a slot
 constexpr double FailedEndpointCostMs = 5000; // more than the cost of any endpoint without a failure
@@ -209,6 +221,18 @@
 constexpr double RetryBudgetRatio = 0.1; // retries per request
 constexpr double RetryBudgetBurst = 10;
 
+// Quotas of client accounts
+constexpr Millis MaxQuotaGrantAge{2000}; // longer than most requests wait for an endpoint
+constexpr Millis MaxQuotaPause{200}; // of a router that was denied units; bounds the refusals after an account is back in its limit
+constexpr Millis MaxQuotaRetryTime{30000}; // callers do not wait longer
+constexpr Millis QuotaLaterInterval{100}; // after which a router asks a new leader again
+constexpr Millis QuotaRefillInterval{300}; // between two messages of a router that only refill stocks
+constexpr Millis QuotaCallTimeout{300}; // a round trip takes 3 ms; after a time-out another control host is asked
+constexpr Millis QuotaRetryInterval{50}; // between calls while the leader is not known
+constexpr Millis QuotaSuspectTime{1000}; // in which a leader that did not answer is asked only if no other is named; covers an election
+constexpr Millis QuotaStockConfirmTime{5000}; // from the last list of routers; covers a restart of a control host
+constexpr double QuotaRoutersMargin = 1.1; // those that join while a list is on its way
+
 // Logs
 constexpr double LogLinesPerSecond = 200; // per process; 10 times the rate of a router with some 7 requests/s and 3 lines for each
 constexpr double LogLinesBurst = 1000; // a change of leader or a burst of callers, over some seconds
@@ -216,12 +240,41 @@
 // Loops
 constexpr Millis LoopRetryDelay{100}; // after an iteration that threw; a fault that repeats takes a twentieth of LogLinesPerSecond
 
+// What a process may use of its host
+constexpr Bytes DefaultMemory = 160'000'000; // without a setting; of the smallest hosts with a disk
+constexpr Bytes MinMemory = 64'000'000; // a body of the default limit still has room, sent in chunks
+constexpr uint32_t DefaultDescriptors = 4096; // without a setting
+constexpr uint32_t MinDescriptors = 128;
+constexpr uint32_t MaxDescriptors = 1u << 20;
+// Shares of the memory; an idle process, the tables and the allocator have the rest.
+constexpr double HeadsMemoryShare = 0.06;
+constexpr double BodiesMemoryShare = 0.18;
+constexpr double AnswersMemoryShare = 0.2;
+constexpr double MessageMemoryShare = 0.25; // of one message of the internal protocol: a snapshot, or a whole list
+constexpr size_t SmallBufferBytes = 64u << 10; // of an ordinary request or answer
+constexpr double SmallBufferReserve = 0.25; // of a share, that large buffers may not use
+// Shares of the descriptors; endpoints, control hosts and files have the rest.
+constexpr double CallersDescriptorShare = 0.4;
+constexpr double RelayDescriptorShare = 0.15;
+constexpr double DirectoryDescriptorShare = 0.1;
+constexpr double MonitoringDescriptorShare = 0.05; // of readiness checks and metrics
+// Below this rate, from TransferGrace on, a caller may be broken off. A body of the default limit takes idleTimeout at 280 bytes a ms.
+constexpr double MinTransferBytesPerMs = 8;
+constexpr Millis TransferGrace{2000}; // exceeds the retransmission of a lost packet
+constexpr int SocketBufferBytes = 128u << 10; // of a caller's connection, in each direction, in the kernel
+constexpr size_t IdleBufferBytes = 4096; // of a connection's input, that it keeps while it is idle
+constexpr size_t BodyReadBytes = 16u << 10; // of a body, in one read
+constexpr Millis IngressReviewInterval{1000}; // of metrics and of memory to be given back
+constexpr size_t MinTrimBytes = 8u << 20; // released since the last time, for which the allocator gives memory back
+
 // HTTP
 constexpr size_t MaxBodyBytes = 8u << 20;
 constexpr size_t MaxEventBytes = 1u << 20; // of one event of a stream
 constexpr size_t RouterHttpThreads = 512;
 constexpr size_t ControlHttpThreads = 32;
 constexpr Millis HttpIoTimeout = std::chrono::seconds(10);
+constexpr Millis RequestReadTimeout = std::chrono::seconds(15); // of a whole request; a body of MaxBodyBytes at 560 bytes a ms
+constexpr size_t MaxRequestHeadBytes = 64u << 10; // the usual limit of servers and proxies is 8 to 64 KiB
 constexpr size_t BlockingReadBytes = 16u << 10; // of an answer, in one read
 
 // Connections of general routes
@@ -241,7 +294,6 @@
 constexpr size_t MaxUnparsedBytes = 128u << 10; // on one connection; more than a head and one read
 // An answer that is not a stream is buffered until it is complete. The limit is twice the default limit of a request's body.
 constexpr size_t MaxBufferedAnswerBytes = 8u << 20;
-constexpr size_t MaxBufferedBytes = 32u << 20; // of all answers of one router: a fifth of the memory of the smallest hosts
 constexpr size_t MaxReportBytes = 1u << 20; // of an endpoint's heartbeat or report; some 100 bytes for each model
 constexpr Millis StreamVersionRetention = std::chrono::minutes(1); // exceeds the longest stream and its caller's retries
 // For a new software version to be listed in the replicated log before a stream begins there; covers an election.
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -79,7 +79,6 @@
     , m_crashes(crashes)
     , m_crashingParts(crashingParts)
     , m_pool(io)
-    , m_bufferQuota(MaxBufferedBytes)
     , m_streamVersions(StreamVersionRetention, MaxStreamVersions)
     , m_software(StreamVersionRetention)
 {
@@ -118,7 +117,7 @@
 
 Task<> Forwarder::handle(CallerConnection &caller)
 {
-    Request request(caller, m_table, m_bufferQuota);
+    Request request(caller, m_table);
     co_await run(request);
 }
 
@@ -171,23 +170,38 @@
         if (!ec)
             cancellation->cancel(cancellation->deadlinePassed);
     });
+    if (limitedByQuota(request) && mayBegin(request) && !co_await takeQuota(request)) {
+        co_await finish(request, RouteStep::AnswerNotRun, AttemptEnd::NotSent);
+        co_return;
+    }
     co_await forward(request);
 }
 
 // Detects a caller that closes its connection while its request is in progress.
 Task<> Forwarder::watchCaller(CallerConnection &caller, std::shared_ptr<Cancellation> cancellation)
 {
+    if (cancellation->finished) // before this task began; the connection may be gone
+        co_return;
     ErrorCode ec;
     co_await caller.socket().async_wait(tcp::socket::wait_read, net::redirect_error(net::use_awaitable, ec));
     if (ec || cancellation->finished)
         co_return;
-    char byte = 0;
-    const ssize_t n = ::recv(caller.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    // Available bytes belong to a pipelined request, which is read after this one.
-    if (n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+    if (isClosedByPeer(caller.socket()))
         cancellation->cancel(cancellation->callerDisconnected);
 }
 
+// Returns whether the request has ended meanwhile. If this process was suspended, its caller may have left and its deadline may have
+// passed although the events that say so have not been handled yet.
+bool Forwarder::hasEnded(Request &request)
+{
+    Cancellation &cancellation = *request.cancellation;
+    if (!cancellation.cancelled() && isClosedByPeer(request.caller.socket()))
+        cancellation.cancel(cancellation.callerDisconnected);
+    if (!cancellation.cancelled() && monotonicNow() >= request.deadline)
+        cancellation.cancel(cancellation.deadlinePassed);
+    return cancellation.cancelled();
+}
+
 Task<> Forwarder::forward(Request &request)
 {
     const Route &route = *request.route;
@@ -197,6 +211,7 @@
     request.requirements.prompt = request.metadata.prompt;
     request.requirements.promptTokens = request.metadata.promptTokens;
     request.requirements.urgency = urgencyOf(*request.table, route, request.requirements.service, request.priority());
+    request.requirements.spread = XXH3_64bits(request.metadata.id.data(), request.metadata.id.size());
     request.requirements.recordedSoftware = route.retryPolicy == RetryPolicy::Resume;
     request.fingerprint = fingerprintOf(request.caller.request(), request.metadata);
     request.sharedParts = sharedParts(request.metadata);
@@ -316,6 +331,7 @@
 
 Task<AttemptEnd> Forwarder::attempt(Request &request, const EndpointChoice &choice)
 {
+    static Counter &rejections = metrics().counter("roserail_endpoint_rejections_total");
     if (!choice.router.empty())
         co_return co_await relayAttempt(request, choice);
     request.endpoint = choice.endpoint;
@@ -352,8 +368,17 @@
         m_pool.putIdle(std::move(connection), monotonicNow());
         co_return AttemptEnd::NotSent;
     }
+    if (hasEnded(request)) {
+        m_pool.putIdle(std::move(connection), monotonicNow());
+        co_return AttemptEnd::Abandoned;
+    }
+    if (quotaExpired(request)) {
+        m_pool.putIdle(std::move(connection), monotonicNow());
+        co_await renewQuota(request);
+        co_return request.cancellation->cancelled() ? AttemptEnd::Abandoned : AttemptEnd::NotSent;
+    }
     request.sentAt = monotonicNow();
-    logSend(request, choice, request.sentAt);
+    logSend(request, choice, connection->used, request.sentAt);
     m_balancer.recordSend(choice, request.sentAt);
     m_balancer.attemptStarted(request.requirements, choice, monotonicNow());
     ++request.progress.sends;
@@ -368,7 +393,9 @@
         outcome = request.status == 421 ? AttemptOutcome::NotHeld : AttemptOutcome::Full;
     else if (request.cancellation->cancelled())
         outcome = AttemptOutcome::Cancelled;
-    m_balancer.attemptEnded(request.requirements, choice, outcome, monotonicNow());
+    m_balancer.attemptEnded(request.requirements, choice, outcome, monotonicNow(), monotonicNow() - request.sentAt);
+    if (outcome == AttemptOutcome::Full)
+        rejections.add();
     if (outcome == AttemptOutcome::Full && m_balancer.recordRefusal(choice, monotonicNow())) {
         logDecision("brittle_endpoint_refused", {{"id", request.metadata.id}, {"endpoint", choice.endpoint}});
         if (m_onReport)
@@ -567,7 +594,8 @@
         const Millis delay = request.retryDelay.value_or(busyDelay);
         const std::string advice = delay.count() > 0 ? "; not run, retry later" : "; not run";
         const Error error{request.refusalKind, cause + advice, delay.count()};
-        co_await refuse(request, error, 503);
+        giveQuotaBack(request);
+        co_await refuse(request, error, unsigned(traits(error.kind).httpStatus));
     } else if (request.cancellation->deadlinePassed) {
         const Error error{ErrorKind::DeadlineExceeded, "the deadline passed without an answer; it may have run", 0};
         co_await refuse(request, error, 504);
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "coordination/balancer.h"
-#include "coordination/bufferquota.h"
 #include "coordination/crashingparts.h"
 #include "coordination/crashwatch.h"
 #include "coordination/peerrouters.h"
@@ -12,6 +11,7 @@
 #include "coordination/stopschedule.h"
 #include "coordination/streamversions.h"
 #include "transport/endpointpool.h"
+#include "transport/quotagate.h"
 
 #include <memory>
 #include <utility>
@@ -105,6 +105,11 @@
         m_peers = peers;
         m_self = std::move(self);
     }
+    // Enables the quotas of client accounts.
+    void setQuotas(QuotaGate *quotas)
+    {
+        m_quotas = quotas;
+    }
     size_t active() const
     {
         return m_inProgress.size();
@@ -132,6 +137,13 @@
     Task<> waitForConfiguration(Request &request);
     std::optional<std::pair<Error, unsigned>> identifyAccount(Request &request) const;
     bool keyTakenAway(const Request &request) const;
+    bool limitedByQuota(const Request &request) const;
+    Task<bool> takeQuota(Request &request);
+    static void refuseByQuota(Request &request, Time now);
+    Task<> renewQuota(Request &request);
+    bool quotaExpired(const Request &request) const;
+    void giveQuotaBack(const Request &request);
+    static bool hasEnded(Request &request);
     bool isFromRouter(const CallerConnection &caller) const;
     void countByAccount(const Request &request, std::string_view outcome) const;
     static AccountId accountId(const Request &request);
@@ -179,10 +191,10 @@
     std::string buildAnswerHead(const Request &request, const struct EndpointAnswer &answer) const;
     Task<> refuse(Request &request, const Error &error, unsigned status);
     Task<> finish(Request &request, RouteStep step, AttemptEnd end);
-    std::string buildRequest(const Request &request, const EndpointChoice &choice, Time now) const;
+    std::string buildRequestHead(const Request &request, const EndpointChoice &choice, Time now) const;
     Task<> watchCaller(CallerConnection &caller, std::shared_ptr<Cancellation> cancellation);
     void logRequest(const Request &request, std::string_view outcome) const;
-    void logSend(const Request &request, const EndpointChoice &choice, Time now) const;
+    void logSend(const Request &request, const EndpointChoice &choice, bool reused, Time now) const;
     void logWait(const Request &request, Time now, Time until) const;
     void logFailedAttempt(const Request &request, AttemptEnd end, RouteStep step, Time now) const;
 
@@ -198,12 +210,12 @@
     std::function<void()> m_onReport;
     std::set<net::steady_timer *> m_waitTimers;
     std::map<ServiceId, size_t> m_waitingForCapacity; // requests
-    BufferQuota m_bufferQuota;
     StreamVersions m_streamVersions;
     SoftwareSeen m_software;
     Confirmation m_softwareConfirmed; // of the list of versions, by control hosts
     size_t m_waitingForVersion = 0; // requests that continue streams
     std::map<StreamId, size_t> m_wantedStreams; // with the number of requests that continue each
+    QuotaGate *m_quotas = nullptr; // null: accounts are not limited
     PeerRouters *m_peers = nullptr; // null: requests are not passed on
     std::string m_self;
     std::set<Request *> m_inProgress;
--- a/src/transport/forwarderrequest.h
+++ b/src/transport/forwarderrequest.h
@@ -57,10 +57,10 @@
 
 // A request from its arrival to its final answer.
 struct Forwarder::Request {
-    Request(CallerConnection &connection, std::shared_ptr<const RouteTable> routes, BufferQuota &quota)
+    Request(CallerConnection &connection, std::shared_ptr<const RouteTable> routes)
         : caller(connection)
         , table(std::move(routes))
-        , buffered(quota)
+        , buffered(connection.ingress().budget().answers)
     {
     }
     CallerConnection &caller;
@@ -82,8 +82,16 @@
     Time sentAt{}; // of the last attempt
     RouteProgress progress;
     EventRelay eventRelay; // of a stream
+    // Sets the bytes that are held of the current answer. Returns false if they exceed `maxBytes` or there is no room for them.
+    bool buffer(size_t bytes, size_t maxBytes)
+    {
+        return caller.ingress().grow(buffered, bytes, maxBytes);
+    }
     BufferShare buffered; // what is held of the current answer
     std::shared_ptr<Cancellation> cancellation = std::make_shared<Cancellation>();
+    QuotaRequest grant; // of an account with a limit: the latest grant
+    Millis quotaWait{0}; // total time spent waiting for it
+    bool refusedByQuota = false; // the request got no grant
     std::string relayedFrom; // router that has passed the request on; empty: it came from its caller
     std::optional<uint32_t> attemptsLeft; // of a request that was passed on
     uint32_t runsBeforeRelay = 0; // endpoints that may have run the request before it was passed on
--- a/src/transport/forwarderwait.cpp
+++ b/src/transport/forwarderwait.cpp
@@ -118,7 +118,7 @@
         request.retryDelay = Millis(0);
         co_return std::nullopt;
     }
-    if (request.refusedByRouter)
+    if (request.refusedByRouter || request.refusedByQuota)
         co_return std::nullopt;
     std::optional<EndpointChoice> choice = m_balancer.choose(request.requirements, monotonicNow(), false);
     if (!choice)
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -7,6 +7,7 @@
 #include "state/tunables.h"
 #include "transport/channel.h"
 #include "transport/livetable.h"
+#include "transport/quotagranter.h"
 
 #include <array>
 #include <atomic>
@@ -29,8 +30,14 @@
     {
         m_findStream = std::move(findStream);
     }
+    // Sets what grants units of quotas to routers. To be called before the first poll.
+    void setQuotas(QuotaGranter &quotas)
+    {
+        m_quotas = &quotas;
+    }
     grpc::Status Sync(grpc::ServerContext *context, const pb::SyncRequest *request, pb::SyncReply *reply) override;
     grpc::Status Share(grpc::ServerContext *context, const pb::ShareRequest *request, pb::ShareReply *reply) override;
+    grpc::Status Lease(grpc::ServerContext *context, const pb::LeaseRequest *request, pb::LeaseReply *reply) override;
 
 private:
     // Replies to routers within an interval.
@@ -43,6 +50,7 @@
         size_t referred = 0; // to other control hosts
     };
     void addKeepers(const Registry &registry, Time now, pb::ShareReply &reply) const;
+    static void shareUse(Registry &registry, const pb::RouterState &router, Time now, pb::SyncReply &reply);
     void addControlHosts(const Registry &registry, const pb::RouterState &router, bool current, Time now, pb::SyncReply &reply) const;
     bool addConfiguration(const pb::SyncRequest &request, Time now, pb::SyncReply &reply);
     static void postponeChanges(const pb::SyncRequest &request, pb::SyncReply &reply);
@@ -56,6 +64,7 @@
     bool m_disk;
     uint64_t m_epoch; // identifies this process
     FindStream m_findStream;
+    QuotaGranter *m_quotas = nullptr;
     std::mutex m_mutex;
     ReplyBudget m_replies{tunables::MaxReplyBytesPerSecond}; // under m_mutex
     ReplyCounts m_counts; // since m_countedSince, under m_mutex
