--- a/tests/fleet_quotas_test.cpp
+++ b/tests/fleet_quotas_test.cpp
@@ -138,6 +138,7 @@
 {
     BOOST_REQUIRE(eventually([&] {
         const httplib::Result result = fleet.putText(1, configuration(version, limit));
+        BOOST_TEST_MESSAGE((result ? fmt::format("{} {}", result->status, result->body) : "no answer"));
         return result && result->status == 200;
     }));
 }
