--- a/src/protocol/hostsettings.cpp
+++ b/src/protocol/hostsettings.cpp
@@ -87,8 +87,9 @@
 EntrySettings readEntry(const YAML::Node &root)
 {
     checkKeys(root, "the settings",
-              {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "log", "listen", "ready", "directory", "relay",
-               "retryRatio", "retrySlack", "retryWindow", "firstStart", "keysValidFor", "quotaWindow", "quotaOvershoot", "quotaSlack"});
+              {"id",          "zone",       "address",      "seeds",       "internalPort",   "metrics",    "grace",
+               "log",         "listen",     "ready",        "directory",   "relay",          "retryRatio", "retrySlack",
+               "retryWindow", "firstStart", "keysValidFor", "quotaWindow", "quotaOvershoot", "quotaSlack"});
     EntrySettings settings;
     settings.host = readHost(root);
     settings.listen = readAddress(root, "listen", "the settings");
