--- a/tests/quotashare_test.cpp
+++ b/tests/quotashare_test.cpp
@@ -286,14 +286,14 @@
     void run(int64_t length)
     {
         std::mt19937_64 random(7);
-        constexpr double MeanUnits = 0.3 * 200 + 0.59 * 1114 + 0.11 * 2392;
+        constexpr double meanUnits = 0.3 * 200 + 0.59 * 1114 + 0.11 * 2392;
         for (int64_t now = 0; now < length || !calls.empty(); ++now) {
             for (QuotaStock &it : routers) {
                 if (now % 250 == 0)
                     it.setRouters(routers.size(), Start + Millis(now));
             }
             for (const std::pair<const AccountId, double> &it : usual) {
-                const double perMs = it.second / MeanUnits / 1000 * (it.first == hot && now >= length / 4 ? factor : 1);
+                const double perMs = it.second / meanUnits / 1000 * (it.first == hot && now >= length / 4 ? factor : 1);
                 for (int n = now < length ? std::poisson_distribution<int>(perMs)(random) : 0; n > 0; --n)
                     arrive(it.first, now, random);
             }
