--- a/src/protocol/hostsettings.cpp
+++ b/src/protocol/hostsettings.cpp
@@ -81,15 +81,16 @@
     host.grace = readDuration(root, "grace", Millis(8000));
     host.log = readLogDetail(root);
     host.quota = readQuotaBounds(root);
+    host.limits = readLimits(root);
     return host;
 }
 
 EntrySettings readEntry(const YAML::Node &root)
 {
     checkKeys(root, "the settings",
-              {"id",          "zone",       "address",      "seeds",       "internalPort",   "metrics",    "grace",
-               "log",         "listen",     "ready",        "directory",   "relay",          "retryRatio", "retrySlack",
-               "retryWindow", "firstStart", "keysValidFor", "quotaWindow", "quotaOvershoot", "quotaSlack"});
+              {"id",          "zone",        "address",      "seeds",       "internalPort",   "metrics",   "grace",      "log",
+               "memory",      "descriptors", "listen",       "ready",       "directory",      "relay",     "retryRatio", "retrySlack",
+               "retryWindow", "firstStart",  "keysValidFor", "quotaWindow", "quotaOvershoot", "quotaSlack"});
     EntrySettings settings;
     settings.host = readHost(root);
     settings.listen = readAddress(root, "listen", "the settings");
@@ -108,8 +109,8 @@
 KeeperSettings readKeeper(const YAML::Node &root)
 {
     checkKeys(root, "the settings",
-              {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "log", "listen", "dataFolder", "mayFound",
-               "lossesToBear", "orderLease", "quotaWindow", "quotaOvershoot", "quotaSlack"});
+              {"id", "zone", "address", "seeds", "internalPort", "metrics", "grace", "log", "memory", "descriptors", "listen", "dataFolder",
+               "mayFound", "lossesToBear", "orderLease", "quotaWindow", "quotaOvershoot", "quotaSlack"});
     KeeperSettings settings;
     settings.host = readHost(root);
     settings.listen = readAddress(root, "listen", "the settings");
@@ -126,7 +127,8 @@
                        host.zone, host.address, fmt::join(host.seeds, "\", \""), host.internalPort, host.metrics, host.grace.count(),
                        logDetailName(host.log))
         + fmt::format("quotaWindow: {}ms\nquotaOvershoot: {}\nquotaSlack: {}\n", host.quota.window.count(), host.quota.overshoot,
-                      host.quota.slack);
+                      host.quota.slack)
+        + toYaml(host.limits);
 }
 
 } // namespace
--- a/src/protocol/hostsettings.h
+++ b/src/protocol/hostsettings.h
@@ -26,6 +26,7 @@
     Millis grace{0}; // from a stop signal to the exit of the process
     LogDetail log = LogDetail::Decisions; // for requests
     QuotaBounds quota; // of the use of client accounts, the same on all hosts
+    ProcessLimits limits;
 };
 
 struct EntrySettings {
--- a/src/protocol/platformcodec.h
+++ b/src/protocol/platformcodec.h
@@ -61,6 +61,8 @@
 struct EndpointLoad {
     uint32_t running = 0;
     uint32_t waiting = 0;
+    std::optional<uint32_t> slots; // requests that it runs concurrently
+    std::optional<double> slowdown; // how long work takes there at this moment, as a multiple of its usual time
 };
 
 // Fields decoded from the status and headers of an endpoint's response.
@@ -146,6 +148,9 @@
     // empty if it has none.
     virtual std::vector<HeaderField> forwardHeaders(const std::string &endpoint, Millis timeLeft, const AccountId &account) const = 0;
 
+    // Header that tells an endpoint the order in which it admits a request: from 0, which is first, to LastAdmissionRank.
+    virtual HeaderField admissionRankHeader(uint32_t rank) const = 0;
+
     virtual std::string orderPath() const = 0;
     virtual std::string encodeOrder(const ArtifactOrder &order) const = 0;
     virtual std::vector<HeaderField> orderHeaders(const ArtifactOrder &order) const = 0;
--- a/src/transport/endpointpool.cpp
+++ b/src/transport/endpointpool.cpp
@@ -115,6 +115,7 @@
 
 EndpointConnectionPtr EndpointPool::takeIdle(const std::string &address, Time now, std::optional<RequestKey> request)
 {
+    static Counter &reuses = metrics().counter("roserail_endpoint_connections_reused_total");
     const auto it = m_idle.find(address);
     if (it == m_idle.end())
         return nullptr;
@@ -125,8 +126,10 @@
             continue;
         EndpointConnectionPtr connection = std::move(idle[n]);
         idle.erase(idle.begin() + long(n));
-        if (now < connection->idleUntil && !hasUnexpectedInput(connection->socket))
-            return connection;
+        if (now >= connection->idleUntil || hasUnexpectedInput(connection->socket))
+            continue;
+        reuses.add();
+        return connection;
     }
     return nullptr;
 }
@@ -203,13 +206,18 @@
 }
 
 Task<std::optional<CallAnswer>> callEndpoint(EndpointPool &pool, std::string address, std::string method, std::string path,
-                                             std::vector<HeaderField> headers, std::string body, Millis timeout)
+                                             std::vector<HeaderField> headers, std::string body, Millis timeout,
+                                             std::function<bool()> permitted)
 {
     EndpointConnectionPtr connection = pool.takeIdle(address, monotonicNow());
     if (!connection)
         connection = co_await pool.connect(address, timeout);
     if (!connection)
         co_return std::nullopt;
+    if (permitted && !permitted()) {
+        pool.putIdle(std::move(connection), monotonicNow());
+        co_return std::nullopt;
+    }
     bool reusable = false;
     std::optional<CallAnswer> answer = co_await callOnConnection(*connection, std::move(method), std::move(path), std::move(headers),
                                                                  std::move(body), timeout, reusable);
--- a/src/transport/forwarderlog.cpp
+++ b/src/transport/forwarderlog.cpp
@@ -45,7 +45,7 @@
                 {"cause", request.cause}});
 }
 
-void Forwarder::logSend(const Request &request, const EndpointChoice &choice, Time now) const
+void Forwarder::logSend(const Request &request, const EndpointChoice &choice, bool reused, Time now) const
 {
     if (logDetail() != LogDetail::Decisions)
         return;
@@ -60,9 +60,14 @@
                  {"own", inputs.ownRequests},
                  {"others", inputs.otherRequests},
                  {"others_age_ms", inputs.otherRequestsAge.count()},
+                 {"slots", inputs.slots},
+                 {"slowdown", inputs.slowdown},
+                 {"slowdown_age_ms", inputs.slowdownAge.count()},
+                 {"reused", reused},
                  {"prompt", request.requirements.promptTokens},
                  {"cached", inputs.cachedTokens},
                  {"left_ms", (request.deadline - now).count()},
+                 {"priority", request.requirements.urgency ? int64_t(request.requirements.urgency->priority) : -1},
                  {"known", m_registryVersion},
                  {"known_age_ms", (now - m_syncedAt).count()}});
 }
--- a/src/transport/forwarderrelay.cpp
+++ b/src/transport/forwarderrelay.cpp
@@ -81,6 +81,10 @@
         m_pool.putIdle(std::move(connection), monotonicNow());
         co_return AttemptEnd::NotSent;
     }
+    if (hasEnded(request)) {
+        m_pool.putIdle(std::move(connection), monotonicNow());
+        co_return AttemptEnd::Abandoned;
+    }
     if (quotaExpired(request)) {
         m_pool.putIdle(std::move(connection), monotonicNow());
         request.triedRouters.erase(choice.router);
@@ -126,7 +130,7 @@
 
 Task<> Forwarder::handleRelayed(CallerConnection &caller)
 {
-    Request request(caller, m_table, m_bufferQuota);
+    Request request(caller, m_table);
     request.relayedFrom = std::string(caller.header(RelayedFrom));
     const uint64_t configuration = parseHeader<uint64_t>(caller.header(RelayConfiguration));
     const bool outdated = !m_table || m_table->version < configuration;
