--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "transport/forwarder.h"
 
 #include "protocol/log.h"
+#include "protocol/metrics.h"
 #include "state/recordedstreams.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
