--- a/tests/system.cpp
+++ b/tests/system.cpp
@@ -44,9 +44,9 @@
 
 void System::startControl(int id)
 {
-    std::string settings = fmt::format("id: {}\nzone: zone-{}\ndataFolder: {}\nrootTokenSha256: \"{}\"\nsnapshotEvery: {}\n{}replicas:\n",
-                                       id, id, (folder() / fmt::format("data-{}", id)).string(), sha256Hex("root-token"), m_snapshotEvery,
-                                       m_moreSettings);
+    std::string settings
+        = fmt::format("id: {}\nzone: zone-{}\ndataFolder: {}\nrootTokenSha256: \"{}\"\nsnapshotEvery: {}\n{}replicas:\n", id, id,
+                      (folder() / fmt::format("data-{}", id)).string(), sha256Hex("root-token"), m_snapshotEvery, m_moreSettings);
     for (const int it : {1, 2, 3})
         settings += fmt::format("  - {{id: {}, peerAddress: \"127.0.0.1:{}\", operatorAddress: \"127.0.0.1:{}\"}}\n", it, m_firstPort + it,
                                 controlPort(it));
