--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -62,10 +62,10 @@
 // The body of a request, which draws on the budget of the process before it grows. Kept in the connection, so that it can be freed while
 // the request is still being read.
 struct BoundedBody {
-    struct value_type {
+    struct value_type { // NOLINT(readability-identifier-naming): Beast prescribes the names
         CallerConnection *connection = nullptr;
     };
-    class reader
+    class reader // NOLINT(readability-identifier-naming)
     {
     public:
         template <bool IsRequest, typename Fields>
