--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -106,9 +106,9 @@
 // lease. `advance` checks that no leader omits that wait after another has sent orders.
 BOOST_AUTO_TEST_CASE(leaderLeadsAgainAfterARestartOfAll)
 {
-    constexpr uint64_t Seeds = 50;
+    constexpr uint64_t seeds = 50;
     uint64_t ledAgain = 0;
-    for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
         Cluster cluster(5, seed);
         cluster.run(Millis(2000));
         const uint64_t old = cluster.leader()->self().id;
@@ -124,7 +124,7 @@
         BOOST_TEST(cluster.leader()->sentLastOrders() == (cluster.leader()->self().id == old));
         ledAgain += cluster.leader()->self().id == old ? 1 : 0;
     }
-    BOOST_TEST(ledAgain > Seeds / 2);
+    BOOST_TEST(ledAgain > seeds / 2);
 }
 
 // A leader that takes over from another waits, also if it sent orders before that one.
--- a/tests/unevenload_test.cpp
+++ b/tests/unevenload_test.cpp
@@ -191,10 +191,10 @@
 // Returns the most requests on one engine at a time, in ten seconds at 83 routers and 64 engines. Requests take .8 s on average.
 uint32_t mostRequests(double requestsPerSecond)
 {
-    constexpr Millis UsualTime{600};
+    constexpr Millis usualTime{600};
     System system(83, 64);
     for (int i = 0; i < 1000; ++i)
-        system.step(requestsPerSecond, UsualTime);
+        system.step(requestsPerSecond, usualTime);
     return system.most;
 }
 
