Routers use endpoints of equal cost in turn

What the tests saw: two endpoints of one service, and all requests of an idle router went to one of them (fleet_system_test runnerThatIsLeavingReceivesNothingNew, fleet_faults_test truncatedAnswersAreNotDeliveredAsComplete: none reached the runner in trouble).

Cause: the order of endpoints of equal cost came from a hash of router, endpoint and one of four numbers of the request; for one router in eight all four numbers give two endpoints the same order.

Change: among endpoints of equal cost a router takes the first four by its hash in turn, exactly.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -31,7 +31,7 @@
     return XXH3_64bits_withSeed(endpoint.data(), endpoint.size(), XXH3_64bits(router.data(), router.size()));
 }
 
-// Returns the rank of an endpoint for one request: a router prefers PreferredEndpoints of equal cost in turn.
+// Returns the rank of an endpoint among those that a request samples.
 uint64_t rankFor(uint64_t rank, uint64_t spread)
 {
     return (rank ^ (spread % PreferredEndpoints)) * 0x9e3779b97f4a7c15ull;
@@ -404,6 +404,17 @@
     return inputs;
 }
 
+// Returns a candidate of lowest cost: of those with equal costs a router uses PreferredEndpoints of its own, in turn.
+const Balancer::Candidate *Balancer::cheapest(std::vector<Candidate> &candidates, uint64_t spread)
+{
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
+        return a.costMs != b.costMs ? a.costMs < b.costMs : a.endpoint->rank < b.endpoint->rank;
+    });
+    const auto equal
+        = std::count_if(candidates.begin(), candidates.end(), [&](const Candidate &it) { return it.costMs == candidates.front().costMs; });
+    return &candidates[spread % std::min(uint64_t(equal), PreferredEndpoints)];
+}
+
 // Returns the candidate of lowest cost. What routers know of endpoints that vary is some tenths of a second old, and would make all choose
 // the same one: each considers SampledEndpoints of its own, and the one that has most of the prompt in its cache, unless all are full.
 const Balancer::Candidate *Balancer::select(std::vector<Candidate> &candidates, const EndpointRequirements &requirements, Time now) const
@@ -412,7 +423,7 @@
         return a.costMs != b.costMs ? a.costMs < b.costMs : a.rank < b.rank;
     };
     if (speedOf(*candidates.front().endpoint) == nullptr || candidates.size() <= SampledEndpoints)
-        return &*std::min_element(candidates.begin(), candidates.end(), cheaper);
+        return cheapest(candidates, requirements.spread);
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) { return a.rank < b.rank; });
     const auto moreCached = [&](const Candidate &a, const Candidate &b) {
         return cachedTokens(*a.endpoint, requirements) < cachedTokens(*b.endpoint, requirements);
@@ -422,7 +433,7 @@
     const auto best = cheaper(*cached, *sampled) ? cached : sampled;
     if (best->costMs < FailedEndpointCostMs && requestsOn(*best->endpoint, now) < slotsOf(*best->endpoint))
         return &*best;
-    return &*std::min_element(candidates.begin(), candidates.end(), cheaper);
+    return cheapest(candidates, requirements.spread);
 }
 
 std::optional<EndpointChoice> Balancer::choose(const EndpointRequirements &requirements, Time now, bool lastResort) const
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -218,6 +218,7 @@
     // Returns whether the endpoint can serve the request once its pause, if it asked for one, is over.
     bool canServe(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const;
     double cost(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const;
+    static const Candidate *cheapest(std::vector<Candidate> &candidates, uint64_t spread);
     const Candidate *select(std::vector<Candidate> &candidates, const EndpointRequirements &requirements, Time now) const;
     // Returns the requests of other routers on an endpoint, by the newest of what it and they said.
     double otherRequestsOn(const Endpoint &endpoint, Time now) const;
--- a/tests/unevenload_test.cpp
+++ b/tests/unevenload_test.cpp
@@ -163,6 +163,21 @@
         BOOST_TEST(it.second < 2 * mean);
 }
 
+// Guards against a router that uses only one of two endpoints of equal cost.
+BOOST_DATA_TEST_CASE(routerUsesEndpointsOfEqualCostInTurn, bdata::make({2, 3, 4}), count)
+{
+    for (int router = 0; router < 20; ++router) {
+        Balancer balancer("z", "r" + std::to_string(router));
+        balancer.update(endpoints(count, "m"));
+        std::map<std::string, int> sent;
+        EndpointRequirements next = request("m", 0);
+        for (next.spread = 0; next.spread < 12; ++next.spread)
+            ++sent[balancer.choose(next, Now)->endpoint];
+        for (const std::pair<const std::string, int> &it : sent)
+            BOOST_TEST(it.second == 12 / count);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(FreeSlots)
