forwarder_test: the endpoint that is to be chosen first is the nearest one

The tests relied on the order in which endpoints of equal cost were listed; a router uses these in turn now. Two rows of streamContinuesAtTheVersionThatBeganIt began at another endpoint than they meant and failed. The first endpoint is now in the router's availability zone and the others in another one; no check has changed.

--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -26,6 +26,7 @@
 
 constexpr int Port = 24000;
 constexpr Millis RouteTimeout{4000};
+const std::string Zone = "z"; // of the router, and of the first endpoint, which is preferred for that
 
 Route route(const std::string &prefix, bool stream, RetryPolicy retryPolicy)
 {
@@ -68,6 +69,7 @@
         for (size_t n = 0; n < endpoints.size(); ++n) {
             pb::Announcement it = announcement(fmt::format("e{}", n), StartedAtMs, 1, endpoints[n].endpoint->address());
             it.set_software(endpoints[n].software);
+            it.set_zone(n == 0 ? Zone : "other");
             registry.merge(it, monotonicNow());
         }
         m_balancer.update(registry);
@@ -102,7 +104,7 @@
 
 private:
     net::io_context m_io{1};
-    Balancer m_balancer{"z"};
+    Balancer m_balancer{Zone};
     RetryLimits m_retries{0.2, Millis(10000), std::nullopt};
     CrashWatch m_crashes;
     CrashingParts m_crashingParts;
@@ -311,7 +313,7 @@
 
 struct Continuation {
     std::string name;
-    std::vector<VersionedEndpoint> endpoints; // the first one begins the stream: of equal ones the first is chosen
+    std::vector<VersionedEndpoint> endpoints; // the first one begins the stream: it is the nearest
     bool complete = false;
 };
 
