--- a/tests/crowds_test.cpp
+++ b/tests/crowds_test.cpp
@@ -18,7 +18,7 @@
 namespace
 {
 
-constexpr int FirstPort = 33000;
+constexpr int FirstPort = 20500; // below the ports that the system assigns to outgoing connections
 constexpr size_t HostMemory = 64'000'000; // of each process of general routes, in their settings
 constexpr size_t SystemMemory = 128'000'000; // of each process of the other system, whose bodies may be twice as large
 constexpr size_t HostDescriptors = 300;
