All routers of a large availability zone are named to callers

Callers saw: in an availability zone with more than 64 routers, those whose ids come last got no callers, as every answer named the first 64 in the order of ids. Change: each answering router names a sample of its own, by rendezvous hashing; with 64 or fewer routers the answers are as before. Result: addresslist_test, 11 cases: with 72, 100 and 300 routers each is named by between half and twice as many answers as the mean. The function is new, so the test was not run on the code before.

--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -119,6 +119,7 @@
 constexpr size_t CrashComparisonEndpoints = 3; // one that can be connected to shows that this host is not cut from all
 constexpr int CrashCheckConnections = 3; // opened to find out whether a process has ended
 constexpr Millis ResolveTtl{1500}; // some callers cache an answer for three times as long; a drain waits for them
+constexpr size_t MinZoneAddresses = 2; // if an availability zone has fewer routers, its callers get those of all zones
 
 // Load balancing; costs are in milliseconds of time to first token
 constexpr Millis LoadObservationTtl{1500}; // of the load that an answer of an endpoint reported
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -1,5 +1,6 @@
 #include "transport/entryapi.h"
 
+#include "coordination/addresslist.h"
 #include "protocol/log.h"
 #include "protocol/statedump.h"
 #include "state/tunables.h"
@@ -18,7 +19,6 @@
 {
 
 constexpr size_t MaxAddresses = 64; // in one answer
-constexpr size_t MinZoneAddresses = 2; // if an availability zone has fewer routers, its callers get those of all zones
 constexpr Millis ExpiryCheckInterval{1000};
 
 // Returns the time between polls that limits their number at each control host.
@@ -203,7 +203,6 @@
         co_await caller.answer(ready() ? 200 : 503);
 }
 
-// Answers with the routers of the caller's availability zone, or with all routers if the zone has too few.
 Task<> EntryApi::answerResolve(CallerConnection &caller)
 {
     const Call call = caller.call(m_codec);
@@ -211,24 +210,15 @@
         co_await caller.answer(404);
         co_return;
     }
-    std::vector<std::string> sameZone;
-    std::vector<std::string> all;
+    std::vector<ListedRouter> routers;
     for (const std::pair<const std::string, LiveRouter> &it : m_registry.routers()) {
-        const bool self = it.first == m_settings.host.id;
-        if (self || !it.second.state.accepting())
-            continue;
-        all.push_back(it.second.state.address());
-        if (it.second.state.zone() == call.zone)
-            sameZone.push_back(it.second.state.address());
+        const pb::RouterState &state = it.second.state;
+        if (it.first != m_settings.host.id && state.accepting())
+            routers.push_back({it.first, state.address(), state.zone() == call.zone});
     }
-    if (ready()) {
-        all.push_back(m_settings.listen);
-        if (m_settings.host.zone == call.zone)
-            sameZone.push_back(m_settings.listen);
-    }
-    std::vector<std::string> &chosen = sameZone.size() >= MinZoneAddresses ? sameZone : all;
-    if (chosen.size() > MaxAddresses)
-        chosen.resize(MaxAddresses);
+    if (ready())
+        routers.push_back({m_settings.host.id, m_settings.listen, m_settings.host.zone == call.zone});
+    const std::vector<std::string> chosen = addressList(m_settings.host.id, std::move(routers), MaxAddresses);
     if (chosen.empty()) {
         co_await caller.answer(503);
         co_return;
