--- a/tests/accounts_test.cpp
+++ b/tests/accounts_test.cpp
@@ -1,19 +1,17 @@
 // Tests of client accounts: which account holds an API key, and what the forwarder sends of keys and names to endpoints and to
 // other routers.
 #define BOOST_TEST_MODULE accounts
+#include "forwarderthread.h"
 #include "livestate.h"
 #include "loopback.h"
-#include "platform/codec.h"
 #include "protocol/metrics.h"
 #include "rawendpoint.h"
 #include "transport/clock.h"
-#include "transport/forwarder.h"
 
 #include <algorithm>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
 #include <fmt/format.h>
-#include <future>
 #include <rapidcheck.h>
 #include <thread>
 
@@ -86,11 +84,12 @@
 }
 
 // A router in this process, of which `addresses` are the endpoints and `peer` is the relay address of the router r2.
-class Router
+class Router : public ForwarderThread
 {
 public:
     Router(const std::vector<std::string> &addresses, const std::optional<AccountList> &list, const std::string &peer = "127.0.0.1:1")
-        : m_server(m_io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
+        : ForwarderThread("z")
+        , m_server(m_io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
         , m_relayServer(m_io, [this](CallerConnection &caller) { return m_forwarder.handleRelayed(caller); })
     {
         m_forwarder.setTable(routeTable(1, list));
@@ -107,46 +106,19 @@
         m_balancer.update(registry);
         m_peers.update(registry);
         m_forwarder.setPeers(&m_peers, "r1");
-        m_retries.setShare(100, 1);
         BOOST_REQUIRE(m_server.listen(fmt::format("127.0.0.1:{}", Port)).has_value());
         BOOST_REQUIRE(m_relayServer.listen(fmt::format("127.0.0.1:{}", RelayPort)).has_value());
-        m_thread = std::thread([this] { m_io.run(); });
+        start();
     }
     ~Router()
     {
-        m_io.stop();
-        m_thread.join();
-    }
-    Router(const Router &) = delete;
-    Router &operator=(const Router &) = delete;
-    // Runs `change` on the forwarder after a time.
-    void after(Millis delay, std::function<void(Forwarder &)> change)
-    {
-        std::shared_ptr<net::steady_timer> timer = std::make_shared<net::steady_timer>(m_io, delay);
-        timer->async_wait([this, timer, change = std::move(change)](const ErrorCode &) { change(m_forwarder); });
-    }
-    // Runs `change` on the forwarder and waits until it has returned.
-    void run(const std::function<void(Forwarder &)> &change)
-    {
-        std::promise<void> done;
-        net::post(m_io, [&] {
-            change(m_forwarder);
-            done.set_value();
-        });
-        done.get_future().wait();
+        stop();
     }
 
 private:
-    net::io_context m_io{1};
-    Balancer m_balancer{"z"};
-    RetryLimits m_retries{0.2, Millis(10000), std::nullopt};
-    CrashWatch m_crashes;
-    CrashingParts m_crashingParts;
     PeerRouters m_peers{"r1", "z"};
-    Forwarder m_forwarder{m_io, platform::codec(), m_balancer, m_retries, m_crashes, m_crashingParts};
     HttpServer m_server;
     HttpServer m_relayServer;
-    std::thread m_thread;
 };
 
 RawAnswer plainAnswer(const std::string &)
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -1,12 +1,11 @@
 // Tests of the forwarder on loopback against endpoints whose answers are given byte by byte: what a caller receives of
 // answers that are framed in different ways, truncated, or not answers at all.
 #define BOOST_TEST_MODULE forwarder
+#include "forwarderthread.h"
 #include "livestate.h"
 #include "loopback.h"
-#include "platform/codec.h"
 #include "rawendpoint.h"
 #include "transport/clock.h"
-#include "transport/forwarder.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
@@ -52,12 +51,13 @@
 
 // Serves the routes /once/ (stream that runs once), /resume/ (stream that another endpoint can resume), /plain/ (no stream,
 // runs once) and /read/ (no stream, idempotent) with the given endpoints.
-class Router
+class Router : public ForwarderThread
 {
 public:
     // `listedAt`: when a control host was asked whose list of software versions was complete; none: its list stays complete.
     explicit Router(const std::vector<Known> &endpoints, std::optional<Time> listedAt = Time::max())
-        : m_server(m_io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
+        : ForwarderThread(Zone)
+        , m_server(m_io, [this](CallerConnection &caller) { return m_forwarder.handle(caller); })
     {
         RouteTable table;
         table.version = 1;
@@ -73,29 +73,14 @@
             registry.merge(it, monotonicNow());
         }
         m_balancer.update(registry);
-        m_retries.setShare(100, 1);
         if (listedAt)
             m_forwarder.confirmSoftware(*listedAt, Millis(0));
         BOOST_REQUIRE(m_server.listen(fmt::format("127.0.0.1:{}", Port)).has_value());
-        m_thread = std::thread([this] { m_io.run(); });
+        start();
     }
     ~Router()
     {
-        m_io.stop();
-        m_thread.join();
-    }
-    Router(const Router &) = delete;
-    Router &operator=(const Router &) = delete;
-    // Runs `change` on the forwarder after a time.
-    void after(Millis delay, std::function<void(Forwarder &)> change)
-    {
-        std::shared_ptr<net::steady_timer> timer = std::make_shared<net::steady_timer>(m_io, delay);
-        timer->async_wait([this, timer, change = std::move(change)](const ErrorCode &) { change(m_forwarder); });
-    }
-    // To be used on the thread of the router only.
-    Balancer &balancer()
-    {
-        return m_balancer;
+        stop();
     }
     HttpServer &server()
     {
@@ -103,14 +88,7 @@
     }
 
 private:
-    net::io_context m_io{1};
-    Balancer m_balancer{Zone};
-    RetryLimits m_retries{0.2, Millis(10000), std::nullopt};
-    CrashWatch m_crashes;
-    CrashingParts m_crashingParts;
-    Forwarder m_forwarder{m_io, platform::codec(), m_balancer, m_retries, m_crashes, m_crashingParts};
     HttpServer m_server;
-    std::thread m_thread;
 };
 
 ReceivedAnswer call(const std::string &path, const std::string &version = "1.1", const std::string &headers = "X-Request-Id: r1\r\n")
