Messages that wait while a process stands still are as old as they are

Cause: messages state ages, and the receiver counted them from when it read the message. A control host that stood still reads a lost router's last poll when it goes on, lists the router as seen now, and tells the others. The leader's confirmation that a configuration is the newest was taken for new in the same way. Change: requests state when they were sent by the sender's monotonic clock; the receiver learns the least difference between both clocks and adds what a message took beyond it to all its ages. Ages in replies count from when these were asked for.

--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -96,6 +96,8 @@
 constexpr Millis ListTimeout{2000}; // of a poll that brings a whole list: 2.5 MB on a link of 10 Mbit/s
 constexpr Millis SyncTimeout{600}; // a round trip takes 3 ms; after a time-out another control host is asked
 constexpr Millis ShareTimeout{600};
+constexpr size_t MaxMessageSenders = 4096; // whose clocks are compared with the own one; several times the hosts of a large system
+constexpr int64_t MaxClockMillis = 1ll << 52; // of a monotonic clock that a message states; more is no time
 constexpr Millis MaxShareInterval{1000}; // without changes, to detect that the peer has restarted
 constexpr Millis ShareBatchDelay{15}; // combines changes into one message; less than half of SyncIntervalWhileWaiting
 constexpr Millis ShareRetryDelay{200};
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -267,6 +267,7 @@
     return request;
 }
 
+// Ages and remaining times count from when the poll was sent: this process may have stood still before it read the reply.
 void EntryApi::applySync(const pb::SyncReply &reply, Time askedAt)
 {
     const Time now = monotonicNow();
@@ -285,7 +286,7 @@
     if (reply.busy())
         return;
     if (reply.has_use())
-        m_balancer.applyUse(reply.use(), now);
+        m_balancer.applyUse(reply.use(), askedAt);
     m_epoch = reply.epoch();
     m_version = reply.version();
     const uint64_t previousVersion = m_registry.version();
@@ -297,7 +298,7 @@
     if (endpointsChange)
         m_forwarder.software().record(m_registry, now);
     for (const pb::Announcement &it : reply.endpoints()) {
-        if (m_registry.merge(it, now - Millis(it.age_ms())))
+        if (m_registry.merge(it, askedAt - Millis(it.age_ms())))
             logEvent("endpoint",
                      {{"endpoint", it.endpoint()},
                       {"service", it.service()},
@@ -311,23 +312,23 @@
                       {"known", reply.version()}});
     }
     for (const pb::Holdings &it : reply.holdings()) {
-        if (m_registry.merge(it, now))
+        if (m_registry.merge(it, askedAt))
             logEvent("holdings",
                      {{"endpoint", it.endpoint()}, {"models", formatModels(it)}, {"term", it.term()}, {"known", reply.version()}});
     }
     for (const pb::RouterState &it : reply.routers())
-        m_registry.merge(it, now - Millis(it.age_ms()));
+        m_registry.merge(it, askedAt - Millis(it.age_ms()));
     if (reply.full())
         m_registry.markUnlistedLost(reply, now);
     // Routers that have stopped may have spent retries within the window, and are listed for longer than that.
     m_retries.setShare(m_settings.retrySlack, std::max<size_t>(1, m_registry.routers().size()));
-    m_quotas->stock().setRouters(std::max<size_t>(1, m_registry.routers().size()), now);
+    m_quotas->stock().setRouters(std::max<size_t>(1, m_registry.routers().size()), askedAt);
     m_meshClient->setMinInterval(minSyncInterval(m_registry.routers().size(), size_t(reply.control_size())));
     m_synced = true;
     if (endpointsChange)
         m_forwarder.software().record(m_registry, now);
-    m_forwarder.recordSync(reply.version(), now, now - Millis(reply.state_age_ms()));
-    m_forwarder.setOrdersAllowedAt(now + Millis(reply.orders_in_ms()));
+    m_forwarder.recordSync(reply.version(), now, askedAt - Millis(reply.state_age_ms()));
+    m_forwarder.setOrdersAllowedAt(askedAt + Millis(reply.orders_in_ms()));
     logRefusedParts();
     if (m_registry.version() == previousVersion)
         return;
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -53,6 +53,7 @@
     const Time now = monotonicNow();
     if (request->router().router().empty())
         return grpc::Status(grpc::StatusCode::INVALID_ARGUMENT, "'router' is empty; set 'id' in the router's settings");
+    const Time sentAt = now - ageOf(request->router().router(), request->router().incarnation(), request->sent_at_ms(), now);
     // A router without a configuration takes an old one rather than none.
     const bool current = m_disk && !(m_table.isolated(now) && request->configuration() > 0);
     const bool wholeList = request->epoch() != m_epoch;
@@ -63,11 +64,11 @@
         m_table.expire(now);
     m_table.change([&](Registry &registry) {
         if (m_disk)
-            registry.merge(request->router(), now);
+            registry.merge(request->router(), sentAt);
         if (serves)
             registry.routerChangesSince(wholeList ? 0 : request->version(), now, *reply);
         if (m_disk)
-            shareUse(registry, request->router(), now, *reply);
+            shareUse(registry, request->router(), sentAt, now, *reply);
         if (registry.ordersAllowedAt() > now)
             reply->set_orders_in_ms(uint64_t((registry.ordersAllowedAt() - now).count()));
         addControlHosts(registry, request->router(), current, now, *reply);
@@ -88,12 +89,25 @@
     return grpc::Status::OK;
 }
 
+// Returns how long a message has been on its way, and logs it if the sender has surely given up waiting for the reply.
+Millis MeshService::ageOf(const std::string &sender, uint64_t incarnation, uint64_t sentAtMs, Time now)
+{
+    Millis age;
+    {
+        const std::lock_guard lock(m_mutex);
+        age = m_ages.age(sender, incarnation, sentAtMs, now);
+    }
+    if (age > SyncTimeout)
+        logEvent("message_late", {{"from", sender}, {"age_ms", age.count()}});
+    return age;
+}
+
 // Records the requests that a router has on endpoints, and adds those of the others.
-void MeshService::shareUse(Registry &registry, const pb::RouterState &router, Time now, pb::SyncReply &reply)
+void MeshService::shareUse(Registry &registry, const pb::RouterState &router, Time sentAt, Time now, pb::SyncReply &reply)
 {
     if (!router.has_use())
         return;
-    registry.use().setRouter(router.router(), router.use(), now);
+    registry.use().setRouter(router.router(), router.use(), sentAt);
     std::optional<pb::EndpointUse> use = registry.use().ofOthers(router.router(), now);
     if (use)
         *reply.mutable_use() = std::move(*use);
@@ -200,18 +214,19 @@
 grpc::Status MeshService::Share(grpc::ServerContext *, const pb::ShareRequest *request, pb::ShareReply *reply)
 {
     const Time now = monotonicNow();
+    const Time sentAt = now - ageOf(request->from(), request->incarnation(), request->sent_at_ms(), now);
     const std::string from = request->replica() ? request->from() : "";
     m_table.change([&](Registry &registry) {
         for (const pb::Announcement &it : request->endpoints())
-            registry.merge(it, now - Millis(it.age_ms()), from);
+            registry.merge(it, sentAt - Millis(it.age_ms()), from);
         for (const pb::Holdings &it : request->holdings())
-            registry.merge(it, now, from);
+            registry.merge(it, sentAt, from);
         for (const pb::RouterState &it : request->routers())
-            registry.merge(it, now - Millis(it.age_ms()), from);
+            registry.merge(it, sentAt - Millis(it.age_ms()), from);
         for (const pb::KeeperState &it : request->keepers())
-            registry.merge(it, now - Millis(it.age_ms()));
+            registry.merge(it, sentAt - Millis(it.age_ms()));
         if (request->has_use())
-            registry.use().setHost(request->from(), request->use(), now);
+            registry.use().setHost(request->from(), request->use(), sentAt);
         if (request->keepers_size() > 0)
             addKeepers(registry, now, *reply);
     });
@@ -221,7 +236,7 @@
         m_table.mergeConfiguration(request->configuration_delta());
     if (request->has_configuration_piece())
         m_table.mergeConfiguration(request->configuration_piece());
-    m_table.confirmByLeader(request->newest_configuration(), now);
+    m_table.confirmByLeader(request->newest_configuration(), sentAt);
     reply->set_configuration(m_table.configurationVersion());
     *reply->mutable_progress() = m_table.configurationProgress();
     reply->set_epoch(m_epoch);
@@ -282,7 +297,7 @@
     const bool first = !m_channel;
     if (first)
         connect();
-    const pb::SyncRequest request = m_buildRequest();
+    pb::SyncRequest request = m_buildRequest();
     const std::shared_ptr<grpc::Channel> channel = m_channel->get();
     // The first reply of a host brings the whole list. A host that can't be connected to gets no more time than another poll.
     if (first && !channel->WaitForConnected(std::chrono::system_clock::now() + SyncTimeout)) {
@@ -293,6 +308,7 @@
     setDeadline(context, first ? ListTimeout : SyncTimeout);
     pb::SyncReply reply;
     const Time askedAt = monotonicNow();
+    request.set_sent_at_ms(uint64_t(toMillis(askedAt)));
     const grpc::Status status = pb::Mesh::NewStub(channel)->Sync(&context, request, &reply);
     if (!status.ok()) {
         m_channel.reset();
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/controlhosts.h"
+#include "coordination/messageage.h"
 #include "coordination/replybudget.h"
 #include "mesh.grpc.pb.h"
 #include "state/tunables.h"
@@ -50,7 +51,8 @@
         size_t referred = 0; // to other control hosts
     };
     void addKeepers(const Registry &registry, Time now, pb::ShareReply &reply) const;
-    static void shareUse(Registry &registry, const pb::RouterState &router, Time now, pb::SyncReply &reply);
+    Millis ageOf(const std::string &sender, uint64_t incarnation, uint64_t sentAtMs, Time now);
+    static void shareUse(Registry &registry, const pb::RouterState &router, Time sentAt, Time now, pb::SyncReply &reply);
     void addControlHosts(const Registry &registry, const pb::RouterState &router, bool current, Time now, pb::SyncReply &reply) const;
     bool addConfiguration(const pb::SyncRequest &request, Time now, pb::SyncReply &reply);
     static void postponeChanges(const pb::SyncRequest &request, pb::SyncReply &reply);
@@ -67,6 +69,7 @@
     QuotaGranter *m_quotas = nullptr;
     std::mutex m_mutex;
     ReplyBudget m_replies{tunables::MaxReplyBytesPerSecond}; // under m_mutex
+    MessageAges m_ages; // under m_mutex
     ReplyCounts m_counts; // since m_countedSince, under m_mutex
     Time m_countedSince{};
 };
--- a/src/transport/meshsharer.cpp
+++ b/src/transport/meshsharer.cpp
@@ -127,6 +127,7 @@
     pb::ShareRequest request;
     request.set_from(m_self);
     request.set_replica(m_disk);
+    request.set_sent_at_ms(uint64_t(toMillis(now)));
     m_table.read([&](const Registry &registry) {
         version = peer.reachable ? registry.version() : progress.version;
         if (state)
@@ -137,6 +138,7 @@
             progress.nextUseAt = now + EndpointUseInterval;
         }
         const auto self = registry.keepers().find(m_self);
+        request.set_incarnation(self == registry.keepers().end() ? 0 : self->second.state.incarnation());
         if (self != registry.keepers().end() && self->second.version > progress.ownVersion) {
             *request.add_keepers() = self->second.state;
             progress.ownVersion = self->second.version;
@@ -177,18 +179,19 @@
     grpc::ClientContext context;
     setDeadline(context, ShareTimeout);
     pb::ShareReply reply;
+    const Time askedAt = monotonicNow();
     const grpc::Status status = pb::Mesh::NewStub(channel)->Share(&context, request, &reply);
     peer.channel.handleStatus(status, channel);
     if (status.ok() != peer.reachable)
         logEvent(status.ok() ? "peer_regained" : "peer_lost", {{"peer", peer.channel.address()}, {"error", status.error_message()}});
     peer.reachable = status.ok();
     if (status.ok())
-        handleReply(reply, progress, version);
+        handleReply(reply, askedAt, progress, version);
     else
         progress.ownVersion = 0;
 }
 
-void MeshSharer::handleReply(const pb::ShareReply &reply, Progress &progress, uint64_t version)
+void MeshSharer::handleReply(const pb::ShareReply &reply, Time askedAt, Progress &progress, uint64_t version)
 {
     // A peer that has restarted has lost all state and receives everything again.
     const bool restarted = progress.epoch != 0 && progress.epoch != reply.epoch();
@@ -199,13 +202,12 @@
     progress.configuration = reply.configuration();
     if (reply.has_progress())
         progress.transfer = reply.progress();
-    const Time now = monotonicNow();
     if (reply.keepers().empty())
         return;
     m_table.change([&](Registry &registry) {
         for (const pb::KeeperState &it : reply.keepers()) {
             if (Millis(it.age_ms()) < KeeperLivenessTimeout)
-                registry.merge(it, now - Millis(it.age_ms()));
+                registry.merge(it, askedAt - Millis(it.age_ms()));
         }
     });
 }
--- a/src/transport/meshsharer.h
+++ b/src/transport/meshsharer.h
@@ -67,7 +67,7 @@
     bool leads() const;
     void addConfigurationIfLagging(Progress &progress, Time now, pb::ShareRequest &request) const;
     void send(Peer &peer, Progress &progress, const pb::ShareRequest &request, uint64_t version);
-    void handleReply(const pb::ShareReply &reply, Progress &progress, uint64_t version);
+    void handleReply(const pb::ShareReply &reply, Time askedAt, Progress &progress, uint64_t version);
 
     LiveTable &m_table;
     std::string m_self;
