A second router or control replica at the same address is refused

Callers and operators saw: a second roserail-router that was started with the address of one that listens was not refused; the two shared the callers. A test run beside another one got answers of the other's system. Cause: cpp-httplib sets SO_REUSEPORT on its listener, by which several processes of a user may listen on one port. Change: SO_REUSEADDR alone: a port is refused while another process listens, and is free at once after a restart. Result: httpserver_test addressOfAListeningServerIsRefusedToAnother fails on the code before (1 of 1 run), passes in 5 of 5; serverListensAgainAfterItHasClosedConnections passes on both.

--- a/src/transport/boundedserver.cpp
+++ b/src/transport/boundedserver.cpp
@@ -200,6 +200,16 @@
 
 } // namespace
 
+BoundedServer::BoundedServer(const ProcessLimits &limits)
+    : m_budget(limits.memory, limits.descriptors)
+{
+    // The library's own option, SO_REUSEPORT, lets a second process listen on the same port and take part of the callers.
+    set_socket_options([](socket_t socket) {
+        const int on = 1;
+        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    });
+}
+
 bool BoundedServer::process_and_close_socket(socket_t socket)
 {
     bool handled = false;
--- a/src/transport/boundedserver.h
+++ b/src/transport/boundedserver.h
@@ -12,10 +12,7 @@
 class BoundedServer : public httplib::Server
 {
 public:
-    explicit BoundedServer(const ProcessLimits &limits)
-        : m_budget(limits.memory, limits.descriptors)
-    {
-    }
+    explicit BoundedServer(const ProcessLimits &limits);
 
 private:
     bool process_and_close_socket(socket_t socket) override;
--- a/tests/httpserver_test.cpp
+++ b/tests/httpserver_test.cpp
@@ -1,5 +1,7 @@
 // Tests of the HTTP server in the test's own process, with callers that use their connections while it closes them.
 #define BOOST_TEST_MODULE httpserver
+#include "state/tunables.h"
+#include "transport/boundedserver.h"
 #include "transport/clock.h"
 #include "transport/http.h"
 
@@ -137,3 +139,38 @@
     BOOST_TEST(answer.find(" 200 ") != std::string::npos);
     BOOST_TEST(answer.find("Connection: close") != std::string::npos);
 }
+
+// Guards against a second process that is started with the address of one that listens, and gets part of its callers.
+BOOST_AUTO_TEST_CASE(addressOfAListeningServerIsRefusedToAnother)
+{
+    const ProcessLimits limits{tunables::DefaultMemory, tunables::DefaultDescriptors};
+    BoundedServer first(limits);
+    BoundedServer second(limits);
+    const int port = first.bind_to_any_port("127.0.0.1");
+    BOOST_REQUIRE(port > 0);
+    BOOST_TEST(!second.bind_to_port("127.0.0.1", port));
+}
+
+// Guards against a process that can't be started again while connections of its callers wait in TIME_WAIT.
+BOOST_AUTO_TEST_CASE(serverListensAgainAfterItHasClosedConnections)
+{
+    const ProcessLimits limits{tunables::DefaultMemory, tunables::DefaultDescriptors};
+    int port = 0;
+    {
+        BoundedServer server(limits);
+        server.Get("/x", [](const httplib::Request &, httplib::Response &) {});
+        port = server.bind_to_any_port("127.0.0.1");
+        BOOST_REQUIRE(port > 0);
+        std::thread thread([&] { server.listen_after_bind(); });
+        net::io_context io;
+        tcp::socket socket(io);
+        socket.connect(tcp::endpoint(net::ip::address_v4::loopback(), uint16_t(port)));
+        net::write(socket, net::buffer(std::string("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+        BOOST_TEST(readUntil(socket, "").find(" 200 ") != std::string::npos);
+        socket.close(); // after the server, whose port is now in TIME_WAIT
+        server.stop();
+        thread.join();
+    }
+    BoundedServer again(limits);
+    BOOST_TEST(again.bind_to_port("127.0.0.1", port));
+}
