Tests of cut hosts: no request before each host knows that the others take requests

The log of the cut host: ready at .789, isolated at .799, 31 requests until .805, all 503 'not run'; the other hosts had become ready within the same 5 ms, and the host learned so with its next poll. Cause: the test began 10 ms after the hosts became ready. The answers were right: no other host was known to take requests. Change: CutSystem waits until the directory of each host lists all three. No check is changed.

--- a/tests/cutsystem.h
+++ b/tests/cutsystem.h
@@ -8,6 +8,7 @@
 #include "mesh.grpc.pb.h"
 #include "transport/clock.h"
 
+#include <algorithm>
 #include <boost/test/included/unit_test.hpp>
 #include <fmt/format.h>
 #include <grpcpp/server_builder.h>
@@ -123,6 +124,11 @@
             fleet.startEntry(n);
         BOOST_REQUIRE(fleet.waitUntilReady(Entries));
         BOOST_REQUIRE(fleet.waitForEndpoints(Entries, Runners));
+        // A host that has just become ready may not know yet that others take the requests which it can't send.
+        BOOST_REQUIRE(eventually([this] {
+            return std::all_of(Entries.begin(), Entries.end(),
+                               [this](int it) { return fleet.resolve(it)["addresses"].size() == Entries.size(); });
+        }));
     }
     void cut(CutKind kind)
     {
