requests_test: no request before the engines are known and both routers serve

Seen: drainingRouterCompletesItsStreams failed in 3 of 13 runs: its first stream, at router 2, was not answered. Cause: the test waited for one answer of the service at router 1 only, and went on also without one. A stream for a model is refused at once while the leader knows no engine, which is right. Change: RunningSystem requires an answer of both routers and that the leader lists all engines. No check is changed; that the first answer comes is now one.

--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -21,7 +21,8 @@
 
 constexpr int FirstPort = 21000;
 
-// A system of three control replicas, two routers, engines and a service, which has answered its first request.
+// A system of three control replicas, two routers, engines and a service. Both routers have answered a request, and the leader lists all
+// engines: a request for a model is refused at once while no engine is known.
 struct RunningSystem : System {
     explicit RunningSystem(const std::string &name, int engines = 2, const std::vector<std::string> &options = {})
         : System(name, FirstPort)
@@ -34,7 +35,12 @@
             startEngine(id, options);
         startService(1);
         bootstrap();
-        eventually([&] { return callService(1, newIdempotencyKey("warm-up"), "x").status == 200; });
+        for (const int id : {1, 2})
+            BOOST_REQUIRE(eventually([&] { return callService(id, newIdempotencyKey("warm-up"), "x").status == 200; }));
+        BOOST_REQUIRE(eventually([&] {
+            const int id = leader();
+            return id != 0 && status(id).value("endpoints", 0) == engines;
+        }));
     }
 };
 
