Tests that start processes wait for each other, also across checkouts

Seen: requests_test drainingRouterCompletesItsStreams failed at 'bootstrap: conflict: ... already belongs to system ...'; other tests that passed alone found no ready system beside another run. Cause: the tests use fixed ports, and ctest keeps apart only those of its own run. With the system that an earlier run had left started on the ports of the test, the test fails with that message (1 of 1 run). Change: a test locks a file of the machine while it has processes; the lock ends with the test. Tests in whose own process servers listen (forwarder_test, accounts_test, httpserver_test) don't take it. Result: two copies of the case started at once pass, one after the other (2 of 2 runs).

--- a/tests/processes.cpp
+++ b/tests/processes.cpp
@@ -5,6 +5,9 @@
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <fstream>
+#include <mutex>
+#include <stdexcept>
+#include <sys/file.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -16,6 +19,33 @@
 {
 
 constexpr std::chrono::milliseconds PollInterval{20};
+constexpr const char *PortLock = "/tmp/roserail-system-tests.lock"; // one for the machine, as the ports are
+
+std::mutex g_mutex;
+int g_users = 0; // objects of this test
+int g_lock = -1;
+
+// The tests use fixed ports: waits until no other test on this machine has processes, for example in another checkout. The lock ends with
+// the test, also if it is killed.
+void acquirePorts()
+{
+    const std::lock_guard lock(g_mutex);
+    if (g_users == 0) {
+        g_lock = ::open(PortLock, O_RDONLY | O_CLOEXEC);
+        if (g_lock < 0)
+            g_lock = ::open(PortLock, O_RDONLY | O_CREAT | O_CLOEXEC, 0644);
+        if (g_lock < 0 || ::flock(g_lock, LOCK_EX) != 0)
+            throw std::runtime_error(fmt::format("cannot lock {}; make it readable", PortLock));
+    }
+    ++g_users;
+}
+
+void releasePorts()
+{
+    const std::lock_guard lock(g_mutex);
+    if (--g_users == 0)
+        ::close(g_lock);
+}
 
 // Starts a program with its input and output redirected to files and returns its process id.
 int start(const std::vector<std::string> &command, const std::filesystem::path &out, const std::filesystem::path &err,
@@ -65,6 +95,7 @@
 Processes::Processes(const std::string &name)
     : m_folder(std::filesystem::temp_directory_path() / fmt::format("roserail-{}-{}", name, ::getpid()))
 {
+    acquirePorts();
     std::filesystem::remove_all(m_folder);
     std::filesystem::create_directories(m_folder);
 }
@@ -78,6 +109,7 @@
     }
     if (std::getenv("ROSERAIL_KEEP_LOGS") == nullptr)
         std::filesystem::remove_all(m_folder);
+    releasePorts();
 }
 
 void Processes::spawn(const std::string &name, const std::vector<std::string> &command)
