roserailctl bootstrap goes on after a lost answer

Operators saw, by reading: if one replica's answer to the bootstrap was lost, the command ended. The replicas before it belonged to the new system, the one after did not, and a second attempt was refused as 'already belongs to system'. Cause: only the first question of each replica was repeated. Change: both are repeated until the deadline of the command while the replica doesn't answer; the cluster's id makes that safe. An error that a replica returns ends the command as before.

--- a/src/ctl.cpp
+++ b/src/ctl.cpp
@@ -14,7 +14,6 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
-#include <thread>
 
 namespace
 {
@@ -150,13 +149,7 @@
 {
     Json members = Json::array();
     for (const std::string &address : invocation.client.addresses()) {
-        Result<std::string> answer = Error{};
-        do {
-            answer = invocation.client.sendRequest(address, "GET", "/status", "");
-            if (answer.has_error())
-                std::this_thread::sleep_for(Millis(100));
-        } while (answer.has_error() && monotonicNow() < invocation.deadline);
-        BOOST_OUTCOME_TRY(text, std::move(answer));
+        BOOST_OUTCOME_TRY(text, invocation.client.sendUntilAnswered(address, "GET", "/status", "", invocation.deadline));
         const Json json = Json::parse(text, nullptr, false);
         if (!json.is_object() || !json.contains("self"))
             return Error{ErrorKind::Unavailable, fmt::format("{} is not a control replica; check --control", address)};
@@ -182,9 +175,8 @@
     }
     const Json body{{"clusterId", randomNumber() | 1}, {"members", members}};
     for (const std::string &address : invocation.client.addresses()) {
-        const Result<std::string> founded = invocation.client.sendRequest(address, "POST", "/bootstrap", body.dump());
-        if (founded.has_error())
-            return founded.error();
+        // The id of the cluster makes the request safe to repeat. If a replica were left out, no later bootstrap could include it.
+        BOOST_OUTCOME_TRY(invocation.client.sendUntilAnswered(address, "POST", "/bootstrap", body.dump(), invocation.deadline));
     }
     return fmt::format("bootstrapped a system of {} replicas\n", members.size());
 }
--- a/src/transport/operatorclient.cpp
+++ b/src/transport/operatorclient.cpp
@@ -74,6 +74,17 @@
     return answer;
 }
 
+Result<std::string> OperatorClient::sendUntilAnswered(const std::string &address, const std::string &method, const std::string &path,
+                                                      const std::string &body, Time deadline) const
+{
+    while (true) {
+        Result<std::string> answer = sendRequest(address, method, path, body);
+        if (answer.has_value() || answer.error().kind != ErrorKind::Unavailable || monotonicNow() >= deadline)
+            return answer;
+        std::this_thread::sleep_for(RetryDelay);
+    }
+}
+
 Result<std::string> OperatorClient::sendToLeader(const std::string &method, const std::string &path, const std::string &body,
                                                  Time deadline) const
 {
--- a/src/transport/operatorclient.h
+++ b/src/transport/operatorclient.h
@@ -17,6 +17,9 @@
     // Sends a request to one replica. An error that the replica returns keeps its kind and message.
     Result<std::string> sendRequest(const std::string &address, const std::string &method, const std::string &path,
                                     const std::string &body) const;
+    // Sends a request to one replica until it answers or the deadline passes. The request must be safe to repeat.
+    Result<std::string> sendUntilAnswered(const std::string &address, const std::string &method, const std::string &path,
+                                          const std::string &body, Time deadline) const;
     // Sends a request to the replicas in turn until the leader answers or the deadline passes. A request whose answer
     // was lost is sent again, so it must be safe to repeat.
     Result<std::string> sendToLeader(const std::string &method, const std::string &path, const std::string &body, Time deadline) const;
--- a/tests/operatorclient_test.cpp
+++ b/tests/operatorclient_test.cpp
@@ -5,6 +5,7 @@
 #include "transport/clock.h"
 #include "transport/operatorclient.h"
 
+#include <atomic>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
 
@@ -62,3 +63,34 @@
     BOOST_REQUIRE(answer.has_value());
     BOOST_TEST((answer.value() == document));
 }
+
+// Guards against a system of which some replicas are bootstrapped and the others can't be: one lost answer ended the command.
+BOOST_AUTO_TEST_CASE(requestIsSentAgainUntilTheReplicaAnswers)
+{
+    std::atomic<int> requests = 0;
+    const RawEndpoint endpoint([&](const std::string &) {
+        const std::string body = R"({"founded":true})";
+        return ++requests < 3 ? RawAnswer{"", AnswerEnd::Reset}
+                              : RawAnswer{Head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+    });
+    const OperatorClient client({endpoint.address()}, "token");
+    BOOST_TEST(client.sendUntilAnswered(endpoint.address(), "POST", "/bootstrap", "{}", monotonicNow() + Millis(10000)).has_value());
+    BOOST_TEST(requests == 3);
+}
+
+// Guards against an error of the replica that is repeated until the deadline instead of being shown.
+BOOST_AUTO_TEST_CASE(refusedRequestIsNotSentAgain)
+{
+    const std::string body = R"({"error":{"type":"conflict","message":"belongs to a cluster"}})";
+    std::atomic<int> requests = 0;
+    const RawEndpoint endpoint([&](const std::string &) {
+        ++requests;
+        return RawAnswer{"HTTP/1.1 409 Conflict\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+    });
+    const OperatorClient client({endpoint.address()}, "token");
+    const Result<std::string> answer
+        = client.sendUntilAnswered(endpoint.address(), "POST", "/bootstrap", "{}", monotonicNow() + Millis(10000));
+    BOOST_REQUIRE(answer.has_error());
+    BOOST_TEST((answer.error().kind == ErrorKind::Conflict));
+    BOOST_TEST(requests == 1);
+}
