Connections are limited at every port: internal protocol, roserail-router, roserail-control

A crowd of 500 idle connections took 525 descriptors of 300 permitted at the internal protocol of a control host, and 439 to 643 at roserail-control. gRPC and cpp-httplib limit no connections. BoundedServer closes connections without a request first, then requests that have stalled, also for connections that wait for a thread. roserail-control limits messages of the internal protocol by its memory, as roserail-keeper does.

forwarder_test SlowStreams: stalled endpoints and callers that send or read a byte now and then are broken off, slow but sound ones not.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,9 +1,11 @@
 // roserail-control: runs one control replica, with its peer protocol, its control service and the operators' HTTP API.
 
+#include "coordination/ingressbudget.h"
 #include "protocol/log.h"
 #include "protocol/settings.h"
 #include "transport/clock.h"
 #include "transport/controlservice.h"
+#include "transport/grpcserver.h"
 #include "transport/operatorapi.h"
 #include "transport/program.h"
 
@@ -29,7 +31,8 @@
     Coordinator coordinator(node);
     PeerService peerService(node);
     ControlService controlService(node, coordinator);
-    const std::unique_ptr<grpc::Server> server = startGrpcServer(settings.peerAddress, {&peerService, &controlService});
+    const IngressBudget budget(settings.limits.memory, settings.limits.descriptors);
+    const std::unique_ptr<GrpcServer> server = GrpcServer::start(settings.peerAddress, {&peerService, &controlService}, budget);
     if (!server)
         return reportFatal(
             Error{ErrorKind::BadSettings, fmt::format("cannot listen on {}; free the port or change 'peerAddress'", settings.peerAddress)});
@@ -46,7 +49,7 @@
     std::this_thread::sleep_for(tunables::ControlDrainTime);
     api.stop();
     httpThread.join();
-    server->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(500));
+    server->shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(500));
     logEvent("stopped");
     return 0;
 }
--- a/src/keeper.cpp
+++ b/src/keeper.cpp
@@ -10,6 +10,7 @@
 #include "transport/clock.h"
 #include "transport/controlpeers.h"
 #include "transport/controlservice.h"
+#include "transport/grpcserver.h"
 #include "transport/keeperapi.h"
 #include "transport/mesh.h"
 #include "transport/ordersender.h"
@@ -124,7 +125,7 @@
     meshService.setQuotas(quotas);
     services.push_back(&meshService);
     const std::shared_ptr<Ingress> ingress = std::make_shared<Ingress>(settings.host.limits);
-    const std::unique_ptr<grpc::Server> server = startGrpcServer(internal, services, ingress->budget().maxMessageBytes);
+    const std::unique_ptr<GrpcServer> server = GrpcServer::start(internal, services, ingress->budget());
     if (!server)
         return reportFatal(
             Error{ErrorKind::BadSettings, fmt::format("cannot listen on {}; free the port or change 'internalPort'", internal), 0});
@@ -171,7 +172,7 @@
         node->handOverLeadership();
     handedOver = true;
     ioThread.join();
-    server->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(200));
+    server->shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(200));
     logEvent("stopped");
     return 0;
 }
--- a/src/transport/boundedserver.cpp
+++ b/src/transport/boundedserver.cpp
@@ -26,6 +26,10 @@
 // Of a body as it is sent: in chunks of 64 bytes or more it exceeds the limit of a body by less than an eighth.
 constexpr size_t MaxSentBodyBytes = MaxBodyBytes + MaxBodyBytes / 8;
 constexpr size_t CopiesOfBody = 2; // that the handlers and the server keep
+constexpr Millis YieldInterval{250}; // of looks at the connections that wait for a thread
+constexpr Millis EndTimeout{100}; // of a connection that another one replaces
+
+thread_local bool refusesConnection = false; // of the task that this thread runs
 
 bool waitFor(int socket, short events, Time until)
 {
@@ -46,22 +50,74 @@
     port = ntohs(address.sin_port);
 }
 
+// Discards input until the caller has closed the connection, so that it can read the refusal.
+void discardInput(int socket)
+{
+    const Time until = monotonicNow() + LingeringCloseTimeout;
+    std::array<char, 8192> rest;
+    size_t discardedBytes = 0;
+    ssize_t n = 1;
+    while (n > 0 && discardedBytes < MaxLingeringBytes && waitFor(socket, POLLIN, until)) {
+        n = ::recv(socket, rest.data(), rest.size(), 0);
+        discardedBytes += size_t(std::max<ssize_t>(0, n));
+    }
+}
+
+} // namespace
+
 // A caller's connection. Refuses a request that exceeds the limits: the server then gets no more of it, and its answer is dropped.
 class RequestStream : public httplib::Stream
 {
 public:
-    RequestStream(int socket, IngressBudget &budget)
-        : m_socket(socket)
-        , m_share(budget.bodies)
+    // What a thread waits for on its connection.
+    enum class Wait { Nothing, Request, Bytes };
+
+    RequestStream(int socket, BoundedServer &server)
+        : m_server(server)
+        , m_socket(socket)
+        , m_share(server.m_budget.bodies)
+    {
+        const std::lock_guard lock(m_server.m_mutex);
+        m_position = m_server.m_streams.insert(m_server.m_streams.end(), this);
+    }
+    ~RequestStream() override
     {
+        const std::lock_guard lock(m_server.m_mutex);
+        m_server.m_streams.erase(m_position);
+        m_server.m_ending -= m_ended ? 1 : 0;
     }
+    RequestStream(const RequestStream &) = delete;
+    RequestStream &operator=(const RequestStream &) = delete;
+
     void beginRequest()
     {
-        m_readUntil = monotonicNow() + RequestReadTimeout;
+        m_requestStartedAt = monotonicNow();
+        m_readUntil = m_requestStartedAt + RequestReadTimeout;
         m_headBytes = 0;
         m_bodyBytes = 0;
         m_matched = 0;
     }
+    // Of the request that is being read, or since the connection has been idle. Both need the server's lock.
+    const Transfer &transfer() const
+    {
+        return m_transfer;
+    }
+    Wait wait() const
+    {
+        return m_ended ? Wait::Nothing : m_wait;
+    }
+    // Wakes the thread, which then closes the connection. Needs the server's lock.
+    void end()
+    {
+        m_ended = true;
+        ++m_server.m_ending;
+        ::shutdown(m_socket, SHUT_RD);
+    }
+    bool hasInput() const
+    {
+        char byte = 0;
+        return ::recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
     bool refused() const
     {
         return m_refused;
@@ -70,7 +126,7 @@
     bool waitForRequest(Time until)
     {
         m_share.release();
-        return m_begin < m_end || waitFor(m_socket, POLLIN, until);
+        return m_begin < m_end || waitForInput(Wait::Request, {monotonicNow(), 0}, until);
     }
 
     bool is_readable() const override
@@ -120,11 +176,32 @@
     {
         return std::min(m_readUntil, monotonicNow() + HttpIoTimeout);
     }
+    // Returns whether input has arrived. The server may end the connection meanwhile.
+    bool waitForInput(Wait wait, const Transfer &transfer, Time until)
+    {
+        setWait(wait, transfer);
+        bool arrived = false;
+        while (!arrived && !m_endedMeanwhile && monotonicNow() < until) {
+            arrived = waitFor(m_socket, POLLIN, std::min(until, monotonicNow() + YieldInterval));
+            if (!arrived)
+                m_server.yieldToWaiting();
+            const std::lock_guard lock(m_server.m_mutex);
+            m_endedMeanwhile = m_ended;
+        }
+        setWait(Wait::Nothing, transfer);
+        return arrived && !m_endedMeanwhile;
+    }
+    void setWait(Wait wait, const Transfer &transfer)
+    {
+        const std::lock_guard lock(m_server.m_mutex);
+        m_wait = wait;
+        m_transfer = transfer;
+    }
     bool receive()
     {
         m_begin = m_end = 0;
-        if (!waitFor(m_socket, POLLIN, readDeadline()))
-            return false;
+        if (!waitForInput(Wait::Bytes, {m_requestStartedAt, m_headBytes + m_bodyBytes}, readDeadline()))
+            return m_endedMeanwhile && refuse(503, "the request arrived too slowly while others waited; not run, retry later");
         const ssize_t n = ::recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
         m_closed = n == 0;
         m_end = n > 0 ? size_t(n) : 0;
@@ -172,6 +249,8 @@
         return false;
     }
 
+    BoundedServer &m_server;
+    std::list<RequestStream *>::iterator m_position;
     int m_socket;
     BufferShare m_share;
     std::array<char, 4096> m_buffer;
@@ -180,31 +259,131 @@
     size_t m_headBytes = 0;
     size_t m_bodyBytes = 0;
     size_t m_matched = 0; // of HeadEnd
+    Time m_requestStartedAt{};
     Time m_readUntil{};
     bool m_closed = false; // by the caller
     bool m_refused = false;
+    bool m_endedMeanwhile = false; // by the server
+    // Guarded by the server's lock.
+    Wait m_wait = Wait::Nothing;
+    Transfer m_transfer;
+    bool m_ended = false;
 };
 
-// Discards input until the caller has closed the connection, so that it can read the refusal.
-void discardInput(int socket)
+// Gives connections to threads, unless the server has too many.
+class ConnectionQueue : public httplib::TaskQueue
 {
-    const Time until = monotonicNow() + LingeringCloseTimeout;
-    std::array<char, 8192> rest;
-    size_t discardedBytes = 0;
-    ssize_t n = 1;
-    while (n > 0 && discardedBytes < MaxLingeringBytes && waitFor(socket, POLLIN, until)) {
-        n = ::recv(socket, rest.data(), rest.size(), 0);
-        discardedBytes += size_t(std::max<ssize_t>(0, n));
+public:
+    explicit ConnectionQueue(BoundedServer &server)
+        : m_server(server)
+        , m_threads(server.m_threads)
+    {
+    }
+    void enqueue(std::function<void()> serve) override
+    {
+        if (m_server.admitConnection()) {
+            m_threads.enqueue([this, serve = std::move(serve)] {
+                m_server.beginConnection();
+                serve();
+                m_server.endConnection();
+            });
+            return;
+        }
+        refusesConnection = true;
+        serve();
+        refusesConnection = false;
     }
+    void shutdown() override
+    {
+        m_threads.shutdown();
+    }
+
+private:
+    BoundedServer &m_server;
+    httplib::ThreadPool m_threads;
+};
+
+BoundedServer::BoundedServer(const ProcessLimits &limits, size_t threads)
+    : m_budget(limits.memory, limits.descriptors)
+    , m_threads(threads)
+    , m_maxConnections(m_budget.maxConnections(CallersDescriptorShare))
+{
+    new_task_queue = [this] {
+        return new ConnectionQueue(*this);
+    };
 }
 
-} // namespace
+bool BoundedServer::admitConnection()
+{
+    static Counter &refused = metrics().counter("roserail_connections_refused_total");
+    static Counter &closed = metrics().counter("roserail_connections_closed_for_others_total");
+    std::unique_lock lock(m_mutex);
+    const bool full = m_open >= m_maxConnections;
+    if (full || m_open >= m_threads + m_ending) {
+        const bool ended = endOneConnection();
+        if (ended)
+            closed.add();
+        if (full && ended)
+            m_connectionEnded.wait_for(lock, EndTimeout, [this] { return m_open < m_maxConnections; });
+    }
+    const bool room = m_open < m_maxConnections;
+    if (!room)
+        refused.add();
+    if (full)
+        logEvent(room ? "connection_closed_for_another" : "connection_refused", {{"connections", m_open}, {"waiting", m_waiting}});
+    m_open += room ? 1 : 0;
+    m_waiting += room ? 1 : 0;
+    return room;
+}
+
+void BoundedServer::beginConnection()
+{
+    const std::lock_guard lock(m_mutex);
+    --m_waiting;
+}
+
+void BoundedServer::endConnection()
+{
+    const std::lock_guard lock(m_mutex);
+    --m_open;
+    m_connectionEnded.notify_all();
+}
+
+void BoundedServer::yieldToWaiting()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_waiting > m_ending)
+        endOneConnection();
+}
+
+// Ends the connection that has been without a request for longest, or else the slowest of the requests that have stalled. Returns false
+// if there is none.
+bool BoundedServer::endOneConnection()
+{
+    RequestStream *idle = nullptr;
+    std::vector<RequestStream *> reading;
+    std::vector<Transfer> transfers;
+    for (RequestStream *it : m_streams) {
+        const bool unused = it->wait() == RequestStream::Wait::Request && !it->hasInput();
+        if (unused && (idle == nullptr || it->transfer().startedAt < idle->transfer().startedAt))
+            idle = it;
+        if (it->wait() != RequestStream::Wait::Bytes)
+            continue;
+        reading.push_back(it);
+        transfers.push_back(it->transfer());
+    }
+    const std::optional<size_t> slowest = slowestTransfer(transfers, monotonicNow());
+    if (idle == nullptr && !slowest)
+        return false;
+    (idle != nullptr ? idle : reading[*slowest])->end();
+    return true;
+}
 
 bool BoundedServer::process_and_close_socket(socket_t socket)
 {
     bool handled = false;
-    {
-        RequestStream stream(socket, m_budget);
+    if (!refusesConnection) {
+        RequestStream stream(socket, *this);
         bool closed = false;
         for (size_t left = keep_alive_max_count_; left > 0 && !closed && svr_sock_ != INVALID_SOCKET; --left) {
             if (!stream.waitForRequest(monotonicNow() + std::chrono::seconds(keep_alive_timeout_sec_)))
--- a/src/transport/callerapi.cpp
+++ b/src/transport/callerapi.cpp
@@ -66,11 +66,8 @@
 
 CallerApi::CallerApi(Router &router)
     : m_router(router)
-    , m_server(router.settings().limits)
+    , m_server(router.settings().limits, RouterHttpThreads)
 {
-    m_server.new_task_queue = [] {
-        return new httplib::ThreadPool(RouterHttpThreads);
-    };
     m_server.set_payload_max_length(MaxBodyBytes);
     m_server.set_read_timeout(HttpIoTimeout);
     m_server.set_write_timeout(HttpIoTimeout);
--- a/src/transport/controlservice.cpp
+++ b/src/transport/controlservice.cpp
@@ -11,10 +11,6 @@
 namespace
 {
 
-constexpr int MinPingIntervalMs = 1000;
-constexpr int ServerHandshakeTimeoutMs = 3000; // of a connection that sends no call; of the same order as header time-outs
-constexpr int MaxConcurrentCalls = 256; // on one connection; a peer sends a few at a time
-
 // Returns whether a router may send the command. Commands of the placement are proposed by the leader itself, and changes
 // of the document come from operators over HTTP.
 bool routerMayExecute(const pb::Command &command)
@@ -65,27 +61,4 @@
     return grpc::Status::OK;
 }
 
-std::unique_ptr<grpc::Server> startGrpcServer(const std::string &address, const std::vector<grpc::Service *> &services,
-                                              size_t maxMessageBytes)
-{
-    grpc::ServerBuilder builder;
-    grpc::ResourceQuota quota("internal");
-    quota.Resize(2 * maxMessageBytes);
-    builder.SetResourceQuota(quota);
-    int port = 0;
-    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
-    builder.SetMaxReceiveMessageSize(int(maxMessageBytes));
-    builder.SetMaxSendMessageSize(MaxGrpcMessageBytes);
-    builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, MinPingIntervalMs);
-    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-    builder.AddChannelArgument(GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS, ServerHandshakeTimeoutMs);
-    builder.AddChannelArgument(GRPC_ARG_MAX_CONCURRENT_STREAMS, MaxConcurrentCalls);
-    for (grpc::Service *it : services)
-        builder.RegisterService(it);
-    std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
-    if (port == 0)
-        server.reset();
-    return server;
-}
-
 } // namespace roserail
--- a/src/transport/controlservice.h
+++ b/src/transport/controlservice.h
@@ -33,9 +33,4 @@
     Coordinator &m_coordinator;
 };
 
-// Starts a server for the services; returns null if the address can't be bound. `maxMessageBytes`: of one message that it receives; all
-// together may use twice as much.
-std::unique_ptr<grpc::Server> startGrpcServer(const std::string &address, const std::vector<grpc::Service *> &services,
-                                              size_t maxMessageBytes = MaxGrpcMessageBytes);
-
 } // namespace roserail
--- a/src/transport/operatorapi.cpp
+++ b/src/transport/operatorapi.cpp
@@ -81,11 +81,8 @@
     : m_settings(std::move(settings))
     , m_node(node)
     , m_coordinator(coordinator)
-    , m_server(m_settings.limits)
+    , m_server(m_settings.limits, ControlHttpThreads)
 {
-    m_server.new_task_queue = [] {
-        return new httplib::ThreadPool(ControlHttpThreads);
-    };
     m_server.set_payload_max_length(MaxDocumentBytes);
     m_server.set_read_timeout(HttpIoTimeout);
     m_server.set_write_timeout(HttpIoTimeout);
--- a/tests/crowds_test.cpp
+++ b/tests/crowds_test.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE crowds
 #include "crowd.h"
 #include "fleet.h"
+#include "messagecrowd.h"
 #include "system.h"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -60,7 +61,9 @@
     Pipelined,
     Unread,
     UnreadStream,
-    Idle
+    Idle,
+    TooLargeMessages, // of the internal protocol
+    LargeMessages
 };
 
 struct Case {
@@ -105,6 +108,8 @@
     case Kind::UnreadStream:
         return {head + "Content-Length: 0\r\n\r\n", "", head.size() + 21};
     case Kind::Idle:
+    case Kind::TooLargeMessages:
+    case Kind::LargeMessages:
         break;
     }
     return {"", "", 0};
@@ -142,6 +147,8 @@
     {"announcements stop short", Port::Announcements, Kind::LargeChunks, 60},
     {"metrics of a control host: large bodies that stop short", Port::KeeperMetrics, Kind::Short, 60},
     {"internal protocol: idle connections", Port::Internal, Kind::Idle, 500},
+    {"internal protocol: too large messages", Port::Internal, Kind::TooLargeMessages, 20},
+    {"internal protocol: large messages", Port::Internal, Kind::LargeMessages, 20},
 };
 
 int portNumber(const Fleet &fleet, Port port)
@@ -173,7 +180,14 @@
     return configured && fleet.waitUntilReady({1}) && eventually([&] { return answered(fleet, "probe"); });
 }
 
+// Returns the bytes of a message of a crowd at the internal protocol of a host with this memory.
+size_t messageBytes(Kind kind, size_t memory)
+{
+    return kind == Kind::TooLargeMessages ? 2 * memory : memory / 8;
+}
+
 // Plays a crowd and checks the process meanwhile. `memory`: in bytes.
+template <typename Crowd>
 void playCrowd(Processes &processes, const std::string &process, Crowd &crowd, const std::string &name, size_t memory,
                const std::function<bool()> &stop)
 {
@@ -214,7 +228,12 @@
     const bool unread = row.kind == Kind::Unread || row.kind == Kind::UnreadStream || row.kind == Kind::Pipelined;
     const CrowdManner manner{row.callers, row.kind == Kind::Pieces ? 1024u : 64u << 10, !unread, row.manyAddresses};
     bool stopped = false;
-    {
+    if (row.kind == Kind::TooLargeMessages || row.kind == Kind::LargeMessages) {
+        MessageCrowd crowd(fmt::format("127.0.0.1:{}", portNumber(fleet, row.port)), "/roserail.pb.Mesh/Share", row.callers,
+                           messageBytes(row.kind, HostMemory));
+        playCrowd(fleet, port.process, crowd, row.name, HostMemory, [] { return false; });
+        BOOST_TEST(eventually([&] { return answered(fleet, "beside"); }));
+    } else {
         Crowd crowd(atKeeper ? "127.0.0.1" : "127.0.0.1", portNumber(fleet, row.port), textOf(row.kind, head, port.legalBytes), manner);
         const std::chrono::steady_clock::time_point stopAt = std::chrono::steady_clock::now() + CrowdTime / 4;
         playCrowd(fleet, port.process, crowd, row.name, HostMemory, [&] {
@@ -242,10 +261,11 @@
 namespace
 {
 
+enum class SystemPort { Router, Operators, Peers };
+
 struct SystemCase {
     const char *name;
-    const char *process;
-    const char *head;
+    SystemPort port;
     Kind kind;
     int callers;
 };
@@ -259,12 +279,19 @@
 constexpr const char *ControlHead = "POST /document?change_id=x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer root-token\r\n";
 
 const SystemCase SystemCases[] = {
-    {"router: too large bodies, announced", "router-1", ModelHead, Kind::AnnouncedTooLarge, 20},
-    {"router: too large bodies, sent", "router-1", ModelHead, Kind::SentTooLarge, 20},
-    {"router: large bodies that stop short", "router-1", ModelHead, Kind::Short, 20},
-    {"router: large chunks that stop short", "router-1", ModelHead, Kind::LargeChunks, 20},
-    {"control: too large bodies, sent", "control-1", ControlHead, Kind::SentTooLarge, 20},
-    {"control: large bodies that stop short", "control-1", ControlHead, Kind::Short, 20},
+    {"router: too large bodies, announced", SystemPort::Router, Kind::AnnouncedTooLarge, 20},
+    {"router: too large bodies, sent", SystemPort::Router, Kind::SentTooLarge, 20},
+    {"router: large bodies that stop short", SystemPort::Router, Kind::Short, 20},
+    {"router: large chunks that stop short", SystemPort::Router, Kind::LargeChunks, 20},
+    {"control: too large bodies, sent", SystemPort::Operators, Kind::SentTooLarge, 20},
+    {"control: large bodies that stop short", SystemPort::Operators, Kind::Short, 20},
+    {"router: heads that stop short", SystemPort::Router, Kind::Heads, 1000},
+    {"router: idle connections", SystemPort::Router, Kind::Idle, 500},
+    {"control: heads that stop short", SystemPort::Operators, Kind::Heads, 1000},
+    {"control: idle connections", SystemPort::Operators, Kind::Idle, 500},
+    {"control, internal protocol: idle connections", SystemPort::Peers, Kind::Idle, 500},
+    {"control, internal protocol: too large messages", SystemPort::Peers, Kind::TooLargeMessages, 20},
+    {"control, internal protocol: large messages", SystemPort::Peers, Kind::LargeMessages, 20},
 };
 
 } // namespace
@@ -284,12 +311,25 @@
         return system.callService(1, newIdempotencyKey("ordinary"), "x").status == 200;
     };
     BOOST_REQUIRE(eventually(served));
-    const int port = std::string(row.process) == "router-1" ? system.routerPort(1) : system.controlPort(1);
-    {
-        Crowd crowd("127.0.0.1", port, textOf(row.kind, row.head, 8 * Mega), CrowdManner{row.callers});
-        playCrowd(system, row.process, crowd, row.name, SystemMemory, [] { return false; });
+    const auto operatorsServed = [&] {
+        return system.leader() != 0;
+    };
+    const std::string process = row.port == SystemPort::Router ? "router-1" : "control-1";
+    const std::string head = row.port == SystemPort::Router ? ModelHead : ControlHead;
+    const int ports[] = {system.routerPort(1), system.controlPort(1), FirstPort + 101};
+    const int port = ports[size_t(row.port)];
+    if (row.kind == Kind::TooLargeMessages || row.kind == Kind::LargeMessages) {
+        MessageCrowd crowd(fmt::format("127.0.0.1:{}", port), "/roserail.pb.Control/Heartbeat", row.callers,
+                           messageBytes(row.kind, SystemMemory));
+        playCrowd(system, process, crowd, row.name, SystemMemory, [] { return false; });
+        BOOST_TEST(eventually(served));
+    } else {
+        Crowd crowd("127.0.0.1", port, textOf(row.kind, head, 8 * Mega), CrowdManner{row.callers});
+        playCrowd(system, process, crowd, row.name, SystemMemory, [] { return false; });
+        BOOST_TEST(eventually(served));
+        BOOST_TEST(eventually([&] { return !system.status(1).empty(); }));
     }
-    BOOST_TEST(system.running(row.process));
+    BOOST_TEST(system.running(process));
     BOOST_TEST(eventually(served));
-    BOOST_TEST(eventually([&] { return system.leader() != 0; }));
+    BOOST_TEST(eventually(operatorsServed));
 }
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -791,3 +791,145 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(SlowStreams)
+
+constexpr Millis BytePause{50};
+constexpr Millis EventPause{400}; // of nine pieces, which take most of the time until the deadline
+constexpr Millis EndMargin{2000};
+
+struct SlowAnswer {
+    std::string name;
+    RawAnswer answer;
+    bool sound;
+};
+
+std::ostream &operator<<(std::ostream &out, const SlowAnswer &it)
+{
+    return out << it.name;
+}
+
+RawAnswer byteNowAndThen(const std::string &begin, const std::string &byte)
+{
+    RawAnswer answer{begin, AnswerEnd::Endless, byte};
+    answer.pause = BytePause;
+    return answer;
+}
+
+RawAnswer inPieces(const std::string &begin, std::vector<std::string> pieces, Millis pause)
+{
+    RawAnswer answer{begin, AnswerEnd::KeepOpen};
+    answer.later = std::move(pieces);
+    answer.pause = pause;
+    return answer;
+}
+
+std::vector<std::string> bytesOf(const std::string &text)
+{
+    std::vector<std::string> bytes;
+    for (const char it : text)
+        bytes.push_back(std::string(1, it));
+    return bytes;
+}
+
+const std::vector<SlowAnswer> SlowAnswers{
+    {"bytes of a head", byteNowAndThen("HTTP/1.1 200 OK\r\nX-A: ", "a"), false},
+    {"bytes of the size of a chunk", byteNowAndThen(Chunked + "1;", "a"), false},
+    {"bytes of an event", byteNowAndThen(Chunked + chunk(event(1) + "id: 2\ndata: "), chunk("x")), false},
+    {"bytes of an event without chunks", byteNowAndThen(Unframed + event(1) + "id: 2\ndata: ", "x"), false},
+    {"comments", byteNowAndThen(Chunked + chunk(event(1)), chunk(": \n\n")), false},
+    {"an event now and then",
+     inPieces(Chunked,
+              {chunk(event(1)), chunk(event(2)), chunk(event(3)), chunk(event(4)), chunk(event(5)), chunk(event(6)), chunk(event(7)),
+               chunk(event(8)), LastChunk},
+              EventPause),
+     true},
+    {"a byte now and then, to its end", inPieces(Chunked, bytesOf(chunk(event(1)) + chunk(event(2)) + LastChunk), BytePause), true},
+};
+
+// Guards against a stalled stream whose endpoint sends a byte now and then, and never ends, and against a slow but sound one that is cut.
+BOOST_DATA_TEST_CASE(onlyAStalledEndpointIsBrokenOff, bdata::make(SlowAnswers) * bdata::make({"/once/x", "/resume/x"}), slow, path)
+{
+    RawEndpoint endpoint([&](const std::string &) { return slow.answer; });
+    const Router router({{&endpoint}});
+    const Time start = monotonicNow();
+    const ReceivedAnswer answer = call(path);
+    BOOST_TEST((monotonicNow() - start < RouteTimeout + EndMargin));
+    BOOST_TEST((answer.complete && answer.status == 200) == slow.sound);
+    if (slow.sound)
+        return;
+    std::this_thread::sleep_for(EndMargin);
+    BOOST_TEST(endpoint.openConnections() == 0u);
+}
+
+struct SlowReader {
+    std::string name;
+    std::string path;
+    RawAnswer answer;
+    size_t bytes; // of each read
+    bool sound;
+};
+
+std::ostream &operator<<(std::ostream &out, const SlowReader &it)
+{
+    return out << it.name;
+}
+
+constexpr size_t LargeBody = 3u << 20;
+constexpr Millis ReadPause{50};
+constexpr size_t OrdinaryRead = 32u << 10;
+constexpr IngressLimits ShortIdleTimeout{16u << 10, 4u << 20, Millis(3000), Millis(3000)};
+const std::string LargeAnswer = head(fmt::format("Content-Length: {}\r\n", LargeBody)) + std::string(LargeBody, 'x');
+const std::string LargeEvent = fmt::format("id: 1\ndata: {}\n\n", std::string(4096, 'x'));
+
+const std::vector<SlowReader> SlowReaders{
+    {"answer, a byte now and then", "/plain/x", {LargeAnswer}, 1, false},
+    {"stream, a byte now and then", "/once/x", {Chunked, AnswerEnd::Endless, chunk(LargeEvent)}, 1, false},
+    {"answer, slowly", "/plain/x", {LargeAnswer}, OrdinaryRead, true},
+    {"stream, slowly", "/once/x", inPieces(Chunked, std::vector<std::string>(40, chunk(LargeEvent)), Millis(50)), OrdinaryRead / 16, true},
+};
+
+// The same for a caller that reads a byte now and then, and one that is slow but goes on.
+BOOST_DATA_TEST_CASE(onlyAStalledCallerIsBrokenOff, bdata::make(SlowReaders), reader)
+{
+    RawEndpoint endpoint([&](const std::string &) {
+        RawAnswer answer = reader.answer;
+        if (reader.sound && !answer.later.empty())
+            answer.later.push_back(LastChunk);
+        return answer;
+    });
+    Router router({{&endpoint}});
+    router.after(Millis(0), [&](Forwarder &) { router.server().setLimits(ShortIdleTimeout); });
+    std::this_thread::sleep_for(Millis(100));
+    const int caller = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int window = reader.sound ? 64 << 10 : 4096;
+    ::setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    const sockaddr_in address = loopback(Port);
+    BOOST_REQUIRE(::connect(caller, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
+    const std::string request
+        = fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n", reader.path);
+    BOOST_REQUIRE(::send(caller, request.data(), request.size(), 0) == ssize_t(request.size()));
+    const Time until = monotonicNow() + RouteTimeout + ShortIdleTimeout.idleTimeout + EndMargin;
+    std::vector<char> buf(reader.bytes);
+    size_t received = 0;
+    std::string tail;
+    ssize_t n = 1;
+    bool whole = false;
+    while (n > 0 && !whole && monotonicNow() < until) {
+        n = ::recv(caller, buf.data(), buf.size(), 0);
+        received += size_t(std::max<ssize_t>(0, n));
+        tail = (tail + std::string(buf.data(), size_t(std::max<ssize_t>(0, n)))).substr(tail.size() > 64 ? tail.size() - 64 : 0);
+        whole = reader.path == "/plain/x" ? received > LargeBody : tail.find("\r\n" + LastChunk) != std::string::npos;
+        std::this_thread::sleep_for(ReadPause);
+    }
+    BOOST_TEST(whole == reader.sound);
+    std::promise<size_t> open;
+    router.after(Millis(0), [&](Forwarder &) { open.set_value(router.server().connections()); });
+    if (!reader.sound)
+        BOOST_TEST(open.get_future().get() == 0u);
+    else
+        open.get_future().wait();
+    ::close(caller);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/rawendpoint.cpp
+++ b/tests/rawendpoint.cpp
@@ -100,6 +100,12 @@
     return m_accepted;
 }
 
+size_t RawEndpoint::openConnections()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_connections.size();
+}
+
 void RawEndpoint::acceptConnections()
 {
     while (!m_stop) {
@@ -131,8 +137,14 @@
         end = answer.end;
         const std::chrono::steady_clock::time_point endsAt = std::chrono::steady_clock::now() + answer.endsAfter;
         bool sent = send(connection, answer.bytes);
-        while (sent && end == AnswerEnd::Endless && !m_stop && std::chrono::steady_clock::now() < endsAt)
+        for (const std::string &it : answer.later) {
+            std::this_thread::sleep_for(answer.pause);
+            sent = sent && !m_stop && send(connection, it);
+        }
+        while (sent && end == AnswerEnd::Endless && !m_stop && std::chrono::steady_clock::now() < endsAt) {
+            std::this_thread::sleep_for(answer.pause);
             sent = send(connection, answer.repeated);
+        }
     }
     if (end == AnswerEnd::Reset)
         resetOnClose(connection);
--- a/tests/rawendpoint.h
+++ b/tests/rawendpoint.h
@@ -27,6 +27,8 @@
     AnswerEnd end = AnswerEnd::KeepOpen;
     std::string repeated{}; // the piece that an endless answer repeats
     std::chrono::milliseconds endsAfter = std::chrono::hours(1); // the endpoint closes the connection if the other side doesn't
+    std::vector<std::string> later{}; // pieces that follow the bytes, each after `pause`
+    std::chrono::milliseconds pause{0}; // before each later or repeated piece
 };
 
 class RawEndpoint
@@ -44,6 +46,7 @@
     std::vector<std::string> requests();
     // Returns the number of connections that were opened.
     size_t connections();
+    size_t openConnections();
     // Bytes that the other side has accepted, over all answers.
     size_t bytesSent() const
     {
