--- a/tests/bufferquota_test.cpp
+++ b/tests/bufferquota_test.cpp
@@ -1,7 +1,7 @@
 // Unit tests of the limits on memory for requests and answers, and of whose connection is broken off when it runs short. Load: many
 // answers at once that never end, and a few that do; many bodies that stop short of their end beside ordinary ones.
 #define BOOST_TEST_MODULE bufferquota
-#include "coordination/ingressbudget.h"
+#include "coordination/peerconnections.h"
 #include "state/routes.h"
 #include "state/tunables.h"
 
@@ -128,6 +128,25 @@
     BOOST_TEST((roomExpectedIn(row.transfers, Now) >= MinRetryAfter));
 }
 
+namespace
+{
+
+const SlowestRow PeerRows[] = {
+    {"none", {}, std::nullopt},
+    {"all have just begun and sent something", {transfer(Millis(100), 90), transfer(TransferGrace - Millis(1), 1)}, std::nullopt},
+    {"of several that sent nothing, the oldest", {transfer(Millis(10), 0), transfer(Millis(20), 0), transfer(Millis(9000), 5000)}, 1},
+    {"a crowd that has only introduced itself", {transfer(Millis(60000), 24000), transfer(Millis(3000), 90), transfer(Millis(10), 90)}, 1},
+    {"a host that has just connected, beside silent ones", {transfer(Millis(1), 90), transfer(Millis(5), 0)}, 1},
+};
+
+} // namespace
+
+// Guards against a crowd of connections that send nothing, or next to nothing, and keep out control hosts and routers.
+BOOST_DATA_TEST_CASE(idleConnectionsGiveWayToPeers, bdata::make(PeerRows), row)
+{
+    BOOST_TEST((leastUsedConnection(row.transfers, Now) == row.slowest));
+}
+
 // Guards against a host of the smallest size that can't take a single body of the default limit, in chunks that make it grow.
 BOOST_AUTO_TEST_CASE(smallestHostTakesALargeBodyAndOrdinaryOnes)
 {
