--- a/tests/httpserver_test.cpp
+++ b/tests/httpserver_test.cpp
@@ -144,8 +144,8 @@
 BOOST_AUTO_TEST_CASE(addressOfAListeningServerIsRefusedToAnother)
 {
     const ProcessLimits limits{tunables::DefaultMemory, tunables::DefaultDescriptors};
-    BoundedServer first(limits);
-    BoundedServer second(limits);
+    BoundedServer first(limits, 1);
+    BoundedServer second(limits, 1);
     const int port = first.bind_to_any_port("127.0.0.1");
     BOOST_REQUIRE(port > 0);
     BOOST_TEST(!second.bind_to_port("127.0.0.1", port));
@@ -157,7 +157,7 @@
     const ProcessLimits limits{tunables::DefaultMemory, tunables::DefaultDescriptors};
     int port = 0;
     {
-        BoundedServer server(limits);
+        BoundedServer server(limits, 1);
         server.Get("/x", [](const httplib::Request &, httplib::Response &) {});
         port = server.bind_to_any_port("127.0.0.1");
         BOOST_REQUIRE(port > 0);
@@ -171,6 +171,6 @@
         server.stop();
         thread.join();
     }
-    BoundedServer again(limits);
+    BoundedServer again(limits, 1);
     BOOST_TEST(again.bind_to_port("127.0.0.1", port));
 }
