--- a/tests/reachability_test.cpp
+++ b/tests/reachability_test.cpp
@@ -98,6 +98,50 @@
     BOOST_TEST(router.probes == before);
 }
 
+// Load pattern: endpoints leave one after the other, and stay listed for some seconds. Each router probes the others once at most.
+BOOST_AUTO_TEST_CASE(endpointsThatLeaveCauseFewProbes)
+{
+    Router router(143);
+    for (const std::string &it : router.all)
+        router.connect(it);
+    router.now += Millis(60000);
+    std::vector<std::string> left;
+    for (int second = 0; second < 18; ++second) {
+        for (int n = 0; n < 2; ++n) {
+            left.push_back("e" + std::to_string(2 * second + n));
+            router.cut.insert(left.back());
+            router.connect(left.back());
+        }
+        router.run(Millis(1000));
+        if (left.size() > 8) {
+            for (int n = 0; n < 2; ++n, left.erase(left.begin())) {
+                router.reachability.forget(left.front());
+                std::erase(router.all, left.front());
+            }
+        }
+    }
+    BOOST_TEST(router.probes < 2 * 143u);
+}
+
+// A cut that comes soon after all endpoints were probed is found out as well.
+BOOST_AUTO_TEST_CASE(cutIsFoundSoonAfterEndpointsHaveLeft)
+{
+    Router router(143);
+    router.cut = {"e0", "e1"};
+    for (const std::string &it : router.all)
+        router.connect(it);
+    router.run(Millis(5000));
+    router.cut.insert(router.all.begin(), router.all.end());
+    router.connect("e2");
+    router.run(Millis(2500));
+    BOOST_TEST(router.unreachable() == 143u);
+    // The cut ends after a while.
+    router.run(Millis(30000));
+    router.cut.clear();
+    router.run(Millis(2500));
+    BOOST_TEST(router.unreachable() == 0u);
+}
+
 // An endpoint that has ended is no reason to probe all others.
 BOOST_AUTO_TEST_CASE(singleFailureProbesOnlyItsEndpoint)
 {
