Routers use their share of an uneven endpoint's slots first

What routers know of each other's requests is some tenths of a second old: 16 requests at once came to an engine of 12 slots while half of all slots were free, since all routers chose what had been idle a poll before.

The slots of each endpoint are divided among the routers, without a message, by the router's position in the list of routers and a hash of the endpoint. A router uses these first, unless the endpoint is slow at the moment. Without one it compares a sample, drawn by the free slots that are expected, and takes another one than the first only if its cost is clearly lower. An endpoint that refused a request for lack of room counts as full for about the time of a request. One pass over the candidates replaces sorting them. Endpoints that don't say how long work takes are chosen as before. The clock is read once for one moment in Forwarder::attempt.

The routers of unevenload_test are listed in its registry, as they are in a system; check, bound and seed are unchanged: SharedLoad/noEngineIsFullAtHalfLoad fails before (16 of 12) and passes.

--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 
+constexpr double MaxOwnSlotPace = 2; // of an endpoint on which a router uses the slots that are its share
+
 // Returns the cache key of a prompt part. Engines cache prompts per model and adapter, so these are mixed into the key.
 uint64_t partKey(const EndpointRequirements &requirements, uint64_t part)
 {
@@ -31,12 +33,6 @@
     return XXH3_64bits_withSeed(endpoint.data(), endpoint.size(), XXH3_64bits(router.data(), router.size()));
 }
 
-// Returns the rank of an endpoint among those that a request samples.
-uint64_t rankFor(uint64_t rank, uint64_t spread)
-{
-    return (rank ^ (spread % PreferredEndpoints)) * 0x9e3779b97f4a7c15ull;
-}
-
 } // namespace
 
 Balancer::Balancer(std::string zone, std::string self)
@@ -64,6 +60,7 @@
             endpoint.announcedAt = it.second.lastSeenAt;
             endpoint.cachedParts.clear();
             endpoint.failedUntil = Time();
+            endpoint.fullUntil = Time();
             endpoint.sharedAt = Time();
             endpoint.slowdown.forget();
             m_reachability.forget(it.first);
@@ -348,7 +345,8 @@
 
 double Balancer::requestsOn(const Endpoint &endpoint, Time now) const
 {
-    return double(endpoint.ownRequests) + otherRequestsOn(endpoint, now);
+    const double requests = double(endpoint.ownRequests) + otherRequestsOn(endpoint, now);
+    return now < endpoint.fullUntil ? std::max(requests, double(slotsOf(endpoint))) : requests;
 }
 
 uint32_t Balancer::slotsOf(const Endpoint &endpoint)
@@ -365,16 +363,14 @@
 }
 
 // Returns the expected time to the request's first byte plus the delay that it causes to other requests, in milliseconds.
-double Balancer::cost(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const
+double Balancer::cost(const Endpoint &endpoint, const EndpointRequirements &requirements, uint32_t cachedTokens, Time now) const
 {
     const double running = requestsOn(endpoint, now);
     const double slots = slotsOf(endpoint);
     double ms = endpoint.announcement.zone() == m_zone ? 0 : CrossZoneRoundTripMs;
     double workMs = running / slots * FullBatchCostMs;
-    if (!requirements.model.empty()) {
-        const uint32_t cached = std::min(cachedTokens(endpoint, requirements), requirements.promptTokens);
-        workMs += double(requirements.promptTokens - cached) / PrefillTokensPerMs;
-    }
+    if (!requirements.model.empty())
+        workMs += double(requirements.promptTokens - std::min(cachedTokens, requirements.promptTokens)) / PrefillTokensPerMs;
     if (running >= slots)
         workMs += (running - slots + 1) * QueuedRequestCostMs;
     const ServiceSpeed *speed = speedOf(endpoint);
@@ -404,54 +400,39 @@
     return inputs;
 }
 
-// Returns a candidate of lowest cost: of those with equal costs a router uses PreferredEndpoints of its own, in turn.
-const Balancer::Candidate *Balancer::cheapest(std::vector<Candidate> &candidates, uint64_t spread)
+EndpointCandidate Balancer::candidate(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const
 {
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
-        return a.costMs != b.costMs ? a.costMs < b.costMs : a.endpoint->rank < b.endpoint->rank;
-    });
-    const auto equal
-        = std::count_if(candidates.begin(), candidates.end(), [&](const Candidate &it) { return it.costMs == candidates.front().costMs; });
-    return &candidates[spread % std::min(uint64_t(equal), PreferredEndpoints)];
-}
-
-// Returns the candidate of lowest cost. What routers know of endpoints that vary is some tenths of a second old, and would make all choose
-// the same one: each considers SampledEndpoints of its own, and the one that has most of the prompt in its cache, unless all are full.
-const Balancer::Candidate *Balancer::select(std::vector<Candidate> &candidates, const EndpointRequirements &requirements, Time now) const
-{
-    const auto cheaper = [](const Candidate &a, const Candidate &b) {
-        return a.costMs != b.costMs ? a.costMs < b.costMs : a.rank < b.rank;
-    };
-    if (speedOf(*candidates.front().endpoint) == nullptr || candidates.size() <= SampledEndpoints)
-        return cheapest(candidates, requirements.spread);
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) { return a.rank < b.rank; });
-    const auto moreCached = [&](const Candidate &a, const Candidate &b) {
-        return cachedTokens(*a.endpoint, requirements) < cachedTokens(*b.endpoint, requirements);
-    };
-    const auto cached = std::max_element(candidates.begin(), candidates.end(), moreCached);
-    const auto sampled = std::min_element(candidates.begin(), candidates.begin() + SampledEndpoints, cheaper);
-    const auto best = cheaper(*cached, *sampled) ? cached : sampled;
-    if (best->costMs < FailedEndpointCostMs && requestsOn(*best->endpoint, now) < slotsOf(*best->endpoint))
-        return &*best;
-    return cheapest(candidates, requirements.spread);
+    EndpointCandidate out;
+    out.cachedTokens = cachedTokens(endpoint, requirements);
+    out.costMs = cost(endpoint, requirements, out.cachedTokens, now);
+    out.rank = endpoint.rank;
+    const uint32_t slots = slotsOf(endpoint);
+    out.freeSlots = double(slots) - requestsOn(endpoint, now);
+    const ServiceSpeed *speed = speedOf(endpoint);
+    const bool slowed = speed != nullptr && speed->pace(endpoint.slowdown, now) > MaxOwnSlotPace;
+    out.ownSlotFree = !slowed && endpoint.ownRequests < m_limitShare.ownSlots(endpoint.key.value(), slots);
+    return out;
 }
 
 std::optional<EndpointChoice> Balancer::choose(const EndpointRequirements &requirements, Time now, bool lastResort) const
 {
-    std::vector<Candidate> candidates;
+    std::vector<const Endpoint *> endpoints;
+    std::vector<EndpointCandidate> candidates;
     for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
         if (!canServe(it.second, requirements, now) || now < acceptsFrom(it.second, now))
             continue;
         const bool unreachable = m_reachability.unreachable(it.first);
         if (unreachable && !lastResort)
             continue;
-        const double ms = cost(it.second, requirements, now) + (unreachable ? UnreachableEndpointCostMs : 0);
-        candidates.push_back(Candidate{&it.second, ms, rankFor(it.second.rank, requirements.spread)});
+        endpoints.push_back(&it.second);
+        candidates.push_back(candidate(it.second, requirements, now));
+        candidates.back().costMs += unreachable ? UnreachableEndpointCostMs : 0;
     }
     if (candidates.empty())
         return std::nullopt;
-    const Candidate &chosen = *select(candidates, requirements, now);
-    const Endpoint *best = chosen.endpoint;
+    const bool uneven = speedOf(*endpoints.front()) != nullptr;
+    const size_t selected = uneven ? selectUneven(candidates, requirements.spread) : selectInTurn(candidates, requirements.spread);
+    const Endpoint *best = endpoints[selected];
     EndpointChoice choice{best->announcement.endpoint(),
                           best->announcement.address(),
                           best->announcement.born_ms(),
@@ -459,8 +440,8 @@
                           {}};
     choice.inputs = inputsOf(*best, now);
     choice.inputs.candidates = uint32_t(candidates.size());
-    choice.inputs.expectedMs = chosen.costMs;
-    choice.inputs.cachedTokens = cachedTokens(*best, requirements);
+    choice.inputs.expectedMs = candidates[selected].costMs;
+    choice.inputs.cachedTokens = candidates[selected].cachedTokens;
     return choice;
 }
 
@@ -494,6 +475,8 @@
     const auto speed = m_speeds.find(it->second.announcement.service());
     if (end == AttemptOutcome::Answered && speed != m_speeds.end())
         speed->second.recordDuration(took);
+    if (end == AttemptOutcome::Full && speed != m_speeds.end())
+        it->second.fullUntil = now + Millis(int64_t(speed->second.serviceMs() * speed->second.pace(it->second.slowdown, now)));
     if (end == AttemptOutcome::Failed)
         it->second.failedUntil = now + EndpointFailureCooldown;
     if (end == AttemptOutcome::NotHeld)
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -4,6 +4,7 @@
 
 #include "coordination/admission.h"
 #include "coordination/endpointadvice.h"
+#include "coordination/endpointselection.h"
 #include "coordination/endpointuse.h"
 #include "coordination/enginespeed.h"
 #include "coordination/limitshare.h"
@@ -173,15 +174,11 @@
         uint32_t sharedRequests = 0; // of other routers, as these said
         Time sharedAt{}; // of that; before the first: never
         uint32_t slots = 0; // by its latest load report; 0: it has named none
+        Time fullUntil{}; // of a service whose endpoints vary: it refused a request for lack of room
         Time failedUntil{}; // chosen before then only if no other endpoint can serve the request
         std::map<std::string, Time> notHeldUntil; // end of the cooldown after a NotHeld, by model/adapter
         std::unordered_map<uint64_t, Time> cachedParts; // time of last use of prompt parts, by partKey
     };
-    struct Candidate {
-        const Endpoint *endpoint;
-        double costMs;
-        uint64_t rank;
-    };
     struct Demand {
         uint32_t running = 0;
         std::multiset<Time> waiting; // start times of the waiting requests
@@ -217,9 +214,8 @@
     bool softwareRecorded(const Endpoint &endpoint, Time now) const;
     // Returns whether the endpoint can serve the request once its pause, if it asked for one, is over.
     bool canServe(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const;
-    double cost(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const;
-    static const Candidate *cheapest(std::vector<Candidate> &candidates, uint64_t spread);
-    const Candidate *select(std::vector<Candidate> &candidates, const EndpointRequirements &requirements, Time now) const;
+    double cost(const Endpoint &endpoint, const EndpointRequirements &requirements, uint32_t cachedTokens, Time now) const;
+    EndpointCandidate candidate(const Endpoint &endpoint, const EndpointRequirements &requirements, Time now) const;
     // Returns the requests of other routers on an endpoint, by the newest of what it and they said.
     double otherRequestsOn(const Endpoint &endpoint, Time now) const;
     // Returns the requests running and queued on an endpoint, as far as this router knows.
--- a/src/coordination/limitshare.cpp
+++ b/src/coordination/limitshare.cpp
@@ -27,9 +27,18 @@
 {
     if (std::find(routers.begin(), routers.end(), m_self) == routers.end())
         routers.push_back(m_self);
+    std::sort(routers.begin(), routers.end());
+    m_position = size_t(std::lower_bound(routers.begin(), routers.end(), m_self) - routers.begin());
     m_routers = std::move(routers);
 }
 
+uint32_t LimitShare::ownSlots(uint32_t key, uint32_t slots) const
+{
+    const uint64_t n = routers();
+    const uint64_t turn = (m_position + key) % n;
+    return uint32_t((turn + 1) * slots / n - turn * slots / n);
+}
+
 Millis LimitShare::jitter(const std::string &endpoint, Millis range) const
 {
     return Millis(int64_t(weightOf(endpoint, m_self) % uint64_t(range.count())));
--- a/src/coordination/limitshare.h
+++ b/src/coordination/limitshare.h
@@ -30,6 +30,9 @@
     {
         return std::max<size_t>(1, m_routers.size());
     }
+    // Returns how many of an endpoint's slots are this router's share. `key` is the same at all routers; with it, the routers that have
+    // none differ between endpoints.
+    uint32_t ownSlots(uint32_t key, uint32_t slots) const;
     // Returns a time below `range` that differs between routers.
     Millis jitter(const std::string &endpoint, Millis range) const;
     // Returns when this router may send the endpoint its next request; Time::max() if other routers share the limit. If it is not
@@ -44,7 +47,8 @@
     bool selected(const std::string &endpoint, size_t sharers) const;
 
     std::string m_self;
-    std::vector<std::string> m_routers;
+    std::vector<std::string> m_routers; // sorted
+    size_t m_position = 0; // of this router among them
     std::map<std::string, Time> m_sentAt; // the latest request, by endpoint
 };
 
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -339,8 +339,9 @@
     if (!connection) {
         request.cause = "cannot connect to the endpoint";
         request.requirements.avoid.insert(choice.endpoint);
-        m_balancer.attemptStarted(request.requirements, choice, monotonicNow());
-        m_balancer.attemptEnded(request.requirements, choice, AttemptOutcome::Failed, monotonicNow());
+        const Time now = monotonicNow();
+        m_balancer.attemptStarted(request.requirements, choice, now);
+        m_balancer.attemptEnded(request.requirements, choice, AttemptOutcome::Failed, now);
         co_return AttemptEnd::NotSent;
     }
     // The endpoint may have asked for a pause, or said that it is leaving, while the connection was opened.
@@ -373,7 +374,7 @@
     request.sentAt = monotonicNow();
     logSend(request, choice, connection->used, request.sentAt);
     m_balancer.recordSend(choice, request.sentAt);
-    m_balancer.attemptStarted(request.requirements, choice, monotonicNow());
+    m_balancer.attemptStarted(request.requirements, choice, request.sentAt);
     ++request.progress.sends;
     ++request.progress.runs;
     if (request.eventRelay.events() == 0)
@@ -386,10 +387,11 @@
         outcome = request.status == 421 ? AttemptOutcome::NotHeld : AttemptOutcome::Full;
     else if (request.cancellation->cancelled())
         outcome = AttemptOutcome::Cancelled;
-    m_balancer.attemptEnded(request.requirements, choice, outcome, monotonicNow(), monotonicNow() - request.sentAt);
+    const Time endedAt = monotonicNow();
+    m_balancer.attemptEnded(request.requirements, choice, outcome, endedAt, endedAt - request.sentAt);
     if (outcome == AttemptOutcome::Full)
         rejections.add();
-    if (outcome == AttemptOutcome::Full && m_balancer.recordRefusal(choice, monotonicNow())) {
+    if (outcome == AttemptOutcome::Full && m_balancer.recordRefusal(choice, endedAt)) {
         logDecision("brittle_endpoint_refused", {{"id", request.metadata.id}, {"endpoint", choice.endpoint}});
         if (m_onReport)
             m_onReport();
--- a/tests/unevenload_test.cpp
+++ b/tests/unevenload_test.cpp
@@ -32,15 +32,24 @@
     return it;
 }
 
-Registry endpoints(int n, const std::string &model)
+// Returns `n` endpoints, and the routers "r0" and so on.
+Registry endpoints(int n, const std::string &model, uint32_t slots = Slots, int routers = 0)
 {
     Registry registry(ExpiryTimes, Now);
+    for (int i = 0; i < routers; ++i) {
+        pb::RouterState it;
+        it.set_router("r" + std::to_string(i));
+        it.set_incarnation(1);
+        it.set_sequence(1);
+        it.set_accepting(true);
+        registry.merge(it, Now);
+    }
     for (int i = 0; i < n; ++i) {
         pb::Announcement it = announcement("e" + std::to_string(i), StartedAtMs, 1, "10.0.0.1:" + std::to_string(100 + i));
         if (!model.empty())
             it.add_models()->set_model(model);
         it.set_zone("z");
-        it.set_slots(Slots);
+        it.set_slots(slots);
         registry.merge(it, Now);
     }
     return registry;
@@ -64,11 +73,12 @@
     Time now = Now;
     std::mt19937_64 random{20261206};
 
-    System(int nRouters, int nEngines)
+    System(int nRouters, int nEndpoints, const std::string &model = "m", uint32_t slots = Slots)
     {
+        const Registry registry = endpoints(nEndpoints, model, slots, nRouters);
         for (int i = 0; i < nRouters; ++i) {
             routers.emplace_back("z", "r" + std::to_string(i));
-            routers.back().update(endpoints(nEngines, "m"));
+            routers.back().update(registry);
         }
     }
     static bool slow(const std::string &engine)
@@ -113,8 +123,7 @@
         }
         for (size_t n = 0; n < routers.size(); ++n) {
             if ((size_t(toMillis(now)) / 10 + n) % 25 == 0)
-                if (!getenv("NOPOLL"))
-                    poll(n);
+                poll(n);
         }
         for (double due = requestsPerSecond / 100; due > 0; due -= 1) {
             if (due >= 1 || double(random() % 1000) < due * 1000)
@@ -226,6 +235,84 @@
     BOOST_TEST(mostRequests(480) <= Slots);
 }
 
+// Three servers of a plain service that refuse what they have no slot for. One at a time is slower for 200 ms.
+struct PlainServers {
+    struct Running {
+        size_t router;
+        EndpointRequirements request;
+        EndpointChoice choice;
+        Time sentAt;
+    };
+    static constexpr uint32_t slots = 6;
+    static constexpr Millis usualTime{30};
+    System routers{88, 3, "", slots};
+    std::map<std::string, uint32_t> running;
+    std::multimap<Time, Running> requests; // by the time at which each ends
+    int arrivals = 0; // each of them at a server
+    int rejections = 0;
+
+    double slowdown(const std::string &server) const
+    {
+        const int64_t ms = toMillis(routers.now) - toMillis(Now);
+        const bool slow = ms % 600 < 200 && "e" + std::to_string(ms / 600 % 3) == server;
+        return slow ? 2.5 : 1;
+    }
+    void observe(size_t router, const std::string &server)
+    {
+        routers.routers[router].observeLoad(server, EndpointLoad{running[server], 0, slots, slowdown(server)}, routers.now);
+    }
+    void send(size_t router)
+    {
+        EndpointRequirements it = request("", routers.random());
+        while (it.avoid.size() < 3) {
+            Balancer &balancer = routers.routers[router];
+            const EndpointChoice choice = *balancer.choose(it, routers.now);
+            const Time now = routers.now;
+            ++arrivals;
+            balancer.attemptStarted(it, choice, now);
+            if (running[choice.endpoint] < slots) {
+                ++running[choice.endpoint];
+                const Millis took(int64_t(double(usualTime.count()) * slowdown(choice.endpoint)));
+                requests.emplace(now + took, Running{router, it, choice, now});
+                return;
+            }
+            ++rejections;
+            observe(router, choice.endpoint);
+            balancer.attemptEnded(it, choice, AttemptOutcome::Full, now, Millis(0));
+            it.avoid.insert(choice.endpoint);
+        }
+    }
+    // One step of a millisecond.
+    void step(double requestsPerSecond)
+    {
+        const Time now = routers.now += Millis(1);
+        for (auto it = requests.begin(); it != requests.end() && it->first <= now; it = requests.erase(it)) {
+            const Running &request = it->second;
+            --running[request.choice.endpoint];
+            observe(request.router, request.choice.endpoint);
+            routers.routers[request.router].attemptEnded(request.request, request.choice, AttemptOutcome::Answered, now,
+                                                         now - request.sentAt);
+        }
+        for (size_t n = 0; n < routers.routers.size(); ++n) {
+            if ((size_t(toMillis(now)) + 3 * n) % 250 == 0)
+                routers.poll(n);
+        }
+        if (double(routers.random() % 1000000) < requestsPerSecond * 1000)
+            send(routers.random() % routers.routers.size());
+    }
+};
+
+// Load pattern: a plain service of three servers, whose requests end long before routers learn of each other's. While half of the slots
+// are free, less than one arrival in a hundred is refused.
+BOOST_DATA_TEST_CASE(plainServersWithFreeSlotsRefuseLittle, bdata::make({80, 100, 120}), requestsPerSecond)
+{
+    PlainServers servers;
+    for (int i = 0; i < 60000; ++i)
+        servers.step(requestsPerSecond);
+    BOOST_TEST_MESSAGE(servers.rejections << " of " << servers.arrivals << " arrivals refused");
+    BOOST_TEST(100 * servers.rejections < servers.arrivals);
+}
+
 BOOST_AUTO_TEST_CASE(controlHostSumsRequestsOfOthers)
 {
     SharedUse host;
