--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -441,6 +441,7 @@
     choice.inputs = inputsOf(*best, now);
     choice.inputs.candidates = uint32_t(candidates.size());
     choice.inputs.expectedMs = candidates[selected].costMs;
+    choice.inputs.ownSlot = uneven && candidates[selected].ownSlotFree;
     choice.inputs.cachedTokens = candidates[selected].cachedTokens;
     return choice;
 }
--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -44,6 +44,7 @@
     uint32_t otherRequests = 0; // of other routers
     Millis otherRequestsAge{-1}; // since they were known; negative: never
     uint32_t slots = 0;
+    bool ownSlot = false; // a slot that is this router's share was free
     double slowdown = 1; // by the endpoint's latest load report to any router
     Millis slowdownAge{-1}; // of that load report; negative: none is known
     uint32_t cachedTokens = 0; // of the prompt, estimated to be in the endpoint's cache
--- a/src/transport/forwarderlog.cpp
+++ b/src/transport/forwarderlog.cpp
@@ -63,6 +63,7 @@
                  {"slots", inputs.slots},
                  {"slowdown", inputs.slowdown},
                  {"slowdown_age_ms", inputs.slowdownAge.count()},
+                 {"own_slot", inputs.ownSlot},
                  {"reused", reused},
                  {"prompt", request.requirements.promptTokens},
                  {"cached", inputs.cachedTokens},
--- a/tests/unevenload_test.cpp
+++ b/tests/unevenload_test.cpp
@@ -313,6 +313,60 @@
     BOOST_TEST(100 * servers.rejections < servers.arrivals);
 }
 
+struct ShareRow {
+    size_t routers;
+    uint32_t slots;
+};
+std::ostream &operator<<(std::ostream &os, const ShareRow &row)
+{
+    return os << row.slots << " slots, " << row.routers << " routers";
+}
+const ShareRow ShareRows[] = {{1, 12}, {5, 12}, {12, 12}, {88, 6}, {300, 12}};
+BOOST_DATA_TEST_CASE(sharesOfAnEndpointsSlotsAddUp, bdata::make(ShareRows), row)
+{
+    std::vector<std::string> ids;
+    for (size_t i = 0; i < row.routers; ++i)
+        ids.push_back("r" + std::to_string(i));
+    for (const uint32_t key : {0u, 17u, 4294967295u}) {
+        uint32_t sum = 0;
+        for (const std::string &id : ids) {
+            LimitShare share(id);
+            share.setRouters(ids);
+            const uint32_t own = share.ownSlots(key, row.slots);
+            BOOST_TEST((own == row.slots / row.routers || own == row.slots / row.routers + 1));
+            sum += own;
+        }
+        BOOST_TEST(sum == row.slots);
+    }
+}
+
+struct SelectionRow {
+    const char *name;
+    std::vector<EndpointCandidate> candidates; // cost, rank, free slots, own slot, cached tokens
+    size_t expected;
+};
+std::ostream &operator<<(std::ostream &os, const SelectionRow &row)
+{
+    return os << row.name;
+}
+const SelectionRow SelectionRows[] = {
+    {"the only one", {{900, 7, -3, false, 0}}, 0},
+    {"the one with room", {{80, 1, 0, false, 0}, {60, 2, 4, false, 0}, {80, 3, -1, false, 0}, {80, 4, 0, false, 0}}, 1},
+    {"the one that did not fail", {{FailedEndpointCostMs + 1, 1, 12, true, 0}, {300, 2, 0, false, 0}}, 1},
+    {"an own slot, though others have more room", {{40, 1, 3, true, 0}, {20, 2, 12, false, 0}, {20, 3, 12, false, 0}}, 0},
+    {"no own slot of a full one", {{40, 1, 0, true, 0}, {20, 2, 12, false, 0}, {20, 3, 12, false, 0}, {90, 4, -1, true, 0}}, 1},
+    {"the cached prompt, if it is read sooner", {{40, 1, 3, true, 0}, {20, 2, 12, false, 0}, {19, 3, 1, false, 198}}, 2},
+};
+BOOST_DATA_TEST_CASE(unevenEndpointIsSelected, bdata::make(SelectionRows) * bdata::make({0, 1, 2, 3}), row, spread)
+{
+    std::vector<EndpointCandidate> candidates = row.candidates;
+    for (EndpointCandidate &it : candidates)
+        it.rank *= 0x9e3779b97f4a7c15ull;
+    const size_t selected = selectUneven(candidates, uint64_t(spread));
+    // Of equal ones any is selected.
+    BOOST_TEST(candidates[selected].costMs == candidates[row.expected].costMs);
+}
+
 BOOST_AUTO_TEST_CASE(controlHostSumsRequestsOfOthers)
 {
     SharedUse host;
