--- a/tests/unevenload_test.cpp
+++ b/tests/unevenload_test.cpp
@@ -32,15 +32,24 @@
     return it;
 }
 
-Registry endpoints(int n, const std::string &model)
+// Returns `n` endpoints, and the routers "r0" and so on.
+Registry endpoints(int n, const std::string &model, uint32_t slots = Slots, int routers = 0)
 {
     Registry registry(ExpiryTimes, Now);
+    for (int i = 0; i < routers; ++i) {
+        pb::RouterState it;
+        it.set_router("r" + std::to_string(i));
+        it.set_incarnation(1);
+        it.set_sequence(1);
+        it.set_accepting(true);
+        registry.merge(it, Now);
+    }
     for (int i = 0; i < n; ++i) {
         pb::Announcement it = announcement("e" + std::to_string(i), StartedAtMs, 1, "10.0.0.1:" + std::to_string(100 + i));
         if (!model.empty())
             it.add_models()->set_model(model);
         it.set_zone("z");
-        it.set_slots(Slots);
+        it.set_slots(slots);
         registry.merge(it, Now);
     }
     return registry;
@@ -64,11 +73,12 @@
     Time now = Now;
     std::mt19937_64 random{20261206};
 
-    System(int nRouters, int nEngines)
+    System(int nRouters, int nEndpoints, const std::string &model = "m", uint32_t slots = Slots)
     {
+        const Registry registry = endpoints(nEndpoints, model, slots, nRouters);
         for (int i = 0; i < nRouters; ++i) {
             routers.emplace_back("z", "r" + std::to_string(i));
-            routers.back().update(endpoints(nEngines, "m"));
+            routers.back().update(registry);
         }
     }
     static bool slow(const std::string &engine)
@@ -113,8 +123,7 @@
         }
         for (size_t n = 0; n < routers.size(); ++n) {
             if ((size_t(toMillis(now)) / 10 + n) % 25 == 0)
-                if (!getenv("NOPOLL"))
-                    poll(n);
+                poll(n);
         }
         for (double due = requestsPerSecond / 100; due > 0; due -= 1) {
             if (due >= 1 || double(random() % 1000) < due * 1000)
@@ -226,6 +235,138 @@
     BOOST_TEST(mostRequests(480) <= Slots);
 }
 
+// Three servers of a plain service that refuse what they have no slot for. One at a time is slower for 200 ms.
+struct PlainServers {
+    struct Running {
+        size_t router;
+        EndpointRequirements request;
+        EndpointChoice choice;
+        Time sentAt;
+    };
+    static constexpr uint32_t slots = 6;
+    static constexpr Millis usualTime{30};
+    System routers{88, 3, "", slots};
+    std::map<std::string, uint32_t> running;
+    std::multimap<Time, Running> requests; // by the time at which each ends
+    int arrivals = 0; // each of them at a server
+    int rejections = 0;
+
+    double slowdown(const std::string &server) const
+    {
+        const int64_t ms = toMillis(routers.now) - toMillis(Now);
+        const bool slow = ms % 600 < 200 && "e" + std::to_string(ms / 600 % 3) == server;
+        return slow ? 2.5 : 1;
+    }
+    void observe(size_t router, const std::string &server)
+    {
+        routers.routers[router].observeLoad(server, EndpointLoad{running[server], 0, slots, slowdown(server)}, routers.now);
+    }
+    void send(size_t router)
+    {
+        EndpointRequirements it = request("", routers.random());
+        while (it.avoid.size() < 3) {
+            Balancer &balancer = routers.routers[router];
+            const EndpointChoice choice = *balancer.choose(it, routers.now);
+            const Time now = routers.now;
+            ++arrivals;
+            balancer.attemptStarted(it, choice, now);
+            if (running[choice.endpoint] < slots) {
+                ++running[choice.endpoint];
+                const Millis took(int64_t(double(usualTime.count()) * slowdown(choice.endpoint)));
+                requests.emplace(now + took, Running{router, it, choice, now});
+                return;
+            }
+            ++rejections;
+            observe(router, choice.endpoint);
+            balancer.attemptEnded(it, choice, AttemptOutcome::Full, now, Millis(0));
+            it.avoid.insert(choice.endpoint);
+        }
+    }
+    // One step of a millisecond.
+    void step(double requestsPerSecond)
+    {
+        const Time now = routers.now += Millis(1);
+        for (auto it = requests.begin(); it != requests.end() && it->first <= now; it = requests.erase(it)) {
+            const Running &request = it->second;
+            --running[request.choice.endpoint];
+            observe(request.router, request.choice.endpoint);
+            routers.routers[request.router].attemptEnded(request.request, request.choice, AttemptOutcome::Answered, now,
+                                                         now - request.sentAt);
+        }
+        for (size_t n = 0; n < routers.routers.size(); ++n) {
+            if ((size_t(toMillis(now)) + 3 * n) % 250 == 0)
+                routers.poll(n);
+        }
+        if (double(routers.random() % 1000000) < requestsPerSecond * 1000)
+            send(routers.random() % routers.routers.size());
+    }
+};
+
+// Load pattern: a plain service of three servers, whose requests end long before routers learn of each other's. While half of the slots
+// are free, less than one arrival in a hundred is refused.
+BOOST_DATA_TEST_CASE(plainServersWithFreeSlotsRefuseLittle, bdata::make({80, 100, 120}), requestsPerSecond)
+{
+    PlainServers servers;
+    for (int i = 0; i < 60000; ++i)
+        servers.step(requestsPerSecond);
+    BOOST_TEST_MESSAGE(servers.rejections << " of " << servers.arrivals << " arrivals refused");
+    BOOST_TEST(100 * servers.rejections < servers.arrivals);
+}
+
+struct ShareRow {
+    size_t routers;
+    uint32_t slots;
+};
+std::ostream &operator<<(std::ostream &os, const ShareRow &row)
+{
+    return os << row.slots << " slots, " << row.routers << " routers";
+}
+const ShareRow ShareRows[] = {{1, 12}, {5, 12}, {12, 12}, {88, 6}, {300, 12}};
+BOOST_DATA_TEST_CASE(sharesOfAnEndpointsSlotsAddUp, bdata::make(ShareRows), row)
+{
+    std::vector<std::string> ids;
+    for (size_t i = 0; i < row.routers; ++i)
+        ids.push_back("r" + std::to_string(i));
+    for (const uint32_t key : {0u, 17u, 4294967295u}) {
+        uint32_t sum = 0;
+        for (const std::string &id : ids) {
+            LimitShare share(id);
+            share.setRouters(ids);
+            const uint32_t own = share.ownSlots(key, row.slots);
+            BOOST_TEST((own == row.slots / row.routers || own == row.slots / row.routers + 1));
+            sum += own;
+        }
+        BOOST_TEST(sum == row.slots);
+    }
+}
+
+struct SelectionRow {
+    const char *name;
+    std::vector<EndpointCandidate> candidates; // cost, rank, free slots, own slot, cached tokens
+    size_t expected;
+};
+std::ostream &operator<<(std::ostream &os, const SelectionRow &row)
+{
+    return os << row.name;
+}
+const SelectionRow SelectionRows[] = {
+    {"the only one", {{900, 7, -3, false, 0}}, 0},
+    {"the one with room", {{80, 1, 0, false, 0}, {60, 2, 4, false, 0}, {80, 3, -1, false, 0}, {80, 4, 0, false, 0}}, 1},
+    {"the one that did not fail", {{FailedEndpointCostMs + 1, 1, 12, true, 0}, {300, 2, 0, false, 0}}, 1},
+    {"an own slot, though others have more room", {{40, 1, 3, true, 0}, {20, 2, 12, false, 0}, {20, 3, 12, false, 0}}, 0},
+    {"no own slot of a full one", {{40, 1, 0, true, 0}, {20, 2, 12, false, 0}, {20, 3, 12, false, 0}, {90, 4, -1, true, 0}}, 1},
+    {"the cached prompt, if it is read sooner", {{40, 1, 3, true, 0}, {20, 2, 12, false, 0}, {19, 3, 1, false, 198}}, 2},
+};
+BOOST_DATA_TEST_CASE(unevenEndpointIsSelected, bdata::make(SelectionRows) * bdata::make({0, 1, 2, 3}), row, spread)
+{
+    std::vector<EndpointCandidate> candidates = row.candidates;
+    for (EndpointCandidate &it : candidates)
+        it.rank *= 0x9e3779b97f4a7c15ull;
+    const size_t selected = selectUneven(candidates, uint64_t(spread));
+    // Of equal ones any is selected.
+    BOOST_TEST(candidates[selected].costMs == candidates[row.expected].costMs);
+}
+
 BOOST_AUTO_TEST_CASE(controlHostSumsRequestsOfOthers)
 {
     SharedUse host;
