Quotas: callers that come back when told are served, and the whole burst is there at once

Callers of an account over its limit got 429 with a Retry-After, came back when told and were often denied again: new requests took what the bucket got meanwhile. Short overloads were refused although the burst allowed for them, since the bucket held a quarter of it. A request larger than the bucket waited for a grant that never came.

The leader now keeps places for denied requests, paced at half of the rate, and knows those that come back by a hash of their content. One whose turn comes later than its caller can wait is told that time and takes no place. The bucket holds the whole burst; what it granted before the window is forgotten. A request above the bucket is refused with 413 and the remedy.

--- a/src/coordination/quotashare.cpp
+++ b/src/coordination/quotashare.cpp
@@ -16,9 +16,8 @@
 constexpr double GrantAgeShare = 0.35;
 constexpr double StockShare = 0.15;
 constexpr double BucketShare = 0.5;
-constexpr double KeptBurstShare = 0.25; // of the burst, in the bucket; the rest is spread over the window
-constexpr double MaxSpreadBucketShare = 0.25; // of what the bucket grants in a window
-// The bucket holds at least some requests.
+// The bucket holds at least some requests, also without a burst.
+constexpr double MaxLeastBucketShare = 0.25; // of what it grants in a window
 constexpr double MinBucketTokens = 4096;
 constexpr double MinBucketRequests = 2;
 constexpr double ReservedShare = 0.5; // of a bucket, which stocks do not take
@@ -50,10 +49,8 @@
 
 double QuotaBounds::bucketSize(const Quota &quota) const
 {
-    const double reserve = BucketShare * allowance(quota);
     const double least = quota.unit == QuotaUnit::Token ? MinBucketTokens : MinBucketRequests;
-    const double most = std::max(quota.burst + reserve, MaxSpreadBucketShare * granted(quota));
-    return std::min(std::max(KeptBurstShare * quota.burst + reserve, least), most);
+    return std::max(quota.burst + BucketShare * allowance(quota), std::min(least, MaxLeastBucketShare * granted(quota)));
 }
 
 double QuotaBounds::refillPerSecond(const Quota &quota) const
@@ -61,6 +58,12 @@
     return (granted(quota) - bucketSize(quota)) / double(window.count()) * 1000;
 }
 
+// A grant is used within its age: what is used in a window was granted in this longer time.
+QuotaEnvelope QuotaBounds::envelope(const Quota &quota) const
+{
+    return {bucketSize(quota), refillPerSecond(quota), window + grantAge(quota)};
+}
+
 double QuotaBounds::granted(const Quota &quota) const
 {
     return quota.perSecond * double(window.count()) / 1000 + quota.burst + BucketShare * allowance(quota);
@@ -74,14 +77,12 @@
         if (!quota.limited())
             continue;
         const auto known = m_buckets.find(it.first);
-        Bucket &bucket = buckets[it.first];
-        if (known != m_buckets.end() && known->second.quota.unit == quota.unit) {
-            bucket = known->second;
+        const bool kept = known != m_buckets.end() && known->second.quota.unit == quota.unit;
+        Bucket &bucket = buckets.emplace(it.first, kept ? known->second : Bucket(now)).first->second;
+        if (kept)
             fill(bucket, now);
-        } else {
+        else
             bucket.mostLeft = m_bounds.bucketSize(quota);
-            bucket.filledAt = now;
-        }
         bucket.quota = quota;
         fill(bucket, now);
     }
@@ -91,36 +92,63 @@
 // Adds what the rate has allowed for since the last call.
 void QuotaAllocator::fill(Bucket &bucket, Time now) const
 {
-    const double size = m_bounds.bucketSize(bucket.quota);
-    const double units = m_bounds.refillPerSecond(bucket.quota) * double(std::max<int64_t>(0, (now - bucket.filledAt).count())) / 1000;
-    bucket.level = std::min(size, bucket.level + units);
-    bucket.mostLeft = std::min(size, bucket.mostLeft + units);
-    bucket.filledAt = std::max(bucket.filledAt, now);
+    now = std::max(now, bucket.filledAt);
+    const double units = m_bounds.refillPerSecond(bucket.quota) * double((now - bucket.filledAt).count()) / 1000;
+    bucket.mostLeft = std::min(m_bounds.bucketSize(bucket.quota), bucket.mostLeft + units);
+    bucket.level = bucket.window.left(m_bounds.envelope(bucket.quota), now);
+    bucket.placesExpired += bucket.places.expire(now);
+    bucket.filledAt = now;
+}
+
+void QuotaAllocator::grant(Bucket &bucket, double units, Time now) const
+{
+    bucket.window.add(units, m_bounds.envelope(bucket.quota), std::max(now, bucket.filledAt));
+    bucket.level -= units;
+    bucket.granted += units;
 }
 
-QuotaDecision QuotaAllocator::ask(const AccountId &account, double units, bool again, Time now)
+QuotaDecision QuotaAllocator::ask(const AccountId &account, const QuotaUse &use, Time now)
 {
     const auto it = m_buckets.find(account);
     if (it == m_buckets.end()) // the router's configuration is another one than this host's
         return {QuotaVerdict::Later, QuotaLaterInterval};
     Bucket &bucket = it->second;
     fill(bucket, now);
-    const bool may = again || units <= bucket.mostLeft;
-    if (!again && (may || units <= bucket.level))
-        bucket.mostLeft = std::max(0.0, bucket.mostLeft - units);
-    if (units <= bucket.level) {
-        bucket.level -= units;
-        bucket.granted += units;
+    // What is kept for those that come back is not for other requests.
+    const bool returned = use.request && use.units <= bucket.level && bucket.places.claim(*use.request, now);
+    const double reserved = returned ? 0 : bucket.places.reserved(m_bounds.refillPerSecond(bucket.quota), now);
+    const bool known = bucket.window.complete(m_bounds.envelope(bucket.quota), now);
+    const bool may = use.again || (!known && use.units + reserved <= bucket.mostLeft);
+    const bool granted = use.units + reserved <= bucket.level;
+    if (!use.again && (may || granted))
+        bucket.mostLeft = std::max(0.0, bucket.mostLeft - use.units);
+    bucket.placesKept += returned ? 1 : 0;
+    if (granted) {
+        grant(bucket, use.units, now);
         return {QuotaVerdict::Granted, Millis(0)};
     }
+    if (!may)
+        return deny(bucket, use, now);
+    const Millis alone = timeFor(use.units - bucket.level, m_bounds.refillPerSecond(bucket.quota), MaxQuotaRetryTime);
+    return {QuotaVerdict::Later, std::min(alone, QuotaLaterInterval)};
+}
+
+QuotaDecision QuotaAllocator::deny(Bucket &bucket, const QuotaUse &use, Time now) const
+{
+    bucket.denied += use.units;
     const double perSecond = m_bounds.refillPerSecond(bucket.quota);
-    const Time alone = now + timeFor(units - bucket.level, perSecond, MaxQuotaRetryTime);
-    if (may)
-        return {QuotaVerdict::Later, std::min<Millis>(alone - now, QuotaLaterInterval)};
+    if (use.request) {
+        const Time at = bucket.places.nextTime(use.units, bucket.level, perSecond, now);
+        const bool placed = at <= now + use.longestWait;
+        if (placed)
+            bucket.places.add(*use.request, use.units, at);
+        bucket.placesGiven += placed ? 1 : 0;
+        return {QuotaVerdict::Denied, std::min(Millis(at - now), MaxQuotaRetryTime)};
+    }
     // Those that were denied before come back first.
-    const Time queued = std::max(bucket.queueEnd, now) + timeFor(units, perSecond, MaxQuotaRetryTime);
+    const Time alone = now + timeFor(use.units - bucket.level, perSecond, MaxQuotaRetryTime);
+    const Time queued = std::max(bucket.queueEnd, now) + timeFor(use.units, perSecond, MaxQuotaRetryTime);
     bucket.queueEnd = std::max(alone, std::min(queued, now + MaxQuotaRetryTime));
-    bucket.denied += units;
     return {QuotaVerdict::Denied, bucket.queueEnd - now};
 }
 
@@ -131,11 +159,13 @@
         return 0;
     Bucket &bucket = it->second;
     fill(bucket, now);
-    const double reserved = ReservedShare * m_bounds.bucketSize(bucket.quota);
+    const double reserved
+        = ReservedShare * m_bounds.bucketSize(bucket.quota) + bucket.places.reserved(m_bounds.refillPerSecond(bucket.quota), now);
     const double units = std::clamp(wanted, 0.0, std::max(0.0, bucket.level - reserved));
-    bucket.level -= units;
+    if (units <= 0)
+        return 0;
     bucket.mostLeft = std::max(0.0, bucket.mostLeft - units);
-    bucket.granted += units;
+    grant(bucket, units, now);
     return units;
 }
 
@@ -234,6 +264,27 @@
     held.retryAt = now + retryIn;
 }
 
+bool QuotaStock::mayAskAgain(const AccountId &account, Time now)
+{
+    const auto it = m_held.find(account);
+    if (it == m_held.end())
+        return true;
+    Held &held = it->second;
+    if (now >= held.askedUntil) {
+        held.asked = 0;
+        held.askedUntil = now + MaxQuotaPause;
+    }
+    return ++held.asked <= MaxQuotaAsksPerPause;
+}
+
+std::optional<double> QuotaStock::exceeds(const AccountId &account, double units) const
+{
+    const auto it = m_held.find(account);
+    if (it == m_held.end() || units <= m_bounds.bucketSize(it->second.quota))
+        return std::nullopt;
+    return m_bounds.bucketSize(it->second.quota);
+}
+
 std::optional<Time> QuotaStock::refuse(const AccountId &account, double units, Time now)
 {
     const auto it = m_held.find(account);
--- a/src/coordination/quotashare.h
+++ b/src/coordination/quotashare.h
@@ -5,6 +5,8 @@
 // uses, so the leading control host grants the units of each request from one bucket, and routers hold a small stock for cheap ones.
 #pragma once
 
+#include "coordination/quotaplaces.h"
+#include "coordination/quotawindow.h"
 #include "state/accounts.h"
 
 #include <map>
@@ -26,10 +28,11 @@
     Millis grantAge(const Quota &quota) const;
     // Another share: what all routers together may hold.
     double stock(const Quota &quota) const;
-    // A token bucket that grants at most rate * window + burst in a window, and the rest of the allowance, so that requests whose order
-    // changed on their way are not refused. It refills faster than the rate, since an account may use its burst in each window.
+    // The bucket: it grants at most rate * window + burst in a window, and half of the allowance, so that requests whose order changed on
+    // their way are not refused. What it granted before the window is forgotten: an account may use its burst in each window.
     double bucketSize(const Quota &quota) const;
     double refillPerSecond(const Quota &quota) const;
+    QuotaEnvelope envelope(const Quota &quota) const;
 
 private:
     double granted(const Quota &quota) const; // in a window, by the bucket
@@ -46,6 +49,14 @@
     Millis retryIn{0}; // until the account's rate has allowed for it, after what was denied before
 };
 
+// What one request asks for.
+struct QuotaUse {
+    double units = 0;
+    bool again = false; // it was told to ask later
+    std::optional<Fingerprint> request = std::nullopt; // the parts that are the same when its caller comes back
+    Millis longestWait{0}; // its caller comes back after this time at the latest
+};
+
 // Token buckets of all accounts, at the leading control host for one term. They begin empty: an earlier leader may have granted
 // whole bursts just before.
 class QuotaAllocator
@@ -61,20 +72,35 @@
     }
     // Replaces the accounts. Those that are new, or limited for the first time, begin with an empty bucket.
     void setAccounts(const Accounts &accounts, Time now);
-    // Decides on a request. `again`: it was told to ask later.
-    QuotaDecision ask(const AccountId &account, double units, bool again, Time now);
+    // Decides on a request. One that is denied and can wait until its turn gets a place: it is granted when it comes back then.
+    QuotaDecision ask(const AccountId &account, const QuotaUse &use, Time now);
+    // The same for a request that can't be recognized when it comes back.
+    QuotaDecision ask(const AccountId &account, double units, bool again, Time now)
+    {
+        return ask(account, QuotaUse{units, again}, now);
+    }
     // Returns the units for a router's stock, up to `wanted`. A part of the bucket is kept for requests that wait.
     double refill(const AccountId &account, double wanted, Time now);
 
     struct Bucket {
+        explicit Bucket(Time beganAt)
+            : window(beganAt)
+            , filledAt(beganAt)
+        {
+        }
         Quota quota;
-        double level = 0; // units
-        // What the account may have left at most, given what was asked since the bucket began.
+        QuotaWindow window;
+        QuotaPlaces places;
+        double level = 0; // units that may be granted at `filledAt`, also to those that come back
+        // What the account may have left at most, given what was asked since the bucket began, while earlier grants are not known.
         double mostLeft = 0;
         Time filledAt{};
-        Time queueEnd{}; // when the rate has allowed for all requests that were not granted
+        Time queueEnd{}; // when the rate has allowed for all requests that were denied without a place
         double granted = 0; // units, since the term began
         double denied = 0;
+        size_t placesGiven = 0;
+        size_t placesKept = 0; // granted when they came back
+        size_t placesExpired = 0; // not claimed in time
     };
     const std::map<AccountId, Bucket> &buckets() const
     {
@@ -83,6 +109,8 @@
 
 private:
     void fill(Bucket &bucket, Time now) const;
+    void grant(Bucket &bucket, double units, Time now) const;
+    QuotaDecision deny(Bucket &bucket, const QuotaUse &use, Time now) const;
 
     QuotaBounds m_bounds;
     std::map<AccountId, Bucket> m_buckets; // of limited accounts
@@ -111,6 +139,10 @@
     Time usableUntil(const AccountId &account, Time askedAt) const;
     // Adds the units of a request that has not run, if its grant may still be used.
     void giveBack(const AccountId &account, double units, Time usableUntil, Time now);
+    // Returns whether a request may be asked for although others were denied lately: some are, since their place may have come.
+    bool mayAskAgain(const AccountId &account, Time now);
+    // Returns the most units that a request of the account can ever use, if it needs more.
+    std::optional<double> exceeds(const AccountId &account, double units) const;
     // Records that a request of so many units was denied.
     void recordDenied(const AccountId &account, double units, Millis retryIn, Time now);
     // Returns when a request of so many units can be served, if it must be refused now without being asked for. Those that are refused
@@ -123,6 +155,8 @@
         double deniedUnits = 0; // of the smallest request that was denied lately
         Time deniedUntil{}; // no request of as many units is asked for before
         Time retryAt{}; // when the latest one that was denied can be served
+        size_t asked = 0; // requests since the pause began
+        Time askedUntil{}; // end of the pause
     };
     const std::map<AccountId, Held> &held() const
     {
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -225,6 +225,10 @@
 constexpr Millis MaxQuotaGrantAge{2000}; // longer than most requests wait for an endpoint
 constexpr Millis MaxQuotaPause{200}; // of a router that was denied units; bounds the refusals after an account is back in its limit
 constexpr Millis MaxQuotaRetryTime{30000}; // callers do not wait longer
+constexpr size_t MaxQuotaAsksPerPause = 4; // all of 90 routers with 8 requests a second; bounds the messages of a flood
+constexpr double QuotaPlacesShare = 0.5; // of an account's rate, for those that come back; new requests get the other half in time
+constexpr Millis QuotaPlaceGrace{500}; // in which a place is kept: a new connection, and a lost packet
+constexpr double MaxRetryAfterShare = 0.32; // of the time that a caller has left; callers come back after a third of it at the latest
 constexpr Millis QuotaLaterInterval{100}; // after which a router asks a new leader again
 constexpr Millis QuotaRefillInterval{300}; // between two messages of a router that only refill stocks
 constexpr Millis QuotaCallTimeout{300}; // a round trip takes 3 ms; after a time-out another control host is asked
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -163,6 +163,7 @@
         if (!ec)
             cancellation->cancel(cancellation->deadlinePassed);
     });
+    request.fingerprint = fingerprintOf(request.caller.request(), request.metadata);
     if (limitedByQuota(request) && mayBegin(request) && !co_await takeQuota(request)) {
         co_await finish(request, RouteStep::AnswerNotRun, AttemptEnd::NotSent);
         co_return;
@@ -206,7 +207,6 @@
     request.requirements.urgency = urgencyOf(*request.table, route, request.requirements.service, request.priority());
     request.requirements.spread = XXH3_64bits(request.metadata.id.data(), request.metadata.id.size());
     request.requirements.recordedSoftware = route.retryPolicy == RetryPolicy::Resume;
-    request.fingerprint = fingerprintOf(request.caller.request(), request.metadata);
     request.sharedParts = sharedParts(request.metadata);
     request.progress.retryPolicy = route.retryPolicy;
     request.progress.maxRuns = std::min(route.attempts, request.attemptsLeft.value_or(route.attempts));
--- a/src/transport/forwarderquota.cpp
+++ b/src/transport/forwarderquota.cpp
@@ -6,6 +6,9 @@
 #include "transport/clock.h"
 #include "transport/forwarderrequest.h"
 
+#include <cmath>
+#include <fmt/format.h>
+
 namespace roserail
 {
 
@@ -26,6 +29,8 @@
     request.grant = QuotaRequest();
     request.grant.account = request.account->id;
     request.grant.units = request.account->quota.cost(request.metadata.tokens);
+    request.grant.fingerprint = request.fingerprint;
+    request.grant.longestWaitUntil = since + Millis(int64_t(double((request.deadline - since).count()) * MaxRetryAfterShare));
     request.grant.wake = request.cancellation->cancelPending = [&timer] {
         timer.cancel();
     };
@@ -48,7 +53,18 @@
 void Forwarder::refuseByQuota(Request &request, Time now)
 {
     static Counter &unanswered = metrics().counter("roserail_quota_requests_unanswered_total");
+    static Counter &exceeding = metrics().counter("roserail_quota_requests_exceeding_total");
     request.refusedByQuota = true;
+    if (request.grant.mostUnits) {
+        exceeding.add();
+        request.cause
+            = fmt::format("the request uses {} units, the quota of its client account allows for {} at most; send smaller requests, "
+                          "or have the account's burst raised",
+                          request.grant.units, std::floor(*request.grant.mostUnits));
+        request.refusalKind = ErrorKind::TooLarge;
+        request.retryDelay = Millis(0);
+        return;
+    }
     if (request.grant.retryAt) {
         request.cause = "the client account has used what it may for now";
         request.refusalKind = ErrorKind::OverQuota;
--- a/src/transport/quotagate.cpp
+++ b/src/transport/quotagate.cpp
@@ -66,7 +66,11 @@
             wake();
         return;
     }
-    request.retryAt = m_stock.refuse(request.account, request.units, now);
+    request.mostUnits = m_stock.exceeds(request.account, request.units);
+    if (request.mostUnits)
+        return;
+    if (!m_stock.mayAskAgain(request.account, now))
+        request.retryAt = m_stock.refuse(request.account, request.units, now);
     if (request.retryAt) {
         refused.add();
         return;
@@ -135,6 +139,8 @@
         for (const QuotaRequest *request : requests) {
             ask.add_units(request->units);
             ask.add_again(request->again);
+            ask.add_request(request->fingerprint.value_or(Fingerprint()).value());
+            ask.add_longest_wait_ms(uint32_t(std::max<int64_t>(0, (request->longestWaitUntil - now).count())));
         }
         call.accounts.push_back(it.first);
         call.requests.push_back(std::move(requests));
--- a/src/transport/quotagate.h
+++ b/src/transport/quotagate.h
@@ -25,7 +25,10 @@
 struct QuotaRequest {
     AccountId account;
     double units = 0;
+    std::optional<Fingerprint> fingerprint; // the same when its caller comes back
+    Time longestWaitUntil{}; // its caller comes back then at the latest, if it is refused
     bool granted = false;
+    std::optional<double> mostUnits; // set: the quota never allows for more in one request
     std::optional<Time> retryAt; // set: the account is over its limit until then
     Time usableUntil{}; // of the grant
     Time askAt{}; // not earlier
@@ -33,7 +36,7 @@
     std::function<void()> wake; // called once it is granted or denied
     bool decided() const
     {
-        return granted || retryAt;
+        return granted || retryAt || mostUnits;
     }
 };
 
--- a/src/transport/quotagranter.cpp
+++ b/src/transport/quotagranter.cpp
@@ -105,9 +105,15 @@
     static const std::array<Counter *, 3> counters{&requests, &later, &denied};
     const AccountId account(ask.account());
     for (int i = 0; i < ask.units_size(); ++i) {
-        const bool again = i < ask.again_size() && ask.again(i);
-        const double units = std::isfinite(ask.units(i)) ? std::max(0.0, ask.units(i)) : std::numeric_limits<double>::max();
-        const QuotaDecision decision = m_allocator.ask(account, units, again, now);
+        QuotaUse use;
+        use.units = std::isfinite(ask.units(i)) ? std::max(0.0, ask.units(i)) : std::numeric_limits<double>::max();
+        use.again = i < ask.again_size() && ask.again(i);
+        // Routers of earlier releases send neither.
+        if (i < ask.request_size() && ask.request(i) != 0)
+            use.request = Fingerprint(ask.request(i));
+        if (i < ask.longest_wait_ms_size())
+            use.longestWait = Millis(ask.longest_wait_ms(i));
+        const QuotaDecision decision = m_allocator.ask(account, use, now);
         out.add_answers(toProto(decision.verdict));
         out.add_retry_in_ms(uint32_t(decision.retryIn.count()));
         counters[size_t(decision.verdict)]->add();
@@ -132,6 +138,9 @@
                       {"left", int64_t(bucket->second.level)},
                       {"per_s", bucket->second.quota.perSecond},
                       {"queue_ms", std::max<int64_t>(0, (bucket->second.queueEnd - now).count())},
+                      {"places", bucket->second.places.size()},
+                      {"places_kept", bucket->second.placesKept},
+                      {"places_expired", bucket->second.placesExpired},
                       {"term", m_term}});
     }
     m_denied.clear();
@@ -142,11 +151,10 @@
     const std::lock_guard lock(m_mutex);
     nlohmann::json accounts = nlohmann::json::object();
     for (const std::pair<const AccountId, QuotaAllocator::Bucket> &it : m_allocator.buckets())
-        accounts[it.first.value()] = {{"per_s", it.second.quota.perSecond},
-                                      {"burst", it.second.quota.burst},
-                                      {"left", it.second.level},
-                                      {"granted", it.second.granted},
-                                      {"denied", it.second.denied}};
+        accounts[it.first.value()]
+            = {{"per_s", it.second.quota.perSecond},    {"burst", it.second.quota.burst},      {"left", it.second.level},
+               {"granted", it.second.granted},          {"denied", it.second.denied},          {"places", it.second.places.size()},
+               {"places_given", it.second.placesGiven}, {"places_kept", it.second.placesKept}, {"places_expired", it.second.placesExpired}};
     return {{"term", m_term}, {"accounts", std::move(accounts)}};
 }
 
--- a/tests/quotashare_test.cpp
+++ b/tests/quotashare_test.cpp
@@ -384,6 +384,7 @@
         m_lateShare = 0.01 * pick(0, 10);
         m_lostShare = 0.01 * pick(0, 5);
         m_waitShare = 0.01 * pick(0, 98);
+        m_longestWait = Millis(pick(0, 1) * pick(0, 8000));
         const int routers = pick(1, 12);
         for (int i = 0; i < routers; ++i)
             m_routers.push_back(newRouter());
@@ -465,6 +466,7 @@
         bool again = false;
         Time usableUntil{};
         bool granted = false;
+        Fingerprint request; // a few, which come back often
     };
     struct Router {
         ProcessClock clock;
@@ -649,7 +651,7 @@
         }
         for (int n = m_busy ? pick(0, 4) : 0; n > 0; --n) {
             const AccountId account = chance(0.8) ? Large : Small;
-            const double units = chance(0.3) ? 200 : pick(200, 2500);
+            const double units = chance(0.3) ? 200 : chance(0.02) ? pick(2500, 100000) : pick(200, 2500);
             const double before = router.stock.held().count(account) ? router.stock.held().at(account).units : 0;
             if (router.stock.held().count(account) == 0)
                 continue;
@@ -661,7 +663,7 @@
                     router.stock.giveBack(account, units, router.stock.usableUntil(account, now), now);
                 }
             } else if (router.waiting.size() < 50 && !router.stock.refuse(account, units, now)) {
-                router.waiting.push_back({account, units, false, Time(), false});
+                router.waiting.push_back({account, units, false, Time(), false, Fingerprint(uint64_t(pick(1, 40)))});
             }
         }
         if (!router.calling && chance(0.7))
@@ -720,7 +722,7 @@
         const bool leads = host.allocator && host.term == m_term && m_now <= host.leaseUntil;
         const Time now = timeOf(host.clock);
         for (const Pending &it : message.asks)
-            message.decisions.push_back(leads ? host.allocator->ask(it.account, it.units, it.again, now)
+            message.decisions.push_back(leads ? host.allocator->ask(it.account, {it.units, it.again, it.request, m_longestWait}, now)
                                               : QuotaDecision{QuotaVerdict::Later, Millis(50)});
         for (std::pair<const AccountId, double> &it : message.stock)
             it.second = leads ? host.allocator->refill(it.first, it.second, now) : 0;
@@ -776,6 +778,7 @@
     double m_lateShare = 0;
     double m_lostShare = 0;
     double m_waitShare = 0.3;
+    Millis m_longestWait{0}; // of callers that are refused
     bool m_busy = false;
     int64_t m_phaseEnd = 0;
 };
