Client accounts share endpoints without a free slot

Callers: one account at many times its usual fills the queues of the engines that hold its models, and requests of other accounts wait behind its own.

Cause: engines admit requests of one priority in the order of arrival, and each router sees few requests of an account.

Change: routers tell their control host the requests in progress by endpoint and account, with each poll, and learn those of the others on endpoints without a free slot. A request of an account above its max-min share goes behind the others of its priority. Without accounts or differing priorities nothing is sent or ranked.

--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -349,6 +349,7 @@
 {
     std::vector<std::string> lost;
     m_use.expire(now);
+    m_accounts.expire(now);
     for (std::pair<const std::string, LiveEndpoint> &it : m_endpoints) {
         if (now > it.second.lastSeenAt + m_timeouts.endpoint && markLost(it.second, now))
             lost.push_back(it.first);
@@ -405,6 +406,7 @@
         pb::RouterState &state = *out.add_routers();
         state = it.second.state;
         state.clear_use(); // sent as a sum over routers
+        state.clear_account_use();
         if (!filter.all) {
             state.clear_demands();
             state.clear_begun_streams();
@@ -442,6 +444,7 @@
         state.clear_demands();
         state.clear_begun_streams();
         state.clear_use();
+        state.clear_account_use();
         // Applied to the announcements here.
         state.clear_advice();
         state.clear_leaving();
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -2,6 +2,7 @@
 // exchange changes by version, merge them in any order and collect them again after a restart.
 #pragma once
 
+#include "coordination/accountshare.h"
 #include "coordination/endpointadvice.h"
 #include "coordination/endpointuse.h"
 
@@ -108,6 +109,15 @@
     {
         return m_use;
     }
+    // The requests of client accounts in progress.
+    SharedAccounts &accounts()
+    {
+        return m_accounts;
+    }
+    const SharedAccounts &accounts() const
+    {
+        return m_accounts;
+    }
     // Returns the streams that routers report to have begun in the last seconds, with their software versions.
     std::map<StreamId, SoftwareVersion> begunStreams() const;
     // Returns the control host that announced itself as the leader of the highest term; null if none is known.
@@ -156,6 +166,7 @@
     std::map<std::string, LiveRouter> m_routers;
     std::map<std::string, LiveKeeper> m_keepers;
     SharedUse m_use;
+    SharedAccounts m_accounts;
 };
 
 } // namespace roserail
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -125,6 +125,9 @@
 constexpr Millis EndpointUseTtl{1500}; // of the requests in progress at a router, or at the routers of a control host; several polls
 constexpr Millis EndpointUseDelay{250}; // of what a router learns of other routers' requests: half a poll on either side
 constexpr Millis EndpointUseInterval{150}; // at least between two messages with them to another control host
+constexpr Millis AccountUseInterval{300}; // the same for the requests of client accounts, which take more bytes
+constexpr double ShareTolerance = 2; // standard deviations by which an account may exceed its share by chance
+constexpr uint32_t MinSlotTimes = 5; // answers after which the mean time for which requests use a slot is known
 constexpr double MaxSharedSlowdown = 100; // an endpoint that is slower is not chosen anyway
 constexpr uint32_t MaxEndpointUse = 100000; // of one router, on one endpoint; a router has fewer descriptors
 constexpr Millis SlowdownTtl{400}; // of what an endpoint said about the time that work takes, which changes several times a second
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -266,6 +266,7 @@
     m_crashingParts.addReports(state, monotonicNow());
     m_balancer.advice().addReports(state, monotonicNow());
     m_balancer.addUse(state, monotonicNow());
+    m_forwarder.accountLoad().addUse(state);
     m_forwarder.addStreams(request, monotonicNow());
     request.set_epoch(m_epoch);
     request.set_version(m_version);
@@ -296,6 +297,8 @@
         return;
     if (reply.has_use())
         m_balancer.applyUse(reply.use(), now);
+    if (reply.has_account_use())
+        m_forwarder.accountLoad().applyUse(reply.account_use(), now);
     m_epoch = reply.epoch();
     m_version = reply.version();
     const uint64_t previousVersion = m_registry.version();
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -371,6 +371,7 @@
         co_return request.cancellation->cancelled() ? AttemptEnd::Abandoned : AttemptEnd::NotSent;
     }
     request.sentAt = monotonicNow();
+    setRank(request, choice, request.sentAt);
     logSend(request, choice, connection->used, request.sentAt);
     m_balancer.recordSend(choice, request.sentAt);
     m_balancer.attemptStarted(request.requirements, choice, monotonicNow());
@@ -378,7 +379,16 @@
     ++request.progress.runs;
     if (request.eventRelay.events() == 0)
         request.software = choice.software;
+    const EndpointKey endpoint = endpointKey(choice.endpoint, choice.startedAtMs);
+    const AccountKey account = accountKey(accountId(request));
+    const bool farAbove = request.accountPosition.farAbove();
+    if (request.rank)
+        m_accountLoad.started(endpoint, account, farAbove, choice.inputs.slots);
     const AttemptEnd end = co_await exchangeOn(request, choice, std::move(connection));
+    if (request.rank)
+        m_accountLoad.ended(endpoint, account, farAbove);
+    if (request.rank && request.route->stream && end == AttemptEnd::Completed)
+        m_slotTimes.record(request.requirements.service, monotonicNow() - request.firstForwardedAt);
     AttemptOutcome outcome = AttemptOutcome::Failed;
     if (end == AttemptEnd::Completed)
         outcome = AttemptOutcome::Answered;
@@ -410,6 +420,20 @@
     co_return end;
 }
 
+// Sets the rank by which the endpoint admits the request, if the service is shared by urgency.
+void Forwarder::setRank(Request &request, const EndpointChoice &choice, Time now) const
+{
+    static Counter &beyondShare = metrics().counter("roserail_requests_beyond_share_total");
+    const std::optional<Urgency> &urgency = request.requirements.urgency;
+    if (!urgency)
+        return;
+    request.accountPosition = m_accountLoad.position(endpointKey(choice.endpoint, choice.startedAtMs), accountKey(accountId(request)),
+                                                     choice.inputs.slots, now);
+    if (request.accountPosition.farAbove())
+        beyondShare.add();
+    request.rank = admissionRank(*urgency, admissionStep(*urgency, now - request.caller.arrivedAt(), request.accountPosition.use()));
+}
+
 // Closes the connection if the caller disconnects or the deadline passes, until `cancelPending` is cleared.
 void Forwarder::closeOnCancel(Request &request, EndpointConnection &connection)
 {
--- a/src/transport/forwarder.h
+++ b/src/transport/forwarder.h
@@ -1,6 +1,7 @@
 // Reverse proxy of the general routes: forwards callers' requests to endpoints and relays the answers.
 #pragma once
 
+#include "coordination/accountshare.h"
 #include "coordination/balancer.h"
 #include "coordination/crashingparts.h"
 #include "coordination/crashwatch.h"
@@ -50,6 +51,11 @@
         if (waitsForVersions())
             wakeWaitingRequests();
     }
+    // The requests of client accounts in progress, where requests are ranked.
+    AccountLoad &accountLoad()
+    {
+        return m_accountLoad;
+    }
     // Adds this router's recent streams to its state while there are several software versions, and the streams to a poll whose versions
     // it wants to know.
     void addStreams(pb::SyncRequest &request, Time now) const;
@@ -154,6 +160,8 @@
     Task<std::optional<EndpointChoice>> findEndpoint(Request &request);
     Task<std::optional<EndpointChoice>> waitForModel(Request &request);
     Task<AttemptEnd> attempt(Request &request, const EndpointChoice &choice);
+    bool refuseForSlots(Request &request);
+    void setRank(Request &request, const EndpointChoice &choice, Time now) const;
     std::optional<EndpointChoice> choosePeer(const Request &request) const;
     Task<AttemptEnd> relayAttempt(Request &request, const EndpointChoice &choice);
     Task<AttemptEnd> readRelayOutcome(Request &request, EndpointConnection &connection, struct EndpointAnswer &answer);
@@ -201,6 +209,8 @@
     net::io_context &m_io;
     const PlatformCodec &m_codec;
     Balancer &m_balancer;
+    AccountLoad m_accountLoad;
+    SlotTimes m_slotTimes;
     RetryLimits &m_retries;
     CrashWatch &m_crashes;
     CrashingParts &m_crashingParts;
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -57,8 +57,8 @@
         const std::vector<HeaderField> headers = relayHeaders(request);
         added.insert(added.end(), headers.begin(), headers.end());
     }
-    if (choice.router.empty() && request.requirements.urgency)
-        added.push_back(m_codec.admissionRankHeader(admissionRank(*request.requirements.urgency, now - request.caller.arrivedAt())));
+    if (choice.router.empty() && request.rank)
+        added.push_back(m_codec.admissionRankHeader(*request.rank));
     for (const HeaderField &it : added)
         bytes += fmt::format("{}: {}\r\n", it.name, it.value);
     const bool hasBody = !original.body().empty() || original.method() == http::verb::post || original.method() == http::verb::put;
--- a/src/transport/forwarderlog.cpp
+++ b/src/transport/forwarderlog.cpp
@@ -68,6 +68,10 @@
                  {"cached", inputs.cachedTokens},
                  {"left_ms", (request.deadline - now).count()},
                  {"priority", request.requirements.urgency ? int64_t(request.requirements.urgency->priority) : -1},
+                 {"rank", request.rank ? int64_t(*request.rank) : -1},
+                 {"account_requests", request.accountPosition.requests},
+                 {"account_share", request.accountPosition.share.value_or(-1)},
+                 {"account_age_ms", request.accountPosition.age.count()},
                  {"known", m_registryVersion},
                  {"known_age_ms", (now - m_syncedAt).count()}});
 }
--- a/src/transport/forwarderrequest.h
+++ b/src/transport/forwarderrequest.h
@@ -80,6 +80,8 @@
     SoftwareVersion software; // of the endpoint that began the answer
     Time deadline = Time::max(); // set once the route is known
     Time sentAt{}; // of the last attempt
+    std::optional<uint32_t> rank; // of the last attempt, by which the endpoint admits it; none: it is not ranked
+    AccountPosition accountPosition; // on the endpoint of the last attempt, if it is ranked
     RouteProgress progress;
     EventRelay eventRelay; // of a stream
     // Sets the bytes that are held of the current answer. Returns false if they exceed `maxBytes` or there is no room for them.
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -68,6 +68,8 @@
             registry.routerChangesSince(wholeList ? 0 : request->version(), now, *reply);
         if (m_disk)
             shareUse(registry, request->router(), now, *reply);
+        if (m_disk)
+            shareAccountUse(registry, request->router(), now, *reply);
         if (registry.ordersAllowedAt() > now)
             reply->set_orders_in_ms(uint64_t((registry.ordersAllowedAt() - now).count()));
         addControlHosts(registry, request->router(), current, now, *reply);
@@ -99,6 +101,17 @@
         *reply.mutable_use() = std::move(*use);
 }
 
+// The same for requests by client account.
+void MeshService::shareAccountUse(Registry &registry, const pb::RouterState &router, Time now, pb::SyncReply &reply)
+{
+    if (!router.has_account_use())
+        return;
+    registry.accounts().setRouter(router.router(), router.account_use(), now);
+    std::optional<pb::AccountUse> use = registry.accounts().ofOthers(router.router(), now);
+    if (use)
+        *reply.mutable_account_use() = std::move(*use);
+}
+
 // Adds the control hosts that serve routers: those of the router's own availability zone first; otherwise routers use different ones.
 void MeshService::addControlHosts(const Registry &registry, const pb::RouterState &router, bool current, Time now,
                                   pb::SyncReply &reply) const
@@ -212,6 +225,8 @@
             registry.merge(it, now - Millis(it.age_ms()));
         if (request->has_use())
             registry.use().setHost(request->from(), request->use(), now);
+        if (request->has_account_use())
+            registry.accounts().setHost(request->from(), request->account_use(), now);
         if (request->keepers_size() > 0)
             addKeepers(registry, now, *reply);
     });
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -51,6 +51,7 @@
     };
     void addKeepers(const Registry &registry, Time now, pb::ShareReply &reply) const;
     static void shareUse(Registry &registry, const pb::RouterState &router, Time now, pb::SyncReply &reply);
+    static void shareAccountUse(Registry &registry, const pb::RouterState &router, Time now, pb::SyncReply &reply);
     void addControlHosts(const Registry &registry, const pb::RouterState &router, bool current, Time now, pb::SyncReply &reply) const;
     bool addConfiguration(const pb::SyncRequest &request, Time now, pb::SyncReply &reply);
     static void postponeChanges(const pb::SyncRequest &request, pb::SyncReply &reply);
--- a/src/transport/meshsharer.cpp
+++ b/src/transport/meshsharer.cpp
@@ -77,7 +77,7 @@
         updateProgress(peer, progress);
         uint64_t version = 0;
         const pb::ShareRequest request = buildRequest(peer, progress, monotonicNow(), version);
-        const bool empty = !request.has_use()
+        const bool empty = !request.has_use() && !request.has_account_use()
             && request.endpoints_size() + request.holdings_size() + request.routers_size() + request.keepers_size() == 0
             && !request.has_configuration() && !request.has_configuration_delta() && !request.has_configuration_piece();
         if (empty)
@@ -136,6 +136,11 @@
                 *request.mutable_use() = std::move(*use);
             progress.nextUseAt = now + EndpointUseInterval;
         }
+        if (state && m_disk && now >= progress.nextAccountUseAt) {
+            if (std::optional<pb::AccountUse> use = registry.accounts().ofRouters(now))
+                *request.mutable_account_use() = std::move(*use);
+            progress.nextAccountUseAt = now + AccountUseInterval;
+        }
         const auto self = registry.keepers().find(m_self);
         if (self != registry.keepers().end() && self->second.version > progress.ownVersion) {
             *request.add_keepers() = self->second.state;
--- a/src/transport/meshsharer.h
+++ b/src/transport/meshsharer.h
@@ -56,6 +56,7 @@
         }
         ShareRole role = ShareRole::None;
         Time nextUseAt{}; // when the peer may be sent the requests on endpoints again
+        Time nextAccountUseAt{}; // the same for the requests by client account
         std::set<std::string> forwarded; // hosts whose changes this host forwards to the peer
         uint64_t restarts = 0; // value of m_restarts
     };
