Refuse at once what would wait for a slot until its caller leaves

Callers: requests at the end of a queue of three times an engine's slots ran for nobody; their callers had left after 2.4 s.

Change: if all endpoints that can serve a request are known to be full, and the queue of each, at the rate at which slots become free, outlasts the caller, the request is refused at once with Retry-After. That is known only of a request that is admitted after all others: of the least urgent priority, of an account far above its share, before its first attempt.

--- a/src/coordination/balancer.h
+++ b/src/coordination/balancer.h
@@ -87,6 +87,8 @@
     std::optional<EndpointChoice> choose(const EndpointRequirements &requirements, Time now, bool lastResort = true) const;
     // Returns whether an endpoint that takes the request has a free slot, as far as this router knows.
     bool hasFreeSlot(const EndpointRequirements &requirements, Time now) const;
+    // Returns the endpoints that take the request.
+    std::vector<EndpointKey> servingEndpoints(const EndpointRequirements &requirements, Time now) const;
     // Returns whether a request may still be sent to a chosen endpoint, which may have said since that it is leaving or
     // that it wants none, or taken another request under its limit.
     bool accepts(const EndpointChoice &choice, Time now) const;
--- a/src/coordination/balancerdemand.cpp
+++ b/src/coordination/balancerdemand.cpp
@@ -35,6 +35,16 @@
         refused.pop_front();
 }
 
+std::vector<EndpointKey> Balancer::servingEndpoints(const EndpointRequirements &requirements, Time now) const
+{
+    std::vector<EndpointKey> result;
+    for (const std::pair<const std::string, Endpoint> &it : m_endpoints) {
+        if (canServe(it.second, requirements, now) && now >= acceptsFrom(it.second, now) && !m_reachability.unreachable(it.first))
+            result.push_back(it.second.key);
+    }
+    return result;
+}
+
 bool Balancer::hasWaitingRequests() const
 {
     return std::any_of(m_demands.begin(), m_demands.end(),
--- a/src/transport/forwarderwait.cpp
+++ b/src/transport/forwarderwait.cpp
@@ -118,7 +118,7 @@
         request.retryDelay = Millis(0);
         co_return std::nullopt;
     }
-    if (request.refusedByRouter || request.refusedByQuota)
+    if (request.refusedByRouter || request.refusedByQuota || refuseForSlots(request))
         co_return std::nullopt;
     std::optional<EndpointChoice> choice = m_balancer.choose(request.requirements, monotonicNow(), false);
     if (!choice)
@@ -150,6 +150,45 @@
     co_return co_await waitForModel(request);
 }
 
+// If the caller would leave before any endpoint admits the request, sets the refusal and returns true. That can be told of a request which
+// is admitted after all others: a least urgent one of an account that uses far more than
+// its share.
+bool Forwarder::refuseForSlots(Request &request)
+{
+    static Counter &refusals = metrics().counter("roserail_requests_refused_for_slots_total");
+    const Time now = monotonicNow();
+    const EndpointRequirements &requirements = request.requirements;
+    const std::optional<Millis> slotTime = m_slotTimes.mean(requirements.service);
+    const bool last = requirements.urgency && requirements.urgency->level + 1 == requirements.urgency->levels;
+    if (!last || !slotTime || request.progress.sends > 0 || !request.relayedFrom.empty())
+        return false;
+    std::vector<FullEndpoint> endpoints;
+    for (const EndpointKey it : m_balancer.servingEndpoints(requirements, now)) {
+        const std::optional<FullEndpoint> full = m_accountLoad.full(it, now);
+        if (!full || !m_accountLoad.position(it, accountKey(accountId(request)), full->slots, now).farAbove())
+            return false;
+        endpoints.push_back(*full);
+    }
+    const Time leavesAt = callerLeavesAt(*request.route, request.caller.arrivedAt(), request.deadline);
+    request.retryDelay = retryDelayForSlots(endpoints, *slotTime, leavesAt, now);
+    if (!request.retryDelay)
+        return false;
+    request.cause = fmt::format("the account uses far more than its share of {} full endpoints, none of which has a slot within {} ms",
+                                endpoints.size(), (leavesAt - now).count());
+    refusals.add();
+    logDecision("refused_for_slots",
+                {{"id", request.metadata.id},
+                 {"account", accountId(request).value()},
+                 {"endpoints", endpoints.size()},
+                 {"requests", endpoints.front().requests},
+                 {"slots", endpoints.front().slots},
+                 {"age_ms", endpoints.front().age.count()},
+                 {"slot_ms", slotTime->count()},
+                 {"left_ms", (leavesAt - now).count()},
+                 {"retry_ms", request.retryDelay->count()}});
+    return true;
+}
+
 // Returns whether endpoints could serve the request, but their software version is not yet in the replicated log.
 bool Forwarder::lacksRecordOnly(const EndpointRequirements &requirements) const
 {
