--- a/src/transport/forwarderquota.cpp
+++ b/src/transport/forwarderquota.cpp
@@ -61,7 +61,7 @@
             = fmt::format("the request uses {} units, the quota of its client account allows for {} at most; send smaller requests, "
                           "or have the account's burst raised",
                           request.grant.units, std::floor(*request.grant.mostUnits));
-        request.refusalKind = ErrorKind::TooLarge;
+        request.refusalKind = ErrorKind::OverQuota;
         request.retryDelay = Millis(0);
         return;
     }
