--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -96,6 +96,8 @@
 constexpr Millis ListTimeout{2000}; // of a poll that brings a whole list: 2.5 MB on a link of 10 Mbit/s
 constexpr Millis SyncTimeout{600}; // a round trip takes 3 ms; after a time-out another control host is asked
 constexpr Millis ShareTimeout{600};
+constexpr size_t MaxMessageSenders = 4096; // whose clocks are compared with the own one; several times the hosts of a large system
+constexpr int64_t MaxClockMillis = 1ll << 52; // of a monotonic clock that a message states; more is no time
 constexpr Millis MaxShareInterval{1000}; // without changes, to detect that the peer has restarted
 constexpr Millis ShareBatchDelay{15}; // combines changes into one message; less than half of SyncIntervalWhileWaiting
 constexpr Millis ShareRetryDelay{200};
@@ -119,6 +121,7 @@
 constexpr size_t CrashComparisonEndpoints = 3; // one that can be connected to shows that this host is not cut from all
 constexpr int CrashCheckConnections = 3; // opened to find out whether a process has ended
 constexpr Millis ResolveTtl{1500}; // some callers cache an answer for three times as long; a drain waits for them
+constexpr size_t MinZoneAddresses = 2; // if an availability zone has fewer routers, its callers get those of all zones
 
 // Load balancing; costs are in milliseconds of time to first token
 constexpr Millis LoadObservationTtl{1500}; // of the load that an answer of an endpoint reported
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -1,5 +1,6 @@
 #include "transport/entryapi.h"
 
+#include "coordination/addresslist.h"
 #include "protocol/log.h"
 #include "protocol/statedump.h"
 #include "state/tunables.h"
@@ -18,7 +19,6 @@
 {
 
 constexpr size_t MaxAddresses = 64; // in one answer
-constexpr size_t MinZoneAddresses = 2; // if an availability zone has fewer routers, its callers get those of all zones
 constexpr Millis ExpiryCheckInterval{1000};
 
 // Returns the time between polls that limits their number at each control host.
@@ -203,7 +203,6 @@
         co_await caller.answer(ready() ? 200 : 503);
 }
 
-// Answers with the routers of the caller's availability zone, or with all routers if the zone has too few.
 Task<> EntryApi::answerResolve(CallerConnection &caller)
 {
     const Call call = caller.call(m_codec);
@@ -211,24 +210,15 @@
         co_await caller.answer(404);
         co_return;
     }
-    std::vector<std::string> sameZone;
-    std::vector<std::string> all;
+    std::vector<ListedRouter> routers;
     for (const std::pair<const std::string, LiveRouter> &it : m_registry.routers()) {
-        const bool self = it.first == m_settings.host.id;
-        if (self || !it.second.state.accepting())
-            continue;
-        all.push_back(it.second.state.address());
-        if (it.second.state.zone() == call.zone)
-            sameZone.push_back(it.second.state.address());
+        const pb::RouterState &state = it.second.state;
+        if (it.first != m_settings.host.id && state.accepting())
+            routers.push_back({it.first, state.address(), state.zone() == call.zone});
     }
-    if (ready()) {
-        all.push_back(m_settings.listen);
-        if (m_settings.host.zone == call.zone)
-            sameZone.push_back(m_settings.listen);
-    }
-    std::vector<std::string> &chosen = sameZone.size() >= MinZoneAddresses ? sameZone : all;
-    if (chosen.size() > MaxAddresses)
-        chosen.resize(MaxAddresses);
+    if (ready())
+        routers.push_back({m_settings.host.id, m_settings.listen, m_settings.host.zone == call.zone});
+    const std::vector<std::string> chosen = addressList(m_settings.host.id, std::move(routers), MaxAddresses);
     if (chosen.empty()) {
         co_await caller.answer(503);
         co_return;
@@ -278,6 +268,7 @@
     return request;
 }
 
+// Ages and remaining times count from when the poll was sent: this process may have stood still before it read the reply.
 void EntryApi::applySync(const pb::SyncReply &reply, Time askedAt)
 {
     const Time now = monotonicNow();
@@ -296,9 +287,9 @@
     if (reply.busy())
         return;
     if (reply.has_use())
-        m_balancer.applyUse(reply.use(), now);
+        m_balancer.applyUse(reply.use(), askedAt);
     if (reply.has_account_use())
-        m_forwarder.accountLoad().applyUse(reply.account_use(), now);
+        m_forwarder.accountLoad().applyUse(reply.account_use(), askedAt);
     m_epoch = reply.epoch();
     m_version = reply.version();
     const uint64_t previousVersion = m_registry.version();
@@ -310,7 +301,7 @@
     if (endpointsChange)
         m_forwarder.software().record(m_registry, now);
     for (const pb::Announcement &it : reply.endpoints()) {
-        if (m_registry.merge(it, now - Millis(it.age_ms())))
+        if (m_registry.merge(it, askedAt - Millis(it.age_ms())))
             logEvent("endpoint",
                      {{"endpoint", it.endpoint()},
                       {"service", it.service()},
@@ -324,23 +315,23 @@
                       {"known", reply.version()}});
     }
     for (const pb::Holdings &it : reply.holdings()) {
-        if (m_registry.merge(it, now))
+        if (m_registry.merge(it, askedAt))
             logEvent("holdings",
                      {{"endpoint", it.endpoint()}, {"models", formatModels(it)}, {"term", it.term()}, {"known", reply.version()}});
     }
     for (const pb::RouterState &it : reply.routers())
-        m_registry.merge(it, now - Millis(it.age_ms()));
+        m_registry.merge(it, askedAt - Millis(it.age_ms()));
     if (reply.full())
         m_registry.markUnlistedLost(reply, now);
     // Routers that have stopped may have spent retries within the window, and are listed for longer than that.
     m_retries.setShare(m_settings.retrySlack, std::max<size_t>(1, m_registry.routers().size()));
-    m_quotas->stock().setRouters(std::max<size_t>(1, m_registry.routers().size()), now);
+    m_quotas->stock().setRouters(std::max<size_t>(1, m_registry.routers().size()), askedAt);
     m_meshClient->setMinInterval(minSyncInterval(m_registry.routers().size(), size_t(reply.control_size())));
     m_synced = true;
     if (endpointsChange)
         m_forwarder.software().record(m_registry, now);
-    m_forwarder.recordSync(reply.version(), now, now - Millis(reply.state_age_ms()));
-    m_forwarder.setOrdersAllowedAt(now + Millis(reply.orders_in_ms()));
+    m_forwarder.recordSync(reply.version(), now, askedAt - Millis(reply.state_age_ms()));
+    m_forwarder.setOrdersAllowedAt(askedAt + Millis(reply.orders_in_ms()));
     logRefusedParts();
     if (m_registry.version() == previousVersion)
         return;
