--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -15,6 +15,9 @@
 namespace
 {
 
+// Of roserail-control without a setting: a quarter of it must hold a snapshot, which peers send in one message.
+constexpr Bytes DefaultControlMemory = 2'048'000'000;
+
 std::string readOptionalHash(const YAML::Node &parent, const char *key)
 {
     const std::string hash = readValue<std::string>(parent, key, "", "64 lower-case hex digits");
@@ -55,6 +58,8 @@
     if (settings.snapshotEvery == 0)
         fail(root["snapshotEvery"], "'snapshotEvery' must be above 0");
     settings.limits = readLimits(root);
+    if (!root["memory"])
+        settings.limits.memory = DefaultControlMemory;
     return settings;
 }
 
