--- a/src/coordination/balancer.cpp
+++ b/src/coordination/balancer.cpp
@@ -1,9 +1,9 @@
 #include "coordination/balancer.h"
 
+#include "state/rendezvous.h"
 #include "state/tunables.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace roserail
 {
@@ -27,12 +27,6 @@
     return requirements.adapter.empty() ? requirements.model : requirements.model + "/" + requirements.adapter;
 }
 
-// Returns a number by which a router orders endpoints of equal cost, so that routers use different ones.
-uint64_t rankOf(const std::string &router, const std::string &endpoint)
-{
-    return XXH3_64bits_withSeed(endpoint.data(), endpoint.size(), XXH3_64bits(router.data(), router.size()));
-}
-
 } // namespace
 
 Balancer::Balancer(std::string zone, std::string self)
@@ -67,7 +61,7 @@
         }
         endpoint.announcement = it.second.announcement;
         endpoint.key = endpointKey(it.first, endpoint.announcement.born_ms());
-        endpoint.rank = rankOf(m_self, it.first);
+        endpoint.rank = rendezvousRank(m_self, it.first);
         endpoint.usable = it.second.usable();
         updateCapacity(it.second);
         endpoint.copies = std::set<std::string>(it.second.announcement.on_disk().begin(), it.second.announcement.on_disk().end());
