--- a/tests/fleet_cut_test.cpp
+++ b/tests/fleet_cut_test.cpp
@@ -20,11 +20,11 @@
 constexpr std::chrono::milliseconds ContactTime{3000}; // from the cut on, after which its requests count
 constexpr std::chrono::milliseconds LoadTime{5000};
 
-struct Route {
+struct CallerRequest {
     const char *path;
     const char *model;
 };
-const std::vector<Route> Routes{{"/u/x", ""}, {"/r/x", ""}, {"/s/events/3/", "m1"}, {"/e/events/3/pause/20/", "m1"}};
+const std::vector<CallerRequest> Requests{{"/u/x", ""}, {"/r/x", ""}, {"/s/events/3/", "m1"}, {"/e/events/3/pause/20/", "m1"}};
 
 struct LoadResult {
     std::map<int, int> sent; // by entry host
@@ -51,13 +51,13 @@
     const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + time;
     std::vector<std::thread> threads;
     for (const int entry : Entries) {
-        for (const Route &route : Routes) {
+        for (const CallerRequest &request : Requests) {
             threads.emplace_back([&, entry] {
                 while (std::chrono::steady_clock::now() < end) {
                     const std::string id = "load-" + std::to_string(++number);
-                    const httplib::Result answer = fleet.sendRequest(entry, route.path, id, route.model);
+                    const httplib::Result answer = fleet.sendRequest(entry, request.path, id, request.model);
                     const bool complete
-                        = answer && answer->status == 200 && (*route.model == 0 || answer->body.find("id: 3\n") != std::string::npos);
+                        = answer && answer->status == 200 && (*request.model == 0 || answer->body.find("id: 3\n") != std::string::npos);
                     {
                         const std::lock_guard lock(mutex);
                         ++result.sent[entry];
@@ -113,9 +113,9 @@
         return isolated(1) && isolated(2);
     }));
     std::this_thread::sleep_for(ContactTime);
-    for (const Route &route : Routes) {
+    for (const CallerRequest &request : Requests) {
         const std::chrono::steady_clock::time_point sentAt = std::chrono::steady_clock::now();
-        const httplib::Result result = system.fleet.sendRequest(1, route.path, "refused", route.model);
+        const httplib::Result result = system.fleet.sendRequest(1, request.path, "refused", request.model);
         BOOST_REQUIRE(result);
         BOOST_TEST(result->status == 503);
         BOOST_TEST(!result->get_header_value("Retry-After").empty());
