--- a/src/coordination/messageage.h
+++ b/src/coordination/messageage.h
@@ -26,7 +26,8 @@
 private:
     struct Sender {
         uint64_t incarnation = 0;
-        int64_t leastDifferenceMs = 0; // between the clocks, with the time on the way
+        double leastDifferenceMs = 0; // between the clocks, with the time on the way; rises with time
+        Time at{}; // of the latest message
     };
     std::map<std::string, Sender> m_senders;
 };
