--- a/tests/crowds_test.cpp
+++ b/tests/crowds_test.cpp
@@ -224,7 +224,6 @@
         head.replace(at, 4, "/r/bytes/900000/");
     if (row.kind == Kind::UnreadStream)
         head.replace(at, 4, "/r/events/10000000/");
-    const bool atKeeper = std::string(port.process) == "keeper-1";
     const bool unread = row.kind == Kind::Unread || row.kind == Kind::UnreadStream || row.kind == Kind::Pipelined;
     const CrowdManner manner{row.callers, row.kind == Kind::Pieces ? 1024u : 64u << 10, !unread, row.manyAddresses};
     bool stopped = false;
@@ -234,7 +233,7 @@
         playCrowd(fleet, port.process, crowd, row.name, HostMemory, [] { return false; });
         BOOST_TEST(eventually([&] { return answered(fleet, "beside"); }));
     } else {
-        Crowd crowd(atKeeper ? "127.0.0.1" : "127.0.0.1", portNumber(fleet, row.port), textOf(row.kind, head, port.legalBytes), manner);
+        Crowd crowd("127.0.0.1", portNumber(fleet, row.port), textOf(row.kind, head, port.legalBytes), manner);
         const std::chrono::steady_clock::time_point stopAt = std::chrono::steady_clock::now() + CrowdTime / 4;
         playCrowd(fleet, port.process, crowd, row.name, HostMemory, [&] {
             if (row.whileStopping && !stopped && std::chrono::steady_clock::now() > stopAt) {
