Bytes that wait in sockets count toward the memory of a process

Cause: each connection could hold 256 KB unread, whatever the number of connections permitted; connections to endpoints as much as the system gave them. At roserail-router and roserail-control what waited to be sent had no limit either.

Change: one more share of the memory, "sockets". Each connection that the descriptors permit has 8 KB of it, and a new one gets a 32nd of what is left beyond that, 256 KB at most, so that few connections have large windows and many have small ones. Listening sockets hand the small size to connections that have not been accepted. The same for connections to endpoints. Descriptors that the share has no room for are not used: some 36 for each MB of memory.

Tests: crowds_test checks resident memory and what waits in the sockets together, in all rows; crowd and bounds fixed before the change. What MessageCrowd prints as sent is now what handlers answered.

--- a/src/coordination/ingressbudget.cpp
+++ b/src/coordination/ingressbudget.cpp
@@ -17,6 +17,12 @@
     return size_t(double(memory) * part);
 }
 
+// Returns how many of the descriptors can be used, with room for the unread bytes of as many connections.
+uint32_t usableDescriptors(Bytes memory, uint32_t descriptors)
+{
+    return uint32_t(std::min<size_t>(descriptors, share(memory, SocketsMemoryShare) / MinUnreadBytes));
+}
+
 double rate(const Transfer &transfer, Time now)
 {
     return double(transfer.bytes) / double(std::max<int64_t>(1, (now - transfer.startedAt).count()));
@@ -28,11 +34,18 @@
     : heads(share(memory, HeadsMemoryShare))
     , bodies(share(memory, BodiesMemoryShare), share(memory, BodiesMemoryShare * SmallBufferReserve), SmallBufferBytes)
     , answers(share(memory, AnswersMemoryShare), share(memory, AnswersMemoryShare * SmallBufferReserve), SmallBufferBytes)
-    , descriptors(maxDescriptors)
+    , sockets(share(memory, SocketsMemoryShare) - usableDescriptors(memory, maxDescriptors) * MinUnreadBytes)
+    , descriptors(usableDescriptors(memory, maxDescriptors))
     , maxMessageBytes(share(memory, MessageMemoryShare))
 {
 }
 
+size_t unreadBytesForConnection(const BufferQuota &sockets)
+{
+    const size_t left = sockets.totalBytes() - std::min(sockets.totalBytes(), sockets.usedBytes());
+    return std::min(MaxUnreadBytes - MinUnreadBytes, left / SocketBufferParts);
+}
+
 bool isStalled(const Transfer &transfer, Time now)
 {
     return now - transfer.startedAt >= TransferGrace && rate(transfer, now) < MinTransferBytesPerMs;
--- a/src/coordination/ingressbudget.h
+++ b/src/coordination/ingressbudget.h
@@ -27,10 +27,15 @@
     BufferQuota heads; // of requests, and input that has not been parsed yet
     BufferQuota bodies; // of requests: received so far, waiting for an endpoint, kept for another attempt
     BufferQuota answers; // of endpoints: until they are complete and their callers have taken them
+    BufferQuota sockets; // bytes that have arrived and have not been read, beyond MinUnreadBytes of each connection
     uint32_t descriptors;
     size_t maxMessageBytes; // of one message of the internal protocol
 };
 
+// Returns how many bytes more than MinUnreadBytes may wait unread on a new connection: a fraction of what is left, so that connections of
+// a crowd leave room for later ones.
+size_t unreadBytesForConnection(const BufferQuota &sockets);
+
 // What a connection has sent or read of its current request or answer.
 struct Transfer {
     Time startedAt{};
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -261,6 +261,10 @@
 constexpr double BodiesMemoryShare = 0.18;
 constexpr double AnswersMemoryShare = 0.2;
 constexpr double MessageMemoryShare = 0.25; // of one message of the internal protocol: a snapshot, or a whole list
+constexpr double SocketsMemoryShare = 0.3; // of bytes that have arrived and have not been read
+constexpr size_t MinUnreadBytes = 8u << 10; // of each connection; an ordinary request arrives in one or two round trips
+constexpr size_t MaxUnreadBytes = 256u << 10; // of one connection
+constexpr size_t SocketBufferParts = 32; // of what is left, one for a new connection
 constexpr size_t SmallBufferBytes = 64u << 10; // of an ordinary request or answer
 constexpr double SmallBufferReserve = 0.25; // of a share, that large buffers may not use
 // Shares of the descriptors; endpoints, control hosts and files have the rest.
@@ -271,7 +275,6 @@
 // Below this rate, from TransferGrace on, a caller may be broken off. A body of the default limit takes idleTimeout at 280 bytes a ms.
 constexpr double MinTransferBytesPerMs = 8;
 constexpr Millis TransferGrace{2000}; // exceeds the retransmission of a lost packet
-constexpr int SocketBufferBytes = 128u << 10; // of a caller's connection, in each direction, in the kernel
 constexpr size_t IdleBufferBytes = 4096; // of a connection's input, that it keeps while it is idle
 constexpr size_t BodyReadBytes = 16u << 10; // of a body, in one read
 constexpr Millis IngressReviewInterval{1000}; // of metrics and of memory to be given back
--- a/src/transport/blockingconnection.cpp
+++ b/src/transport/blockingconnection.cpp
@@ -1,6 +1,7 @@
 #include "transport/blockingconnection.h"
 
 #include "transport/clock.h"
+#include "transport/socketoptions.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -20,6 +21,7 @@
 {
 
 constexpr Millis MaxPollTime = std::chrono::minutes(1);
+constexpr int UnreadAnswerBytes = 32 << 10; // that wait in the kernel for a caller who reads slowly; the system permits twice as many
 
 ErrorCode lastError()
 {
@@ -88,8 +90,8 @@
         if (m_socket < 0)
             return lastError();
     }
-    const int noDelay = 1;
-    ::setsockopt(m_socket, IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof noDelay);
+    setSocketOption(m_socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    setSocketOption(m_socket, SOL_SOCKET, SO_RCVBUF, UnreadAnswerBytes);
     if (::connect(m_socket, address.ai_addr, address.ai_addrlen) == 0)
         return {};
     if (errno != EINPROGRESS)
--- a/src/transport/boundedserver.cpp
+++ b/src/transport/boundedserver.cpp
@@ -5,6 +5,7 @@
 #include "protocol/metrics.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
+#include "transport/socketoptions.h"
 
 #include <arpa/inet.h>
 #include <array>
@@ -75,8 +76,10 @@
     RequestStream(int socket, BoundedServer &server)
         : m_server(server)
         , m_socket(socket)
+        , m_unreadShare(server.m_budget.sockets)
         , m_share(server.m_budget.bodies)
     {
+        growSocketBuffers(m_socket, m_unreadShare);
         const std::lock_guard lock(m_server.m_mutex);
         m_position = m_server.m_streams.insert(m_server.m_streams.end(), this);
     }
@@ -252,6 +255,7 @@
     BoundedServer &m_server;
     std::list<RequestStream *>::iterator m_position;
     int m_socket;
+    BufferShare m_unreadShare; // what may wait in the kernel
     BufferShare m_share;
     std::array<char, 4096> m_buffer;
     size_t m_begin = 0; // of what has been received and not read yet
@@ -313,8 +317,8 @@
     };
     // The library's own option, SO_REUSEPORT, lets a second process listen on the same port and take part of the callers.
     set_socket_options([](socket_t socket) {
-        const int on = 1;
-        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        setSocketOption(socket, SOL_SOCKET, SO_REUSEADDR, 1);
+        limitSocketBuffers(socket);
     });
 }
 
--- a/src/transport/endpointpool.cpp
+++ b/src/transport/endpointpool.cpp
@@ -4,6 +4,7 @@
 #include "protocol/metrics.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
+#include "transport/socketoptions.h"
 
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
@@ -144,7 +145,15 @@
     connection->address = address;
     connects.add();
     ErrorCode ec;
-    {
+    connection->socket.open(endpoint.value().protocol(), ec);
+    if (!ec && m_ingress) {
+        connection->ingress = m_ingress;
+        connection->unreadShare.emplace(m_ingress->budget().sockets);
+        // Before the connection exists: the largest window that can be offered depends on the buffer.
+        limitSocketBuffers(connection->socket.native_handle());
+        growSocketBuffers(connection->socket.native_handle(), *connection->unreadShare);
+    }
+    if (!ec) {
         const SocketDeadline deadline(connection->socket, timeout);
         co_await connection->socket.async_connect(endpoint.value(), net::redirect_error(net::use_awaitable, ec));
     }
@@ -152,7 +161,7 @@
         *error = ec;
     if (ec || !connection->socket.is_open())
         co_return nullptr;
-    configureSocket(connection->socket);
+    configureConnection(connection->socket.native_handle());
     co_return connection;
 }
 
--- a/src/transport/endpointpool.h
+++ b/src/transport/endpointpool.h
@@ -20,6 +20,8 @@
         : socket(io)
     {
     }
+    std::shared_ptr<Ingress> ingress; // null: what may wait in the kernel is not counted
+    std::optional<BufferShare> unreadShare; // of `ingress`
     tcp::socket socket;
     boost::beast::flat_buffer buffer{tunables::MaxUnparsedBytes};
     std::string address;
@@ -35,6 +37,11 @@
 {
 public:
     explicit EndpointPool(net::io_context &io);
+    // Counts what may wait unread on connections that are opened from now on.
+    void setIngress(std::shared_ptr<Ingress> ingress)
+    {
+        m_ingress = std::move(ingress);
+    }
     // Returns an idle connection, or null if there is none. One on which the request failed before is left for other requests: an
     // answer that the endpoint repeats there could not be told from the one to come.
     EndpointConnectionPtr takeIdle(const std::string &address, Time now, std::optional<RequestKey> request = std::nullopt);
@@ -49,6 +56,7 @@
 
 private:
     net::io_context &m_io;
+    std::shared_ptr<Ingress> m_ingress;
     std::unordered_map<std::string, std::deque<EndpointConnectionPtr>> m_idle; // newest last
 };
 
--- a/src/transport/entryapi.cpp
+++ b/src/transport/entryapi.cpp
@@ -61,6 +61,7 @@
           io, [this](CallerConnection &caller) { return answerResolve(caller); }, m_ingress, DirectoryDescriptorShare)
     , m_incarnation(wallMillis())
 {
+    m_forwarder.pool().setIngress(m_ingress);
     m_forwarder.setKeysValidFor(settings.keysValidFor);
     m_forwarder.onWait([this] {
         m_meshClient->setWaiting(true);
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -5,12 +5,12 @@
 #include "state/address.h"
 #include "state/tunables.h"
 #include "transport/clock.h"
+#include "transport/socketoptions.h"
 #include "transport/tasks.h"
 
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace roserail
@@ -26,11 +26,6 @@
 
 constexpr size_t OrdinaryHeadBytes = 4096;
 
-void setOption(tcp::socket &socket, int level, int name, int value)
-{
-    ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
-}
-
 // Returns whether the head of the next request, if it is an ordinary one, has arrived whole.
 bool hasWholeHead(tcp::socket &socket)
 {
@@ -101,16 +96,6 @@
     return tcp::endpoint(address, uint16_t(parts.port));
 }
 
-void configureSocket(tcp::socket &socket)
-{
-    setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
-    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, TcpKeepAliveIdleSeconds);
-    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, TcpKeepAliveIntervalSeconds);
-    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, TcpKeepAliveProbes);
-    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, int(TcpUserTimeout.count()));
-}
-
 bool isHopByHop(std::string_view name)
 {
     return std::any_of(HopByHop.begin(), HopByHop.end(), [&](const char *it) {
@@ -170,9 +155,8 @@
     m_acceptor.open(endpoint.protocol(), ec);
     if (!ec)
         m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    ErrorCode ignored; // accepted connections inherit the sizes; without them the system's hold
-    m_acceptor.set_option(net::socket_base::receive_buffer_size(SocketBufferBytes), ignored);
-    m_acceptor.set_option(net::socket_base::send_buffer_size(SocketBufferBytes), ignored);
+    if (!ec)
+        limitSocketBuffers(m_acceptor.native_handle());
     if (!ec)
         m_acceptor.bind(endpoint, ec);
     if (!ec)
@@ -256,9 +240,11 @@
         if (!room)
             return;
     }
-    configureSocket(socket);
     m_connections.push_front(std::make_shared<CallerConnection>(std::move(socket), m_ingress));
     const Connections::iterator position = m_connections.begin();
+    CallerConnection &connection = **position;
+    configureConnection(connection.m_socket.native_handle());
+    growSocketBuffers(connection.m_socket.native_handle(), connection.m_unreadShare);
     try {
         spawn(m_io, "connection", serve(position), [this, position] { remove(position); });
     } catch (...) {
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -29,10 +29,6 @@
 // Parses "ip:port". Errors are BadRequest.
 Result<tcp::endpoint> parseEndpoint(const std::string &text);
 
-// Sets the socket options of a connection: no delay, and keep-alive probes and a time-out that detect an unresponsive
-// peer.
-void configureSocket(tcp::socket &socket);
-
 // Returns whether a header applies to one connection only and must not be forwarded.
 bool isHopByHop(std::string_view name);
 
@@ -63,6 +59,7 @@
     CallerConnection(tcp::socket socket, std::shared_ptr<Ingress> ingress)
         : m_socket(std::move(socket))
         , m_ingress(std::move(ingress))
+        , m_unreadShare(m_ingress->budget().sockets)
         , m_headShare(m_ingress->budget().heads)
         , m_bodyShare(m_ingress->budget().bodies)
     {
@@ -130,6 +127,7 @@
     tcp::socket m_socket;
     std::shared_ptr<Ingress> m_ingress;
     boost::beast::flat_buffer m_buffer;
+    BufferShare m_unreadShare; // what may wait in the kernel
     BufferShare m_headShare; // of the request being read
     BufferShare m_bodyShare;
     std::string m_body; // of the request being read
--- a/tests/bufferquota_test.cpp
+++ b/tests/bufferquota_test.cpp
@@ -160,3 +160,24 @@
     BOOST_TEST(budget.heads.totalBytes() + budget.bodies.totalBytes() + budget.answers.totalBytes() < MinMemory / 2);
     BOOST_TEST(budget.maxConnections(CallersDescriptorShare) > 0u);
 }
+
+// Guards against a crowd whose connections leave later ones no room for what arrives.
+BOOST_AUTO_TEST_CASE(unreadBytesOfAllConnectionsHaveRoom)
+{
+    struct Host {
+        Bytes memory;
+        uint32_t descriptors;
+    };
+    for (const Host &host : {Host{64'000'000, 300}, Host{64'000'000, 1640}, Host{120'000'000, 3075}, Host{160'000'000, 1u << 20}}) {
+        IngressBudget budget(host.memory, host.descriptors);
+        std::list<BufferShare> shares;
+        size_t bytes = 0;
+        for (uint32_t i = 0; i < budget.descriptors; ++i) {
+            BufferShare &share = shares.emplace_back(budget.sockets);
+            const size_t more = unreadBytesForConnection(budget.sockets);
+            BOOST_TEST(share.resize(more, more));
+            bytes += tunables::MinUnreadBytes + more;
+        }
+        BOOST_TEST(double(bytes) <= double(host.memory) * tunables::SocketsMemoryShare);
+    }
+}
--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -10,8 +10,11 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <poll.h>
+#include <set>
+#include <sstream>
 #include <string>
 #include <sys/socket.h>
+#include <system_error>
 #include <thread>
 #include <unistd.h>
 #include <vector>
@@ -163,4 +166,64 @@
     return n;
 }
 
+// Returns the inodes of the sockets that a process has open, as text.
+inline std::set<std::string> socketInodes(int pid)
+{
+    std::error_code ec;
+    std::set<std::string> inodes;
+    for (const std::filesystem::directory_entry &it : std::filesystem::directory_iterator(fmt::format("/proc/{}/fd", pid), ec)) {
+        const std::string target = std::filesystem::read_symlink(it.path(), ec).string();
+        if (target.rfind("socket:[", 0) == 0)
+            inodes.insert(target.substr(8, target.size() - 9));
+    }
+    return inodes;
+}
+
+struct SocketBytes {
+    size_t unread = 0; // have arrived, and have not been read
+    size_t unsent = 0; // have been written, and have not been acknowledged
+};
+
+// Returns what waits in the TCP sockets of a process, those of connections that it has not accepted included.
+inline SocketBytes socketBytes(int pid)
+{
+    constexpr const char *listening = "0A";
+    const std::set<std::string> inodes = socketInodes(pid);
+    struct Row {
+        std::string port;
+        std::string state;
+        std::string inode;
+        SocketBytes bytes;
+    };
+    std::vector<Row> rows;
+    std::set<std::string> ports;
+    std::ifstream in("/proc/net/tcp");
+    std::string line;
+    std::getline(in, line);
+    while (std::getline(in, line)) {
+        std::istringstream fields(line);
+        std::string number;
+        std::string local;
+        std::string remote;
+        std::string state;
+        std::string queues;
+        std::string rest;
+        std::string inode;
+        fields >> number >> local >> remote >> state >> queues >> rest >> rest >> rest >> rest >> inode;
+        const SocketBytes bytes{std::stoul(queues.substr(queues.find(':') + 1), nullptr, 16), std::stoul(queues, nullptr, 16)};
+        rows.push_back({local.substr(local.find(':') + 1), state, inode, bytes});
+        if (state == listening && inodes.count(inode) != 0)
+            ports.insert(rows.back().port);
+    }
+    SocketBytes sum;
+    for (const Row &it : rows) {
+        const bool notAccepted = it.inode == "0" && ports.count(it.port) != 0;
+        if (it.state == listening || (!notAccepted && inodes.count(it.inode) == 0))
+            continue;
+        sum.unread += it.bytes.unread;
+        sum.unsent += it.bytes.unsent;
+    }
+    return sum;
+}
+
 } // namespace roserail::test
--- a/tests/crowds_test.cpp
+++ b/tests/crowds_test.cpp
@@ -6,6 +6,7 @@
 #include "messagecrowd.h"
 #include "system.h"
 
+#include <algorithm>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
@@ -23,6 +24,7 @@
 constexpr size_t HostMemory = 64'000'000; // of each process of general routes, in their settings
 constexpr size_t SystemMemory = 128'000'000; // of each process of the other system, whose bodies may be twice as large
 constexpr size_t HostDescriptors = 300;
+constexpr size_t ManyDescriptors = 1640; // as many for each byte of memory as a host has by default
 constexpr size_t Mega = 1u << 20;
 constexpr std::chrono::milliseconds CrowdTime{4000};
 constexpr std::chrono::milliseconds StepTime{50}; // between two looks at the process
@@ -66,13 +68,22 @@
     LargeMessages
 };
 
+bool sendsMessages(Kind kind)
+{
+    return kind == Kind::TooLargeMessages || kind == Kind::LargeMessages;
+}
+
+// What happens to the process meanwhile.
+enum class Event { None, Stop, Suspension };
+
 struct Case {
     const char *name;
     Port port;
     Kind kind;
     int callers;
     bool manyAddresses = false;
-    bool whileStopping = false; // the process gets SIGTERM meanwhile
+    Event event = Event::None;
+    size_t descriptors = HostDescriptors;
 };
 
 std::ostream &operator<<(std::ostream &out, const Case &it)
@@ -129,7 +140,7 @@
     {"callers don't read large answers", Port::Callers, Kind::Unread, 150},
     {"callers don't read streams", Port::Callers, Kind::UnreadStream, 100},
     {"callers stay idle", Port::Callers, Kind::Idle, 500},
-    {"callers stop short while the host stops", Port::Callers, Kind::Short, 150, false, true},
+    {"callers stop short while the host stops", Port::Callers, Kind::Short, 150, false, Event::Stop},
     {"relay: large bodies that stop short", Port::Relay, Kind::Short, 150},
     {"relay: large chunks that stop short", Port::Relay, Kind::LargeChunks, 150},
     {"relay: large answers that nobody reads", Port::Relay, Kind::Unread, 150},
@@ -143,12 +154,18 @@
     {"operators send chunks of a byte and stop short", Port::Operators, Kind::SmallChunks, 60},
     {"operators stop short in heads", Port::Operators, Kind::Heads, 1000},
     {"operators stay idle", Port::Operators, Kind::Idle, 500},
-    {"operators stop short while the host stops", Port::Operators, Kind::Short, 60, false, true},
+    {"operators stop short while the host stops", Port::Operators, Kind::Short, 60, false, Event::Stop},
     {"announcements stop short", Port::Announcements, Kind::LargeChunks, 60},
     {"metrics of a control host: large bodies that stop short", Port::KeeperMetrics, Kind::Short, 60},
     {"internal protocol: idle connections", Port::Internal, Kind::Idle, 500},
     {"internal protocol: too large messages", Port::Internal, Kind::TooLargeMessages, 20},
     {"internal protocol: large messages", Port::Internal, Kind::LargeMessages, 20},
+    {"many callers send requests without waiting", Port::Callers, Kind::Pipelined, 650, false, Event::None, ManyDescriptors},
+    {"many callers send large bodies whole", Port::Callers, Kind::Whole, 650, false, Event::None, ManyDescriptors},
+    {"many callers don't read streams", Port::Callers, Kind::UnreadStream, 300, false, Event::None, ManyDescriptors},
+    {"many callers send while the host is suspended", Port::Callers, Kind::Whole, 650, false, Event::Suspension, ManyDescriptors},
+    {"relay: many requests without waiting", Port::Relay, Kind::Pipelined, 240, false, Event::None, ManyDescriptors},
+    {"many operators send requests without waiting", Port::Operators, Kind::Pipelined, 650, false, Event::None, ManyDescriptors},
 };
 
 int portNumber(const Fleet &fleet, Port port)
@@ -164,9 +181,9 @@
     return result && result->status == 200;
 }
 
-bool startFleet(Fleet &fleet)
+bool startFleet(Fleet &fleet, size_t descriptors)
 {
-    fleet.setHostSettings(fmt::format("memory: {}B\ndescriptors: {}\n", HostMemory, HostDescriptors));
+    fleet.setHostSettings(fmt::format("memory: {}B\ndescriptors: {}\n", HostMemory, descriptors));
     for (const int n : {1, 2, 3})
         fleet.startKeeper(n, true);
     fleet.startEntry(1);
@@ -183,31 +200,81 @@
 // Returns the bytes of a message of a crowd at the internal protocol of a host with this memory.
 size_t messageBytes(Kind kind, size_t memory)
 {
-    return kind == Kind::TooLargeMessages ? 2 * memory : memory / 8;
+    return kind == Kind::LargeMessages ? memory / 8 : 2 * memory;
+}
+
+CrowdText textOf(const Case &row)
+{
+    const PortRow &port = Ports[size_t(row.port)];
+    std::string head = port.head;
+    const size_t at = head.find("/u/x");
+    if (row.kind == Kind::Unread)
+        head.replace(at, 4, "/r/bytes/900000/");
+    if (row.kind == Kind::UnreadStream)
+        head.replace(at, 4, "/r/events/10000000/");
+    return textOf(row.kind, head, port.legalBytes);
+}
+
+CrowdManner mannerOf(const Case &row)
+{
+    const Kind kinds[] = {Kind::Unread, Kind::UnreadStream, Kind::Pipelined};
+    const bool reads = std::find(std::begin(kinds), std::end(kinds), row.kind) == std::end(kinds);
+    return {row.callers, row.kind == Kind::Pieces ? 1024u : 64u << 10, reads, row.manyAddresses};
 }
 
-// Plays a crowd and checks the process meanwhile. `memory`: in bytes.
+struct ProcessBounds {
+    size_t memory = 0; // bytes
+    size_t descriptors = 0;
+};
+
+// The most that a process has used.
+class ProcessUse
+{
+public:
+    void look(int pid)
+    {
+        const SocketBytes now = socketBytes(pid);
+        m_unread = std::max(m_unread, now.unread);
+        m_unsent = std::max(m_unsent, now.unsent);
+        m_held = std::max(m_held, now.unread + now.unsent + memoryKb(pid, "RssAnon") * 1024);
+        m_resident = std::max(m_resident, memoryKb(pid, "VmHWM") * 1024);
+        m_descriptors = std::max(m_descriptors, openDescriptors(pid));
+    }
+    // What waits in the process's sockets counts toward its memory.
+    void check(const std::string &name, size_t sentBytes, const ProcessBounds &bounds) const
+    {
+        std::cout << fmt::format("{}: sent {} MB, peak memory {} MB, unread {} MB, unsent {} MB, together {} MB, descriptors {}\n", name,
+                                 sentBytes / 1000000, m_resident / 1000000, m_unread / 1000000, m_unsent / 1000000, m_held / 1000000,
+                                 m_descriptors)
+                  << std::flush;
+        BOOST_TEST(m_resident <= bounds.memory);
+        BOOST_TEST(m_held <= bounds.memory);
+        BOOST_TEST(m_descriptors <= bounds.descriptors);
+    }
+
+private:
+    size_t m_unread = 0;
+    size_t m_unsent = 0;
+    size_t m_held = 0;
+    size_t m_resident = 0;
+    size_t m_descriptors = 0;
+};
+
+// Plays a crowd and checks the process meanwhile.
 template <typename Crowd>
-void playCrowd(Processes &processes, const std::string &process, Crowd &crowd, const std::string &name, size_t memory,
+void playCrowd(Processes &processes, const std::string &process, Crowd &crowd, const std::string &name, const ProcessBounds &bounds,
                const std::function<bool()> &stop)
 {
-    size_t descriptors = 0;
-    size_t peakKb = 0;
+    ProcessUse use;
     bool running = true;
     const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + CrowdTime;
     while (running && std::chrono::steady_clock::now() < end) {
         crowd.play(StepTime);
         running = !stop() && processes.running(process);
-        if (!running)
-            break;
-        descriptors = std::max(descriptors, openDescriptors(processes.pid(process)));
-        peakKb = memoryKb(processes.pid(process), "VmHWM");
+        if (running)
+            use.look(processes.pid(process));
     }
-    std::cout << fmt::format("{}: sent {} MB, peak memory {} MB, descriptors {}\n", name, crowd.sentBytes() / 1000000,
-                             peakKb * 1024 / 1000000, descriptors)
-              << std::flush;
-    BOOST_TEST(peakKb * 1024 <= memory);
-    BOOST_TEST(descriptors <= HostDescriptors);
+    use.check(name, crowd.sentBytes(), bounds);
 }
 
 } // namespace
@@ -216,36 +283,31 @@
 BOOST_DATA_TEST_CASE(crowdLeavesRoomForOthers, bdata::make(Cases), row)
 {
     Fleet fleet("crowd", FirstPort);
-    BOOST_REQUIRE(startFleet(fleet));
+    BOOST_REQUIRE(startFleet(fleet, row.descriptors));
+    const ProcessBounds bounds{HostMemory, row.descriptors};
     const PortRow &port = Ports[size_t(row.port)];
-    std::string head = port.head;
-    const size_t at = head.find("/u/x");
-    if (row.kind == Kind::Unread)
-        head.replace(at, 4, "/r/bytes/900000/");
-    if (row.kind == Kind::UnreadStream)
-        head.replace(at, 4, "/r/events/10000000/");
-    const bool unread = row.kind == Kind::Unread || row.kind == Kind::UnreadStream || row.kind == Kind::Pipelined;
-    const CrowdManner manner{row.callers, row.kind == Kind::Pieces ? 1024u : 64u << 10, !unread, row.manyAddresses};
-    bool stopped = false;
-    if (row.kind == Kind::TooLargeMessages || row.kind == Kind::LargeMessages) {
+    bool happened = false;
+    if (sendsMessages(row.kind)) {
         MessageCrowd crowd(fmt::format("127.0.0.1:{}", portNumber(fleet, row.port)), "/roserail.pb.Mesh/Share", row.callers,
                            messageBytes(row.kind, HostMemory));
-        playCrowd(fleet, port.process, crowd, row.name, HostMemory, [] { return false; });
+        playCrowd(fleet, port.process, crowd, row.name, bounds, [] { return false; });
         BOOST_TEST(eventually([&] { return answered(fleet, "beside"); }));
     } else {
-        Crowd crowd("127.0.0.1", portNumber(fleet, row.port), textOf(row.kind, head, port.legalBytes), manner);
-        const std::chrono::steady_clock::time_point stopAt = std::chrono::steady_clock::now() + CrowdTime / 4;
-        playCrowd(fleet, port.process, crowd, row.name, HostMemory, [&] {
-            if (row.whileStopping && !stopped && std::chrono::steady_clock::now() > stopAt) {
-                stopped = true;
-                fleet.signal(port.process, SIGTERM);
+        Crowd crowd("127.0.0.1", portNumber(fleet, row.port), textOf(row), mannerOf(row));
+        const std::chrono::steady_clock::time_point eventAt = std::chrono::steady_clock::now() + CrowdTime / 4;
+        if (row.event == Event::Suspension)
+            fleet.signal(port.process, SIGSTOP);
+        playCrowd(fleet, port.process, crowd, row.name, bounds, [&] {
+            if (row.event != Event::None && !happened && std::chrono::steady_clock::now() > eventAt) {
+                happened = true;
+                fleet.signal(port.process, row.event == Event::Stop ? SIGTERM : SIGCONT);
             }
             return false;
         });
-        if (!row.whileStopping)
+        if (row.event != Event::Stop)
             BOOST_TEST(eventually([&] { return answered(fleet, "beside"); }));
     }
-    if (row.whileStopping) {
+    if (row.event == Event::Stop) {
         BOOST_TEST(fleet.wait(port.process) == 0);
         return;
     }
@@ -267,6 +329,7 @@
     SystemPort port;
     Kind kind;
     int callers;
+    size_t descriptors = HostDescriptors;
 };
 
 std::ostream &operator<<(std::ostream &out, const SystemCase &it)
@@ -291,6 +354,8 @@
     {"control, internal protocol: idle connections", SystemPort::Peers, Kind::Idle, 500},
     {"control, internal protocol: too large messages", SystemPort::Peers, Kind::TooLargeMessages, 20},
     {"control, internal protocol: large messages", SystemPort::Peers, Kind::LargeMessages, 20},
+    {"router: many requests without waiting", SystemPort::Router, Kind::Pipelined, 1300, 2 * ManyDescriptors},
+    {"control: many requests without waiting", SystemPort::Operators, Kind::Pipelined, 1300, 2 * ManyDescriptors},
 };
 
 } // namespace
@@ -299,7 +364,8 @@
 BOOST_DATA_TEST_CASE(crowdAtASystemLeavesRoomForOthers, bdata::make(SystemCases), row)
 {
     System system("crowd-system", FirstPort + 100);
-    system.setMoreSettings(fmt::format("memory: {}B\ndescriptors: {}\n", SystemMemory, HostDescriptors));
+    const ProcessBounds bounds{SystemMemory, row.descriptors};
+    system.setMoreSettings(fmt::format("memory: {}B\ndescriptors: {}\n", bounds.memory, bounds.descriptors));
     for (const int id : {1, 2, 3})
         system.startControl(id);
     for (const int id : {1, 2})
@@ -317,14 +383,15 @@
     const std::string head = row.port == SystemPort::Router ? ModelHead : ControlHead;
     const int ports[] = {system.routerPort(1), system.controlPort(1), FirstPort + 101};
     const int port = ports[size_t(row.port)];
-    if (row.kind == Kind::TooLargeMessages || row.kind == Kind::LargeMessages) {
+    if (sendsMessages(row.kind)) {
         MessageCrowd crowd(fmt::format("127.0.0.1:{}", port), "/roserail.pb.Control/Heartbeat", row.callers,
                            messageBytes(row.kind, SystemMemory));
-        playCrowd(system, process, crowd, row.name, SystemMemory, [] { return false; });
+        playCrowd(system, process, crowd, row.name, bounds, [] { return false; });
         BOOST_TEST(eventually(served));
     } else {
-        Crowd crowd("127.0.0.1", port, textOf(row.kind, head, 8 * Mega), CrowdManner{row.callers});
-        playCrowd(system, process, crowd, row.name, SystemMemory, [] { return false; });
+        const bool reads = row.kind != Kind::Pipelined;
+        Crowd crowd("127.0.0.1", port, textOf(row.kind, head, 8 * Mega), CrowdManner{row.callers, 64u << 10, reads});
+        playCrowd(system, process, crowd, row.name, bounds, [] { return false; });
         BOOST_TEST(eventually(served));
         BOOST_TEST(eventually([&] { return !system.status(1).empty(); }));
     }
--- a/tests/messagecrowd.h
+++ b/tests/messagecrowd.h
@@ -50,10 +50,12 @@
         bool ok = false;
         while (m_queue.AsyncNext(&tag, &ok, end) == grpc::CompletionQueue::GOT_EVENT) {
             Call &call = *static_cast<Call *>(tag);
-            m_sentBytes += call.status.error_code() == grpc::StatusCode::UNAVAILABLE ? 0 : m_message.Length();
+            const bool handled = call.status.ok() || call.status.error_code() == grpc::StatusCode::INVALID_ARGUMENT;
+            m_sentBytes += handled ? m_message.Length() : 0;
             start(call);
         }
     }
+    // Returns the bytes of the messages that a handler has answered.
     size_t sentBytes() const
     {
         return m_sentBytes;
