Calls of the internal protocol draw on the memory budget

Whoever reaches the port of the internal protocol could end a control host with large messages (crowds_test, four known rows: 118 to 241 MB of 64 and 128), and, found while these were looked into, with calls that are opened and stay open (250 connections of 256 calls: 802 MB of 64) and with compressed messages (293 MB of 64: some KB on the wire expand to 128 MB).

Cause: gRPC keeps a call and reads its message whole before a handler can decide, limits messages one by one and not together, and expands a compressed one before it looks at its size.

Change: the server passes the bytes of a connection on to gRPC through a pair of sockets of its own (MeteredConnection). It reads the frames as they pass (Http2Reader), and each call draws on a share of the memory before gRPC sees its message: 16 KB, and twice the length that the message announces, until the answer passes or, after a reset, for one second (PeerCalls). A connection whose call has no room is closed, after the slowest of those that have stalled has been broken off; so is one that sends a compressed message, which no host does. A peer that doesn't take its answers isn't read from. A connection takes three descriptors, so 614 are permitted by default instead of 716.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -31,7 +31,7 @@
     Coordinator coordinator(node);
     PeerService peerService(node);
     ControlService controlService(node, coordinator);
-    const IngressBudget budget(settings.limits.memory, settings.limits.descriptors);
+    IngressBudget budget(settings.limits.memory, settings.limits.descriptors);
     const std::unique_ptr<GrpcServer> server = GrpcServer::start(settings.peerAddress, {&peerService, &controlService}, budget);
     if (!server)
         return reportFatal(
--- a/src/coordination/ingressbudget.cpp
+++ b/src/coordination/ingressbudget.cpp
@@ -35,6 +35,8 @@
     , bodies(share(memory, BodiesMemoryShare), share(memory, BodiesMemoryShare * SmallBufferReserve), SmallBufferBytes)
     , answers(share(memory, AnswersMemoryShare), share(memory, AnswersMemoryShare * SmallBufferReserve), SmallBufferBytes)
     , sockets(share(memory, SocketsMemoryShare) - usableDescriptors(memory, maxDescriptors) * MinUnreadBytes)
+    , messages(share(memory, CopiesOfMessage * MessageMemoryShare + 2 * SmallCallsMemoryShare), share(memory, SmallCallsMemoryShare),
+               SmallBufferBytes)
     , descriptors(usableDescriptors(memory, maxDescriptors))
     , maxMessageBytes(share(memory, MessageMemoryShare))
 {
--- a/src/coordination/ingressbudget.h
+++ b/src/coordination/ingressbudget.h
@@ -28,6 +28,7 @@
     BufferQuota bodies; // of requests: received so far, waiting for an endpoint, kept for another attempt
     BufferQuota answers; // of endpoints: until they are complete and their callers have taken them
     BufferQuota sockets; // bytes that have arrived and have not been read, beyond MinUnreadBytes of each connection
+    BufferQuota messages; // calls of the internal protocol, until they have been answered
     uint32_t descriptors;
     size_t maxMessageBytes; // of one message of the internal protocol
 };
--- a/src/coordination/peerconnections.h
+++ b/src/coordination/peerconnections.h
@@ -9,8 +9,8 @@
 namespace roserail
 {
 
-// Of the descriptors of a process, for the internal protocol: two connections of each of 350 hosts by default.
-constexpr double PeersDescriptorShare = 0.35;
+// Of the descriptors of a process, for the internal protocol: 614 connections by default.
+constexpr double PeersDescriptorShare = 0.45;
 
 // Returns the oldest connection that has sent nothing, or else, of those older than TransferGrace, the one that has sent least for its age.
 std::optional<size_t> leastUsedConnection(const std::vector<Transfer> &connections, Time now);
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -265,6 +265,11 @@
 constexpr size_t MinUnreadBytes = 8u << 10; // of each connection; an ordinary request arrives in one or two round trips
 constexpr size_t MaxUnreadBytes = 256u << 10; // of one connection
 constexpr size_t SocketBufferParts = 32; // of what is left, one for a new connection
+// Of calls beside the largest message, and as much again for connections whose calls hold SmallBufferBytes at most.
+constexpr double SmallCallsMemoryShare = 0.05;
+constexpr size_t CopiesOfMessage = 2; // as it arrives, and decoded
+constexpr size_t CallBytes = 16u << 10; // of a call without its messages
+constexpr Millis ResetCallTime{1000}; // for the handler of a call to end after its caller has reset it
 constexpr size_t SmallBufferBytes = 64u << 10; // of an ordinary request or answer
 constexpr double SmallBufferReserve = 0.25; // of a share, that large buffers may not use
 // Shares of the descriptors; endpoints, control hosts and files have the rest.
--- a/src/transport/grpcserver.cpp
+++ b/src/transport/grpcserver.cpp
@@ -7,15 +7,17 @@
 #include "state/tunables.h"
 #include "transport/channel.h"
 #include "transport/clock.h"
+#include "transport/socketoptions.h"
 
+#include <array>
 #include <cerrno>
-#include <fcntl.h>
-#include <linux/tcp.h>
 #include <netdb.h>
 #include <netinet/in.h>
-#include <poll.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <system_error>
 #include <unistd.h>
 
 namespace roserail
@@ -26,15 +28,22 @@
 namespace
 {
 
+constexpr Millis PeerUserTimeout = std::chrono::seconds(20); // for unacknowledged data
 constexpr int MinPingIntervalMs = 1000;
 constexpr int ServerHandshakeTimeoutMs = 3000; // of a connection that sends no call; of the same order as header time-outs
 constexpr int MaxConcurrentCalls = 256; // on one connection; a peer sends a few at a time
-constexpr size_t DescriptorsPerConnection = 2;
+constexpr size_t DescriptorsPerConnection = 3; // the peer's, and a pair through which gRPC is given its bytes
+constexpr int PairBufferBytes = 16 << 10; // in each direction; the system permits twice as many
+constexpr int MaxReadBytes = 64 << 10; // that gRPC makes room for at once
+constexpr int LastAnswersTimeMs = 100; // for peers to take the last answers, once gRPC has shut down
+constexpr size_t EventsPerTurn = 64;
+// What the loop waits for, beside connections.
+constexpr uint64_t WakeTag = 0;
+constexpr uint64_t ListenerTag = 1;
 
-void enable(int socket, int level, int option)
+uint64_t tagOf(uint64_t connection, bool inner)
 {
-    const int on = 1;
-    ::setsockopt(socket, level, option, &on, sizeof on);
+    return 2 * connection + (inner ? 1 : 0);
 }
 
 // Returns a listening socket, or -1.
@@ -54,8 +63,11 @@
         listener = ::socket(it->ai_family, it->ai_socktype | SOCK_CLOEXEC | SOCK_NONBLOCK, it->ai_protocol);
         if (listener < 0)
             continue;
-        enable(listener, SOL_SOCKET, SO_REUSEADDR);
-        enable(listener, IPPROTO_TCP, TCP_NODELAY); // connections inherit it
+        setSocketOption(listener, SOL_SOCKET, SO_REUSEADDR, 1);
+        // Connections inherit these.
+        setSocketOption(listener, IPPROTO_TCP, TCP_NODELAY, 1);
+        setSocketOption(listener, IPPROTO_TCP, TCP_USER_TIMEOUT, int(PeerUserTimeout.count()));
+        limitSocketBuffers(listener);
         if (::bind(listener, it->ai_addr, it->ai_addrlen) != 0 || ::listen(listener, ListenBacklog) != 0) {
             ::close(listener);
             listener = -1;
@@ -65,17 +77,10 @@
     return listener;
 }
 
-uint64_t receivedBytes(int socket)
-{
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    return ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 ? info.tcpi_bytes_received : 0;
-}
-
 } // namespace
 
 std::unique_ptr<GrpcServer> GrpcServer::start(const std::string &address, const std::vector<grpc::Service *> &services,
-                                              const IngressBudget &budget)
+                                              IngressBudget &budget)
 {
     const int listener = listenAt(address);
     if (listener < 0)
@@ -84,14 +89,16 @@
     return server->m_server ? std::move(server) : nullptr;
 }
 
-GrpcServer::GrpcServer(int listener, const std::vector<grpc::Service *> &services, const IngressBudget &budget)
-    : m_listener(listener)
-    , m_stopEvent(::eventfd(0, EFD_CLOEXEC))
+GrpcServer::GrpcServer(int listener, const std::vector<grpc::Service *> &services, IngressBudget &budget)
+    : m_budget(budget)
+    , m_listener(listener)
+    , m_wakeEvent(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+    , m_waiter(::epoll_create1(EPOLL_CLOEXEC))
     , m_maxConnections(budget.maxConnections(PeersDescriptorShare) / DescriptorsPerConnection)
 {
     grpc::ServerBuilder builder;
     grpc::ResourceQuota quota("internal");
-    quota.Resize(2 * budget.maxMessageBytes);
+    quota.Resize(budget.messages.totalBytes());
     builder.SetResourceQuota(quota);
     m_acceptor = builder.experimental().AddExternalConnectionAcceptor(
         grpc::ServerBuilder::experimental_type::ExternalConnectionType::FROM_FD, grpc::InsecureServerCredentials());
@@ -99,60 +106,84 @@
     builder.SetMaxSendMessageSize(MaxGrpcMessageBytes);
     builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, MinPingIntervalMs);
     builder.AddChannelArgument(GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS, ServerHandshakeTimeoutMs);
+    builder.AddChannelArgument(GRPC_ARG_TCP_MAX_READ_CHUNK_SIZE, MaxReadBytes);
     builder.AddChannelArgument(GRPC_ARG_MAX_CONCURRENT_STREAMS, MaxConcurrentCalls);
     for (grpc::Service *it : services)
         builder.RegisterService(it);
     m_server = builder.BuildAndStart();
     if (m_server)
-        m_thread = std::thread([this] { acceptConnections(); });
+        m_thread = std::thread([this] { run(); });
 }
 
 GrpcServer::~GrpcServer()
 {
-    closeListener();
+    m_accepts = false;
     m_server.reset();
-    for (const Connection &it : m_connections)
-        ::close(it.handle);
-    ::close(m_stopEvent);
+    stopLoop();
+    closeListener();
+    ::close(m_waiter);
+    ::close(m_wakeEvent);
 }
 
 void GrpcServer::shutdown(std::chrono::system_clock::time_point deadline)
 {
-    closeListener();
+    m_accepts = false;
+    wake();
     m_server->Shutdown(deadline);
+    stopLoop();
 }
 
-void GrpcServer::closeListener()
+void GrpcServer::wake() const
 {
-    if (m_thread.joinable()) {
-        const uint64_t one = 1;
-        while (::write(m_stopEvent, &one, sizeof one) < 0 && errno == EINTR) { }
+    const uint64_t one = 1;
+    while (::write(m_wakeEvent, &one, sizeof one) < 0 && errno == EINTR) { }
+}
+
+void GrpcServer::stopLoop()
+{
+    m_runs = false;
+    wake();
+    if (m_thread.joinable())
         m_thread.join();
-    }
+}
+
+void GrpcServer::closeListener()
+{
     if (m_listener >= 0)
         ::close(m_listener);
     m_listener = -1;
 }
 
-void GrpcServer::acceptConnections()
+void GrpcServer::run()
 {
-    while (true) {
-        std::vector<pollfd> waits{{m_stopEvent, POLLIN, 0}, {m_listener, POLLIN, 0}};
-        for (const Connection &it : m_connections)
-            waits.push_back({it.handle, 0, 0}); // gRPC shuts a connection down when it closes it
-        if (::poll(waits.data(), waits.size(), -1) < 0)
-            continue;
-        if (waits[0].revents != 0)
-            return;
-        for (size_t i = m_connections.size(); i-- > 0;) {
-            if (waits[2 + i].revents == 0)
-                continue;
-            ::close(m_connections[i].handle);
-            m_connections.erase(m_connections.begin() + std::ptrdiff_t(i));
+    uint32_t watched = 0;
+    watch(m_wakeEvent, WakeTag, watched, EPOLLIN);
+    watched = 0;
+    watch(m_listener, ListenerTag, watched, EPOLLIN);
+    Time lastAnswersUntil = Time::max();
+    std::array<epoll_event, EventsPerTurn> events;
+    while (monotonicNow() < lastAnswersUntil && (m_runs || !m_connections.empty())) {
+        const bool holds = m_budget.messages.usedBytes() > 0 || !m_closed.empty();
+        const int timeoutMs = !m_runs ? LastAnswersTimeMs : holds ? int(IngressReviewInterval.count()) : -1;
+        const int n = ::epoll_wait(m_waiter, events.data(), int(events.size()), timeoutMs);
+        for (int i = 0; i < n; ++i) {
+            const uint64_t tag = events[size_t(i)].data.u64;
+            if (tag == WakeTag) {
+                uint64_t count = 0;
+                while (::read(m_wakeEvent, &count, sizeof count) < 0 && errno == EINTR) { }
+            } else if (tag != ListenerTag) {
+                serve(tag / 2);
+            } else if (m_accepts) {
+                accept();
+            }
         }
-        if (waits[1].revents != 0)
-            accept();
+        if (!m_accepts)
+            closeListener();
+        if (!m_runs && lastAnswersUntil == Time::max())
+            lastAnswersUntil = monotonicNow() + Millis(LastAnswersTimeMs);
+        review(monotonicNow());
     }
+    m_connections.clear();
 }
 
 void GrpcServer::accept()
@@ -174,31 +205,143 @@
             return;
         }
     }
-    const int handle = ::fcntl(socket, F_DUPFD_CLOEXEC, 0);
-    if (handle < 0) {
+    if (!passToGrpc(socket))
         ::close(socket);
-        return;
+}
+
+// Gives gRPC one end of a pair, and passes on between the other one and the peer's socket. Returns false if that fails.
+bool GrpcServer::passToGrpc(int socket)
+{
+    const std::optional<std::array<int, 2>> pair = m_pairs.open(PairBufferBytes);
+    if (!pair) {
+        logEvent("accept_failed", {{"error", std::system_category().message(errno)}});
+        return false;
     }
-    m_connections.push_back({handle, monotonicNow()});
+    const ConnectionId id = ++m_newest;
+    const PeerCalls::Grow growShare = [this](BufferShare &share, size_t bytes) {
+        return grow(share, bytes);
+    };
+    m_connections[id].metered = std::make_unique<MeteredConnection>(socket, pair->front(), m_budget, growShare, monotonicNow());
     grpc::experimental::ExternalConnectionAcceptor::NewConnectionParameters connection;
     connection.listener_fd = m_listener;
-    connection.fd = socket;
+    connection.fd = pair->back();
     m_acceptor->HandleNewConnection(&connection);
+    serve(id);
+    return true;
+}
+
+void GrpcServer::serve(ConnectionId id)
+{
+    static Counter &refused = metrics().counter("roserail_peer_calls_refused_total");
+    const Connections::iterator it = m_connections.find(id);
+    if (it == m_connections.end()) // ended by an earlier event of the same turn
+        return;
+    MeteredConnection &metered = *it->second.metered;
+    if (metered.pass(monotonicNow())) {
+        watch(metered.peer(), tagOf(id, false), it->second.peerEvents, metered.peerEvents());
+        watch(metered.inner(), tagOf(id, true), it->second.innerEvents, metered.innerEvents());
+        return;
+    }
+    if (metered.calls().refusal() != CallRefusal::None) {
+        refused.add();
+        logEvent("peer_call_refused",
+                 {{"peer", metered.address()},
+                  {"cause", toString(metered.calls().refusal())},
+                  {"bytes", metered.calls().refusedBytes()},
+                  {"used_bytes", m_budget.messages.usedBytes()},
+                  {"limit_bytes", m_budget.messages.totalBytes()},
+                  {"remedy", "raise 'memory' if the peer is one of this system"}});
+    }
+    close(it);
+}
+
+// Changes what the loop waits for. A descriptor that nothing is waited for is taken out, as its end would be told again and again.
+void GrpcServer::watch(int descriptor, uint64_t tag, uint32_t &watched, uint32_t events) const
+{
+    if (watched == events)
+        return;
+    epoll_event event{};
+    event.events = events;
+    event.data.u64 = tag;
+    const int operation = events == 0 ? EPOLL_CTL_DEL : watched == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+    ::epoll_ctl(m_waiter, operation, descriptor, &event);
+    watched = events;
+}
+
+void GrpcServer::close(Connections::iterator position)
+{
+    std::unique_ptr<PeerCalls> calls = position->second.metered->takeCalls();
+    if (calls->heldBytes() > 0)
+        m_closed.emplace_back(monotonicNow() + ResetCallTime, std::move(calls));
+    m_connections.erase(position);
 }
 
 // Ends a connection so that another one can be served. Returns false if none can be ended.
 bool GrpcServer::makeConnectionFree()
 {
+    std::vector<Connections::iterator> positions;
     std::vector<Transfer> transfers;
-    for (const Connection &it : m_connections)
-        transfers.push_back({it.acceptedAt, receivedBytes(it.handle)});
+    for (Connections::iterator it = m_connections.begin(); it != m_connections.end(); ++it) {
+        positions.push_back(it);
+        transfers.push_back(it->second.metered->received());
+    }
     const std::optional<size_t> least = leastUsedConnection(transfers, monotonicNow());
     if (!least)
         return false;
-    ::shutdown(m_connections[*least].handle, SHUT_RDWR);
-    ::close(m_connections[*least].handle);
-    m_connections.erase(m_connections.begin() + std::ptrdiff_t(*least));
+    close(positions[*least]);
     return true;
 }
 
+bool GrpcServer::grow(BufferShare &share, size_t bytes)
+{
+    while (!share.resize(bytes, m_budget.messages.totalBytes())) {
+        if (!m_budget.messages.canFit(bytes) || !breakOffSlowest(share))
+            return false;
+    }
+    return true;
+}
+
+// Breaks off the slowest of the other connections whose requests have stalled. Returns false if there is none.
+bool GrpcServer::breakOffSlowest(const BufferShare &beneficiary)
+{
+    static Counter &broken = metrics().counter("roserail_peers_broken_off_total");
+    const Time now = monotonicNow();
+    std::vector<MeteredConnection *> connections;
+    std::vector<Transfer> transfers;
+    for (const std::pair<const ConnectionId, Connection> &it : m_connections) {
+        const std::optional<Transfer> transfer = it.second.metered->calls().transfer();
+        if (!transfer || it.second.metered->brokenOff() || it.second.metered->calls().owns(beneficiary))
+            continue;
+        connections.push_back(it.second.metered.get());
+        transfers.push_back(*transfer);
+    }
+    const std::optional<size_t> slowest = slowestTransfer(transfers, now);
+    if (!slowest)
+        return false;
+    broken.add();
+    MeteredConnection &connection = *connections[*slowest];
+    logEvent("peer_broken_off",
+             {{"peer", connection.address()},
+              {"held_bytes", connection.calls().heldBytes()},
+              {"after_ms", (now - transfers[*slowest].startedAt).count()},
+              {"used_bytes", m_budget.messages.usedBytes()},
+              {"limit_bytes", m_budget.messages.totalBytes()}});
+    connection.breakOff();
+    return true;
+}
+
+// Frees the memory of calls that have ended meanwhile.
+void GrpcServer::review(Time now)
+{
+    if (now < m_reviewedAt + IngressReviewInterval)
+        return;
+    m_reviewedAt = now;
+    for (const std::pair<const ConnectionId, Connection> &it : m_connections)
+        it.second.metered->calls().releaseReset(now);
+    std::erase_if(m_closed, [now](const auto &it) { return now >= it.first; });
+    metrics().counter("roserail_buffer_bytes{share=\"messages\"}").set(m_budget.messages.usedBytes());
+    metrics().counter("roserail_buffer_peak_bytes{share=\"messages\"}").set(m_budget.messages.peakBytes());
+    m_trimmer.review(m_budget.messages.usedBytes());
+}
+
 } // namespace roserail
--- a/src/transport/ingress.cpp
+++ b/src/transport/ingress.cpp
@@ -8,9 +8,6 @@
 
 #include <algorithm>
 #include <array>
-#ifdef __GLIBC__
-#include <malloc.h>
-#endif
 
 namespace roserail
 {
@@ -118,13 +115,7 @@
         metrics().counter(fmt::format("roserail_buffer_bytes{{share=\"{}\"}}", it.name)).set(quota.usedBytes());
         metrics().counter(fmt::format("roserail_buffer_peak_bytes{{share=\"{}\"}}", it.name)).set(quota.peakBytes());
     }
-    m_peakSinceTrim = std::max(m_peakSinceTrim, usedBytes);
-    if (m_peakSinceTrim < usedBytes + MinTrimBytes)
-        return;
-    m_peakSinceTrim = usedBytes;
-#ifdef __GLIBC__
-    ::malloc_trim(0);
-#endif
+    m_trimmer.review(usedBytes);
 }
 
 } // namespace roserail
--- a/src/transport/ingress.h
+++ b/src/transport/ingress.h
@@ -4,6 +4,7 @@
 
 #include "coordination/ingressbudget.h"
 #include "protocol/settings.h"
+#include "transport/memorytrimmer.h"
 
 #include <vector>
 
@@ -46,7 +47,7 @@
     IngressBudget m_budget;
     std::vector<HttpServer *> m_servers;
     Time m_reviewedAt{};
-    size_t m_peakSinceTrim = 0;
+    MemoryTrimmer m_trimmer;
 };
 
 } // namespace roserail
--- a/tests/crowds_test.cpp
+++ b/tests/crowds_test.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE crowds
 #include "crowd.h"
 #include "fleet.h"
+#include "http2text.h"
 #include "messagecrowd.h"
 #include "system.h"
 
@@ -65,12 +66,14 @@
     UnreadStream,
     Idle,
     TooLargeMessages, // of the internal protocol
-    LargeMessages
+    LargeMessages,
+    CompressedMessages,
+    OpenCalls
 };
 
 bool sendsMessages(Kind kind)
 {
-    return kind == Kind::TooLargeMessages || kind == Kind::LargeMessages;
+    return kind == Kind::TooLargeMessages || kind == Kind::LargeMessages || kind == Kind::CompressedMessages;
 }
 
 // What happens to the process meanwhile.
@@ -118,9 +121,14 @@
     case Kind::Unread:
     case Kind::UnreadStream:
         return {head + "Content-Length: 0\r\n\r\n", "", head.size() + 21};
+    case Kind::OpenCalls: {
+        const std::string calls = http2Preface() + http2Calls("/roserail.pb.Mesh/Share", 256);
+        return {calls, "", calls.size()};
+    }
     case Kind::Idle:
     case Kind::TooLargeMessages:
     case Kind::LargeMessages:
+    case Kind::CompressedMessages:
         break;
     }
     return {"", "", 0};
@@ -166,6 +174,8 @@
     {"many callers send while the host is suspended", Port::Callers, Kind::Whole, 650, false, Event::Suspension, ManyDescriptors},
     {"relay: many requests without waiting", Port::Relay, Kind::Pipelined, 240, false, Event::None, ManyDescriptors},
     {"many operators send requests without waiting", Port::Operators, Kind::Pipelined, 650, false, Event::None, ManyDescriptors},
+    {"internal protocol: calls that stay open", Port::Internal, Kind::OpenCalls, 250, false, Event::None, ManyDescriptors},
+    {"internal protocol: compressed messages", Port::Internal, Kind::CompressedMessages, 8},
 };
 
 int portNumber(const Fleet &fleet, Port port)
@@ -289,7 +299,7 @@
     bool happened = false;
     if (sendsMessages(row.kind)) {
         MessageCrowd crowd(fmt::format("127.0.0.1:{}", portNumber(fleet, row.port)), "/roserail.pb.Mesh/Share", row.callers,
-                           messageBytes(row.kind, HostMemory));
+                           messageBytes(row.kind, HostMemory), row.kind == Kind::CompressedMessages);
         playCrowd(fleet, port.process, crowd, row.name, bounds, [] { return false; });
         BOOST_TEST(eventually([&] { return answered(fleet, "beside"); }));
     } else {
--- a/tests/messagecrowd.h
+++ b/tests/messagecrowd.h
@@ -15,9 +15,11 @@
 class MessageCrowd
 {
 public:
-    // `method`: as "/package.Service/Method". `bytes`: of each message, of which all peers share one copy.
-    MessageCrowd(const std::string &address, std::string method, int peers, size_t bytes)
+    // `method`: as "/package.Service/Method". `bytes`: of each message, of which all peers share one copy. `compressed`: they are sent
+    // compressed, to some thousandth.
+    MessageCrowd(const std::string &address, std::string method, int peers, size_t bytes, bool compressed = false)
         : m_method(std::move(method))
+        , m_compressed(compressed)
     {
         // A field that no message has, with a length.
         std::string text = "\xc2\xbb\x07";
@@ -78,12 +80,15 @@
     {
         call.context = std::make_unique<grpc::ClientContext>();
         call.context->set_wait_for_ready(true);
+        if (m_compressed)
+            call.context->set_compression_algorithm(GRPC_COMPRESS_GZIP);
         call.reader = grpc::GenericStub(call.channel.get()).PrepareUnaryCall(call.context.get(), m_method, m_message, &m_queue);
         call.reader->StartCall();
         call.reader->Finish(&call.reply, &call.status, &call);
     }
 
     std::string m_method;
+    bool m_compressed;
     grpc::ByteBuffer m_message;
     grpc::CompletionQueue m_queue;
     std::vector<std::unique_ptr<Call>> m_calls;
