Peers whose frames are not acknowledged are disconnected

Cause: gRPC records each frame until it has written the answer, and, once it has decided to close such a connection, an error for each further one, but reads on as long as it can't write.

Change: a connection with more than 16 such frames that gRPC has not answered is closed before it gets the next one. Hosts of the system have one or two.

--- a/src/protocol/http2reader.cpp
+++ b/src/protocol/http2reader.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::string_view ClientPreface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 constexpr uint8_t EndStreamFlag = 0x1; // of DATA and HEADERS
+constexpr uint8_t AckFlag = 0x1; // of SETTINGS and PING
 constexpr uint8_t PaddedFlag = 0x8;
 constexpr uint32_t StreamMask = 0x7fffffff; // the first bit is reserved
 
@@ -28,6 +29,16 @@
     return type == FrameType::Reset || ((type == FrameType::Data || type == FrameType::Headers) && (flags & EndStreamFlag) != 0);
 }
 
+bool FrameHead::asksForAck() const
+{
+    return (type == FrameType::Settings || type == FrameType::Ping) && (flags & AckFlag) == 0;
+}
+
+bool FrameHead::isAck() const
+{
+    return (type == FrameType::Settings || type == FrameType::Ping) && (flags & AckFlag) != 0;
+}
+
 Http2Reader::Http2Reader(bool preface)
     : m_prefaceLeft(preface ? ClientPreface.size() : 0)
 {
--- a/src/protocol/http2reader.h
+++ b/src/protocol/http2reader.h
@@ -12,7 +12,7 @@
 
 using CallId = Id<struct CallIdTag, uint32_t>; // of a stream of HTTP/2; 0 for frames of the whole connection
 
-enum class FrameType : uint8_t { Data = 0, Headers = 1, Reset = 3 }; // others are only passed on
+enum class FrameType : uint8_t { Data = 0, Headers = 1, Reset = 3, Settings = 4, Ping = 6 }; // others are only passed on
 
 struct FrameHead {
     uint32_t bytes = 0; // of the payload
@@ -21,6 +21,9 @@
     CallId call{};
 
     bool endsStream() const;
+    // Returns whether the receiver answers the frame with one of the same type, or whether the frame is such an answer.
+    bool asksForAck() const;
+    bool isAck() const;
 };
 
 class FrameObserver
--- a/src/protocol/peercalls.cpp
+++ b/src/protocol/peercalls.cpp
@@ -12,12 +12,16 @@
 
 std::string_view toString(CallRefusal refusal)
 {
-    static constexpr std::array<std::string_view, 4> names{"none", "message_too_large", "no_room", "message_compressed"};
+    static constexpr std::array<std::string_view, 5> names{"none", "message_too_large", "no_room", "message_compressed", "too_many_frames"};
     return names[size_t(refusal)];
 }
 
 bool PeerCalls::onFrame(const FrameHead &head)
 {
+    if (head.asksForAck() && ++m_unacknowledged > MaxUnacknowledgedFrames) {
+        m_refusal = CallRefusal::TooManyFrames;
+        return false;
+    }
     if (head.call == CallId{})
         return true;
     if (head.type == FrameType::Headers && m_newest < head.call)
@@ -111,6 +115,11 @@
     m_calls.erase(it);
 }
 
+void PeerCalls::acknowledge()
+{
+    m_unacknowledged -= m_unacknowledged > 0 ? 1 : 0;
+}
+
 void PeerCalls::releaseReset(Time now)
 {
     std::vector<CallId> ended;
--- a/src/protocol/peercalls.h
+++ b/src/protocol/peercalls.h
@@ -13,7 +13,7 @@
 namespace roserail
 {
 
-enum class CallRefusal { None, TooLarge, NoRoom, Compressed };
+enum class CallRefusal { None, TooLarge, NoRoom, Compressed, TooManyFrames };
 
 std::string_view toString(CallRefusal refusal);
 
@@ -32,8 +32,9 @@
     // What the peer sends.
     bool onFrame(const FrameHead &head) override;
     bool onData(CallId call, std::string_view bytes) override;
-    // A call has been answered.
+    // What gRPC has answered: a call, or a frame that asks for an acknowledgement.
     void end(CallId call);
+    void acknowledge();
     // Frees the memory of calls that were reset long enough ago for their handlers to have ended.
     void releaseReset(Time now);
     void release();
@@ -63,6 +64,8 @@
 
 private:
     static constexpr size_t MessageHeadBytes = 5; // whether it is compressed, and its length
+    // SETTINGS and PING frames. Peers have one or two of them; gRPC keeps a record of each until it has written the answer.
+    static constexpr size_t MaxUnacknowledgedFrames = 16;
 
     struct Call {
         size_t bytes = 0; // of m_share
@@ -84,6 +87,7 @@
     std::map<CallId, Call> m_calls;
     CallId m_newest{};
     size_t m_incomplete = 0;
+    size_t m_unacknowledged = 0; // frames
     Transfer m_transfer;
     Time m_now{};
     CallRefusal m_refusal = CallRefusal::None;
--- a/src/transport/meteredconnection.cpp
+++ b/src/transport/meteredconnection.cpp
@@ -143,6 +143,8 @@
 {
     if (head.endsStream())
         calls.end(head.call);
+    if (head.isAck())
+        calls.acknowledge();
     return true;
 }
 
--- a/tests/crowds_test.cpp
+++ b/tests/crowds_test.cpp
@@ -68,6 +68,8 @@
     TooLargeMessages, // of the internal protocol
     LargeMessages,
     CompressedMessages,
+    Pings,
+    Settings,
     OpenCalls
 };
 
@@ -121,6 +123,10 @@
     case Kind::Unread:
     case Kind::UnreadStream:
         return {head + "Content-Length: 0\r\n\r\n", "", head.size() + 21};
+    case Kind::Pings:
+        return {http2Preface(), http2Frame(Http2Ping, 0, 0, "12345678"), 16 * Mega};
+    case Kind::Settings:
+        return {http2Preface(), http2Frame(Http2Settings, 0, 0, ""), 16 * Mega};
     case Kind::OpenCalls: {
         const std::string calls = http2Preface() + http2Calls("/roserail.pb.Mesh/Share", 256);
         return {calls, "", calls.size()};
@@ -174,6 +180,8 @@
     {"many callers send while the host is suspended", Port::Callers, Kind::Whole, 650, false, Event::Suspension, ManyDescriptors},
     {"relay: many requests without waiting", Port::Relay, Kind::Pipelined, 240, false, Event::None, ManyDescriptors},
     {"many operators send requests without waiting", Port::Operators, Kind::Pipelined, 650, false, Event::None, ManyDescriptors},
+    {"internal protocol: pings whose answers nobody reads", Port::Internal, Kind::Pings, 100},
+    {"internal protocol: settings whose answers nobody reads", Port::Internal, Kind::Settings, 100},
     {"internal protocol: calls that stay open", Port::Internal, Kind::OpenCalls, 250, false, Event::None, ManyDescriptors},
     {"internal protocol: compressed messages", Port::Internal, Kind::CompressedMessages, 8},
 };
@@ -227,7 +235,7 @@
 
 CrowdManner mannerOf(const Case &row)
 {
-    const Kind kinds[] = {Kind::Unread, Kind::UnreadStream, Kind::Pipelined};
+    const Kind kinds[] = {Kind::Unread, Kind::UnreadStream, Kind::Pipelined, Kind::Pings, Kind::Settings};
     const bool reads = std::find(std::begin(kinds), std::end(kinds), row.kind) == std::end(kinds);
     return {row.callers, row.kind == Kind::Pieces ? 1024u : 64u << 10, reads, row.manyAddresses};
 }
@@ -366,6 +374,7 @@
     {"control, internal protocol: large messages", SystemPort::Peers, Kind::LargeMessages, 20},
     {"router: many requests without waiting", SystemPort::Router, Kind::Pipelined, 1300, 2 * ManyDescriptors},
     {"control: many requests without waiting", SystemPort::Operators, Kind::Pipelined, 1300, 2 * ManyDescriptors},
+    {"control, internal protocol: pings whose answers nobody reads", SystemPort::Peers, Kind::Pings, 100},
 };
 
 } // namespace
@@ -399,7 +408,7 @@
         playCrowd(system, process, crowd, row.name, bounds, [] { return false; });
         BOOST_TEST(eventually(served));
     } else {
-        const bool reads = row.kind != Kind::Pipelined;
+        const bool reads = row.kind != Kind::Pipelined && row.kind != Kind::Pings;
         Crowd crowd("127.0.0.1", port, textOf(row.kind, head, 8 * Mega), CrowdManner{row.callers, 64u << 10, reads});
         playCrowd(system, process, crowd, row.name, bounds, [] { return false; });
         BOOST_TEST(eventually(served));
--- a/tests/http2text.h
+++ b/tests/http2text.h
@@ -11,6 +11,7 @@
 constexpr uint8_t Http2Headers = 1;
 constexpr uint8_t Http2Reset = 3;
 constexpr uint8_t Http2Settings = 4;
+constexpr uint8_t Http2Ping = 6;
 constexpr uint8_t Http2EndStream = 0x1;
 constexpr uint8_t Http2EndHeaders = 0x4;
 constexpr uint8_t Http2Padded = 0x8;
--- a/tests/peercalls_test.cpp
+++ b/tests/peercalls_test.cpp
@@ -54,6 +54,14 @@
     return {goesOn, calls.refusal(), calls.heldBytes(), calls.transfer().has_value()};
 }
 
+std::string repeated(const std::string &text, size_t n)
+{
+    std::string out;
+    for (size_t i = 0; i < n; ++i)
+        out += text;
+    return out;
+}
+
 struct Row {
     const char *name;
     std::string text; // after the preface
@@ -66,6 +74,7 @@
 }
 
 const std::string Call = http2Call(Method, 1);
+const std::string Ping = http2Frame(Http2Ping, 0, 0, "12345678");
 constexpr size_t Held = tunables::CallBytes;
 
 const Row Rows[] = {
@@ -100,6 +109,10 @@
          + http2Frame(Http2Data, 0, 3, grpcMessage(MaxMessage, "x")),
      {false, CallRefusal::NoRoom, 3 * Held + 2 * MaxMessage, true}},
     {"a compressed message", Call + http2Frame(Http2Data, 0, 1, grpcMessage(3, "abc", true)), {false, CallRefusal::Compressed, Held, true}},
+    {"pings within the limit", repeated(Ping, 15), {true, CallRefusal::None, 0, false}},
+    {"pings without end", repeated(Ping, 40), {false, CallRefusal::TooManyFrames, 0, false}},
+    {"settings without end", repeated(http2Frame(Http2Settings, 0, 0, ""), 40), {false, CallRefusal::TooManyFrames, 0, false}},
+    {"acknowledgements", repeated(http2Frame(Http2Ping, 1, 0, "12345678"), 40), {true, CallRefusal::None, 0, false}},
     {"padding longer than its frame",
      Call
          + http2Frame(Http2Data, Http2Padded, 1,
@@ -146,6 +159,10 @@
     BOOST_TEST(budget.messages.usedBytes() == 2 * Held);
     calls.releaseReset(start + tunables::ResetCallTime);
     BOOST_TEST(budget.messages.usedBytes() == Held);
+    for (int i = 0; i < 100; ++i) { // acknowledged one by one
+        BOOST_REQUIRE(reader.read(Ping, calls));
+        calls.acknowledge();
+    }
     calls.release();
     BOOST_TEST(budget.messages.usedBytes() == 0);
 }
