Socket buffers grow for large bodies and answers only

Change: connections have the small buffers of their listening socket until a body, an answer or a relayed answer is larger; what may wait to be sent is 32 KB. The server of the internal protocol passes on only the side that is ready, and doesn't read again after a short read.

--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -263,6 +263,7 @@
 constexpr double MessageMemoryShare = 0.25; // of one message of the internal protocol: a snapshot, or a whole list
 constexpr double SocketsMemoryShare = 0.3; // of bytes that have arrived and have not been read
 constexpr size_t MinUnreadBytes = 8u << 10; // of each connection; an ordinary request arrives in one or two round trips
+constexpr size_t MinUnsentBytes = 32u << 10; // of each connection of a caller; more is kept in the process and counted there
 constexpr size_t MaxUnreadBytes = 256u << 10; // of one connection
 constexpr size_t SocketBufferParts = 32; // of what is left, one for a new connection
 // Of calls beside the largest message, and as much again for connections whose calls hold SmallBufferBytes at most.
--- a/src/transport/boundedserver.cpp
+++ b/src/transport/boundedserver.cpp
@@ -318,7 +318,7 @@
     // The library's own option, SO_REUSEPORT, lets a second process listen on the same port and take part of the callers.
     set_socket_options([](socket_t socket) {
         setSocketOption(socket, SOL_SOCKET, SO_REUSEADDR, 1);
-        limitSocketBuffers(socket);
+        limitBuffersOfListener(socket);
     });
 }
 
--- a/src/transport/callerconnection.cpp
+++ b/src/transport/callerconnection.cpp
@@ -3,6 +3,7 @@
 #include "transport/clock.h"
 #include "transport/http.h"
 #include "transport/ingress.h"
+#include "transport/socketoptions.h"
 
 #include <fmt/format.h>
 #include <limits>
@@ -87,6 +88,8 @@
 {
     ErrorCode ec;
     std::array<net::const_buffer, 2> rest{net::buffer(bytes), net::buffer(more.data(), more.size())};
+    if (bytes.size() + more.size() > MinUnsentBytes)
+        growSocketBuffers(m_socket.native_handle(), m_unreadShare);
     m_transfer = Transfer{monotonicNow(), 0};
     m_writing = true;
     while (!ec && rest[0].size() + rest[1].size() > 0) {
--- a/src/transport/endpointpool.cpp
+++ b/src/transport/endpointpool.cpp
@@ -104,6 +104,12 @@
 
 } // namespace
 
+void EndpointConnection::expectBytes(uint64_t bytes)
+{
+    if (unreadShare && bytes > MinUnreadBytes)
+        growSocketBuffers(socket.native_handle(), *unreadShare);
+}
+
 EndpointPool::EndpointPool(net::io_context &io)
     : m_io(io)
 {
@@ -149,9 +155,7 @@
     if (!ec && m_ingress) {
         connection->ingress = m_ingress;
         connection->unreadShare.emplace(m_ingress->budget().sockets);
-        // Before the connection exists: the largest window that can be offered depends on the buffer.
-        limitSocketBuffers(connection->socket.native_handle());
-        growSocketBuffers(connection->socket.native_handle(), *connection->unreadShare);
+        limitReceiveBuffer(connection->socket.native_handle());
     }
     if (!ec) {
         const SocketDeadline deadline(connection->socket, timeout);
--- a/src/transport/endpointpool.h
+++ b/src/transport/endpointpool.h
@@ -20,7 +20,10 @@
         : socket(io)
     {
     }
-    std::shared_ptr<Ingress> ingress; // null: what may wait in the kernel is not counted
+    // Makes room for an answer that is larger than what may wait unread on each connection.
+    void expectBytes(uint64_t bytes);
+
+    std::shared_ptr<Ingress> ingress; // null: what may wait in the kernel is not limited
     std::optional<BufferShare> unreadShare; // of `ingress`
     tcp::socket socket;
     boost::beast::flat_buffer buffer{tunables::MaxUnparsedBytes};
--- a/src/transport/forwarderexchange.cpp
+++ b/src/transport/forwarderexchange.cpp
@@ -80,6 +80,7 @@
     EndpointAnswer answer;
     if (!co_await readHead(request, connection, answer))
         co_return AttemptEnd::Interrupted;
+    connection.expectBytes(answer.parser->content_length().value_or(0));
     if (!choice.router.empty() && !view(answer.parser->get()[RelayOutcome]).empty())
         co_return co_await readRelayOutcome(request, connection, answer);
     if (!choice.router.empty())
--- a/src/transport/grpcserver.cpp
+++ b/src/transport/grpcserver.cpp
@@ -67,7 +67,7 @@
         // Connections inherit these.
         setSocketOption(listener, IPPROTO_TCP, TCP_NODELAY, 1);
         setSocketOption(listener, IPPROTO_TCP, TCP_USER_TIMEOUT, int(PeerUserTimeout.count()));
-        limitSocketBuffers(listener);
+        limitBuffersOfListener(listener);
         if (::bind(listener, it->ai_addr, it->ai_addrlen) != 0 || ::listen(listener, ListenBacklog) != 0) {
             ::close(listener);
             listener = -1;
@@ -172,7 +172,7 @@
                 uint64_t count = 0;
                 while (::read(m_wakeEvent, &count, sizeof count) < 0 && errno == EINTR) { }
             } else if (tag != ListenerTag) {
-                serve(tag / 2);
+                serve(tag / 2, tag % 2 != 0);
             } else if (m_accepts) {
                 accept();
             }
@@ -226,18 +226,18 @@
     connection.listener_fd = m_listener;
     connection.fd = pair->back();
     m_acceptor->HandleNewConnection(&connection);
-    serve(id);
+    serve(id, false);
     return true;
 }
 
-void GrpcServer::serve(ConnectionId id)
+void GrpcServer::serve(ConnectionId id, bool innerReady)
 {
     static Counter &refused = metrics().counter("roserail_peer_calls_refused_total");
     const Connections::iterator it = m_connections.find(id);
     if (it == m_connections.end()) // ended by an earlier event of the same turn
         return;
     MeteredConnection &metered = *it->second.metered;
-    if (metered.pass(monotonicNow())) {
+    if (metered.pass(monotonicNow(), innerReady)) {
         watch(metered.peer(), tagOf(id, false), it->second.peerEvents, metered.peerEvents());
         watch(metered.inner(), tagOf(id, true), it->second.innerEvents, metered.innerEvents());
         return;
--- a/src/transport/grpcserver.h
+++ b/src/transport/grpcserver.h
@@ -43,7 +43,7 @@
     void run();
     void accept();
     bool passToGrpc(int socket);
-    void serve(ConnectionId id);
+    void serve(ConnectionId id, bool innerReady);
     void watch(int descriptor, uint64_t tag, uint32_t &watched, uint32_t events) const;
     void close(Connections::iterator position);
     void closeListener();
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -156,7 +156,7 @@
     if (!ec)
         m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
     if (!ec)
-        limitSocketBuffers(m_acceptor.native_handle());
+        limitBuffersOfListener(m_acceptor.native_handle());
     if (!ec)
         m_acceptor.bind(endpoint, ec);
     if (!ec)
@@ -242,9 +242,7 @@
     }
     m_connections.push_front(std::make_shared<CallerConnection>(std::move(socket), m_ingress));
     const Connections::iterator position = m_connections.begin();
-    CallerConnection &connection = **position;
-    configureConnection(connection.m_socket.native_handle());
-    growSocketBuffers(connection.m_socket.native_handle(), connection.m_unreadShare);
+    configureConnection((*position)->m_socket.native_handle());
     try {
         spawn(m_io, "connection", serve(position), [this, position] { remove(position); });
     } catch (...) {
@@ -390,6 +388,8 @@
         ec = lackOfMemory();
         co_return;
     }
+    if (length.value_or(MaxUnreadBytes) > MinUnreadBytes)
+        growSocketBuffers(connection.m_socket.native_handle(), connection.m_unreadShare);
     if (connection.m_buffer.size() == 0)
         connection.m_buffer.reserve(std::min<size_t>(BodyReadBytes, size_t(length.value_or(BodyReadBytes))));
     co_await http::async_read(connection.m_socket, connection.m_buffer, parser, net::redirect_error(net::use_awaitable, ec));
--- a/src/transport/meteredconnection.cpp
+++ b/src/transport/meteredconnection.cpp
@@ -72,10 +72,12 @@
     return (reads ? POLLIN : 0) | (m_requests.pending.empty() ? 0 : POLLOUT);
 }
 
-bool MeteredConnection::pass(Time now)
+bool MeteredConnection::pass(Time now, bool innerReady)
 {
     m_calls->setNow(now);
-    if (!pass(m_replies, m_answers, nullptr) || !pass(m_requests, *m_calls, &m_replies))
+    if ((innerReady || !m_replies.pending.empty()) && !pass(m_replies, m_answers, nullptr))
+        return false;
+    if ((!innerReady || !m_requests.pending.empty()) && !pass(m_requests, *m_calls, &m_replies))
         return false;
     return !m_brokenOff && !(m_replies.ended && m_replies.pending.empty());
 }
@@ -92,8 +94,9 @@
 // be ended.
 bool MeteredConnection::pass(Direction &direction, FrameObserver &observer, const Direction *answers)
 {
-    const std::string pending = std::exchange(direction.pending, std::string());
-    Step step = send(direction, pending);
+    Step step = Step::Passed;
+    if (!direction.pending.empty())
+        step = send(direction, std::exchange(direction.pending, std::string()));
     for (int i = 0; i < ReadsPerTurn && step == Step::Passed && !direction.ended; ++i) {
         if (answers != nullptr && !answers->pending.empty())
             break;
@@ -116,7 +119,10 @@
     const std::string_view bytes(buf.data(), size_t(n));
     if (&direction == &m_requests)
         m_received.bytes += bytes.size();
-    return direction.reader.read(bytes, observer) && !m_brokenOff ? send(direction, bytes) : Step::MustEnd;
+    if (!direction.reader.read(bytes, observer) || m_brokenOff)
+        return Step::MustEnd;
+    const Step step = send(direction, bytes);
+    return step == Step::Passed && bytes.size() < buf.size() ? Step::MustWait : step; // less than a whole read: no more has arrived
 }
 
 // Sends what the receiver takes and keeps the rest.
--- a/src/transport/meteredconnection.h
+++ b/src/transport/meteredconnection.h
@@ -32,8 +32,8 @@
     // Return what has to be waited for, as poll() names it; 0: nothing.
     uint32_t peerEvents() const;
     uint32_t innerEvents() const;
-    // Passes on what doesn't have to wait. Returns false if the connection has ended.
-    bool pass(Time now);
+    // Passes on what doesn't have to wait, from the side whose descriptor is ready. Returns false if the connection has ended.
+    bool pass(Time now, bool innerReady);
     // Ends the connection, and frees what its calls hold.
     void breakOff();
     bool brokenOff() const
--- a/src/transport/socketoptions.cpp
+++ b/src/transport/socketoptions.cpp
@@ -3,6 +3,7 @@
 #include "coordination/ingressbudget.h"
 #include "state/tunables.h"
 
+#include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -15,11 +16,10 @@
 namespace
 {
 
-// As much again may wait in a receive buffer, since the system doubles it for its own data.
-void setBuffers(int socket, size_t unreadBytes)
+// As much again may wait in a buffer, since the system doubles it for its own data.
+void setBuffer(int socket, int option, size_t bytes)
 {
-    setSocketOption(socket, SOL_SOCKET, SO_RCVBUF, int(unreadBytes / 2));
-    setSocketOption(socket, SOL_SOCKET, SO_SNDBUF, int(unreadBytes / 2));
+    setSocketOption(socket, SOL_SOCKET, option, int(bytes / 2));
 }
 
 } // namespace
@@ -39,16 +39,26 @@
     setSocketOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, int(TcpUserTimeout.count()));
 }
 
-void limitSocketBuffers(int socket)
+void limitReceiveBuffer(int socket)
 {
-    setBuffers(socket, MinUnreadBytes);
+    setBuffer(socket, SO_RCVBUF, MinUnreadBytes);
+}
+
+void limitBuffersOfListener(int socket)
+{
+    limitReceiveBuffer(socket);
+    setBuffer(socket, SO_SNDBUF, MinUnsentBytes);
 }
 
 void growSocketBuffers(int socket, BufferShare &unread)
 {
+    if (unread.bytes() > 0)
+        return;
     const size_t more = unreadBytesForConnection(unread.quota());
-    if (unread.resize(more, more))
-        setBuffers(socket, MinUnreadBytes + more);
+    if (more == 0 || !unread.resize(more, more))
+        return;
+    setBuffer(socket, SO_RCVBUF, MinUnreadBytes + more);
+    setBuffer(socket, SO_SNDBUF, std::max(MinUnsentBytes, MinUnreadBytes + more));
 }
 
 } // namespace roserail
