crowds_test: crowds of several kinds at once

A seeded case: four rows of the table at once, at any ports, while the processes under test are suspended and another control host is killed and started again, in turns that overlap.

--- a/tests/crowds_test.cpp
+++ b/tests/crowds_test.cpp
@@ -12,7 +12,12 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
 
 using namespace roserail::test;
 
@@ -340,6 +345,152 @@
 namespace
 {
 
+constexpr int SoakCrowds = 4; // at once
+constexpr std::chrono::milliseconds SoakStep{20}; // of one crowd, before the next one has its turn
+
+// Crowds of several kinds at once.
+class MixedCrowd
+{
+public:
+    MixedCrowd(const Fleet &fleet, std::mt19937 &random)
+    {
+        std::vector<Case> rows(std::begin(Cases), std::end(Cases));
+        std::shuffle(rows.begin(), rows.end(), random);
+        rows.resize(SoakCrowds);
+        for (const Case &it : rows) {
+            m_name += std::string(m_name.empty() ? "" : " + ") + it.name;
+            const int port = portNumber(fleet, it.port);
+            if (sendsMessages(it.kind))
+                m_messages.push_back(std::make_unique<MessageCrowd>(fmt::format("127.0.0.1:{}", port), "/roserail.pb.Mesh/Share",
+                                                                    it.callers, messageBytes(it.kind, HostMemory),
+                                                                    it.kind == Kind::CompressedMessages));
+            else
+                m_crowds.push_back(std::make_unique<Crowd>("127.0.0.1", port, textOf(it), mannerOf(it)));
+        }
+    }
+    void play()
+    {
+        for (const std::unique_ptr<Crowd> &it : m_crowds)
+            it->play(SoakStep);
+        for (const std::unique_ptr<MessageCrowd> &it : m_messages)
+            it->play(SoakStep);
+    }
+    size_t sentBytes() const
+    {
+        size_t bytes = 0;
+        for (const std::unique_ptr<Crowd> &it : m_crowds)
+            bytes += it->sentBytes();
+        for (const std::unique_ptr<MessageCrowd> &it : m_messages)
+            bytes += it->sentBytes();
+        return bytes;
+    }
+    const std::string &name() const
+    {
+        return m_name;
+    }
+
+private:
+    std::string m_name;
+    std::vector<std::unique_ptr<Crowd>> m_crowds;
+    std::vector<std::unique_ptr<MessageCrowd>> m_messages;
+};
+
+// Suspends the processes under test and restarts another one, in turns that overlap.
+class Disturbance
+{
+public:
+    Disturbance(Fleet &fleet, std::mt19937 &random)
+        : m_fleet(fleet)
+        , m_random(random)
+    {
+    }
+    ~Disturbance()
+    {
+        end();
+    }
+    Disturbance(const Disturbance &) = delete;
+    Disturbance &operator=(const Disturbance &) = delete;
+
+    void step()
+    {
+        const unsigned choice = m_random() % 24;
+        if (choice < 2)
+            suspend(choice == 0 ? "entry-1" : "keeper-1");
+        else if (choice < 6)
+            resume();
+        else if (choice == 6 && m_fleet.started("keeper-2"))
+            m_fleet.kill("keeper-2");
+        else if (choice < 9 && !m_fleet.started("keeper-2"))
+            m_fleet.startKeeper(2, true);
+    }
+    void end()
+    {
+        resume();
+        if (!m_fleet.started("keeper-2"))
+            m_fleet.startKeeper(2, true);
+    }
+
+private:
+    void suspend(const std::string &process)
+    {
+        m_fleet.signal(process, SIGSTOP);
+        m_suspended.insert(process);
+    }
+    void resume()
+    {
+        for (const std::string &it : m_suspended)
+            m_fleet.signal(it, SIGCONT);
+        m_suspended.clear();
+    }
+
+    Fleet &m_fleet;
+    std::mt19937 &m_random;
+    std::set<std::string> m_suspended;
+};
+
+// Returns the seeds of this run: CROWD_SEEDS of them by hand.
+int soakSeeds()
+{
+    const char *text = std::getenv("CROWD_SEEDS");
+    return text == nullptr ? 3 : std::stoi(text);
+}
+
+} // namespace
+
+// Guards against crowds that exceed the memory of a host only together, or while processes are suspended and restarted.
+BOOST_DATA_TEST_CASE(mixedCrowdsLeaveRoomForOthers, bdata::xrange(1, soakSeeds() + 1), seed)
+{
+    std::mt19937 random{unsigned(seed)};
+    Fleet fleet("crowd-soak", FirstPort);
+    BOOST_REQUIRE(startFleet(fleet, ManyDescriptors));
+    std::map<std::string, ProcessUse> uses;
+    {
+        MixedCrowd crowd(fleet, random);
+        Disturbance disturbance(fleet, random);
+        const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + 2 * CrowdTime;
+        while (std::chrono::steady_clock::now() < end) {
+            crowd.play();
+            disturbance.step();
+            for (const char *it : {"entry-1", "keeper-1"}) {
+                BOOST_REQUIRE(fleet.running(it));
+                uses[it].look(fleet.pid(it));
+            }
+        }
+        for (const std::pair<const std::string, ProcessUse> &it : uses)
+            it.second.check(fmt::format("seed {}, {}: {}", seed, it.first, crowd.name()), crowd.sentBytes(), {HostMemory, ManyDescriptors});
+        disturbance.end();
+        BOOST_TEST(eventually([&] { return answered(fleet, "beside"); }, std::chrono::seconds(30)));
+    }
+    BOOST_TEST(eventually([&] { return answered(fleet, "after"); }));
+    BOOST_TEST(eventually([&] {
+        const httplib::Result result = fleet.getConfiguration(1);
+        return result && result->status == 200;
+    }));
+}
+
+namespace
+{
+
 enum class SystemPort { Router, Operators, Peers };
 
 struct SystemCase {
