Buffers of all purposes have one limit together

Change: a quota may belong to a whole, whose limit holds as well; heads, bodies, answers and messages have 62% together, 5% of the memory of it for buffers of at most 64 KiB. At entry hosts the three shares stay below it, and nothing changes.

--- a/src/coordination/bufferquota.h
+++ b/src/coordination/bufferquota.h
@@ -13,11 +13,13 @@
 class BufferQuota
 {
 public:
-    // `totalBytes`: limit of all buffers together. `reservedBytes`: part of it for buffers of at most `smallBytes`.
-    explicit BufferQuota(size_t totalBytes, size_t reservedBytes = 0, size_t smallBytes = 0)
+    // `totalBytes`: limit of all buffers together. `reservedBytes`: part of it for buffers of at most `smallBytes`. `whole`: a quota whose
+    // limit holds as well; null if there is none.
+    explicit BufferQuota(size_t totalBytes, size_t reservedBytes = 0, size_t smallBytes = 0, BufferQuota *whole = nullptr)
         : m_totalBytes(totalBytes)
         , m_reservedBytes(reservedBytes)
         , m_smallBytes(smallBytes)
+        , m_whole(whole)
     {
     }
     size_t totalBytes() const
@@ -29,11 +31,12 @@
     // Returns whether a buffer of this size can ever have room.
     bool canFit(size_t bytes) const
     {
-        return bytes <= limit(bytes);
+        return bytes <= limit(bytes) && (m_whole == nullptr || m_whole->canFit(bytes));
     }
 
 private:
     friend class BufferShare;
+    bool resizeBuffer(size_t from, size_t to);
     size_t limit(size_t bytes) const
     {
         return bytes <= m_smallBytes ? m_totalBytes : m_totalBytes - m_reservedBytes;
@@ -42,6 +45,7 @@
     const size_t m_totalBytes;
     const size_t m_reservedBytes;
     const size_t m_smallBytes;
+    BufferQuota *const m_whole;
     mutable std::mutex m_mutex;
     size_t m_usedBytes = 0;
     size_t m_peakBytes = 0;
--- a/src/coordination/ingressbudget.cpp
+++ b/src/coordination/ingressbudget.cpp
@@ -31,12 +31,13 @@
 } // namespace
 
 IngressBudget::IngressBudget(Bytes memory, uint32_t maxDescriptors)
-    : heads(share(memory, HeadsMemoryShare))
-    , bodies(share(memory, BodiesMemoryShare), share(memory, BodiesMemoryShare * SmallBufferReserve), SmallBufferBytes)
-    , answers(share(memory, AnswersMemoryShare), share(memory, AnswersMemoryShare * SmallBufferReserve), SmallBufferBytes)
+    : buffers(share(memory, BuffersMemoryShare), share(memory, SmallCallsMemoryShare), SmallBufferBytes)
+    , heads(share(memory, HeadsMemoryShare), 0, 0, &buffers)
+    , bodies(share(memory, BodiesMemoryShare), share(memory, BodiesMemoryShare * SmallBufferReserve), SmallBufferBytes, &buffers)
+    , answers(share(memory, AnswersMemoryShare), share(memory, AnswersMemoryShare * SmallBufferReserve), SmallBufferBytes, &buffers)
     , sockets(share(memory, SocketsMemoryShare) - usableDescriptors(memory, maxDescriptors) * MinUnreadBytes)
     , messages(share(memory, CopiesOfMessage * MessageMemoryShare + 2 * SmallCallsMemoryShare), share(memory, SmallCallsMemoryShare),
-               SmallBufferBytes)
+               SmallBufferBytes, &buffers)
     , descriptors(usableDescriptors(memory, maxDescriptors))
     , maxMessageBytes(share(memory, MessageMemoryShare))
 {
--- a/src/coordination/ingressbudget.h
+++ b/src/coordination/ingressbudget.h
@@ -24,6 +24,7 @@
         return size_t(double(descriptors) * descriptorShare);
     }
 
+    BufferQuota buffers; // of all purposes below, but for `sockets`
     BufferQuota heads; // of requests, and input that has not been parsed yet
     BufferQuota bodies; // of requests: received so far, waiting for an endpoint, kept for another attempt
     BufferQuota answers; // of endpoints: until they are complete and their callers have taken them
--- a/src/state/tunables.h
+++ b/src/state/tunables.h
@@ -257,6 +257,7 @@
 constexpr uint32_t MinDescriptors = 128;
 constexpr uint32_t MaxDescriptors = 1u << 20;
 // Shares of the memory; an idle process, the tables and the allocator have the rest.
+constexpr double BuffersMemoryShare = 0.62; // of buffers of all purposes together; the largest message has room beside small ones
 constexpr double HeadsMemoryShare = 0.06;
 constexpr double BodiesMemoryShare = 0.18;
 constexpr double AnswersMemoryShare = 0.2;
--- a/tests/bufferquota_test.cpp
+++ b/tests/bufferquota_test.cpp
@@ -181,3 +181,27 @@
         BOOST_TEST(double(bytes) <= double(host.memory) * tunables::SocketsMemoryShare);
     }
 }
+
+// Guards against crowds at several ports of a control host that exceed its memory only together.
+BOOST_AUTO_TEST_CASE(buffersOfAllPurposesHaveOneLimit)
+{
+    constexpr size_t piece = 2 * SmallBufferBytes;
+    IngressBudget budget(MinMemory, DefaultDescriptors);
+    std::list<BufferShare> shares;
+    BufferQuota *const purposes[] = {&budget.heads, &budget.bodies, &budget.answers, &budget.messages};
+    for (BufferQuota *it : purposes) {
+        while (shares.emplace_back(*it).resize(piece, piece)) { }
+    }
+    const size_t total = size_t(double(MinMemory) * BuffersMemoryShare);
+    BOOST_TEST(budget.buffers.totalBytes() == total);
+    BOOST_TEST(budget.buffers.usedBytes() <= total);
+    BOOST_TEST(budget.buffers.usedBytes()
+               == budget.heads.usedBytes() + budget.bodies.usedBytes() + budget.answers.usedBytes() + budget.messages.usedBytes());
+    for (BufferQuota *it : {&budget.bodies, &budget.messages}) // ordinary ones still have room
+        BOOST_TEST(shares.emplace_back(*it).resize(SmallBufferBytes, SmallBufferBytes));
+    shares.clear();
+    BOOST_TEST(budget.buffers.usedBytes() == 0u);
+    BufferShare largest(budget.messages);
+    const size_t bytes = CopiesOfMessage * budget.maxMessageBytes + 4 * CallBytes;
+    BOOST_TEST(largest.resize(bytes, bytes));
+}
