Pairs of sockets set the buffers of their listener once; frames keep one length

Found in a last reading: the sizes that accepted ends of a pair inherit were set again for each connection, and the length of a frame was kept twice. No change of behaviour.

--- a/src/protocol/http2reader.cpp
+++ b/src/protocol/http2reader.cpp
@@ -77,11 +77,10 @@
     if (m_headSize < FrameHeadBytes)
         return true;
     m_headSize = 0;
-    m_head.bytes = readNumber(m_headBytes.data(), 3);
     m_head.type = FrameType(m_headBytes[3]);
     m_head.flags = m_headBytes[4];
     m_head.call = CallId(readNumber(m_headBytes.data() + 5, 4) & StreamMask);
-    m_payloadLeft = m_head.bytes;
+    m_payloadLeft = readNumber(m_headBytes.data(), 3);
     m_paddingLeft = 0;
     m_expectsPadLength = m_head.type == FrameType::Data && (m_head.flags & PaddedFlag) != 0;
     return observer.onFrame(m_head) && !(m_expectsPadLength && m_payloadLeft == 0);
--- a/src/protocol/http2reader.h
+++ b/src/protocol/http2reader.h
@@ -15,7 +15,6 @@
 enum class FrameType : uint8_t { Data = 0, Headers = 1, Reset = 3, Settings = 4, Ping = 6 }; // others are only passed on
 
 struct FrameHead {
-    uint32_t bytes = 0; // of the payload
     FrameType type{};
     uint8_t flags = 0;
     CallId call{};
--- a/src/transport/grpcserver.cpp
+++ b/src/transport/grpcserver.cpp
@@ -95,6 +95,7 @@
     , m_wakeEvent(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
     , m_waiter(::epoll_create1(EPOLL_CLOEXEC))
     , m_maxConnections(budget.maxConnections(PeersDescriptorShare) / DescriptorsPerConnection)
+    , m_pairs(PairBufferBytes)
 {
     grpc::ServerBuilder builder;
     grpc::ResourceQuota quota("internal");
@@ -212,7 +213,7 @@
 // Gives gRPC one end of a pair, and passes on between the other one and the peer's socket. Returns false if that fails.
 bool GrpcServer::passToGrpc(int socket)
 {
-    const std::optional<std::array<int, 2>> pair = m_pairs.open(PairBufferBytes);
+    const std::optional<std::array<int, 2>> pair = m_pairs.open();
     if (!pair) {
         logEvent("accept_failed", {{"error", std::system_category().message(errno)}});
         return false;
--- a/src/transport/loopbackpairs.cpp
+++ b/src/transport/loopbackpairs.cpp
@@ -38,9 +38,11 @@
 
 } // namespace
 
-LoopbackPairs::LoopbackPairs()
-    : m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+LoopbackPairs::LoopbackPairs(int bufferBytes)
+    : m_bufferBytes(bufferBytes)
+    , m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
+    setBuffers(m_listener, m_bufferBytes); // accepted sockets inherit it
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -54,13 +56,12 @@
         ::close(m_listener);
 }
 
-std::optional<std::array<int, 2>> LoopbackPairs::open(int bufferBytes)
+std::optional<std::array<int, 2>> LoopbackPairs::open()
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (socket < 0)
         return std::nullopt;
-    setBuffers(m_listener, bufferBytes); // the accepted socket inherits it
-    setBuffers(socket, bufferBytes);
+    setBuffers(socket, m_bufferBytes);
     const sockaddr_in to = addressOf(::getsockname, m_listener);
     // The connection exists before it is accepted, so that this doesn't wait.
     const bool connected = ::connect(socket, reinterpret_cast<const sockaddr *>(&to), sizeof to) == 0;
--- a/src/transport/loopbackpairs.h
+++ b/src/transport/loopbackpairs.h
@@ -10,18 +10,19 @@
 class LoopbackPairs
 {
 public:
-    LoopbackPairs();
+    // `bufferBytes`: of what may wait in each direction of a pair; the system permits twice as many.
+    explicit LoopbackPairs(int bufferBytes);
     ~LoopbackPairs();
     LoopbackPairs(const LoopbackPairs &) = delete;
     LoopbackPairs &operator=(const LoopbackPairs &) = delete;
 
-    // Returns two descriptors that don't block, or nothing, with errno set. `bufferBytes`: of what may wait in each direction; the
-    // system permits twice as many.
-    std::optional<std::array<int, 2>> open(int bufferBytes);
+    // Returns two descriptors that don't block, or nothing, with errno set.
+    std::optional<std::array<int, 2>> open();
 
 private:
     int acceptFrom(int socket) const;
 
+    const int m_bufferBytes;
     int m_listener;
 };
 
