--- a/review/lib-2/crashingrunner.h
+++ b/review/lib-2/crashingrunner.h
@@ -42,15 +42,10 @@
     {
         return m_running;
     }
-    // Ends the runner as a crash of its host does.
-    void crash()
-    {
-        m_record.line("runner %s crashes with %d requests", m_id.c_str(), int(m_running));
-        m_crashed = true;
-    }
 
 private:
     static constexpr int Port = 8501;
+    static constexpr int Queue = 24; // requests that wait
 
     void live()
     {
@@ -102,22 +97,30 @@
             sleepMs(100); // the connection is closed meanwhile
             return "";
         }
+        const auto load = [&] {
+            const int held = m_held;
+            return echo + "X-Server-Load: " + std::to_string(std::min(held, m_slots)) + "," + std::to_string(std::max(0, held - m_slots)) + ","
+                + std::to_string(m_slots) + "\r\n";
+        };
+        if (++m_held > m_slots + Queue) {
+            --m_held;
+            return answerText(503, load() + "X-Not-Executed: 1\r\n", "");
+        }
         while (++m_running > m_slots) { // it waits in the queue
             --m_running;
-            if (m_crashed || m_stop)
+            if (m_crashed || m_stop) {
+                --m_held;
                 return "";
+            }
             sleepMs(5);
         }
-        const int running = m_running;
         for (const double until = nowMs() + m_workMs; nowMs() < until && !m_crashed && !m_stop;)
             sleepMs(std::min(20.0, m_workMs));
         --m_running;
+        --m_held;
         if (m_crashed)
             return "";
-        return answerText(200,
-                          echo + "X-Server-Seal: seal-" + id + "\r\nX-Server-Load: " + std::to_string(running) + ",0,"
-                              + std::to_string(m_slots) + "\r\n",
-                          "done " + id);
+        return answerText(200, load() + "X-Server-Seal: seal-" + id + "\r\n", "done " + id);
     }
 
     Record &m_record;
@@ -130,6 +133,7 @@
     std::string m_id;
     std::atomic<int> m_crashes{0};
     std::atomic<int> m_running{0};
+    std::atomic<int> m_held{0}; // running and waiting
     std::atomic<bool> m_crashed{false};
     std::atomic<bool> m_up{false};
     std::atomic<bool> m_stop{false};
