--- a/review/lib-2/listed.cpp
+++ b/review/lib-2/listed.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr int Machines = 6;
+constexpr int New = 7; // the machine that takes the place of the lost one
+constexpr double ReplaceAfterMs = 2000;
 constexpr int Off = 1; // the machine that is lost
 constexpr int Starts = 15;
 constexpr double KillAfterMs = 500;
@@ -52,8 +54,11 @@
     std::unique_ptr<Site> started;
     for (int i = 0; i < Starts && (!started || leader(*started) != Off); ++i) {
         started.reset();
-        started = std::make_unique<Site>(record, 3, Machines);
-        started->startAll();
+        started = std::make_unique<Site>(record, 3, New);
+        for (int n = 1; n <= Machines; ++n) {
+            started->startKeeper(n);
+            started->startEntry(n);
+        }
         for (const double until = nowMs() + 5000; nowMs() < until && leader(*started) == 0;)
             sleepMs(50);
     }
@@ -90,6 +95,11 @@
         site.signal("entry-" + std::to_string(Off), SIGKILL);
     }
     const double offAt = nowMs();
+    if (trouble() && std::getenv("REPLACE") == nullptr) { // an empty machine takes its place, at another address. REPLACE=0: none does
+        sleepMs(ReplaceAfterMs);
+        site.startKeeper(New, false, true);
+        site.startEntry(New, false);
+    }
     const std::string address = site.ip(Off) + ":" + std::to_string(site.frontend());
     int answers = 0;
     int named = 0;
--- a/review/lib-2/site.h
+++ b/review/lib-2/site.h
@@ -373,10 +373,10 @@
     {
         return m_folder;
     }
-    void startKeeper(int n, bool first = true)
+    void startKeeper(int n, bool first = true, bool disk = false)
     {
         std::string text = common(n, Metrics) + "listen: \"" + ip(n) + ":" + std::to_string(Control) + "\"\n";
-        if (n <= m_disks)
+        if (n <= m_disks || disk)
             text += "dataFolder: \"" + m_folder + "/data-" + std::to_string(n) + "\"\n";
         text += std::string("mayFound: ") + (first ? "true" : "false") + "\nlossesToBear: 1\norderLease: 3000ms\n" + limits();
         spawn("keeper-" + std::to_string(n), "target/roserail-keeper", text);
